Add the design page, the module skeleton and the shared types

Cause: the repository was empty; parts built in parallel need one design, one protocol and one set of shared types first. Ruled out: one module for everything (products must not depend on the stand-ins), generating gRPC code in the normal build, token transfers and declared windows inside grants (reasons in docs/design.md, section 5). Change: docs/design.md, Maven modules with formatter, linter and nullness check, the protocol with committed generated code, table rows, control thread with a manual variant, platform interfaces with an in-memory store.

--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Placeholder.
+ */
+@NullMarked
+package io.verbenacleat.agent;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/config/OfficeConfig.java
@@ -0,0 +1,49 @@
+package io.verbenacleat.core.config;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The configuration that is in force at one site: the base with the overlay of the site
+ * merged over it, checked. Immutable.
+ *
+ * @param version the stored version it comes from, from 1; 0 when it was read from files
+ * @param office the name of the office
+ * @param region the region
+ * @param models the models that callers may name
+ * @param services the plain services
+ * @param servers the backend servers
+ * @param limits the limits
+ * @param budget how budgets are held
+ */
+public record OfficeConfig(long version, String office, String region, List<ModelConfig> models,
+		List<ServiceConfig> services, List<BackendServerConfig> servers, LimitsConfig limits, BudgetConfig budget) {
+
+	/**
+	 * Creates a configuration from copies of the lists.
+	 */
+	public OfficeConfig {
+		models = List.copyOf(models);
+		services = List.copyOf(services);
+		servers = List.copyOf(servers);
+	}
+
+	/**
+	 * Finds a model.
+	 * @param name the name that callers use
+	 * @return the model, or empty
+	 */
+	public Optional<ModelConfig> model(String name) {
+		return this.models.stream().filter((model) -> model.name().equals(name)).findFirst();
+	}
+
+	/**
+	 * Finds a backend server.
+	 * @param name its name
+	 * @return the backend server, or empty
+	 */
+	public Optional<BackendServerConfig> server(String name) {
+		return this.servers.stream().filter((server) -> server.name().equals(name)).findFirst();
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/control/Blackboard.java
@@ -0,0 +1,88 @@
+package io.verbenacleat.core.control;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Immutable values that controllers publish for each other and for traffic threads.
+ * Values are written on the control thread only and may be read from any thread.
+ *
+ * <pre>{@code
+ * static final Key<Members> MEMBERS = new Key<>("members");
+ * blackboard.write(MEMBERS, members);
+ * Members seen = blackboard.read(MEMBERS);
+ * }</pre>
+ */
+public final class Blackboard {
+
+	private final Map<Key<?>, Object> values = new ConcurrentHashMap<>();
+
+	private final Map<Key<?>, List<Consumer<Object>>> listeners = new ConcurrentHashMap<>();
+
+	/**
+	 * Reads a value.
+	 * @param <T> the type of the value
+	 * @param key the key
+	 * @return the value, or {@code null} when none was written yet
+	 */
+	@SuppressWarnings("unchecked")
+	public <T> @Nullable T read(Key<T> key) {
+		return (T) this.values.get(key);
+	}
+
+	/**
+	 * Writes a value and calls the listeners of its key in the calling thread.
+	 * @param <T> the type of the value
+	 * @param key the key
+	 * @param value the value, immutable
+	 */
+	public <T> void write(Key<T> key, T value) {
+		Object previous = this.values.put(key, Objects.requireNonNull(value));
+		if (!value.equals(previous)) {
+			this.listeners.getOrDefault(key, List.of()).forEach((listener) -> listener.accept(value));
+		}
+	}
+
+	/**
+	 * Adds a listener that is called after each change of a value, on the control thread.
+	 * @param <T> the type of the value
+	 * @param key the key
+	 * @param listener the listener
+	 */
+	@SuppressWarnings("unchecked")
+	public <T> void onChange(Key<T> key, Consumer<T> listener) {
+		this.listeners.computeIfAbsent(key, (any) -> new CopyOnWriteArrayList<>())
+			.add((value) -> listener.accept((T) value));
+	}
+
+	/**
+	 * The name and type of a value. Two keys are equal when they are the same object.
+	 *
+	 * @param <T> the type of the value
+	 */
+	public static final class Key<T> {
+
+		private final String name;
+
+		/**
+		 * Creates a key.
+		 * @param name the name for messages
+		 */
+		public Key(String name) {
+			this.name = name;
+		}
+
+		@Override
+		public String toString() {
+			return this.name;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/control/ManualControlThread.java
@@ -0,0 +1,170 @@
+package io.verbenacleat.core.control;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.Queue;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A {@link ControlThread} for tests: time stands still until {@link #advance}, and tasks
+ * run in the thread that calls {@link #runPending} or {@link #advance}. Not safe for use
+ * by several threads.
+ */
+public final class ManualControlThread implements ControlThread {
+
+	private final Queue<Runnable> pending = new ArrayDeque<>();
+
+	private final PriorityQueue<Timer> timers = new PriorityQueue<>(
+			Comparator.comparing((Timer timer) -> timer.due).thenComparingLong((timer) -> timer.number));
+
+	private Instant now;
+
+	private long timerCount;
+
+	/**
+	 * Creates a control thread whose clock stands at the given time.
+	 * @param start the time
+	 */
+	public ManualControlThread(Instant start) {
+		this.now = start;
+	}
+
+	/**
+	 * Runs all tasks that are due now, and those that they add.
+	 */
+	public void runPending() {
+		Runnable task = this.pending.poll();
+		while (task != null) {
+			task.run();
+			task = this.pending.poll();
+		}
+	}
+
+	/**
+	 * Moves the clock forward and runs each timer at its time.
+	 * @param duration how far, zero or more
+	 */
+	public void advance(Duration duration) {
+		Instant end = this.now.plus(duration);
+		runPending();
+		Timer next = this.timers.peek();
+		while (next != null && !next.due.isAfter(end)) {
+			this.timers.remove(next);
+			this.now = (next.due.isAfter(this.now)) ? next.due : this.now;
+			if (!next.cancelled) {
+				next.run();
+			}
+			runPending();
+			next = this.timers.peek();
+		}
+		this.now = end;
+	}
+
+	/**
+	 * Sets the clock without running timers, as a step of the system clock does. Timers
+	 * keep their distance from the present.
+	 * @param step how far, negative for a step back
+	 */
+	public void stepClock(Duration step) {
+		this.now = this.now.plus(step);
+		Queue<Timer> moved = new ArrayDeque<>(this.timers);
+		this.timers.clear();
+		for (Timer timer : moved) {
+			timer.due = timer.due.plus(step);
+			this.timers.add(timer);
+		}
+	}
+
+	@Override
+	public Clock clock() {
+		return new ManualClock();
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		this.pending.add(task);
+	}
+
+	@Override
+	public Cancellable schedule(Duration delay, Runnable task) {
+		return addTimer(delay, null, task);
+	}
+
+	@Override
+	public Cancellable scheduleWithFixedDelay(Duration delay, Runnable task) {
+		return addTimer(delay, delay, task);
+	}
+
+	@Override
+	public boolean isCurrent() {
+		return true;
+	}
+
+	@Override
+	public void close() {
+		this.pending.clear();
+		this.timers.clear();
+	}
+
+	private Cancellable addTimer(Duration delay, @Nullable Duration period, Runnable task) {
+		Timer timer = new Timer(this.now.plus(delay), this.timerCount++, period, task);
+		this.timers.add(timer);
+		return () -> timer.cancelled = true;
+	}
+
+	private final class Timer {
+
+		private final long number;
+
+		private final @Nullable Duration period;
+
+		private final Runnable task;
+
+		private Instant due;
+
+		private boolean cancelled;
+
+		private Timer(Instant due, long number, @Nullable Duration period, Runnable task) {
+			this.due = due;
+			this.number = number;
+			this.period = period;
+			this.task = task;
+		}
+
+		private void run() {
+			this.task.run();
+			if (this.period != null && !this.cancelled) {
+				this.due = ManualControlThread.this.now.plus(this.period);
+				ManualControlThread.this.timers.add(this);
+			}
+		}
+
+	}
+
+	private final class ManualClock extends Clock {
+
+		@Override
+		public ZoneId getZone() {
+			return ZoneOffset.UTC;
+		}
+
+		@Override
+		public Clock withZone(ZoneId zone) {
+			return this;
+		}
+
+		@Override
+		public Instant instant() {
+			return ManualControlThread.this.now;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/daemon/AdminServer.java
@@ -0,0 +1,84 @@
+package io.verbenacleat.core.daemon;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * The HTTP server for operators of a daemon: {@code /health/live}, {@code /health/ready}
+ * and {@code /metrics}. Safe for use by several threads.
+ */
+public final class AdminServer implements AutoCloseable {
+
+	private final NettyServer server;
+
+	private final int port;
+
+	private AdminServer(NettyServer server, int port) {
+		this.server = server;
+		this.port = port;
+	}
+
+	/**
+	 * Starts the server.
+	 * @param host the IP number to bind
+	 * @param port the port, more than 0
+	 * @param registry the metrics
+	 * @param ready tells whether the daemon is ready for work
+	 * @return the running server
+	 */
+	public static AdminServer start(String host, int port, PrometheusRegistry registry, BooleanSupplier ready) {
+		Jooby app = new Jooby();
+		app.get("/health/live", (ctx) -> "live\n");
+		app.get("/health/ready", (ctx) -> ready(ctx, ready));
+		app.get("/metrics", (ctx) -> metrics(ctx, registry));
+		NettyServer server = new NettyServer();
+		ServerOptions options = new ServerOptions();
+		options.setHost(host);
+		options.setPort(port);
+		options.setIoThreads(1);
+		options.setWorkerThreads(2);
+		server.setOptions(options);
+		server.start(app);
+		return new AdminServer(server, port);
+	}
+
+	/**
+	 * Returns the port that was bound.
+	 * @return the port
+	 */
+	public int port() {
+		return this.port;
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+	private static String ready(Context ctx, BooleanSupplier ready) {
+		if (ready.getAsBoolean()) {
+			return "ready\n";
+		}
+		ctx.setResponseCode(StatusCode.SERVICE_UNAVAILABLE);
+		return "not ready\n";
+	}
+
+	private static String metrics(Context ctx, PrometheusRegistry registry) throws IOException {
+		ByteArrayOutputStream out = new ByteArrayOutputStream();
+		new PrometheusTextFormatWriter(false).write(out, registry.scrape());
+		ctx.setResponseType(MediaType.valueOf(PrometheusTextFormatWriter.CONTENT_TYPE));
+		return out.toString(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/daemon/CommonSettings.java
@@ -0,0 +1,142 @@
+package io.verbenacleat.core.daemon;
+
+import io.verbenacleat.core.rpc.FleetSecret;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Option;
+
+/**
+ * The settings that both daemons have. Filled once at the start by
+ * {@link SettingsParser}; not safe for use by several threads before that.
+ */
+public abstract class CommonSettings {
+
+	/** Prints the usage text and exits. */
+	@Option(name = "--help", help = true, usage = "print this text")
+	public boolean help;
+
+	/** Prints the version and exits. */
+	@Option(name = "--version", help = true, usage = "print the version")
+	public boolean version;
+
+	/** The name of the process, the first part of its incarnation. */
+	@Option(name = "--name", metaVar = "NAME", usage = "name of this process, part of its identity")
+	public String name = "";
+
+	/** The region. */
+	@Option(name = "--region", metaVar = "NAME", usage = "region of this host")
+	public String region = "";
+
+	/** The availability zone. */
+	@Option(name = "--zone", metaVar = "NAME", usage = "availability zone of this host")
+	public String zone = "";
+
+	/** The site. */
+	@Option(name = "--site", metaVar = "NAME", usage = "site of this host")
+	public String site = "";
+
+	/** The IP number of this host, at which the fleet reaches it. */
+	@Option(name = "--host", metaVar = "IP", usage = "IP number of this host (default 127.0.0.1)")
+	public String host = "127.0.0.1";
+
+	/** The gRPC port. */
+	@Option(name = "--rpc-port", metaVar = "PORT", usage = "gRPC port for the fleet (default 0, any free port)")
+	public int rpcPort;
+
+	/** The port for health and metrics. */
+	@Option(name = "--admin-port", metaVar = "PORT",
+			usage = "port of /health/live, /health/ready and /metrics (default 0, any free port)")
+	public int adminPort;
+
+	/** The base URL of the platform. */
+	@Option(name = "--platform-url", metaVar = "URL", usage = "base URL of the platform services")
+	public String platformUrl = "";
+
+	/** The bearer token for the platform. */
+	@Option(name = "--platform-token", metaVar = "TOKEN",
+			usage = "bearer token for the platform; prefer the environment")
+	public String platformToken = "";
+
+	/** The secret that the fleet shares. */
+	@Option(name = "--fleet-secret", metaVar = "SECRET",
+			usage = "secret that all processes of the fleet share, at least 16 characters; prefer the environment")
+	public String fleetSecret = "";
+
+	/** The log layout. */
+	@Option(name = "--log-layout", metaVar = "LAYOUT", usage = "text or json (default text)")
+	public LogLayout logLayout = LogLayout.TEXT;
+
+	/**
+	 * Checks the settings that need more than a form.
+	 * @throws UsageException when a setting is missing or wrong
+	 */
+	public void check() throws UsageException {
+		require("--name", this.name);
+		require("--region", this.region);
+		require("--zone", this.zone);
+		require("--site", this.site);
+		require("--platform-url", this.platformUrl);
+		if (!this.platformUrl.matches("https?://[^/ ]+/?")) {
+			throw new UsageException(
+					"--platform-url: found '" + this.platformUrl + "', allowed is http(s)://host:port");
+		}
+		if (!this.name.matches("[a-z0-9][a-z0-9-]{0,40}")) {
+			throw new UsageException("--name: found '" + this.name
+					+ "', allowed are up to 41 lower-case letters, digits and '-', not '-' first");
+		}
+		requirePort("--rpc-port", this.rpcPort);
+		requirePort("--admin-port", this.adminPort);
+		secret();
+	}
+
+	/**
+	 * Returns the fleet secret.
+	 * @return the secret
+	 * @throws UsageException when it is missing or too short
+	 */
+	public FleetSecret secret() throws UsageException {
+		try {
+			return FleetSecret.of(this.fleetSecret);
+		}
+		catch (IllegalArgumentException ex) {
+			throw new UsageException("--fleet-secret: " + ex.getMessage());
+		}
+	}
+
+	/**
+	 * Checks that a setting is there.
+	 * @param flag the flag for the message
+	 * @param value the value, or {@code null}
+	 * @throws UsageException when the value is missing or empty
+	 */
+	protected static void require(String flag, @Nullable String value) throws UsageException {
+		if (value == null || value.isBlank()) {
+			throw new UsageException(flag + " is missing");
+		}
+	}
+
+	/**
+	 * Checks the range of a port.
+	 * @param flag the flag for the message
+	 * @param port the port
+	 * @throws UsageException when the port is not from 0 to 65535
+	 */
+	protected static void requirePort(String flag, int port) throws UsageException {
+		if (port < 0 || port > 65_535) {
+			throw new UsageException(flag + ": found " + port + ", allowed is 0 to 65535");
+		}
+	}
+
+	/**
+	 * The layout of log lines.
+	 */
+	public enum LogLayout {
+
+		/** One plain line each. */
+		TEXT,
+
+		/** One JSON object each. */
+		JSON
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/daemon/SettingsParser.java
@@ -0,0 +1,94 @@
+package io.verbenacleat.core.daemon;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.NamedOptionDef;
+import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.OptionHandler;
+
+/**
+ * Fills a settings object with args4j annotations from flags and environment variables. A
+ * flag {@code --some-thing} may also be given as {@code VERBENA_SOME_THING}; the flag
+ * goes first. Not safe for use by several threads.
+ */
+public final class SettingsParser {
+
+	private static final String ENVIRONMENT_PREFIX = "VERBENA_";
+
+	private static final int USAGE_WIDTH = 100;
+
+	private final String program;
+
+	private final Map<String, String> environment;
+
+	/**
+	 * Creates a parser.
+	 * @param program the name of the program for its usage text
+	 * @param environment the environment variables
+	 */
+	public SettingsParser(String program, Map<String, String> environment) {
+		this.program = program;
+		this.environment = Map.copyOf(environment);
+	}
+
+	/**
+	 * Fills a settings object.
+	 * @param settings the object with args4j annotations
+	 * @param args the command line
+	 * @throws UsageException when a setting is unknown, missing or has a wrong form
+	 */
+	public void parse(Object settings, String[] args) throws UsageException {
+		CmdLineParser parser = parser(settings);
+		List<String> all = new ArrayList<>(fromEnvironment(parser, args));
+		all.addAll(Arrays.asList(args));
+		try {
+			parser.parseArgument(all);
+		}
+		catch (CmdLineException ex) {
+			String message = (ex.getMessage() != null) ? ex.getMessage() : "wrong usage";
+			throw new UsageException(message.strip().replace('\n', ' '));
+		}
+	}
+
+	/**
+	 * Prints the usage text with all flags.
+	 * @param settings the object with args4j annotations
+	 * @param out where to print
+	 */
+	public void printUsage(Object settings, PrintStream out) {
+		out.println("Usage: " + this.program + " [flags]");
+		out.println("Each flag --some-thing may also be given in the environment as VERBENA_SOME_THING.");
+		parser(settings).printUsage(out);
+	}
+
+	private List<String> fromEnvironment(CmdLineParser parser, String[] args) {
+		List<String> given = Arrays.asList(args);
+		List<String> found = new ArrayList<>();
+		for (OptionHandler<?> handler : parser.getOptions()) {
+			String flag = ((NamedOptionDef) handler.option).name();
+			String value = this.environment.get(variable(flag));
+			boolean onCommandLine = given.stream().anyMatch((arg) -> arg.equals(flag) || arg.startsWith(flag + "="));
+			if (value != null && !onCommandLine) {
+				found.add(flag);
+				found.add(value);
+			}
+		}
+		return found;
+	}
+
+	private static CmdLineParser parser(Object settings) {
+		return new CmdLineParser(settings, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH));
+	}
+
+	private static String variable(String flag) {
+		return ENVIRONMENT_PREFIX + flag.replaceFirst("^--", "").replace('-', '_').toUpperCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/daemon/Version.java
@@ -0,0 +1,20 @@
+package io.verbenacleat.core.daemon;
+
+/**
+ * The version of the programs.
+ */
+public final class Version {
+
+	private Version() {
+	}
+
+	/**
+	 * Returns the version that the build wrote into the archive.
+	 * @return the version, or {@code development} when run from classes
+	 */
+	public static String current() {
+		String version = Version.class.getPackage().getImplementationVersion();
+		return (version != null) ? version : "development";
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/head/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The row that tells readers which topics have changed.
+ */
+@NullMarked
+package io.verbenacleat.core.head;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/id/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Identities of process runs.
+ */
+@NullMarked
+package io.verbenacleat.core.id;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/journal/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Receipts as they stand in the table service.
+ */
+@NullMarked
+package io.verbenacleat.core.journal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/platform/InMemoryTableStore.java
@@ -0,0 +1,135 @@
+package io.verbenacleat.core.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * A table store in the memory of one process, with faults to order: the reference for
+ * tests and the core of the platform stand-in. Safe for use by several threads. Futures
+ * complete in the calling thread.
+ */
+public final class InMemoryTableStore implements TableStore {
+
+	private final TreeMap<String, Row> rows = new TreeMap<>();
+
+	private boolean available = true;
+
+	private int answersToLose;
+
+	private long readRows;
+
+	private long writeTransactions;
+
+	/**
+	 * Makes the store answer or refuse calls.
+	 * @param available {@code false} to refuse
+	 */
+	public synchronized void setAvailable(boolean available) {
+		this.available = available;
+	}
+
+	/**
+	 * Loses the answers of the next transactions: they take effect, and the caller learns
+	 * {@link WriteOutcome.Unknown}.
+	 * @param count how many, zero or more
+	 */
+	public synchronized void loseNextAnswers(int count) {
+		this.answersToLose = count;
+	}
+
+	/**
+	 * Returns how many rows were read.
+	 * @return the count
+	 */
+	public synchronized long readRows() {
+		return this.readRows;
+	}
+
+	/**
+	 * Returns how many transactions were tried while the store was available.
+	 * @return the count
+	 */
+	public synchronized long writeTransactions() {
+		return this.writeTransactions;
+	}
+
+	@Override
+	public synchronized CompletableFuture<List<Row>> read(List<String> keys) {
+		if (!this.available) {
+			return CompletableFuture.failedFuture(unavailable());
+		}
+		List<Row> found = new ArrayList<>();
+		for (String key : keys) {
+			found.add(this.rows.getOrDefault(key, Row.absent(key)));
+		}
+		this.readRows += found.size();
+		return CompletableFuture.completedFuture(List.copyOf(found));
+	}
+
+	@Override
+	public synchronized CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+		if (!this.available) {
+			return CompletableFuture.failedFuture(unavailable());
+		}
+		List<Row> found = new ArrayList<>();
+		String start = (after.compareTo(prefix) > 0) ? after : prefix;
+		for (Row row : this.rows.tailMap(start, !start.equals(after)).values()) {
+			if (!row.key().startsWith(prefix) || found.size() >= limit) {
+				break;
+			}
+			found.add(row);
+		}
+		this.readRows += found.size();
+		return CompletableFuture.completedFuture(List.copyOf(found));
+	}
+
+	@Override
+	public synchronized CompletableFuture<WriteOutcome> transact(Transaction transaction) {
+		if (!this.available) {
+			return CompletableFuture.completedFuture(new WriteOutcome.NotApplied(unavailable()));
+		}
+		this.writeTransactions++;
+		Map<String, Long> conflicts = conflicts(transaction);
+		if (!conflicts.isEmpty()) {
+			return CompletableFuture.completedFuture(new WriteOutcome.Conflict(conflicts));
+		}
+		Map<String, Long> versions = apply(transaction);
+		if (this.answersToLose > 0) {
+			this.answersToLose--;
+			return CompletableFuture.completedFuture(new WriteOutcome.Unknown(
+					new PlatformUnavailableException("The answer of the table store was lost", null)));
+		}
+		return CompletableFuture.completedFuture(new WriteOutcome.Applied(versions));
+	}
+
+	private Map<String, Long> conflicts(Transaction transaction) {
+		Map<String, Long> conflicts = new HashMap<>();
+		for (Transaction.Condition condition : transaction.conditions()) {
+			long version = this.rows.getOrDefault(condition.key(), Row.absent(condition.key())).version();
+			if (version != condition.version()) {
+				conflicts.put(condition.key(), version);
+			}
+		}
+		return conflicts;
+	}
+
+	private Map<String, Long> apply(Transaction transaction) {
+		Map<String, Long> versions = new HashMap<>();
+		for (Transaction.Put put : transaction.puts()) {
+			long version = this.rows.getOrDefault(put.key(), Row.absent(put.key())).version() + 1;
+			this.rows.put(put.key(), new Row(put.key(), version, put.json()));
+			versions.put(put.key(), version);
+		}
+		transaction.deletes().forEach(this.rows::remove);
+		return versions;
+	}
+
+	private static PlatformUnavailableException unavailable() {
+		return new PlatformUnavailableException("The table store is not available", null);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/platform/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Clients of the platform: table store, host list, object store and weight store.
+ */
+@NullMarked
+package io.verbenacleat.core.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/ctl/src/main/java/io/verbenacleat/ctl/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Placeholder.
+ */
+@NullMarked
+package io.verbenacleat.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryBoard.java
@@ -0,0 +1,38 @@
+package io.verbenacleat.entry;
+
+import java.util.Map;
+import java.util.Set;
+
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.member.Membership;
+import io.verbenacleat.proto.v1.GetStatusResponse;
+
+/**
+ * The keys of the values that the controllers of an entry share.
+ */
+public final class EntryBoard {
+
+	/** The configuration in force at the site of this entry. */
+	public static final Blackboard.Key<OfficeConfig> CONFIG = new Blackboard.Key<>("config");
+
+	/** The processes of the fleet, as last read. */
+	public static final Blackboard.Key<Membership> MEMBERS = new Blackboard.Key<>("members");
+
+	/** The last status of each agent that answers, by agent incarnation. */
+	public static final Blackboard.Key<Map<String, GetStatusResponse>> AGENT_STATUS = new Blackboard.Key<>(
+			"agent-status");
+
+	/** The backend servers that an operator drains. */
+	public static final Blackboard.Key<Set<String>> DRAINED = new Blackboard.Key<>("drained");
+
+	/** Whether this entry takes new requests. */
+	public static final Blackboard.Key<Boolean> ACCEPTING = new Blackboard.Key<>("accepting");
+
+	/** When the platform last answered a poll, in milliseconds since the epoch. */
+	public static final Blackboard.Key<Long> PLATFORM_SEEN_AT_MS = new Blackboard.Key<>("platform-seen");
+
+	private EntryBoard() {
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The holder of budget grants: reservations, grants, journal, recovery.
+ */
+@NullMarked
+package io.verbenacleat.entry.budget;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/http/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The HTTP gateway for callers.
+ */
+@NullMarked
+package io.verbenacleat.entry.http;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/standins/src/main/java/io/verbenacleat/standins/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Placeholder.
+ */
+@NullMarked
+package io.verbenacleat.standins;
+
+import org.jspecify.annotations.NullMarked;
