Add the HTTP gateway for callers

Cause: callers need the usual chat completions protocol, and plain services passed through, with typed refusals. Ruled out: Jooby's own server-sent events (they are for GET and reconnects); streaming the body of a plain service (a response that breaks off could look whole, so it is sent once it is complete). Change: chat completions streamed and collected, model list, service routes, problem details with the error object of chat clients, worst-case bound. A test client resolved /%2e%2e/ itself, so that case now uses a path that reaches the server as written. Conclusion: bad bodies, keys and paths reach no runner (checked by test).

--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/http/ChunkCollector.java
@@ -0,0 +1,112 @@
+package io.verbenacleat.entry.http;
+
+import java.util.Iterator;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.verbenacleat.core.json.Json;
+
+/**
+ * Joins the chunks of a chat completion stream into one completion: strings of the deltas
+ * are appended, tool calls joined by their index. Not safe for use by several threads.
+ */
+final class ChunkCollector {
+
+	private final ObjectNode completion = Json.mapper().createObjectNode();
+
+	private final ObjectNode message = Json.mapper().createObjectNode();
+
+	private final ArrayNode logprobs = Json.mapper().createArrayNode();
+
+	private String finishReason = "";
+
+	ChunkCollector() {
+		this.message.put("role", "assistant");
+		this.message.put("content", "");
+	}
+
+	/**
+	 * Adds a chunk.
+	 * @param chunk the chunk
+	 */
+	void add(JsonNode chunk) {
+		for (String name : new String[] { "id", "created", "model", "system_fingerprint", "usage" }) {
+			if (chunk.hasNonNull(name)) {
+				this.completion.set(name, chunk.get(name));
+			}
+		}
+		JsonNode choice = chunk.path("choices").path(0);
+		appendObject(this.message, choice.path("delta"));
+		choice.path("logprobs").path("content").forEach(this.logprobs::add);
+		if (choice.hasNonNull("finish_reason")) {
+			this.finishReason = choice.get("finish_reason").asText();
+		}
+	}
+
+	/**
+	 * Returns the joined completion.
+	 * @param defaultFinishReason the reason when no chunk gave one
+	 * @return the completion
+	 */
+	ObjectNode toCompletion(String defaultFinishReason) {
+		ObjectNode choice = Json.mapper().createObjectNode();
+		choice.put("index", 0);
+		choice.set("message", this.message);
+		choice.set("logprobs",
+				(this.logprobs.isEmpty()) ? null : Json.mapper().createObjectNode().set("content", this.logprobs));
+		choice.put("finish_reason", (this.finishReason.isEmpty()) ? defaultFinishReason : this.finishReason);
+		this.completion.put("object", "chat.completion");
+		this.completion.putArray("choices").add(choice);
+		return this.completion;
+	}
+
+	private static void appendObject(ObjectNode target, JsonNode delta) {
+		Iterator<Map.Entry<String, JsonNode>> fields = delta.fields();
+		while (fields.hasNext()) {
+			Map.Entry<String, JsonNode> field = fields.next();
+			appendField(target, field.getKey(), field.getValue());
+		}
+	}
+
+	private static void appendField(ObjectNode target, String name, JsonNode value) {
+		JsonNode present = target.path(name);
+		if (value.isNull()) {
+			return;
+		}
+		if (value.isArray()) {
+			ArrayNode array = (present.isArray()) ? (ArrayNode) present : target.putArray(name);
+			value.forEach((element) -> appendElement(array, element));
+		}
+		else if (value.isObject()) {
+			ObjectNode object = (present.isObject()) ? (ObjectNode) present : target.putObject(name);
+			appendObject(object, value);
+		}
+		else if (value.isTextual() && present.isTextual() && isAppended(name)) {
+			target.put(name, present.asText() + value.asText());
+		}
+		else {
+			target.set(name, value);
+		}
+	}
+
+	private static boolean isAppended(String name) {
+		return !name.equals("role") && !name.equals("id") && !name.equals("type");
+	}
+
+	private static void appendElement(ArrayNode array, JsonNode element) {
+		if (!element.isObject() || !element.has("index")) {
+			array.add(element);
+			return;
+		}
+		ObjectNode target = null;
+		for (JsonNode known : array) {
+			if (known.path("index").equals(element.path("index"))) {
+				target = (ObjectNode) known;
+			}
+		}
+		appendObject((target != null) ? target : array.addObject(), element);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/http/Exchange.java
@@ -0,0 +1,209 @@
+package io.verbenacleat.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.jooby.Context;
+import io.jooby.Sender;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.entry.request.Refusal;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One HTTP request and its response. Writes come one at a time; {@link #isCallerGone} may
+ * be asked from any thread.
+ */
+final class Exchange {
+
+	/** A caller that reads slower than this much behind is dropped. */
+	private static final long MAX_UNSENT_BYTES = 4L * 1024 * 1024;
+
+	private static final int MILLIS_PER_SECOND = 1_000;
+
+	private final Context context;
+
+	private final String requestId;
+
+	private final GatewayMetrics metrics;
+
+	private final Runnable release;
+
+	private final AtomicBoolean ended = new AtomicBoolean();
+
+	private final AtomicLong unsentBytes = new AtomicLong();
+
+	private volatile boolean callerGone;
+
+	private volatile Runnable callerGoneListener = () -> {
+	};
+
+	private @Nullable Sender sender;
+
+	Exchange(Context context, String requestId, GatewayMetrics metrics, Runnable release) {
+		this.context = context;
+		this.requestId = requestId;
+		this.metrics = metrics;
+		this.release = release;
+		context.setResponseHeader("Verbena-Request-Id", requestId);
+		context.onComplete((any) -> end());
+	}
+
+	/**
+	 * Sets what is called once when the caller is found to be gone.
+	 * @param listener the listener
+	 */
+	void onCallerGone(Runnable listener) {
+		this.callerGoneListener = listener;
+		if (this.callerGone) {
+			listener.run();
+		}
+	}
+
+	/**
+	 * Returns whether the caller is known to be gone.
+	 * @return {@code true} when nothing more can be sent
+	 */
+	boolean isCallerGone() {
+		return this.callerGone;
+	}
+
+	/**
+	 * Returns whether the status line was sent.
+	 * @return {@code true} after the first part
+	 */
+	boolean isStarted() {
+		return this.sender != null;
+	}
+
+	/**
+	 * Sends a whole response.
+	 * @param status the HTTP status
+	 * @param mediaType the media type
+	 * @param body the body
+	 */
+	void send(int status, String mediaType, byte[] body) {
+		if (this.callerGone) {
+			end();
+			return;
+		}
+		this.context.setResponseCode(status);
+		this.context.setResponseType(mediaType);
+		this.context.send(body);
+	}
+
+	/**
+	 * Sends the refusal as the whole response.
+	 * @param refusal the refusal
+	 */
+	void refuse(Refusal refusal) {
+		this.metrics.countRefusal(refusal);
+		setRetryAfter(refusal);
+		send(refusal.code().status(), ProblemDetails.MEDIA_TYPE, bytes(ProblemDetails.of(refusal, this.requestId)));
+	}
+
+	/**
+	 * Starts a response that is sent in parts.
+	 * @param status the HTTP status
+	 * @param mediaType the media type
+	 */
+	void start(int status, String mediaType) {
+		this.context.setResponseCode(status);
+		this.context.setResponseType(mediaType);
+		this.sender = this.context.responseSender();
+	}
+
+	/**
+	 * Sends a header with the response.
+	 * @param name the name
+	 * @param value the value
+	 */
+	void header(String name, String value) {
+		this.context.setResponseHeader(name, value);
+	}
+
+	/**
+	 * Sends the next part.
+	 * @param part the bytes
+	 */
+	void write(byte[] part) {
+		Sender open = this.sender;
+		if (open == null || this.callerGone) {
+			return;
+		}
+		if (this.unsentBytes.addAndGet(part.length) > MAX_UNSENT_BYTES) {
+			this.metrics.countSlowCaller();
+			leave();
+			return;
+		}
+		open.write(part, (any, failure) -> {
+			this.unsentBytes.addAndGet(-part.length);
+			if (failure != null) {
+				leave();
+			}
+		});
+	}
+
+	/**
+	 * Ends a response that is sent in parts.
+	 */
+	void finish() {
+		if (this.sender != null) {
+			this.sender.close();
+		}
+		if (this.callerGone) {
+			end();
+		}
+	}
+
+	/**
+	 * Sends a refusal as the last part of an event stream, without the normal end.
+	 * @param refusal the refusal
+	 */
+	void finishEventsWith(Refusal refusal) {
+		this.metrics.countRefusal(refusal);
+		writeEvent(Json.write(ProblemDetails.of(refusal, this.requestId)));
+		finish();
+	}
+
+	/**
+	 * Sends one server-sent event.
+	 * @param data the data, one line
+	 */
+	void writeEvent(String data) {
+		write(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+	}
+
+	/**
+	 * Returns the bytes of a JSON value.
+	 * @param value the value
+	 * @return the bytes in UTF-8
+	 */
+	static byte[] bytes(JsonNode value) {
+		return Json.write(value).getBytes(StandardCharsets.UTF_8);
+	}
+
+	private void setRetryAfter(Refusal refusal) {
+		if (refusal.retryAfterMs() > 0) {
+			long seconds = (refusal.retryAfterMs() + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND;
+			header("Retry-After", Long.toString(seconds));
+		}
+	}
+
+	private void leave() {
+		if (!this.callerGone) {
+			this.callerGone = true;
+			this.metrics.countCallerGone();
+			this.callerGoneListener.run();
+			end();
+		}
+	}
+
+	private void end() {
+		if (this.ended.compareAndSet(false, true)) {
+			this.release.run();
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/http/HttpGateway.java
@@ -0,0 +1,200 @@
+package io.verbenacleat.entry.http;
+
+import java.time.Clock;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.Router;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.entry.request.Refusal;
+import io.verbenacleat.entry.request.RefusalCode;
+import io.verbenacleat.entry.request.RequestRunner;
+
+/**
+ * The HTTP server for callers: chat completions, the list of models, and the plain
+ * services of the configuration. Safe for use by several threads.
+ */
+public final class HttpGateway implements AutoCloseable {
+
+	/** The configuration may only lower the limit of a body. */
+	private static final int MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+	private static final int WORKER_THREADS = 32;
+
+	private final NettyServer server = new NettyServer();
+
+	private final Admission admission;
+
+	private final GatewayRoutes routes;
+
+	private final GatewayMetrics metrics;
+
+	private final RequestIds requestIds;
+
+	private HttpGateway(Builder builder) {
+		this.admission = new Admission(builder.blackboard, builder.clock);
+		this.metrics = new GatewayMetrics(builder.registry, this.admission);
+		this.routes = new GatewayRoutes(builder.runner, builder.keyCheck, this.metrics);
+		this.requestIds = new RequestIds(builder.incarnation);
+	}
+
+	/**
+	 * Returns a builder.
+	 * @param incarnation the identity of this entry run
+	 * @param blackboard the blackboard of the entry
+	 * @param runner runs the requests
+	 * @param keyCheck checks the keys of requests that cost nothing
+	 * @return a new builder
+	 */
+	public static Builder builder(String incarnation, Blackboard blackboard, RequestRunner runner, KeyCheck keyCheck) {
+		return new Builder(incarnation, blackboard, runner, keyCheck);
+	}
+
+	/**
+	 * Returns the port that was bound.
+	 * @return the port
+	 */
+	public int port() {
+		return this.server.getOptions().getPort();
+	}
+
+	/**
+	 * Returns how many requests are in progress.
+	 * @return the number
+	 */
+	public int requestsInProgress() {
+		return this.admission.inProgress();
+	}
+
+	@Override
+	public void close() {
+		this.server.stop();
+	}
+
+	private void start(String host, int port) {
+		ServerOptions options = new ServerOptions();
+		options.setHost(host);
+		options.setPort(port);
+		options.setWorkerThreads(WORKER_THREADS);
+		options.setMaxRequestSize(MAX_BODY_BYTES);
+		options.setDefaultHeaders(false);
+		this.server.setOptions(options);
+		Jooby app = new Jooby();
+		app.error((context, failure, status) -> refuseUnhandled(context, status));
+		app.post("/v1/chat/completions", (context) -> handle(context, this.routes::chat));
+		app.get("/v1/models", (context) -> handle(context, this.routes::models));
+		for (String method : Router.METHODS) {
+			app.route(method, "/*", (context) -> handle(context, this.routes::service));
+		}
+		this.server.start(app);
+	}
+
+	private Object handle(Context context, Route route) throws Exception {
+		return context.detach((detached) -> {
+			String requestId = this.requestIds.next();
+			try {
+				OfficeConfig config = this.admission.admit();
+				Exchange exchange = new Exchange(detached, requestId, this.metrics, this.admission::release);
+				run(detached, exchange, config, requestId, route);
+			}
+			catch (RequestRejectedException ex) {
+				new Exchange(detached, requestId, this.metrics, () -> {
+				}).refuse(ex.refusal());
+			}
+			return detached;
+		});
+	}
+
+	private static void run(Context context, Exchange exchange, OfficeConfig config, String requestId, Route route) {
+		try {
+			route.handle(context, exchange, config, requestId);
+		}
+		catch (RequestRejectedException ex) {
+			exchange.refuse(ex.refusal());
+		}
+	}
+
+	private void refuseUnhandled(Context context, StatusCode status) {
+		boolean tooLarge = status.value() == StatusCode.REQUEST_ENTITY_TOO_LARGE.value();
+		Refusal refusal = (tooLarge)
+				? Refusal.notRun(RefusalCode.BODY_TOO_LARGE, "The body is over " + MAX_BODY_BYTES + " bytes")
+				: Refusal.notRun(RefusalCode.INVALID_REQUEST, "The request could not be read");
+		new Exchange(context, this.requestIds.next(), this.metrics, () -> {
+		}).refuse(refusal);
+	}
+
+	/**
+	 * What is done with one kind of request.
+	 */
+	@FunctionalInterface
+	private interface Route {
+
+		void handle(Context context, Exchange exchange, OfficeConfig config, String requestId)
+				throws RequestRejectedException;
+
+	}
+
+	/**
+	 * Collects the parts of a gateway. Not safe for use by several threads.
+	 */
+	public static final class Builder {
+
+		private final String incarnation;
+
+		private final Blackboard blackboard;
+
+		private final RequestRunner runner;
+
+		private final KeyCheck keyCheck;
+
+		private Clock clock = Clock.systemUTC();
+
+		private PrometheusRegistry registry = new PrometheusRegistry();
+
+		private Builder(String incarnation, Blackboard blackboard, RequestRunner runner, KeyCheck keyCheck) {
+			this.incarnation = incarnation;
+			this.blackboard = blackboard;
+			this.runner = runner;
+			this.keyCheck = keyCheck;
+		}
+
+		/**
+		 * Sets the clock, the system clock by default.
+		 * @param newClock the clock
+		 * @return this builder
+		 */
+		public Builder clock(Clock newClock) {
+			this.clock = newClock;
+			return this;
+		}
+
+		/**
+		 * Sets the registry for the metrics, a new one by default.
+		 * @param newRegistry the registry
+		 * @return this builder
+		 */
+		public Builder registry(PrometheusRegistry newRegistry) {
+			this.registry = newRegistry;
+			return this;
+		}
+
+		/**
+		 * Starts the gateway.
+		 * @param host the IP number to bind
+		 * @param port the port, 0 for any free one
+		 * @return the running gateway
+		 */
+		public HttpGateway start(String host, int port) {
+			HttpGateway gateway = new HttpGateway(this);
+			gateway.start(host, port);
+			return gateway;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/http/PromptBound.java
@@ -0,0 +1,84 @@
+package io.verbenacleat.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.verbenacleat.core.config.ModelConfig;
+import io.verbenacleat.entry.request.RefusalCode;
+
+/**
+ * An upper bound on the prompt tokens of a chat completion. No tokenizer makes more than
+ * one token of a byte, so the bytes of all text are a bound; chat templates add some
+ * tokens for each message. Images cost what the model's configuration says.
+ */
+final class PromptBound {
+
+	private static final int REQUEST_TOKENS = 64;
+
+	private static final int MESSAGE_TOKENS = 16;
+
+	/** Quotes, braces and commas, which templates render for tool schemas. */
+	private static final int VALUE_TOKENS = 2;
+
+	private final ModelConfig model;
+
+	private long tokens = REQUEST_TOKENS;
+
+	private PromptBound(ModelConfig model) {
+		this.model = model;
+	}
+
+	/**
+	 * Returns the bound of a request.
+	 * @param body the request body, an object
+	 * @param model the model
+	 * @return the bound in tokens
+	 * @throws RequestRejectedException when a content part has no known bound
+	 */
+	static long of(JsonNode body, ModelConfig model) throws RequestRejectedException {
+		PromptBound bound = new PromptBound(model);
+		bound.addValue(body);
+		bound.tokens += (long) MESSAGE_TOKENS * body.path("messages").size();
+		return bound.tokens;
+	}
+
+	private void addValue(JsonNode node) throws RequestRejectedException {
+		this.tokens += VALUE_TOKENS;
+		if (node.isObject()) {
+			addObject(node);
+		}
+		else if (node.isArray()) {
+			for (JsonNode element : node) {
+				addValue(element);
+			}
+		}
+		else {
+			this.tokens += bytes(node.asText());
+		}
+	}
+
+	private void addObject(JsonNode node) throws RequestRejectedException {
+		String type = node.path("type").asText("");
+		if (type.equals("image_url") && node.has("image_url")) {
+			this.tokens += this.model.imageTokens();
+			return;
+		}
+		if (type.equals("input_audio") || type.equals("file") || type.equals("video_url")) {
+			throw new RequestRejectedException(RefusalCode.INVALID_PARAMETER,
+					"Content parts of type '" + type + "' are not supported; allowed are text and image_url");
+		}
+		Iterator<Map.Entry<String, JsonNode>> fields = node.fields();
+		while (fields.hasNext()) {
+			Map.Entry<String, JsonNode> field = fields.next();
+			this.tokens += bytes(field.getKey());
+			addValue(field.getValue());
+		}
+	}
+
+	private static long bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8).length;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/http/RequestIds.java
@@ -0,0 +1,26 @@
+package io.verbenacleat.entry.http;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Makes the ids of the requests of one entry run. Safe for use by several threads.
+ */
+final class RequestIds {
+
+	private final String incarnation;
+
+	private final AtomicLong count = new AtomicLong();
+
+	RequestIds(String incarnation) {
+		this.incarnation = incarnation;
+	}
+
+	/**
+	 * Returns an id that no other request has.
+	 * @return the id
+	 */
+	String next() {
+		return "req-" + this.incarnation + "-" + this.count.incrementAndGet();
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/http/ScriptedRunner.java
@@ -0,0 +1,38 @@
+package io.verbenacleat.entry.http;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+
+import com.google.protobuf.ByteString;
+import io.verbenacleat.entry.request.RequestRunner;
+import io.verbenacleat.entry.request.RunListener;
+import io.verbenacleat.entry.request.RunRequest;
+
+/**
+ * A runner that answers each request with the script of the test.
+ */
+final class ScriptedRunner implements RequestRunner {
+
+	final List<RunRequest> requests = new CopyOnWriteArrayList<>();
+
+	final CountDownLatch callerGone = new CountDownLatch(1);
+
+	volatile Consumer<RunListener> script = (listener) -> {
+	};
+
+	@Override
+	public RunningRequest run(RunRequest request, RunListener listener) {
+		this.requests.add(request);
+		this.script.accept(listener);
+		return this.callerGone::countDown;
+	}
+
+	static ByteString chunk(String content) {
+		return ByteString
+			.copyFromUtf8("{\"id\":\"c1\",\"model\":\"m1\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\""
+					+ content + "\"},\"finish_reason\":null}]}");
+	}
+
+}
