Add HTTP clients for the platform

Cause: the daemons and verbenactl need the table service, the host list, the object store and the weight store over HTTP, with write outcomes that never claim more than is known.

Ruled out: deriving "not sent" from the exception type. A connect timeout and a read timeout both are SocketTimeoutException in OkHttp, so an event listener records whether sending was started. Disabling retryOnConnectionFailure alone is not enough either: OkHttp repeats a request after 503 with Retry-After: 0, so bodies are one-shot.

--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
@@ -0,0 +1,246 @@
+package io.verbenacleat.core.platform;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.HttpUrl;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+import okio.BufferedSink;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends requests to the platform and reads whole answers. Safe for use by several
+ * threads.
+ */
+final class HttpCalls {
+
+	private static final MediaType JSON = MediaType.get("application/json");
+
+	private static final MediaType BYTES = MediaType.get("application/octet-stream");
+
+	private static final long MS_PER_SECOND = 1_000;
+
+	private final OkHttpClient client;
+
+	private final HttpUrl baseUrl;
+
+	private final String token;
+
+	HttpCalls(OkHttpClient client, HttpUrl baseUrl, String token) {
+		this.client = client;
+		this.baseUrl = baseUrl;
+		this.token = token;
+	}
+
+	/**
+	 * Starts a URL below the base URL.
+	 * @param pathSegments the path, without a leading slash
+	 * @return a builder for the rest of the URL
+	 */
+	HttpUrl.Builder url(String pathSegments) {
+		return this.baseUrl.newBuilder().addPathSegments(pathSegments);
+	}
+
+	/**
+	 * Reads a resource.
+	 * @param url the URL
+	 * @return the answer; fails with {@link CallFailedException}
+	 */
+	CompletableFuture<Answer> get(HttpUrl url) {
+		return send(new Request.Builder().url(url).get());
+	}
+
+	/**
+	 * Posts a JSON body.
+	 * @param pathSegments the path, without a leading slash
+	 * @param body the value to write as JSON
+	 * @return the answer; fails with {@link CallFailedException}
+	 */
+	CompletableFuture<Answer> post(String pathSegments, Object body) {
+		byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
+		return send(new Request.Builder().url(url(pathSegments).build()).post(new OneShotBody(JSON, bytes)));
+	}
+
+	/**
+	 * Puts bytes.
+	 * @param url the URL
+	 * @param bytes the body
+	 * @return the answer; fails with {@link CallFailedException}
+	 */
+	CompletableFuture<Answer> put(HttpUrl url, byte[] bytes) {
+		return send(new Request.Builder().url(url).put(new OneShotBody(BYTES, bytes)));
+	}
+
+	private CompletableFuture<Answer> send(Request.Builder builder) {
+		SendMark mark = new SendMark();
+		builder.tag(SendMark.class, mark);
+		if (!this.token.isEmpty()) {
+			builder.header("Authorization", "Bearer " + this.token);
+		}
+		CompletableFuture<Answer> future = new CompletableFuture<>();
+		this.client.newCall(builder.build()).enqueue(new AnswerCallback(future, mark));
+		return future;
+	}
+
+	/**
+	 * A whole answer. Immutable, the array is not changed.
+	 *
+	 * @param status the HTTP status
+	 * @param body the body
+	 * @param retryAfterMs the value of Retry-After in milliseconds, -1 without one
+	 */
+	record Answer(int status, byte[] body, long retryAfterMs) {
+
+		/**
+		 * Reads the body as JSON.
+		 * @param <T> the type
+		 * @param type the type
+		 * @return the value
+		 * @throws PlatformProtocolException when the body does not fit the type
+		 */
+		<T> T json(Class<T> type) throws PlatformProtocolException {
+			try {
+				return Json.read(text(), type);
+			}
+			catch (JsonFormatException ex) {
+				throw new PlatformProtocolException("The platform answered " + this.status + " with an invalid body",
+						ex);
+			}
+		}
+
+		/**
+		 * Returns the failure that a status other than the expected ones stands for.
+		 * @return the failure
+		 */
+		PlatformException failure() {
+			if (this.status >= 500 || this.status == 429 || this.status == 408) {
+				return new PlatformUnavailableException("The platform answered " + this.status, null);
+			}
+			return new PlatformProtocolException("The platform answered " + this.status + ": " + text(), null);
+		}
+
+		private String text() {
+			return new String(this.body, StandardCharsets.UTF_8);
+		}
+
+	}
+
+	/**
+	 * A call without an answer.
+	 */
+	static final class CallFailedException extends Exception {
+
+		private static final long serialVersionUID = 1L;
+
+		private final boolean sent;
+
+		CallFailedException(IOException cause, boolean sent) {
+			super(cause);
+			this.sent = sent;
+		}
+
+		/**
+		 * Returns whether the server may have seen the request.
+		 * @return {@code false} only when it certainly has not
+		 */
+		boolean sent() {
+			return this.sent;
+		}
+
+		/**
+		 * Returns the failure for users of the client.
+		 * @return the failure
+		 */
+		PlatformUnavailableException failure() {
+			String state = this.sent ? "did not answer" : "could not be reached";
+			return new PlatformUnavailableException("The platform " + state + ": " + getCause(), getCause());
+		}
+
+	}
+
+	// A one-shot body keeps OkHttp from repeating the request on its own, also after a
+	// 503 answer with Retry-After: 0.
+	private static final class OneShotBody extends RequestBody {
+
+		private final MediaType type;
+
+		private final byte[] bytes;
+
+		private OneShotBody(MediaType type, byte[] bytes) {
+			this.type = type;
+			this.bytes = bytes;
+		}
+
+		@Override
+		public MediaType contentType() {
+			return this.type;
+		}
+
+		@Override
+		public long contentLength() {
+			return this.bytes.length;
+		}
+
+		@Override
+		public boolean isOneShot() {
+			return true;
+		}
+
+		@Override
+		public void writeTo(BufferedSink sink) throws IOException {
+			sink.write(this.bytes);
+		}
+
+	}
+
+	private static final class AnswerCallback implements Callback {
+
+		private final CompletableFuture<Answer> future;
+
+		private final SendMark mark;
+
+		private AnswerCallback(CompletableFuture<Answer> future, SendMark mark) {
+			this.future = future;
+			this.mark = mark;
+		}
+
+		@Override
+		public void onFailure(Call call, IOException ex) {
+			this.future.completeExceptionally(new CallFailedException(ex, this.mark.started()));
+		}
+
+		@Override
+		public void onResponse(Call call, Response response) {
+			Answer answer;
+			try (response) {
+				ResponseBody body = response.body();
+				byte[] bytes = (body != null) ? body.bytes() : new byte[0];
+				answer = new Answer(response.code(), bytes, retryAfterMs(response.header("Retry-After")));
+			}
+			catch (IOException ex) {
+				this.future.completeExceptionally(new CallFailedException(ex, true));
+				return;
+			}
+			this.future.complete(answer);
+		}
+
+		private static long retryAfterMs(@Nullable String seconds) {
+			if (seconds == null || !seconds.matches("[0-9]{1,9}")) {
+				return -1;
+			}
+			return Long.parseLong(seconds) * MS_PER_SECOND;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpHostList.java
@@ -0,0 +1,37 @@
+package io.verbenacleat.core.platform;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/**
+ * The host list over HTTP. Created by {@link PlatformClient}; safe for use by several
+ * threads.
+ */
+public final class HttpHostList implements HostList {
+
+	private final HttpCalls calls;
+
+	HttpHostList(HttpCalls calls) {
+		this.calls = calls;
+	}
+
+	@Override
+	public CompletableFuture<List<HostEntry>> hosts() {
+		return HttpReads.json(this.calls.get(this.calls.url("v1/hosts").build()), HostsAnswer.class)
+			.thenApply(HostsAnswer::hosts);
+	}
+
+	/**
+	 * The answer of the host list.
+	 *
+	 * @param hosts the hosts
+	 */
+	record HostsAnswer(List<HostEntry> hosts) {
+
+		HostsAnswer {
+			hosts = List.copyOf(hosts);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpObjectStore.java
@@ -0,0 +1,76 @@
+package io.verbenacleat.core.platform;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.regex.Pattern;
+
+import okhttp3.HttpUrl;
+
+/**
+ * The object store over HTTP. Created by {@link PlatformClient}; safe for use by several
+ * threads.
+ */
+public final class HttpObjectStore implements ObjectStore {
+
+	private static final Pattern KEY = Pattern
+		.compile("(?!\\.{1,2}(/|$))[A-Za-z0-9._-]+" + "(/(?!\\.{1,2}(/|$))[A-Za-z0-9._-]+)*");
+
+	private final HttpCalls calls;
+
+	HttpObjectStore(HttpCalls calls) {
+		this.calls = calls;
+	}
+
+	@Override
+	public CompletableFuture<Void> put(String key, byte[] bytes) {
+		CompletableFuture<Boolean> stored = HttpReads.value(this.calls.put(url(key), bytes), (answer) -> {
+			if (answer.status() != 200 && answer.status() != 204) {
+				throw answer.failure();
+			}
+			return true;
+		});
+		return stored.thenAccept((done) -> {
+		});
+	}
+
+	@Override
+	public CompletableFuture<Optional<byte[]>> get(String key) {
+		return HttpReads.value(this.calls.get(url(key)), (answer) -> switch (answer.status()) {
+			case 200 -> Optional.of(answer.body());
+			case 404 -> Optional.empty();
+			default -> throw answer.failure();
+		});
+	}
+
+	@Override
+	public CompletableFuture<List<String>> list(String prefix, String after, int limit) {
+		HttpUrl url = this.calls.url("v1/objects")
+			.addQueryParameter("prefix", prefix)
+			.addQueryParameter("after", after)
+			.addQueryParameter("limit", Integer.toString(limit))
+			.build();
+		return HttpReads.json(this.calls.get(url), KeysAnswer.class).thenApply(KeysAnswer::keys);
+	}
+
+	private HttpUrl url(String key) {
+		if (!KEY.matcher(key).matches()) {
+			throw new IllegalArgumentException("Not a valid object key: " + key);
+		}
+		return this.calls.url("v1/objects").addPathSegments(key).build();
+	}
+
+	/**
+	 * The answer to a list call.
+	 *
+	 * @param keys the keys
+	 */
+	record KeysAnswer(List<String> keys) {
+
+		KeysAnswer {
+			keys = List.copyOf(keys);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpTableStore.java
@@ -0,0 +1,134 @@
+package io.verbenacleat.core.platform;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The table service over HTTP. Created by {@link PlatformClient}; safe for use by several
+ * threads. A transaction is sent at most once per call.
+ */
+public final class HttpTableStore implements TableStore {
+
+	private final HttpCalls calls;
+
+	HttpTableStore(HttpCalls calls) {
+		this.calls = calls;
+	}
+
+	@Override
+	public CompletableFuture<List<Row>> read(List<String> keys) {
+		return HttpReads.value(this.calls.post("v1/tables/read", new ReadRequest(keys)), (answer) -> {
+			List<Row> rows = rows(answer);
+			if (!rows.stream().map(Row::key).toList().equals(keys)) {
+				throw new PlatformProtocolException("The platform answered other rows than were asked for", null);
+			}
+			return rows;
+		});
+	}
+
+	@Override
+	public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+		return HttpReads.value(this.calls.post("v1/tables/scan", new ScanRequest(prefix, after, limit)),
+				HttpTableStore::rows);
+	}
+
+	@Override
+	public CompletableFuture<WriteOutcome> transact(Transaction transaction) {
+		return this.calls.post("v1/tables/transact", transaction)
+			.handle((answer, failure) -> (failure != null) ? outcome(failure) : outcome(answer));
+	}
+
+	private static List<Row> rows(HttpCalls.Answer answer) throws PlatformException {
+		if (answer.status() != 200) {
+			throw answer.failure();
+		}
+		@Nullable
+		List<Row> rows = answer.json(RowsAnswer.class).rows();
+		if (rows == null) {
+			throw new PlatformProtocolException("The platform answered without rows", null);
+		}
+		return List.copyOf(rows);
+	}
+
+	private static WriteOutcome outcome(Throwable failure) {
+		PlatformException cause = HttpReads.failure(failure);
+		return HttpReads.sent(failure) ? new WriteOutcome.Unknown(cause) : new WriteOutcome.NotApplied(cause);
+	}
+
+	private static WriteOutcome outcome(HttpCalls.Answer answer) {
+		try {
+			return switch (answer.status()) {
+				case 200 -> new WriteOutcome.Applied(versions(answer));
+				case 409 -> new WriteOutcome.Conflict(versions(answer));
+				case 400, 401 -> new WriteOutcome.NotApplied(answer.failure());
+				case 503 -> refusal(answer);
+				default -> new WriteOutcome.Unknown(answer.failure());
+			};
+		}
+		catch (PlatformProtocolException ex) {
+			return new WriteOutcome.Unknown(ex);
+		}
+	}
+
+	// A 503 of an intermediary does not carry the field, and says nothing about the
+	// effect.
+	private static WriteOutcome refusal(HttpCalls.Answer answer) throws PlatformProtocolException {
+		boolean refused = Boolean.FALSE.equals(answer.json(RefusalAnswer.class).applied());
+		return refused ? new WriteOutcome.NotApplied(answer.failure()) : new WriteOutcome.Unknown(answer.failure());
+	}
+
+	private static Map<String, Long> versions(HttpCalls.Answer answer) throws PlatformProtocolException {
+		@Nullable
+		Map<String, Long> versions = answer.json(VersionsAnswer.class).versions();
+		if (versions == null || versions.containsValue(null)) {
+			throw new PlatformProtocolException("The platform answered without versions", null);
+		}
+		return versions;
+	}
+
+	/**
+	 * The body of a read.
+	 *
+	 * @param keys the keys
+	 */
+	record ReadRequest(List<String> keys) {
+	}
+
+	/**
+	 * The body of a scan.
+	 *
+	 * @param prefix the prefix
+	 * @param after the key after which to start
+	 * @param limit the most rows
+	 */
+	record ScanRequest(String prefix, String after, int limit) {
+	}
+
+	/**
+	 * The answer to a read or a scan.
+	 *
+	 * @param rows the rows
+	 */
+	record RowsAnswer(@Nullable List<Row> rows) {
+	}
+
+	/**
+	 * The answer to a transaction.
+	 *
+	 * @param versions versions by key
+	 */
+	record VersionsAnswer(@Nullable Map<String, Long> versions) {
+	}
+
+	/**
+	 * The answer to a refused transaction.
+	 *
+	 * @param applied {@code false} when nothing was changed
+	 */
+	record RefusalAnswer(@Nullable Boolean applied) {
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpWeightStore.java
@@ -0,0 +1,37 @@
+package io.verbenacleat.core.platform;
+
+import java.util.concurrent.CompletableFuture;
+
+import okhttp3.HttpUrl;
+
+/**
+ * The weight store over HTTP. Created by {@link PlatformClient}; safe for use by several
+ * threads.
+ */
+public final class HttpWeightStore implements WeightStore {
+
+	private static final long DEFAULT_RETRY_AFTER_MS = 1_000;
+
+	private final HttpCalls calls;
+
+	HttpWeightStore(HttpCalls calls) {
+		this.calls = calls;
+	}
+
+	@Override
+	public CompletableFuture<WeightsOutcome> fetch(String model) {
+		HttpUrl url = this.calls.url("v1/weights").addPathSegment(model).build();
+		return HttpReads.value(this.calls.get(url), HttpWeightStore::outcome);
+	}
+
+	private static WeightsOutcome outcome(HttpCalls.Answer answer) throws PlatformException {
+		return switch (answer.status()) {
+			case 200 -> new WeightsOutcome.Found(answer.json(WeightsMetadata.class));
+			case 404 -> new WeightsOutcome.Absent();
+			case 429 -> new WeightsOutcome.RateLimited(
+					(answer.retryAfterMs() >= 0) ? answer.retryAfterMs() : DEFAULT_RETRY_AFTER_MS);
+			default -> throw answer.failure();
+		};
+	}
+
+}
