--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/account/InvalidTokensException.java
@@ -0,0 +1,18 @@
+package io.verbenacleat.core.account;
+
+/**
+ * A number of tokens outside the allowed range.
+ */
+public final class InvalidTokensException extends AccountException {
+
+	private static final long serialVersionUID = 1L;
+
+	/**
+	 * Creates an exception.
+	 * @param message one line: what was found and what is allowed
+	 */
+	public InvalidTokensException(String message) {
+		super(message);
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigLoader.java
@@ -0,0 +1,151 @@
+package io.verbenacleat.core.config;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Makes the configuration of a site from the texts of the base file and the overlay:
+ * reads, merges, checks against the schema, then checks references. Safe for use by
+ * several threads.
+ *
+ * <pre>{@code
+ * OfficeConfig config = new ConfigLoader().load(stored.number(), stored.files(), "austin");
+ * }</pre>
+ */
+public final class ConfigLoader {
+
+	private final YamlReader reader = new YamlReader();
+
+	private final ConfigSchema schema = new ConfigSchema();
+
+	/**
+	 * Loads the configuration of one site.
+	 * @param version the stored version, 0 for files
+	 * @param files the files
+	 * @param site the site, one that the configuration lists
+	 * @return the configuration
+	 * @throws ConfigException when the base or the overlay of the site is refused
+	 */
+	public OfficeConfig load(long version, ConfigFiles files, String site) throws ConfigException {
+		Set<ConfigProblem> problems = new LinkedHashSet<>();
+		JsonNode base = readPart(files.base(), problems);
+		ConfigText overlayText = files.overlays().get(site);
+		JsonNode overlay = (overlayText != null) ? readPart(overlayText, problems) : null;
+		OfficeConfig config = (base != null && (overlayText == null || overlay != null))
+				? merge(version, files.base(), base, overlayText, overlay, problems) : null;
+		if (base != null && problems.isEmpty() && !names(base, overlay).contains(site)) {
+			problems.add(new ConfigProblem(files.base().file(), "sites", "no site '" + site + "'",
+					"one of " + String.join(", ", names(base, overlay))));
+		}
+		if (config == null || !problems.isEmpty()) {
+			throw new ConfigException(List.copyOf(problems));
+		}
+		return config;
+	}
+
+	/**
+	 * Checks the files for all sites.
+	 * @param files the files
+	 * @return the configurations by site
+	 * @throws ConfigException with the problems of all files
+	 */
+	public Map<String, OfficeConfig> loadAll(ConfigFiles files) throws ConfigException {
+		Set<ConfigProblem> problems = new LinkedHashSet<>();
+		Map<String, OfficeConfig> configs = new TreeMap<>();
+		Set<String> sites = new LinkedHashSet<>(files.overlays().keySet());
+		JsonNode base = readPart(files.base(), problems);
+		if (base != null) {
+			sites.addAll(names(base, null));
+		}
+		for (String site : sites) {
+			try {
+				configs.put(site, load(0, files, site));
+			}
+			catch (ConfigException ex) {
+				problems.addAll(ex.problems());
+			}
+		}
+		if (!problems.isEmpty() || sites.isEmpty()) {
+			if (problems.isEmpty()) {
+				problems.add(new ConfigProblem(files.base().file(), "sites", "nothing", "a list of 1 to 1000 sites"));
+			}
+			throw new ConfigException(List.copyOf(problems));
+		}
+		return configs;
+	}
+
+	private @Nullable JsonNode readPart(ConfigText text, Set<ConfigProblem> problems) {
+		try {
+			JsonNode tree = this.reader.read(text);
+			problems.addAll(this.schema.checkPart(text.file(), tree));
+			checkNames(text.file(), "", tree, problems);
+			return tree;
+		}
+		catch (ConfigException ex) {
+			problems.addAll(ex.problems());
+			return null;
+		}
+	}
+
+	private @Nullable OfficeConfig merge(long version, ConfigText baseText, JsonNode base,
+			@Nullable ConfigText overlayText, @Nullable JsonNode overlay, Set<ConfigProblem> problems) {
+		JsonNode merged = (overlay != null) ? OverlayMerger.merge(base, overlay) : base;
+		String file = (overlayText != null) ? baseText.file() + " + " + overlayText.file() : baseText.file();
+		boolean partsSound = problems.isEmpty();
+		this.schema.checkWhole(file, merged)
+			.stream()
+			.filter((problem) -> partsSound || isMissingKey(problem))
+			.forEach(problems::add);
+		if (!problems.isEmpty()) {
+			return null;
+		}
+		OfficeConfig config = ConfigMapper.office(version, merged);
+		String overlayFile = (overlayText != null) ? overlayText.file() : baseText.file();
+		problems.addAll(new CrossReferenceCheck(baseText.file(), overlayFile,
+				(overlay != null) ? overlay : JsonNodeFactory.instance.objectNode())
+			.check(merged, config));
+		return config;
+	}
+
+	// A missing name is reported for the single file already.
+	private static boolean isMissingKey(ConfigProblem problem) {
+		return problem.found().equals("nothing") && !problem.path().endsWith(".name");
+	}
+
+	private static void checkNames(String file, String path, JsonNode node, Set<ConfigProblem> problems) {
+		Set<String> seen = new HashSet<>();
+		int index = 0;
+		for (JsonNode element : node) {
+			String name = element.path("name").asText("");
+			if (node.isArray() && !name.isEmpty() && !seen.add(name)) {
+				problems.add(new ConfigProblem(file, path + "[" + index + "].name", "'" + name + "' again",
+						"a name that no other element of the list has"));
+			}
+			if (node.isArray()) {
+				checkNames(file, path + "[" + ((name.isEmpty()) ? index : name) + "]", element, problems);
+			}
+			index++;
+		}
+		node.properties()
+			.forEach((entry) -> checkNames(file, ((path.isEmpty()) ? "" : path + ".") + entry.getKey(),
+					entry.getValue(), problems));
+	}
+
+	private static Set<String> names(JsonNode base, @Nullable JsonNode overlay) {
+		Set<String> names = new LinkedHashSet<>();
+		base.path("sites").forEach((site) -> names.add(site.path("name").asText()));
+		if (overlay != null) {
+			overlay.path("sites").forEach((site) -> names.add(site.path("name").asText()));
+		}
+		return names;
+	}
+
+}
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/config/CrossReferenceCheck.java
@@ -0,0 +1,117 @@
+package io.verbenacleat.core.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * Checks what the schema cannot: names that refer to other parts of the merged
+ * configuration. Used once for one merged tree; not safe for use by several threads.
+ */
+final class CrossReferenceCheck {
+
+	private final String baseFile;
+
+	private final String overlayFile;
+
+	private final JsonNode overlay;
+
+	private final List<ConfigProblem> problems = new ArrayList<>();
+
+	CrossReferenceCheck(String baseFile, String overlayFile, JsonNode overlay) {
+		this.baseFile = baseFile;
+		this.overlayFile = overlayFile;
+		this.overlay = overlay;
+	}
+
+	List<ConfigProblem> check(JsonNode merged, OfficeConfig config) {
+		Set<String> sites = new TreeSet<>();
+		merged.path("sites").forEach((site) -> sites.add(site.path("name").asText()));
+		Set<String> models = config.models()
+			.stream()
+			.map(ModelConfig::name)
+			.collect(Collectors.toCollection(TreeSet::new));
+		Set<String> services = config.services()
+			.stream()
+			.map(ServiceConfig::name)
+			.collect(Collectors.toCollection(TreeSet::new));
+		config.models().forEach(this::checkModel);
+		config.services().forEach((service) -> checkService(service, config.services()));
+		config.servers().forEach((server) -> checkServer(server, sites, models, services));
+		return this.problems;
+	}
+
+	private void checkModel(ModelConfig model) {
+		if (model.defaultMaxAnswerTokens() > model.maxAnswerTokens()) {
+			add("models", model.name(), "defaultMaxAnswerTokens", "number '" + model.defaultMaxAnswerTokens() + "'",
+					"at most maxAnswerTokens, " + model.maxAnswerTokens());
+		}
+	}
+
+	private void checkService(ServiceConfig service, List<ServiceConfig> all) {
+		String prefix = service.pathPrefix() + "/";
+		if (prefix.startsWith("/v1/")) {
+			add("services", service.name(), "pathPrefix", "'" + service.pathPrefix() + "'",
+					"a path outside /v1, which is the chat interface");
+		}
+		for (ServiceConfig other : all) {
+			if (!other.name().equals(service.name()) && prefix.startsWith(other.pathPrefix() + "/")) {
+				add("services", service.name(), "pathPrefix", "'" + service.pathPrefix() + "'",
+						"a path outside the prefix " + other.pathPrefix() + " of service " + other.name());
+			}
+		}
+		for (ServiceConfig.RouteConfig route : service.routes()) {
+			if (!(route.path() + "/").startsWith(prefix)) {
+				add("services", service.name(), "routes[" + route.name() + "].path", "'" + route.path() + "'",
+						"a path under the prefix " + service.pathPrefix());
+			}
+			if (!route.path().matches("(/(\\*|[^/*]+))*(/\\*\\*)?")) {
+				add("services", service.name(), "routes[" + route.name() + "].path", "'" + route.path() + "'",
+						"* as a whole segment, or a final **");
+			}
+		}
+	}
+
+	private void checkServer(BackendServerConfig server, Set<String> sites, Set<String> models, Set<String> services) {
+		String name = server.name();
+		checkReference(name, "site", server.site(), sites);
+		server.models().forEach((model) -> checkReference(name, "models", model, models));
+		String service = server.service();
+		if (server.kind() == BackendServerConfig.Kind.SERVICE) {
+			checkReference(name, "service", (service != null) ? service : "", services);
+			if (!server.models().isEmpty()) {
+				add("servers", name, "models", "a list of " + server.models().size(),
+						"nothing for a server of kind service");
+			}
+			return;
+		}
+		if (server.models().isEmpty()) {
+			add("servers", name, "models", "nothing", "one or more models for a server of kind model-engine");
+		}
+		if (service != null) {
+			add("servers", name, "service", "'" + service + "'", "nothing for a server of kind model-engine");
+		}
+	}
+
+	private void checkReference(String server, String key, String value, Set<String> known) {
+		if (!known.contains(value)) {
+			add("servers", server, key, (value.isEmpty()) ? "nothing" : "'" + value + "'",
+					(known.isEmpty()) ? "nothing, none is configured" : "one of " + String.join(", ", known));
+		}
+	}
+
+	private void add(String list, String name, String key, String found, String allowed) {
+		boolean inOverlay = false;
+		for (JsonNode element : this.overlay.path(list)) {
+			String first = key.replaceAll("\\[.*", "");
+			inOverlay |= name.equals(element.path("name").asText()) && element.has(first);
+		}
+		this.problems.add(new ConfigProblem((inOverlay) ? this.overlayFile : this.baseFile,
+				list + "[" + name + "]." + key, found, allowed));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/io/verbenacleat/core/account/AccountAdminTests.java
@@ -0,0 +1,124 @@
+package io.verbenacleat.core.account;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+import io.verbenacleat.core.head.Head;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.platform.BlockingTableStore;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.core.platform.PlatformUnavailableException;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+
+/**
+ * Guards against budgets that are raised or settled twice and against callers without a
+ * change notice when operations are repeated or answers are lost.
+ */
+public class AccountAdminTests {
+
+	private InMemoryTableStore table = new InMemoryTableStore();
+
+	private BlockingTableStore store = new BlockingTableStore(this.table, Duration.ofSeconds(10));
+
+	private AccountAdmin accounts = new AccountAdmin(this.store, Clock.systemUTC());
+
+	private CallerAdmin callers = new CallerAdmin(this.store, Clock.systemUTC(), new Random(1));
+
+	@BeforeMethod
+	public void setUp() {
+		this.table = new InMemoryTableStore();
+		this.store = new BlockingTableStore(this.table, Duration.ofSeconds(10));
+		this.accounts = new AccountAdmin(this.store, Clock.systemUTC());
+		this.callers = new CallerAdmin(this.store, Clock.systemUTC(), new Random(1));
+	}
+
+	@Test
+	public void createSurvivesLostAnswerAndRefusesSecond() throws Exception {
+		this.table.loseNextAnswers(1);
+		this.accounts.create("bench", "quotes", 3);
+		assertThrows(AccountExistsException.class, () -> this.accounts.create("bench", "quotes", 3));
+		assertThrows(InvalidNameException.class, () -> this.accounts.create("Bench", "quotes", 3));
+		assertThrows(UnknownAccountException.class, () -> this.accounts.show("other"));
+		assertEquals(this.accounts.list().size(), 1);
+	}
+
+	@Test
+	public void repeatedTopUpsWithLostAnswersCountOnce() throws Exception {
+		this.accounts.create("bench", "quotes", 0);
+		ExecutorService threads = Executors.newFixedThreadPool(6);
+		try {
+			List<Future<Account>> calls = new ArrayList<>();
+			for (int i = 0; i < 120; i++) {
+				String id = "top-up-" + (i % 20);
+				int lost = i % 3;
+				calls.add(threads.submit(() -> {
+					this.table.loseNextAnswers(lost);
+					return this.accounts.topUp("bench", id, 100);
+				}));
+			}
+			for (Future<Account> call : calls) {
+				call.get();
+			}
+		}
+		finally {
+			threads.shutdownNow();
+		}
+		assertEquals(this.accounts.show("bench").toppedUpTokens(), 2000);
+		assertThrows(TopUpMismatchException.class, () -> this.accounts.topUp("bench", "top-up-1", 101));
+		assertThrows(InvalidTokensException.class, () -> this.accounts.topUp("bench", "new", 0));
+		assertThrows(InvalidTokensException.class, () -> this.accounts.topUp("bench", "new", Long.MAX_VALUE));
+		assertThrows(InvalidNameException.class, () -> this.accounts.topUp("bench", "a/b", 1));
+		assertThrows(UnknownAccountException.class, () -> this.accounts.topUp("other", "new", 1));
+	}
+
+	@Test
+	public void settlementCountsOnce() throws Exception {
+		Account held = Account.create("bench", "quotes", 0).plusTopUp(1000).withClosedGrant("holder", 100, 50);
+		this.store.transact(io.verbenacleat.core.platform.Transaction.builder()
+			.insert(Account.key("bench"), Json.write(held))
+			.build());
+		assertThrows(InvalidTokensException.class, () -> this.accounts.settleHeld("bench", "s1", 51));
+		this.table.loseNextAnswers(1);
+		Account settled = this.accounts.settleHeld("bench", "s1", 20);
+		assertEquals(settled.settledTokens(), 120);
+		assertEquals(settled.heldTokens(), 0);
+		assertEquals(this.accounts.settleHeld("bench", "s1", 20), settled);
+		assertThrows(SettlementMismatchException.class, () -> this.accounts.settleHeld("bench", "s1", 21));
+	}
+
+	@Test
+	public void callerChangesRaiseTheTopicOnce() throws Exception {
+		this.accounts.create("bench", "quotes", 0);
+		this.table.loseNextAnswers(1);
+		CallerKey key = this.callers.create("bench", "desk");
+		Callers.Caller caller = this.callers.list("bench").findByHash(key.sha256());
+		assertNotNull(caller);
+		assertNull(caller.revokedAtMs());
+		assertThrows(CallerExistsException.class, () -> this.callers.create("bench", "desk"));
+		this.table.loseNextAnswers(1);
+		assertNotNull(this.callers.revoke("bench", "desk").revokedAtMs());
+		this.callers.revoke("bench", "desk");
+		assertThrows(UnknownCallerException.class, () -> this.callers.revoke("bench", "other"));
+		assertEquals(Json.read(this.store.read(Head.KEY).json(), Head.class).version(Head.CALLERS), 2);
+		assertEquals(Json.read(this.store.read(CallersChanges.KEY).json(), CallersChanges.class).changes().size(), 2);
+	}
+
+	@Test
+	public void refusalOfTheStoreIsReported() {
+		this.table.setAvailable(false);
+		assertThrows(PlatformUnavailableException.class, () -> this.accounts.create("bench", "quotes", 0));
+	}
+
+}
--- /dev/null
+++ b/core/src/test/java/io/verbenacleat/core/account/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of accounts.
+ */
+@NullMarked
+package io.verbenacleat.core.account;
+
+import org.jspecify.annotations.NullMarked;
