--- a/core/src/test/java/io/verbenacleat/core/account/AccountAdminTests.java
+++ b/core/src/test/java/io/verbenacleat/core/account/AccountAdminTests.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -14,6 +15,7 @@
 import io.verbenacleat.core.platform.BlockingTableStore;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.PlatformUnavailableException;
+import io.verbenacleat.core.platform.Transaction;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -86,9 +88,7 @@
 	@Test
 	public void settlementCountsOnce() throws Exception {
 		Account held = Account.create("bench", "quotes", 0).plusTopUp(1000).withClosedGrant("holder", 100, 50);
-		this.store.transact(io.verbenacleat.core.platform.Transaction.builder()
-			.insert(Account.key("bench"), Json.write(held))
-			.build());
+		this.store.transact(Transaction.builder().insert(Account.key("bench"), Json.write(held)).build());
 		assertThrows(InvalidTokensException.class, () -> this.accounts.settleHeld("bench", "s1", 51));
 		this.table.loseNextAnswers(1);
 		Account settled = this.accounts.settleHeld("bench", "s1", 20);
@@ -103,8 +103,7 @@
 		this.accounts.create("bench", "quotes", 0);
 		this.table.loseNextAnswers(1);
 		CallerKey key = this.callers.create("bench", "desk");
-		Callers.Caller caller = this.callers.list("bench").findByHash(key.sha256());
-		assertNotNull(caller);
+		Callers.Caller caller = Objects.requireNonNull(this.callers.list("bench").findByHash(key.sha256()));
 		assertNull(caller.revokedAtMs());
 		assertThrows(CallerExistsException.class, () -> this.callers.create("bench", "desk"));
 		this.table.loseNextAnswers(1);
