Add the way to the budget holders and the membership controllers

Cause: a gateway must find the holder of an account, and an entry must know members, configuration, drains and the status of agents. Ruled out: every entry as a holder of every account (26,000 x 370 grants). Conclusion: a state in between, compiled and not run.

--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/FleetBudgetRouter.java
@@ -0,0 +1,73 @@
+package io.verbenacleat.entry.holder;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.budget.BudgetHolder;
+import io.verbenacleat.entry.budget.BudgetRouter;
+import io.verbenacleat.entry.budget.HolderUnreachableException;
+import io.verbenacleat.entry.budget.RoutedReservation;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReserveRequest;
+
+/**
+ * The {@link BudgetRouter} of an entry. Safe for use by several threads.
+ */
+public final class FleetBudgetRouter implements BudgetRouter {
+
+	private static final Duration SETTLE_PATIENCE = Duration.ofSeconds(1);
+
+	private final HolderDirectory directory;
+
+	private final HolderOutbox outbox;
+
+	/**
+	 * Creates a router.
+	 * @param self this entry
+	 * @param local the holder of this process
+	 * @param channels the channels to the fleet
+	 * @param blackboard the blackboard of the entry
+	 * @param control the control thread
+	 */
+	public FleetBudgetRouter(Member self, BudgetHolder local, Channels channels, Blackboard blackboard,
+			ControlThread control) {
+		this.directory = new HolderDirectory(self, local, channels, blackboard);
+		this.outbox = new HolderOutbox(this.directory, control);
+	}
+
+	@Override
+	public CompletableFuture<RoutedReservation> reserve(ReserveRequest request) {
+		return new HolderSearch(this.directory, request,
+				(address, requestId) -> this.outbox.release(address, "", requestId))
+			.start();
+	}
+
+	@Override
+	public CompletableFuture<Void> settle(String holderAddress, Receipt receipt) {
+		CompletableFuture<Void> patient = new CompletableFuture<>();
+		this.outbox.settle(holderAddress, receipt).thenAccept(patient::complete);
+		return patient.orTimeout(SETTLE_PATIENCE.toMillis(), TimeUnit.MILLISECONDS)
+			.exceptionallyCompose((failure) -> CompletableFuture
+				.failedFuture(new HolderUnreachableException(receipt.getHolderIncarnation(), failure)));
+	}
+
+	@Override
+	public void release(RoutedReservation reservation, String requestId) {
+		this.outbox.release(reservation.holderAddress(), reservation.response().getHolderIncarnation(), requestId);
+	}
+
+	/**
+	 * Returns how many receipts and releases wait for an acknowledgement; called on the
+	 * control thread.
+	 * @return the number
+	 */
+	public int waiting() {
+		return this.outbox.waiting();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderDirectory.java
@@ -0,0 +1,86 @@
+package io.verbenacleat.entry.holder;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.verbenacleat.core.config.BudgetConfig;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Membership;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.budget.BudgetHolder;
+
+/**
+ * Knows which entries hold an account at this site, and reaches holders by address. Safe
+ * for use by several threads.
+ */
+final class HolderDirectory {
+
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(1);
+
+	private final Member self;
+
+	private final BudgetHolder local;
+
+	private final Channels channels;
+
+	private final Blackboard blackboard;
+
+	HolderDirectory(Member self, BudgetHolder local, Channels channels, Blackboard blackboard) {
+		this.self = self;
+		this.local = local;
+		this.channels = channels;
+		this.blackboard = blackboard;
+	}
+
+	/**
+	 * Returns the entries to ask for an account, in order. An account with several home
+	 * holders spreads its requests over them.
+	 * @param accountId the account
+	 * @param requestId the request
+	 * @return the addresses, the home holder first; never empty
+	 */
+	List<String> addresses(String accountId, String requestId) {
+		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
+		List<Member> entries = (members != null) ? members.entries(this.self.site()) : List.of();
+		if (entries.isEmpty()) {
+			return List.of(this.self.address());
+		}
+		List<Member> ranked = HolderRanking.rank(accountId, entries);
+		int homes = Math.min(homes(accountId), ranked.size());
+		int first = Math.floorMod(requestId.hashCode(), homes);
+		List<Member> ordered = new ArrayList<>(ranked);
+		ordered.add(0, ordered.remove(first));
+		return ordered.stream().map(Member::address).toList();
+	}
+
+	/**
+	 * Returns the holder at an address.
+	 * @param address the gRPC address
+	 * @return the holder, a direct one for this process
+	 */
+	BudgetHolder holder(String address) {
+		return (address.equals(this.self.address())) ? this.local
+				: new RemoteHolder(address, this.channels, CALL_TIMEOUT);
+	}
+
+	/**
+	 * Returns whether an incarnation is a member of the fleet as this node knows it.
+	 * @param incarnation the process
+	 * @return {@code true} when it is listed
+	 */
+	boolean isMember(String incarnation) {
+		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
+		return members == null || members.find(incarnation).isPresent();
+	}
+
+	private int homes(String accountId) {
+		OfficeConfig config = this.blackboard.read(EntryBoard.CONFIG);
+		BudgetConfig budget = (config != null) ? config.budget() : BudgetConfig.DEFAULT;
+		return Math.max(1, budget.holdersPerSite(accountId));
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderOutbox.java
@@ -0,0 +1,161 @@
+package io.verbenacleat.entry.holder;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReleaseRequest;
+import io.verbenacleat.proto.v1.SettleRequest;
+import io.verbenacleat.proto.v1.SettleResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Repeats receipts and releases until their holder has acknowledged them or has left the
+ * fleet. State is owned by the control thread.
+ */
+final class HolderOutbox {
+
+	private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(1);
+
+	/**
+	 * Time for which items for a holder that is not listed are kept: a holder that has just
+	 * started may not be listed yet.
+	 */
+	private static final Duration UNLISTED_PATIENCE = Duration.ofMinutes(5);
+
+	private final HolderDirectory directory;
+
+	private final ControlThread control;
+
+	private final Map<String, Item> items = new LinkedHashMap<>();
+
+	HolderOutbox(HolderDirectory directory, ControlThread control) {
+		this.directory = directory;
+		this.control = control;
+		control.scheduleWithFixedDelay(REPEAT_INTERVAL, this::repeat);
+	}
+
+	/**
+	 * Returns how many items wait for an acknowledgement; called on the control thread.
+	 * @return the number
+	 */
+	int waiting() {
+		return this.items.size();
+	}
+
+	/**
+	 * Sends a receipt until it is acknowledged.
+	 * @param address the holder
+	 * @param receipt the receipt
+	 * @return completes when the holder knows the receipt
+	 */
+	CompletableFuture<Void> settle(String address, Receipt receipt) {
+		Item item = new Item(address, receipt.getHolderIncarnation(), receipt.getRequestId(), receipt,
+				this.control.clock().millis());
+		this.control.execute(() -> add("settle/" + receipt.getRequestId(), item));
+		return item.acknowledged;
+	}
+
+	/**
+	 * Sends a release until it is acknowledged.
+	 * @param address the holder
+	 * @param holder the holder incarnation, empty when it is not known
+	 * @param requestId the request
+	 */
+	void release(String address, String holder, String requestId) {
+		Item item = new Item(address, holder, requestId, null, this.control.clock().millis());
+		this.control.execute(() -> add("release/" + address + "/" + requestId, item));
+	}
+
+	private void add(String key, Item item) {
+		this.items.put(key, item);
+		send(item.address, Map.of(key, item));
+	}
+
+	private void repeat() {
+		this.items.values().removeIf(this::isHopeless);
+		Map<String, Map<String, Item>> byAddress = new HashMap<>();
+		this.items.forEach((key, item) -> byAddress.computeIfAbsent(item.address, (any) -> new LinkedHashMap<>())
+			.put(key, item));
+		byAddress.forEach(this::send);
+	}
+
+	private boolean isHopeless(Item item) {
+		boolean old = this.control.clock().millis() - item.sinceMs > UNLISTED_PATIENCE.toMillis();
+		return old && !this.directory.isMember(item.holder);
+	}
+
+	private void send(String address, Map<String, Item> batch) {
+		SettleRequest.Builder receipts = SettleRequest.newBuilder();
+		ReleaseRequest.Builder releases = ReleaseRequest.newBuilder();
+		List<String> settled = new ArrayList<>();
+		List<String> released = new ArrayList<>();
+		batch.forEach((key, item) -> {
+			if (item.receipt != null) {
+				receipts.addReceipts(item.receipt);
+				settled.add(key);
+			}
+			else {
+				releases.addRequestIds(item.requestId);
+				released.add(key);
+			}
+		});
+		if (!settled.isEmpty()) {
+			this.directory.holder(address)
+				.settle(receipts.build())
+				.whenCompleteAsync((answer, failure) -> settleAnswered(settled, answer), this.control);
+		}
+		if (!released.isEmpty()) {
+			this.directory.holder(address)
+				.release(releases.build())
+				.whenCompleteAsync((answer, failure) -> acknowledge(released, failure == null), this.control);
+		}
+	}
+
+	private void settleAnswered(List<String> keys, @Nullable SettleResponse answer) {
+		acknowledge(keys, answer != null && !answer.getHolderClosed());
+	}
+
+	private void acknowledge(List<String> keys, boolean done) {
+		if (done) {
+			keys.forEach((key) -> {
+				Item item = this.items.remove(key);
+				if (item != null) {
+					item.acknowledged.complete(null);
+				}
+			});
+		}
+	}
+
+	private static final class Item {
+
+		private final String address;
+
+		private final String holder;
+
+		private final String requestId;
+
+		private final @Nullable Receipt receipt;
+
+		private final long sinceMs;
+
+		private final CompletableFuture<Void> acknowledged = new CompletableFuture<>();
+
+		private Item(String address, String holder, String requestId,
+				@Nullable Receipt receipt, long sinceMs) {
+			this.address = address;
+			this.holder = holder;
+			this.requestId = requestId;
+			this.receipt = receipt;
+			this.sinceMs = sinceMs;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderSearch.java
@@ -0,0 +1,119 @@
+package io.verbenacleat.entry.holder;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.entry.budget.RoutedReservation;
+import io.verbenacleat.proto.v1.HolderGrant;
+import io.verbenacleat.proto.v1.ReserveRefusal;
+import io.verbenacleat.proto.v1.ReserveRequest;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The search of one request for a holder that can cover it. Calls come one after the
+ * other, so the search needs no lock.
+ */
+final class HolderSearch {
+
+	/** Home holders that may be out of reach at the same time, as after a rack failure. */
+	private static final int MAX_HOME_HOLDERS = 3;
+
+	/** Other holders to ask; they are asked with the largest rest first. */
+	private static final int MAX_ALTERNATIVES = 6;
+
+	private final HolderDirectory directory;
+
+	private final ReserveRequest request;
+
+	private final UnansweredReservations unanswered;
+
+	private final Deque<String> homes = new ArrayDeque<>();
+
+	private final Deque<String> alternatives = new ArrayDeque<>();
+
+	private final Set<String> asked = new HashSet<>();
+
+	private final CompletableFuture<RoutedReservation> result = new CompletableFuture<>();
+
+	private @Nullable RoutedReservation refusal;
+
+	HolderSearch(HolderDirectory directory, ReserveRequest request, UnansweredReservations unanswered) {
+		this.directory = directory;
+		this.request = request;
+		this.unanswered = unanswered;
+	}
+
+	/**
+	 * Starts the search.
+	 * @return the first grant, or the refusal of the home holder
+	 */
+	CompletableFuture<RoutedReservation> start() {
+		List<String> ranked = this.directory.addresses(this.request.getAccount(), this.request.getRequestId());
+		this.homes.addAll(ranked.subList(0, Math.min(MAX_HOME_HOLDERS, ranked.size())));
+		askNext();
+		return this.result;
+	}
+
+	private void askNext() {
+		boolean forwarded = this.refusal != null;
+		String address = (forwarded) ? this.alternatives.poll() : this.homes.poll();
+		if (address == null) {
+			this.result.complete((this.refusal != null) ? this.refusal : unreachable());
+			return;
+		}
+		if (!this.asked.add(address)) {
+			askNext();
+			return;
+		}
+		ReserveRequest asking = this.request.toBuilder().setForwarded(forwarded).build();
+		this.directory.holder(address)
+			.reserve(asking)
+			.whenComplete((response, failure) -> answered(address, response, failure));
+	}
+
+	private void answered(String address, @Nullable ReserveResponse response, @Nullable Throwable failure) {
+		if (failure != null || response == null) {
+			this.unanswered.release(address, this.request.getRequestId());
+		}
+		else if (response.getGranted()) {
+			this.result.complete(new RoutedReservation(address, response));
+			return;
+		}
+		else if (this.refusal == null && response.getRefusal() != ReserveRefusal.HOLDER_NOT_OPEN
+				&& response.getRefusal() != ReserveRefusal.JOURNAL_FULL) {
+			this.refusal = new RoutedReservation(address, response);
+			response.getAlternativesList()
+				.stream()
+				.limit(MAX_ALTERNATIVES)
+				.map(HolderGrant::getAddress)
+				.forEach(this.alternatives::add);
+		}
+		askNext();
+	}
+
+	private static RoutedReservation unreachable() {
+		return new RoutedReservation("",
+				ReserveResponse.newBuilder().setRefusal(ReserveRefusal.HOLDER_NOT_OPEN).build());
+	}
+
+	/**
+	 * Frees reservations whose answer did not come, since they may stand.
+	 */
+	@FunctionalInterface
+	interface UnansweredReservations {
+
+		/**
+		 * Frees a reservation that may stand.
+		 * @param address the holder that did not answer
+		 * @param requestId the request
+		 */
+		void release(String address, String requestId);
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderService.java
@@ -0,0 +1,83 @@
+package io.verbenacleat.entry.holder;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.budget.BudgetHolder;
+import io.verbenacleat.proto.v1.HolderServiceGrpc;
+import io.verbenacleat.proto.v1.ProbeRequest;
+import io.verbenacleat.proto.v1.ProbeResponse;
+import io.verbenacleat.proto.v1.ReleaseRequest;
+import io.verbenacleat.proto.v1.ReleaseResponse;
+import io.verbenacleat.proto.v1.ReserveRequest;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import io.verbenacleat.proto.v1.SettleRequest;
+import io.verbenacleat.proto.v1.SettleResponse;
+
+/**
+ * Offers the holder of this process to the fleet by gRPC. Safe for use by several
+ * threads.
+ */
+public final class HolderService extends HolderServiceGrpc.HolderServiceImplBase {
+
+	private final String incarnation;
+
+	private final BudgetHolder holder;
+
+	private final Blackboard blackboard;
+
+	/**
+	 * Creates a service.
+	 * @param incarnation the identity of this entry run
+	 * @param holder the holder of this process
+	 * @param blackboard the blackboard of the entry
+	 */
+	public HolderService(String incarnation, BudgetHolder holder, Blackboard blackboard) {
+		this.incarnation = incarnation;
+		this.holder = holder;
+		this.blackboard = blackboard;
+	}
+
+	@Override
+	public void reserve(ReserveRequest request, StreamObserver<ReserveResponse> observer) {
+		answer(this.holder.reserve(request), observer);
+	}
+
+	@Override
+	public void settle(SettleRequest request, StreamObserver<SettleResponse> observer) {
+		answer(this.holder.settle(request), observer);
+	}
+
+	@Override
+	public void release(ReleaseRequest request, StreamObserver<ReleaseResponse> observer) {
+		answer(this.holder.release(request), observer);
+	}
+
+	@Override
+	public void probe(ProbeRequest request, StreamObserver<ProbeResponse> observer) {
+		OfficeConfig config = this.blackboard.read(EntryBoard.CONFIG);
+		observer.onNext(ProbeResponse.newBuilder()
+			.setIncarnation(this.incarnation)
+			.setDraining(!Boolean.TRUE.equals(this.blackboard.read(EntryBoard.ACCEPTING)))
+			.setConfigVersion((config != null) ? config.version() : 0)
+			.build());
+		observer.onCompleted();
+	}
+
+	private static <T> void answer(CompletableFuture<T> future, StreamObserver<T> observer) {
+		future.whenComplete((response, failure) -> {
+			if (failure != null) {
+				observer.onError(Status.UNAVAILABLE.withDescription("The holder could not answer").asRuntimeException());
+			}
+			else {
+				observer.onNext(response);
+				observer.onCompleted();
+			}
+		});
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/RemoteHolder.java
@@ -0,0 +1,76 @@
+package io.verbenacleat.entry.holder;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import com.google.common.util.concurrent.ListenableFuture;
+import com.google.common.util.concurrent.MoreExecutors;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.budget.BudgetHolder;
+import io.verbenacleat.entry.budget.HolderUnreachableException;
+import io.verbenacleat.proto.v1.HolderServiceGrpc;
+import io.verbenacleat.proto.v1.HolderServiceGrpc.HolderServiceFutureStub;
+import io.verbenacleat.proto.v1.ReleaseRequest;
+import io.verbenacleat.proto.v1.ReleaseResponse;
+import io.verbenacleat.proto.v1.ReserveRequest;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import io.verbenacleat.proto.v1.SettleRequest;
+import io.verbenacleat.proto.v1.SettleResponse;
+
+/**
+ * A holder in another process, reached by gRPC. Safe for use by several threads.
+ */
+final class RemoteHolder implements BudgetHolder {
+
+	private final String address;
+
+	private final Channels channels;
+
+	private final Duration timeout;
+
+	RemoteHolder(String address, Channels channels, Duration timeout) {
+		this.address = address;
+		this.channels = channels;
+		this.timeout = timeout;
+	}
+
+	@Override
+	public CompletableFuture<ReserveResponse> reserve(ReserveRequest request) {
+		return future(stub().reserve(request));
+	}
+
+	@Override
+	public CompletableFuture<SettleResponse> settle(SettleRequest request) {
+		return future(stub().settle(request));
+	}
+
+	@Override
+	public CompletableFuture<ReleaseResponse> release(ReleaseRequest request) {
+		return future(stub().release(request));
+	}
+
+	private HolderServiceFutureStub stub() {
+		return HolderServiceGrpc.newFutureStub(this.channels.get(this.address))
+			.withDeadlineAfter(this.timeout.toMillis(), TimeUnit.MILLISECONDS);
+	}
+
+	private <T> CompletableFuture<T> future(ListenableFuture<T> call) {
+		CompletableFuture<T> result = new CompletableFuture<>();
+		Futures.addCallback(call, new FutureCallback<T>() {
+			@Override
+			public void onSuccess(T answer) {
+				result.complete(answer);
+			}
+
+			@Override
+			public void onFailure(Throwable failure) {
+				result.completeExceptionally(new HolderUnreachableException(RemoteHolder.this.address, failure));
+			}
+		}, MoreExecutors.directExecutor());
+		return result;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/member/AgentStatusController.java
@@ -0,0 +1,109 @@
+package io.verbenacleat.entry.member;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Membership;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.proto.v1.AgentServiceGrpc;
+import io.verbenacleat.proto.v1.GetStatusRequest;
+import io.verbenacleat.proto.v1.GetStatusResponse;
+
+/**
+ * Keeps {@link EntryBoard#AGENT_STATUS} up to date by asking the agents. Agents of the
+ * own site are asked more often, since at full size there are hundreds of others. Used on
+ * the control thread.
+ */
+public final class AgentStatusController implements AutoCloseable {
+
+	private static final Duration ROUND_INTERVAL = Duration.ofSeconds(2);
+
+	private static final int ROUNDS_BETWEEN_OTHER_SITES = 5;
+
+	private static final Duration CALL_TIMEOUT = Duration.ofSeconds(2);
+
+	private final ControlThread control;
+
+	private final Blackboard blackboard;
+
+	private final Channels channels;
+
+	private final String site;
+
+	private final Map<String, GetStatusResponse> statuses = new HashMap<>();
+
+	private long round;
+
+	/**
+	 * Creates a controller and starts it.
+	 * @param control the control thread
+	 * @param blackboard the blackboard of the entry
+	 * @param channels the channels to the fleet
+	 * @param site the site of this entry
+	 */
+	public AgentStatusController(ControlThread control, Blackboard blackboard, Channels channels, String site) {
+		this.control = control;
+		this.blackboard = blackboard;
+		this.channels = channels;
+		this.site = site;
+		control.scheduleWithFixedDelay(ROUND_INTERVAL, this::askAll);
+		blackboard.onChange(EntryBoard.MEMBERS, this::membersChanged);
+	}
+
+	@Override
+	public void close() {
+		this.statuses.clear();
+	}
+
+	private void membersChanged(Membership members) {
+		this.statuses.keySet().removeIf((incarnation) -> members.find(incarnation).isEmpty());
+		members.agents()
+			.stream()
+			.filter((agent) -> !this.statuses.containsKey(agent.incarnation()))
+			.forEach(this::ask);
+	}
+
+	private void askAll() {
+		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
+		if (members == null) {
+			return;
+		}
+		boolean all = this.round % ROUNDS_BETWEEN_OTHER_SITES == 0;
+		this.round++;
+		members.agents().stream().filter((agent) -> all || agent.site().equals(this.site)).forEach(this::ask);
+	}
+
+	private void ask(Member agent) {
+		var call = AgentServiceGrpc.newFutureStub(this.channels.get(agent.address()))
+			.withDeadlineAfter(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+			.getStatus(GetStatusRequest.getDefaultInstance());
+		Futures.addCallback(call, new FutureCallback<>() {
+			@Override
+			public void onSuccess(GetStatusResponse status) {
+				if (status.getIncarnation().equals(agent.incarnation())) {
+					AgentStatusController.this.statuses.put(agent.incarnation(), status);
+					publish();
+				}
+			}
+
+			@Override
+			public void onFailure(Throwable failure) {
+				AgentStatusController.this.statuses.remove(agent.incarnation());
+				publish();
+			}
+		}, this.control);
+	}
+
+	private void publish() {
+		this.blackboard.write(EntryBoard.AGENT_STATUS, Map.copyOf(this.statuses));
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/member/ConfigController.java
@@ -0,0 +1,83 @@
+package io.verbenacleat.entry.member;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.config.ConfigException;
+import io.verbenacleat.core.config.ConfigLoader;
+import io.verbenacleat.core.config.ConfigStore;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.config.StoredConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.head.Head;
+import io.verbenacleat.core.head.HeadPoller;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.entry.EntryBoard;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps {@link EntryBoard#CONFIG} at the newest stored version; never goes back to a
+ * lower one. Used on the control thread.
+ */
+public final class ConfigController {
+
+	private static final Logger logger = LogManager.getLogger(ConfigController.class);
+
+	private final TableStore store;
+
+	private final ControlThread control;
+
+	private final Blackboard blackboard;
+
+	private final String site;
+
+	private final ConfigLoader loader = new ConfigLoader();
+
+	private final Counter unusable;
+
+	/**
+	 * Creates a controller and sets it as the reader of its topic.
+	 * @param store the table store
+	 * @param control the control thread
+	 * @param blackboard the blackboard of the entry
+	 * @param poller the poller
+	 * @param site the site whose overlay applies
+	 * @param registry the metrics
+	 */
+	public ConfigController(TableStore store, ControlThread control, Blackboard blackboard, HeadPoller poller,
+			String site, PrometheusRegistry registry) {
+		this.store = store;
+		this.control = control;
+		this.blackboard = blackboard;
+		this.site = site;
+		this.unusable = Counter.builder()
+			.name("verbena_config_unusable")
+			.help("Stored versions that this node could not use")
+			.register(registry);
+		poller.onTopic(Head.CONFIG, (topic) -> read());
+	}
+
+	private CompletableFuture<?> read() {
+		return ConfigStore.readCurrent(this.store).thenAcceptAsync(this::publish, this.control);
+	}
+
+	private void publish(StoredConfig stored) {
+		OfficeConfig present = this.blackboard.read(EntryBoard.CONFIG);
+		if (present != null && present.version() >= stored.number()) {
+			return;
+		}
+		try {
+			OfficeConfig config = this.loader.load(stored.number(), stored.files(), this.site);
+			this.blackboard.write(EntryBoard.CONFIG, config);
+			logger.info("Configuration version {} is in force", stored.number());
+		}
+		catch (ConfigException ex) {
+			this.unusable.inc();
+			logger.error("Configuration version {} cannot be used: {}", stored.number(), ex.getMessage());
+		}
+	}
+
+}
