--- a/core/src/main/java/io/verbenacleat/core/journal/JournalRow.java
+++ b/core/src/main/java/io/verbenacleat/core/journal/JournalRow.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+
 /**
  * The row {@code journal/<holder>/<sequence>}, a batch of receipts, or
  * {@code final/<holder>}, the last batch of a closed holder with the figures of all its
@@ -12,9 +14,12 @@
  * @param spentByAccount spent tokens by account, cumulative over the life of the holder,
  * this batch included
  * @param heldByAccount held tokens by account, cumulative likewise
+ * @param restHeld whether the rest of each grant of the holder is held, because an agent
+ * was lost that may have spent it; set in final rows only
+ * @param lostAgents the agents that were lost, in final rows only
  */
 public record JournalRow(List<JournalReceipt> receipts, Map<String, Long> spentByAccount,
-		Map<String, Long> heldByAccount) {
+		Map<String, Long> heldByAccount, boolean restHeld, List<String> lostAgents) {
 
 	/** The prefix of the table keys of all journals. */
 	public static final String KEY_PREFIX = "journal/";
@@ -25,10 +30,23 @@
 	/**
 	 * Creates a row from copies.
 	 */
+	@JsonCreator
 	public JournalRow {
 		receipts = (receipts != null) ? List.copyOf(receipts) : List.of();
 		spentByAccount = (spentByAccount != null) ? Map.copyOf(spentByAccount) : Map.of();
 		heldByAccount = (heldByAccount != null) ? Map.copyOf(heldByAccount) : Map.of();
+		lostAgents = (lostAgents != null) ? List.copyOf(lostAgents) : List.of();
+	}
+
+	/**
+	 * Creates a row without lost agents.
+	 * @param receipts the receipts
+	 * @param spentByAccount the spent tokens by account
+	 * @param heldByAccount the held tokens by account
+	 */
+	public JournalRow(List<JournalReceipt> receipts, Map<String, Long> spentByAccount,
+			Map<String, Long> heldByAccount) {
+		this(receipts, spentByAccount, heldByAccount, false, List.of());
 	}
 
 	/**
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/AdaptiveGrantPolicy.java
@@ -0,0 +1,48 @@
+package io.verbenacleat.entry.budget;
+
+import io.verbenacleat.core.config.BudgetConfig;
+
+/**
+ * Sizes a grant by the spending rate over a horizon, with a minimum, and limits it to a
+ * share of the ungranted tokens so that the last tokens of a budget stay spread. The
+ * shortfall of waiting requests is always covered. Immutable.
+ *
+ * @param horizonSeconds for how long a grant should last, in seconds
+ * @param minimumTokens the smallest grant while the share allows it
+ * @param share the largest part of the ungranted tokens in one renewal, 0 to 1
+ * @param idleFactor a grant with more free tokens than this many times the wanted ones
+ * gives back the surplus, 1 or more
+ */
+public record AdaptiveGrantPolicy(double horizonSeconds, long minimumTokens, double share,
+		double idleFactor) implements GrantPolicy {
+
+	/**
+	 * Returns the policy of a preset.
+	 * @param preset the preset
+	 * @return the policy
+	 */
+	public static AdaptiveGrantPolicy of(BudgetConfig.Preset preset) {
+		return switch (preset) {
+			case GUILD -> new AdaptiveGrantPolicy(120, 20_000, 0.25, 4);
+			case COOPERATIVE -> new AdaptiveGrantPolicy(20, 4_000, 0.05, 2);
+		};
+	}
+
+	@Override
+	public long extraTokens(GrantDemand demand) {
+		long wantedTokens = Math.min(wantedTokens(demand), (long) (this.share * demand.ungrantedTokens()));
+		return Math.min(demand.ungrantedTokens(), Math.max(wantedTokens, demand.shortfallTokens()));
+	}
+
+	@Override
+	public long returnedTokens(GrantDemand demand) {
+		long wantedTokens = wantedTokens(demand);
+		boolean idle = demand.freeTokens() > this.idleFactor * wantedTokens;
+		return (idle) ? demand.freeTokens() - wantedTokens : 0;
+	}
+
+	private long wantedTokens(GrantDemand demand) {
+		return Math.max(this.minimumTokens, (long) (demand.ratePerSecond() * this.horizonSeconds));
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/Admission.java
@@ -0,0 +1,224 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.account.Callers;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.proto.v1.ReserveRefusal;
+import io.verbenacleat.proto.v1.ReserveRequest;
+import io.verbenacleat.proto.v1.ReserveResponse;
+
+/**
+ * Decides reservations: from the present grant when it suffices, otherwise after a
+ * renewal, in arrival order and within a bounded time. Used on the control thread only.
+ */
+final class Admission {
+
+	/** After a failed renewal, short requests are refused at once for this time. */
+	private static final long UNREACHABLE_MEMORY_MS = 500;
+
+	private final LedgerState ledger;
+
+	private final ControlThread control;
+
+	private final CallerCache callers;
+
+	private final ReceiptJournal journal;
+
+	private final BudgetMetrics metrics;
+
+	private final Duration timeout;
+
+	private final GrantWriter writer;
+
+	private long unreachableUntilMs;
+
+	Admission(LedgerState ledger, ControlThread control, CallerCache callers, ReceiptJournal journal,
+			BudgetMetrics metrics, Duration timeout, WriterFactory writers) {
+		this.ledger = ledger;
+		this.control = control;
+		this.callers = callers;
+		this.journal = journal;
+		this.metrics = metrics;
+		this.timeout = timeout;
+		this.writer = writers.create(this);
+	}
+
+	GrantWriter writer() {
+		return this.writer;
+	}
+
+	CompletableFuture<ReserveResponse> reserve(ReserveRequest request) {
+		if (request.getTokens() < 0) {
+			return CompletableFuture.failedFuture(new IllegalArgumentException("Negative tokens"));
+		}
+		return this.callers.find(request.getAccount()).thenCompose((lookup) -> check(request, lookup));
+	}
+
+	private CompletableFuture<ReserveResponse> check(ReserveRequest request, CallerCache.Lookup lookup) {
+		Callers known = lookup.callers();
+		if (this.ledger.refusesRequests() || this.ledger.closedGateways.contains(request.getGatewayIncarnation())) {
+			return refuse(ReserveRefusal.HOLDER_NOT_OPEN);
+		}
+		if (known == null) {
+			return refuse((lookup.answered()) ? ReserveRefusal.UNKNOWN_ACCOUNT : ReserveRefusal.TABLE_UNREACHABLE);
+		}
+		Callers.Caller caller = known.findByHash(request.getKeySha256());
+		if (caller == null) {
+			return refuse(ReserveRefusal.UNKNOWN_KEY);
+		}
+		if (caller.revokedAtMs() != null) {
+			return refuse(ReserveRefusal.REVOKED_KEY);
+		}
+		return decide(request, Reservation.of(request, caller.callerId()));
+	}
+
+	private CompletableFuture<ReserveResponse> decide(ReserveRequest request, Reservation reservation) {
+		AccountState state = this.ledger.account(request.getAccount());
+		state.lastUsedAtMs = this.control.clock().millis();
+		Reservation present = state.reservations.get(reservation.requestId());
+		if (present != null) {
+			return CompletableFuture.completedFuture(ReserveResponses.granted(this.ledger.incarnation, present, state));
+		}
+		if (this.ledger.receipts.known(reservation.requestId())) {
+			return refuse(ReserveRefusal.BUDGET_RESERVED, state);
+		}
+		if (this.journal.full()) {
+			return refuse(ReserveRefusal.JOURNAL_FULL, state);
+		}
+		if (state.waiters.isEmpty() && reservation.tokens() <= state.freeTokens() && state.row != null) {
+			state.reserve(reservation);
+			return CompletableFuture
+				.completedFuture(ReserveResponses.granted(this.ledger.incarnation, reservation, state));
+		}
+		if (request.getForwarded()) {
+			return refuse(ReserveResponses.shortRefusal(this.ledger.incarnation, state, reservation.tokens()), state);
+		}
+		if (state.lastUsedAtMs < this.unreachableUntilMs && !state.writing) {
+			return refuse(ReserveRefusal.TABLE_UNREACHABLE, state);
+		}
+		return await(state, reservation);
+	}
+
+	private CompletableFuture<ReserveResponse> await(AccountState state, Reservation reservation) {
+		Waiter waiter = new Waiter(reservation);
+		waiter.deadline = this.control.schedule(this.timeout, () -> {
+			if (state.waiters.remove(waiter)) {
+				refuse(waiter, ReserveRefusal.TABLE_UNREACHABLE, state);
+				serve(state);
+			}
+		});
+		state.waiters.add(waiter);
+		this.writer.start(state, false);
+		return waiter.answer;
+	}
+
+	/**
+	 * Grants waiting reservations in arrival order, up to the first that does not fit.
+	 * @param state the account
+	 */
+	void serve(AccountState state) {
+		Waiter next = state.waiters.peek();
+		while (next != null && next.reservation.tokens() <= state.freeTokens() && state.row != null
+				&& !this.ledger.refusesRequests()) {
+			state.waiters.remove();
+			grant(next, state);
+			next = state.waiters.peek();
+		}
+	}
+
+	/**
+	 * Takes back a reservation that still waits.
+	 * @param state the account
+	 * @param requestId the request
+	 */
+	void withdraw(AccountState state, String requestId) {
+		List<Waiter> withdrawn = state.waiters.stream()
+			.filter((waiter) -> waiter.reservation.requestId().equals(requestId))
+			.toList();
+		state.waiters.removeAll(withdrawn);
+		withdrawn.forEach((waiter) -> refuse(waiter, ReserveRefusal.BUDGET_RESERVED, state));
+	}
+
+	/**
+	 * Takes the result of a write: decides the reservations that it had in view.
+	 * @param state the account
+	 * @param result the result
+	 */
+	void written(AccountState state, GrantWriter.Result result) {
+		if (result == GrantWriter.Result.UNREACHABLE) {
+			this.unreachableUntilMs = this.control.clock().millis() + UNREACHABLE_MEMORY_MS;
+		}
+		if (this.ledger.refusesRequests()) {
+			refuseAll(state, ReserveRefusal.HOLDER_NOT_OPEN);
+			return;
+		}
+		for (Waiter waiter : new ArrayList<>(state.waiters)) {
+			if (waiter.reservation.tokens() <= state.freeTokens() && state.row != null) {
+				state.waiters.remove(waiter);
+				grant(waiter, state);
+			}
+			else if (waiter.considered || result != GrantWriter.Result.DECIDED) {
+				state.waiters.remove(waiter);
+				refuse(waiter, refusal(state, waiter, result), state);
+			}
+		}
+		if (!state.waiters.isEmpty()) {
+			this.writer.start(state, false);
+		}
+	}
+
+	void refuseAll(AccountState state, ReserveRefusal refusal) {
+		List<Waiter> waiters = new ArrayList<>(state.waiters);
+		state.waiters.clear();
+		waiters.forEach((waiter) -> refuse(waiter, refusal, state));
+	}
+
+	private ReserveRefusal refusal(AccountState state, Waiter waiter, GrantWriter.Result result) {
+		return switch (result) {
+			case DECIDED -> ReserveResponses.shortRefusal(this.ledger.incarnation, state, waiter.reservation.tokens());
+			case UNREACHABLE -> ReserveRefusal.TABLE_UNREACHABLE;
+			case NO_ACCOUNT -> ReserveRefusal.UNKNOWN_ACCOUNT;
+			case NOT_OPEN -> ReserveRefusal.HOLDER_NOT_OPEN;
+		};
+	}
+
+	private void grant(Waiter waiter, AccountState state) {
+		state.reserve(waiter.reservation);
+		waiter.complete(ReserveResponses.granted(this.ledger.incarnation, waiter.reservation, state));
+	}
+
+	private void refuse(Waiter waiter, ReserveRefusal refusal, AccountState state) {
+		this.metrics.refused(refusal);
+		waiter.complete(ReserveResponses.refused(this.ledger.incarnation, refusal, state));
+	}
+
+	private CompletableFuture<ReserveResponse> refuse(ReserveRefusal refusal, AccountState state) {
+		this.metrics.refused(refusal);
+		return CompletableFuture.completedFuture(ReserveResponses.refused(this.ledger.incarnation, refusal, state));
+	}
+
+	private CompletableFuture<ReserveResponse> refuse(ReserveRefusal refusal) {
+		this.metrics.refused(refusal);
+		return CompletableFuture.completedFuture(ReserveResponses.refused(this.ledger.incarnation, refusal));
+	}
+
+	/**
+	 * Makes the writer that reports its results to an admission.
+	 */
+	@FunctionalInterface
+	interface WriterFactory {
+
+		/**
+		 * Makes a writer.
+		 * @param admission takes the results
+		 * @return the writer
+		 */
+		GrantWriter create(Admission admission);
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
@@ -0,0 +1,319 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.control.Cancellable;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.proto.v1.ReleaseRequest;
+import io.verbenacleat.proto.v1.ReleaseResponse;
+import io.verbenacleat.proto.v1.ReserveRefusal;
+import io.verbenacleat.proto.v1.ReserveRequest;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import io.verbenacleat.proto.v1.SettleRequest;
+import io.verbenacleat.proto.v1.SettleResponse;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The budget holder of this process: it holds grants on accounts, reserves tokens of them
+ * for requests, bills receipts and journals them. Safe for use by several threads; all
+ * state is owned by the control thread, and futures complete there.
+ * <p>
+ * The process row must be written by its owner; until it is, reservations are refused.
+ *
+ * <pre>{@code
+ * BudgetLedger ledger = BudgetLedger.builder()
+ *     .incarnation(incarnation)
+ *     .address("10.0.0.1:7000")
+ *     .store(store)
+ *     .control(control)
+ *     .policy(AdaptiveGrantPolicy.of(preset))
+ *     .registry(registry)
+ *     .build();
+ * }</pre>
+ */
+public final class BudgetLedger implements BudgetHolder, AutoCloseable {
+
+	private static final Duration MAINTENANCE_INTERVAL = Duration.ofSeconds(5);
+
+	private final LedgerState state;
+
+	private final ControlThread control;
+
+	private final CallerCache callers;
+
+	private final ReceiptJournal journal;
+
+	private final Admission admission;
+
+	private final Settlement settlement;
+
+	private final LedgerMaintenance maintenance;
+
+	private final GracefulStop gracefulStop;
+
+	private final Cancellable maintenanceTimer;
+
+	private BudgetLedger(Builder builder) {
+		String incarnation = Objects.requireNonNull(builder.incarnation, "incarnation");
+		String address = Objects.requireNonNull(builder.address, "address");
+		TableStore store = Objects.requireNonNull(builder.store, "store");
+		GrantPolicy policy = Objects.requireNonNull(builder.policy, "policy");
+		this.control = Objects.requireNonNull(builder.control, "control");
+		BudgetMetrics metrics = new BudgetMetrics(Objects.requireNonNull(builder.registry, "registry"));
+		LedgerState ledger = new LedgerState(incarnation, builder.rememberedReceipts);
+		GrantPlanner planner = new GrantPlanner(incarnation, address, policy, this.control.clock());
+		this.state = ledger;
+		this.callers = new CallerCache(store, this.control, builder.reserveTimeout);
+		this.journal = new ReceiptJournal(incarnation, store, this.control, ledger.process, metrics,
+				builder.maxPendingReceipts, (receipts) -> durable(receipts));
+		this.admission = new Admission(ledger, this.control, this.callers, this.journal, metrics,
+				builder.reserveTimeout, (owner) -> new GrantWriter(incarnation, store, this.control, ledger.process,
+						planner, metrics, owner::written));
+		this.settlement = new Settlement(ledger, this.control, this.admission, this.journal,
+				new JournalReader(store, this.control), metrics);
+		this.maintenance = new LedgerMaintenance(ledger, this.control, policy, this.admission.writer(), this.journal,
+				metrics);
+		this.gracefulStop = new GracefulStop(ledger, store, this.control, this.admission, this.journal);
+		this.maintenanceTimer = this.control.scheduleWithFixedDelay(MAINTENANCE_INTERVAL, this.maintenance::run);
+		ledger.process.addListener(this::refuseWaiting);
+	}
+
+	/**
+	 * Returns a builder without settings.
+	 * @return a new builder
+	 */
+	public static Builder builder() {
+		return new Builder();
+	}
+
+	@Override
+	public CompletableFuture<ReserveResponse> reserve(ReserveRequest request) {
+		return call(() -> this.admission.reserve(request));
+	}
+
+	@Override
+	public CompletableFuture<SettleResponse> settle(SettleRequest request) {
+		return call(() -> this.settlement.settle(request));
+	}
+
+	@Override
+	public CompletableFuture<ReleaseResponse> release(ReleaseRequest request) {
+		return call(() -> {
+			if (request.getHolderIncarnation().equals(this.state.incarnation)) {
+				this.settlement.release(request.getRequestIdsList());
+			}
+			return CompletableFuture.completedFuture(ReleaseResponse.getDefaultInstance());
+		});
+	}
+
+	/**
+	 * Has the callers of accounts read again at their next use.
+	 * @param accountIds the accounts
+	 */
+	public void invalidateCallers(Collection<String> accountIds) {
+		this.control.execute(() -> accountIds.forEach(this.callers::invalidate));
+	}
+
+	/**
+	 * Has the callers of all accounts read again at their next use.
+	 */
+	public void invalidateAllCallers() {
+		this.control.execute(this.callers::invalidateAll);
+	}
+
+	/**
+	 * Ends the reservations of a gateway that was closed, and refuses later ones. May be
+	 * called again, with fewer executed requests once their agent is lost.
+	 * @param gateway the gateway incarnation, closed at all agents
+	 * @param executedRequestIds requests that an agent executed and whose receipts are
+	 * still to come; their reservations stay
+	 * @param agentLost whether an agent was lost, so that the other reservations become
+	 * held instead of free
+	 * @return completes when it is done
+	 */
+	public CompletableFuture<Void> closedGateway(String gateway, Set<String> executedRequestIds, boolean agentLost) {
+		return this.control.submit(() -> {
+			this.settlement.closedGateway(gateway, executedRequestIds, agentLost);
+			return null;
+		});
+	}
+
+	/**
+	 * Adds a listener that is told when this holder learns that it was closed.
+	 * @param listener runs on the control thread, once
+	 */
+	public void addClosedListener(Runnable listener) {
+		this.control.execute(() -> this.state.process.addListener(listener));
+	}
+
+	/**
+	 * Stops gracefully: refuses new reservations, waits for the open ones, writes the
+	 * journal, gives back all grants, and closes the process row.
+	 * @param patience how long to try
+	 * @return {@code true} when the process row is closed; {@code false} leaves the rest
+	 * to a closer
+	 */
+	public CompletableFuture<Boolean> stop(Duration patience) {
+		return call(() -> this.gracefulStop.start(patience));
+	}
+
+	/**
+	 * Stops the timers of this ledger, without writing anything.
+	 */
+	@Override
+	public void close() {
+		this.maintenanceTimer.cancel();
+	}
+
+	private void durable(List<JournalReceipt> receipts) {
+		this.settlement.durable(receipts);
+	}
+
+	private void refuseWaiting() {
+		for (AccountState account : new ArrayList<>(this.state.accounts.values())) {
+			this.admission.refuseAll(account, ReserveRefusal.HOLDER_NOT_OPEN);
+		}
+	}
+
+	private <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> task) {
+		return this.control.submit(task).thenCompose((answer) -> answer);
+	}
+
+	/**
+	 * Collects the settings of a ledger. Not safe for use by several threads.
+	 */
+	public static final class Builder {
+
+		private @Nullable String incarnation;
+
+		private @Nullable String address;
+
+		private @Nullable TableStore store;
+
+		private @Nullable ControlThread control;
+
+		private @Nullable GrantPolicy policy;
+
+		private @Nullable PrometheusRegistry registry;
+
+		private Duration reserveTimeout = Duration.ofMillis(300);
+
+		private int maxPendingReceipts = 20_000;
+
+		private int rememberedReceipts = 20_000;
+
+		private Builder() {
+		}
+
+		/**
+		 * Sets the own incarnation.
+		 * @param value the incarnation
+		 * @return this builder
+		 */
+		public Builder incarnation(String value) {
+			this.incarnation = value;
+			return this;
+		}
+
+		/**
+		 * Sets the own gRPC address.
+		 * @param value the address, host:port
+		 * @return this builder
+		 */
+		public Builder address(String value) {
+			this.address = value;
+			return this;
+		}
+
+		/**
+		 * Sets the table store.
+		 * @param value the store
+		 * @return this builder
+		 */
+		public Builder store(TableStore value) {
+			this.store = value;
+			return this;
+		}
+
+		/**
+		 * Sets the control thread.
+		 * @param value the control thread
+		 * @return this builder
+		 */
+		public Builder control(ControlThread value) {
+			this.control = value;
+			return this;
+		}
+
+		/**
+		 * Sets the policy of grant sizes.
+		 * @param value the policy
+		 * @return this builder
+		 */
+		public Builder policy(GrantPolicy value) {
+			this.policy = value;
+			return this;
+		}
+
+		/**
+		 * Sets the registry of the metrics.
+		 * @param value the registry
+		 * @return this builder
+		 */
+		public Builder registry(PrometheusRegistry value) {
+			this.registry = value;
+			return this;
+		}
+
+		/**
+		 * Sets how long a reservation may wait for the table store at each step.
+		 * @param value the time, 300 ms by default
+		 * @return this builder
+		 */
+		public Builder reserveTimeout(Duration value) {
+			this.reserveTimeout = value;
+			return this;
+		}
+
+		/**
+		 * Sets how many receipts may wait for the journal before requests are refused.
+		 * @param value the number, 20,000 by default
+		 * @return this builder
+		 */
+		public Builder maxPendingReceipts(int value) {
+			this.maxPendingReceipts = value;
+			return this;
+		}
+
+		/**
+		 * Sets how many durable receipts are remembered before the journal is searched.
+		 * @param value the number, 20,000 by default
+		 * @return this builder
+		 */
+		public Builder rememberedReceipts(int value) {
+			this.rememberedReceipts = value;
+			return this;
+		}
+
+		/**
+		 * Builds the ledger and starts its timers.
+		 * @return the ledger
+		 * @throws NullPointerException when a setting without default is missing
+		 */
+		public BudgetLedger build() {
+			return new BudgetLedger(this);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/ClosingTransaction.java
@@ -0,0 +1,81 @@
+package io.verbenacleat.entry.budget;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.head.Head;
+import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.Members;
+import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WriteOutcome;
+
+/**
+ * Writes the final row of a process, closes its process row and removes it from the
+ * members, in one transaction. Safe for use by several threads.
+ * <p>
+ * The transaction carries the version of the row {@code head}, which each change of the
+ * membership raises. No agent can therefore have registered since {@code head} was read:
+ * an agent that registers later finds the process neither among the members nor open.
+ */
+final class ClosingTransaction {
+
+	private final TableStore store;
+
+	ClosingTransaction(TableStore store) {
+		this.store = store;
+	}
+
+	/**
+	 * Sends the transaction.
+	 * @param process the process row as read
+	 * @param head the row {@code head} as read, before the agents were asked
+	 * @param last the final row
+	 * @param closer the incarnation that closes
+	 * @return the outcome, or the failure of the read of the members
+	 */
+	CompletableFuture<WriteOutcome> send(Row process, Row head, JournalRow last, String closer) {
+		try {
+			ProcessRow open = Json.read(process.json(), ProcessRow.class);
+			Head topics = (head.exists()) ? Json.read(head.json(), Head.class) : new Head(Map.of());
+			String zoneKey = Members.key(open.member().zone());
+			return this.store.read(zoneKey)
+				.thenCompose((zone) -> this.store
+					.transact(transaction(new Rows(process, head, zone), open, topics, last, closer)));
+		}
+		catch (JsonFormatException ex) {
+			return CompletableFuture.failedFuture(ex);
+		}
+	}
+
+	private static Transaction transaction(Rows rows, ProcessRow open, Head topics, JournalRow last, String closer) {
+		String incarnation = open.member().incarnation();
+		Transaction.Builder transaction = Transaction.builder()
+			.insert(JournalRow.finalKey(incarnation), Json.write(last))
+			.putIf(rows.process.key(), rows.process.version(), Json.write(open.with(ProcessRow.State.CLOSED, closer)))
+			.putIf(Head.KEY, rows.head.version(), Json.write(topics.plus(rows.zone.key())));
+		if (rows.zone.exists()) {
+			transaction.putIf(rows.zone.key(), rows.zone.version(),
+					Json.write(members(rows.zone).without(incarnation)));
+		}
+		return transaction.build();
+	}
+
+	private static Members members(Row zone) {
+		try {
+			return Json.read(zone.json(), Members.class);
+		}
+		catch (JsonFormatException ex) {
+			return new Members(List.of());
+		}
+	}
+
+	private record Rows(Row process, Row head, Row zone) {
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/GrantPlanner.java
@@ -0,0 +1,119 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Clock;
+import java.util.Map;
+
+import io.verbenacleat.core.account.Account;
+import io.verbenacleat.core.account.Grant;
+import io.verbenacleat.core.journal.JournalRow;
+
+/**
+ * Decides what to write to an account row: grants of closed holders are folded, the own
+ * grant is raised, lowered or removed. Used on the control thread only.
+ */
+final class GrantPlanner {
+
+	/** Long enough that an account with a request a minute keeps its entry. */
+	static final long UNUSED_AFTER_MS = 90_000;
+
+	private final String holder;
+
+	private final String address;
+
+	private final GrantPolicy policy;
+
+	private final Clock clock;
+
+	GrantPlanner(String holder, String address, GrantPolicy policy, Clock clock) {
+		this.holder = holder;
+		this.address = address;
+		this.policy = policy;
+		this.clock = clock;
+	}
+
+	/**
+	 * Decides on the basis of a row just read, and marks the waiting reservations as
+	 * considered.
+	 * @param state the account at this holder
+	 * @param read the row
+	 * @param finals the final rows of closed holders among its grants
+	 * @param returnAll whether an unused grant is removed at once
+	 * @return the decision
+	 */
+	GrantPlan plan(AccountState state, Account read, Map<String, JournalRow> finals, boolean returnAll) {
+		Account row = fold(read, finals);
+		boolean unused = returnAll || this.clock.millis() - state.lastUsedAtMs >= UNUSED_AFTER_MS;
+		if (unused && state.removable()) {
+			boolean entry = row.grant(this.holder) != null;
+			Account without = (entry) ? state.withoutGrant(row, this.holder) : row;
+			return new GrantPlan(without, entry || row != read, 0, (entry) ? state.removal() : null);
+		}
+		long grantedTokens = state.grantedTokens + change(state, Math.max(0, row.ungrantedTokens()));
+		Grant grant = state.grant(this.address, grantedTokens);
+		boolean write = row != read || grantedTokens != state.grantedTokens;
+		if (grantedTokens == 0 && row.grant(this.holder) == null) {
+			return new GrantPlan(row, write, 0, null);
+		}
+		return new GrantPlan(row.withGrant(this.holder, grant), write || figuresLag(row, grant), grantedTokens, null);
+	}
+
+	private boolean figuresLag(Account row, Grant grant) {
+		Grant written = row.grant(this.holder);
+		return written != null
+				&& (written.spentTokens() != grant.spentTokens() || written.heldTokens() != grant.heldTokens());
+	}
+
+	private long change(AccountState state, long ungrantedTokens) {
+		long freeTokens = state.freeTokens();
+		long shortfallTokens = shortfallTokens(state, ungrantedTokens);
+		GrantDemand demand = new GrantDemand(state.rate.perSecond(this.clock.millis()), freeTokens, shortfallTokens,
+				ungrantedTokens);
+		if (shortfallTokens > 0) {
+			return Math.max(shortfallTokens, Math.min(ungrantedTokens, this.policy.extraTokens(demand)));
+		}
+		if (state.waiters.isEmpty() && freeTokens > 0) {
+			return -Math.max(0, Math.min(freeTokens, this.policy.returnedTokens(demand)));
+		}
+		return 0;
+	}
+
+	/**
+	 * Returns what is missing to cover those waiting reservations that the budget can
+	 * cover, in arrival order, and what was billed beyond the grant.
+	 * @param state the account at this holder
+	 * @param ungrantedTokens the tokens that no grant covers
+	 * @return the tokens, zero to the ungranted ones
+	 */
+	private static long shortfallTokens(AccountState state, long ungrantedTokens) {
+		long freeTokens = state.freeTokens();
+		long coveredTokens = 0;
+		for (Waiter waiter : state.waiters) {
+			waiter.considered = true;
+			if (coveredTokens + waiter.reservation.tokens() <= freeTokens + ungrantedTokens) {
+				coveredTokens += waiter.reservation.tokens();
+			}
+		}
+		return Math.max(0, Math.min(ungrantedTokens, coveredTokens - freeTokens));
+	}
+
+	private Account fold(Account read, Map<String, JournalRow> finals) {
+		Account row = read;
+		for (Map.Entry<String, JournalRow> entry : finals.entrySet()) {
+			Grant grant = row.grant(entry.getKey());
+			if (grant != null) {
+				row = fold(row, entry.getKey(), grant, entry.getValue());
+			}
+		}
+		return row;
+	}
+
+	private static Account fold(Account row, String closed, Grant grant, JournalRow last) {
+		long spentTokens = last.spentByAccount().getOrDefault(row.id(), 0L) - grant.spentBaseTokens();
+		long heldTokens = last.heldByAccount().getOrDefault(row.id(), 0L) - grant.heldBaseTokens();
+		if (last.restHeld()) {
+			heldTokens = Math.max(heldTokens, grant.grantedTokens() - spentTokens);
+		}
+		return row.withClosedGrant(closed, spentTokens, heldTokens);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/LedgerState.java
@@ -0,0 +1,47 @@
+package io.verbenacleat.entry.budget;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the parts of a {@link BudgetLedger} share. Used on the control thread only.
+ */
+final class LedgerState {
+
+	final String incarnation;
+
+	final OwnProcess process;
+
+	final ReceiptMemory receipts;
+
+	final Map<String, AccountState> accounts = new HashMap<>();
+
+	final Set<String> closedGateways = new HashSet<>();
+
+	/** Whether reservations are refused because the process stops. */
+	boolean stopping;
+
+	/** Whether the closing transaction was sent, so that no receipt is taken any more. */
+	boolean closing;
+
+	LedgerState(String incarnation, int rememberedReceipts) {
+		this.incarnation = incarnation;
+		this.process = new OwnProcess(incarnation);
+		this.receipts = new ReceiptMemory(rememberedReceipts);
+	}
+
+	AccountState account(String id) {
+		return this.accounts.computeIfAbsent(id, AccountState::new);
+	}
+
+	boolean refusesReceipts() {
+		return this.closing || this.process.closed();
+	}
+
+	boolean refusesRequests() {
+		return this.stopping || this.process.closed();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/OwnProcess.java
@@ -0,0 +1,83 @@
+package io.verbenacleat.entry.budget;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.core.platform.Row;
+
+/**
+ * Whether this holder is still open, learned from its process row. Every write of the
+ * holder carries the version of the open row as a condition. Used on the control thread
+ * only.
+ */
+final class OwnProcess {
+
+	private final String key;
+
+	private final List<Runnable> listeners = new ArrayList<>();
+
+	private long openVersion;
+
+	private boolean closed;
+
+	OwnProcess(String incarnation) {
+		this.key = ProcessRow.key(incarnation);
+	}
+
+	String key() {
+		return this.key;
+	}
+
+	void addListener(Runnable listener) {
+		this.listeners.add(listener);
+	}
+
+	/**
+	 * Returns the version of the open row.
+	 * @return the version, 0 while it is not known
+	 */
+	long openVersion() {
+		return this.openVersion;
+	}
+
+	boolean closed() {
+		return this.closed;
+	}
+
+	boolean usable() {
+		return this.openVersion > 0 && !this.closed;
+	}
+
+	/**
+	 * Takes over what a read of the process row showed.
+	 * @param row the row
+	 * @return whether the holder is open
+	 */
+	boolean observe(Row row) {
+		try {
+			if (row.version() > 0) {
+				if (Json.read(row.json(), ProcessRow.class).state() == ProcessRow.State.OPEN) {
+					this.openVersion = row.version();
+				}
+				else {
+					markClosed();
+				}
+			}
+		}
+		catch (JsonFormatException ex) {
+			markClosed();
+		}
+		return usable();
+	}
+
+	void markClosed() {
+		if (!this.closed) {
+			this.closed = true;
+			this.listeners.forEach(Runnable::run);
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/Settlement.java
@@ -0,0 +1,186 @@
+package io.verbenacleat.entry.budget;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReceiptStatus;
+import io.verbenacleat.proto.v1.SettleRequest;
+import io.verbenacleat.proto.v1.SettleResponse;
+
+/**
+ * Turns reservations into spent or held tokens, each request once. Used on the control
+ * thread only.
+ */
+final class Settlement {
+
+	private final LedgerState ledger;
+
+	private final ControlThread control;
+
+	private final Admission admission;
+
+	private final ReceiptJournal journal;
+
+	private final JournalReader journalReader;
+
+	private final BudgetMetrics metrics;
+
+	Settlement(LedgerState ledger, ControlThread control, Admission admission, ReceiptJournal journal,
+			JournalReader journalReader, BudgetMetrics metrics) {
+		this.ledger = ledger;
+		this.control = control;
+		this.admission = admission;
+		this.journal = journal;
+		this.journalReader = journalReader;
+		this.metrics = metrics;
+	}
+
+	CompletableFuture<SettleResponse> settle(SettleRequest request) {
+		List<Receipt> unknown = new ArrayList<>();
+		if (!this.ledger.refusesReceipts()) {
+			request.getReceiptsList().stream().filter(this::valid).forEach((receipt) -> take(receipt, unknown));
+		}
+		if (unknown.isEmpty()) {
+			return CompletableFuture.completedFuture(response(request));
+		}
+		return searchJournal(unknown).thenApply((done) -> response(request));
+	}
+
+	private boolean valid(Receipt receipt) {
+		return receipt.getHolderIncarnation().equals(this.ledger.incarnation) && receipt.getBilledTokens() >= 0
+				&& receipt.getHeldTokens() >= 0;
+	}
+
+	private void take(Receipt receipt, List<Receipt> unknown) {
+		if (this.ledger.receipts.known(receipt.getRequestId())) {
+			return;
+		}
+		AccountState state = this.ledger.account(receipt.getAccount());
+		boolean reserved = state.reservations.containsKey(receipt.getRequestId());
+		if (!reserved && this.ledger.receipts.forgetful()) {
+			unknown.add(receipt);
+		}
+		else {
+			bill(state, JournalReceipt.of(receipt));
+		}
+	}
+
+	private void bill(AccountState state, JournalReceipt receipt) {
+		Reservation reservation = state.release(receipt.requestId());
+		this.admission.withdraw(state, receipt.requestId());
+		this.metrics.receipts.inc();
+		if (reservation == null) {
+			this.metrics.unknownReceipts.inc();
+		}
+		else if (receipt.billedTokens() + receipt.heldTokens() > reservation.tokens()) {
+			this.metrics.overbilledReceipts.inc();
+		}
+		state.bill(receipt, this.control.clock().millis());
+		this.ledger.receipts.addPending(receipt.requestId());
+		this.journal.add(receipt);
+		if (state.freeTokens() < 0) {
+			this.admission.writer().start(state, false);
+		}
+		this.admission.serve(state);
+	}
+
+	/**
+	 * Bills receipts that are not known here, unless the journal has them. When it cannot
+	 * be read they are not billed, and the agent sends them again.
+	 * @param unknown the receipts
+	 * @return completes after the search and does not fail
+	 */
+	private CompletableFuture<Void> searchJournal(List<Receipt> unknown) {
+		Set<String> ids = new HashSet<>();
+		unknown.forEach((receipt) -> ids.add(receipt.getRequestId()));
+		Set<String> found = new HashSet<>();
+		return this.journalReader
+			.read(this.ledger.incarnation,
+					(row) -> row.receipts()
+						.stream()
+						.map(JournalReceipt::requestId)
+						.filter(ids::contains)
+						.forEach(found::add))
+			.handle((done, failure) -> {
+				if (failure == null) {
+					found.forEach(this.ledger.receipts::addDurable);
+					unknown.forEach(this::billUnlessKnown);
+				}
+				return null;
+			});
+	}
+
+	private void billUnlessKnown(Receipt receipt) {
+		if (!this.ledger.receipts.known(receipt.getRequestId()) && !this.ledger.refusesReceipts()) {
+			bill(this.ledger.account(receipt.getAccount()), JournalReceipt.of(receipt));
+		}
+	}
+
+	private SettleResponse response(SettleRequest request) {
+		SettleResponse.Builder response = SettleResponse.newBuilder().setHolderClosed(this.ledger.refusesReceipts());
+		request.getReceiptsList()
+			.stream()
+			.map(Receipt::getRequestId)
+			.filter(this.ledger.receipts::durable)
+			.forEach(response::addDurableRequestIds);
+		return response.build();
+	}
+
+	void release(List<String> requestIds) {
+		for (AccountState state : new ArrayList<>(this.ledger.accounts.values())) {
+			for (String requestId : requestIds) {
+				state.release(requestId);
+				this.admission.withdraw(state, requestId);
+			}
+			this.admission.serve(state);
+		}
+	}
+
+	void durable(List<JournalReceipt> receipts) {
+		for (JournalReceipt receipt : receipts) {
+			this.ledger.account(receipt.account()).markDurable(receipt);
+			this.ledger.receipts.addDurable(receipt.requestId());
+		}
+	}
+
+	void closedGateway(String gateway, Set<String> executedRequestIds, boolean agentLost) {
+		this.ledger.closedGateways.add(gateway);
+		for (AccountState state : new ArrayList<>(this.ledger.accounts.values())) {
+			List<Reservation> left = state.reservations.values()
+				.stream()
+				.filter((reservation) -> reservation.gateway().equals(gateway)
+						&& !executedRequestIds.contains(reservation.requestId()))
+				.toList();
+			List<String> waiting = state.waiters.stream()
+				.filter((waiter) -> waiter.reservation.gateway().equals(gateway))
+				.map((waiter) -> waiter.reservation.requestId())
+				.toList();
+			waiting.forEach((requestId) -> this.admission.withdraw(state, requestId));
+			left.forEach((reservation) -> end(state, reservation, agentLost));
+			this.admission.serve(state);
+		}
+	}
+
+	private void end(AccountState state, Reservation reservation, boolean agentLost) {
+		if (agentLost) {
+			bill(state, takenOver(reservation));
+		}
+		else {
+			state.release(reservation.requestId());
+		}
+	}
+
+	private JournalReceipt takenOver(Reservation reservation) {
+		long nowMs = this.control.clock().millis();
+		return new JournalReceipt(reservation.requestId(), reservation.account(), reservation.callerId(),
+				this.ledger.incarnation, "", "", "", 0, 0, 0, reservation.tokens(), ReceiptStatus.TAKEN_OVER.name(),
+				nowMs, nowMs);
+	}
+
+}
