Add the entry daemon and its process wrapper

Cause: the parts of an entry need one place that starts and stops them. Ruled out: exit codes by the JVM (a signal would not give 0).

--- a/core/src/main/java/io/verbenacleat/core/control/ControlThread.java
+++ b/core/src/main/java/io/verbenacleat/core/control/ControlThread.java
@@ -19,6 +19,13 @@
 	 */
 	Clock clock();
 
+	/**
+	 * Returns a time in nanoseconds for measuring durations; steps of the clock do not
+	 * change it.
+	 * @return the time since an arbitrary origin
+	 */
+	long nanoTime();
+
 	/**
 	 * Runs a task once after a delay.
 	 * @param delay the delay, zero or more
--- a/core/src/main/java/io/verbenacleat/core/control/ManualControlThread.java
+++ b/core/src/main/java/io/verbenacleat/core/control/ManualControlThread.java
@@ -26,6 +26,8 @@
 
 	private Instant now;
 
+	private Duration steps = Duration.ZERO;
+
 	private long timerCount;
 
 	/**
@@ -74,6 +76,7 @@
 	 */
 	public void stepClock(Duration step) {
 		this.now = this.now.plus(step);
+		this.steps = this.steps.plus(step);
 		Queue<Timer> moved = new ArrayDeque<>(this.timers);
 		this.timers.clear();
 		for (Timer timer : moved) {
@@ -87,6 +90,11 @@
 		return new ManualClock();
 	}
 
+	@Override
+	public long nanoTime() {
+		return Duration.between(Instant.EPOCH, this.now).minus(this.steps).toNanos();
+	}
+
 	@Override
 	public void execute(Runnable task) {
 		this.pending.add(task);
--- a/core/src/main/java/io/verbenacleat/core/control/SingleControlThread.java
+++ b/core/src/main/java/io/verbenacleat/core/control/SingleControlThread.java
@@ -47,6 +47,11 @@
 		return this.clock;
 	}
 
+	@Override
+	public long nanoTime() {
+		return System.nanoTime();
+	}
+
 	@Override
 	public void execute(Runnable task) {
 		try {
--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
@@ -0,0 +1,126 @@
+package io.verbenacleat.core.daemon;
+
+import java.util.Locale;
+
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Runs a daemon as a process: settings, one clear line for each failure, exit codes, and
+ * a graceful stop on SIGTERM.
+ *
+ * @param <S> the settings of the daemon
+ */
+public final class DaemonProcess<S extends CommonSettings> {
+
+	private static final String LAYOUT_PROPERTY = "verbena.log.layout";
+
+	private final String program;
+
+	private final S settings;
+
+	private final Starter<S> starter;
+
+	/**
+	 * Creates a process.
+	 * @param program the name of the program
+	 * @param settings the settings to fill
+	 * @param starter starts the daemon
+	 */
+	public DaemonProcess(String program, S settings, Starter<S> starter) {
+		this.program = program;
+		this.settings = settings;
+		this.starter = starter;
+	}
+
+	/**
+	 * Runs until SIGTERM and then exits with 0, or exits with another code on failure.
+	 * @param args the command line
+	 */
+	public void run(String[] args) {
+		SettingsParser parser = new SettingsParser(this.program, System.getenv());
+		try {
+			parser.parse(this.settings, args);
+			if (this.settings.help) {
+				parser.printUsage(this.settings, System.out);
+				return;
+			}
+			if (this.settings.version) {
+				System.out.println(this.program + " " + Version.current());
+				return;
+			}
+			this.settings.check();
+		}
+		catch (UsageException ex) {
+			fail(ExitCode.USAGE, ex.getMessage());
+		}
+		System.setProperty(LAYOUT_PROPERTY, this.settings.logLayout.name().toLowerCase(Locale.ROOT));
+		start();
+	}
+
+	private void start() {
+		try {
+			GracefulDaemon daemon = this.starter.start(this.settings);
+			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+		}
+		catch (Exception ex) {
+			fail(ExitCode.FAILED, (ex.getMessage() != null) ? ex.getMessage() : ex.getClass().getSimpleName());
+		}
+	}
+
+	/**
+	 * Ends the process itself: the exit code of a process that a signal ends would not be 0.
+	 */
+	private static void stop(GracefulDaemon daemon) {
+		Logger logger = LogManager.getLogger(DaemonProcess.class);
+		ExitCode code = ExitCode.FAILED;
+		try {
+			logger.info("Stopping");
+			code = daemon.stopGracefully();
+			logger.info("Stopped");
+		}
+		catch (RuntimeException ex) {
+			logger.error("The graceful stop failed", ex);
+		}
+		LogManager.shutdown();
+		Runtime.getRuntime().halt(code.code());
+	}
+
+	private void fail(ExitCode code, String message) {
+		System.err.println(this.program + ": " + message.replace('\n', ' '));
+		Runtime.getRuntime().halt(code.code());
+	}
+
+	/**
+	 * A running daemon.
+	 */
+	@FunctionalInterface
+	public interface GracefulDaemon {
+
+		/**
+		 * Takes no new work, finishes what is in progress and stops.
+		 * @return the exit code
+		 */
+		ExitCode stopGracefully();
+
+	}
+
+	/**
+	 * Starts a daemon.
+	 *
+	 * @param <S> the settings
+	 */
+	@FunctionalInterface
+	public interface Starter<S> {
+
+		/**
+		 * Starts a daemon.
+		 * @param settings checked settings
+		 * @return the running daemon
+		 * @throws Exception when it cannot start; the message is one clear line
+		 */
+		GracefulDaemon start(S settings) throws Exception;
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -0,0 +1,315 @@
+package io.verbenacleat.entry;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.account.CallerKey;
+import io.verbenacleat.core.config.BudgetConfig;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.control.SingleControlThread;
+import io.verbenacleat.core.daemon.AdminServer;
+import io.verbenacleat.core.daemon.DaemonProcess;
+import io.verbenacleat.core.daemon.ExitCode;
+import io.verbenacleat.core.daemon.UsageException;
+import io.verbenacleat.core.head.HeadPoller;
+import io.verbenacleat.core.id.Incarnations;
+import io.verbenacleat.core.member.FleetRegistrar;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.RegistrationException;
+import io.verbenacleat.core.platform.HostList;
+import io.verbenacleat.core.platform.PlatformClient;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.core.rpc.FleetSecret;
+import io.verbenacleat.core.rpc.RpcServer;
+import io.verbenacleat.entry.budget.AdaptiveGrantPolicy;
+import io.verbenacleat.entry.budget.BudgetLedger;
+import io.verbenacleat.entry.budget.ProcessCloser;
+import io.verbenacleat.entry.holder.FleetBudgetRouter;
+import io.verbenacleat.entry.holder.HolderService;
+import io.verbenacleat.entry.http.HttpGateway;
+import io.verbenacleat.entry.member.AgentStatusController;
+import io.verbenacleat.entry.member.CallersController;
+import io.verbenacleat.entry.member.ConfigController;
+import io.verbenacleat.entry.member.DrainController;
+import io.verbenacleat.entry.member.FleetLostAgents;
+import io.verbenacleat.entry.member.GrpcAgentControl;
+import io.verbenacleat.entry.member.HostWatch;
+import io.verbenacleat.entry.member.MembershipController;
+import io.verbenacleat.entry.member.PeerMonitor;
+import io.verbenacleat.entry.request.DefaultRequestRunner;
+import io.verbenacleat.entry.request.Refusal;
+import io.verbenacleat.proto.v1.ReserveRequest;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * A running entry: wires the gateway, the budget holder, the dispatcher and the
+ * controllers. Safe for use by several threads.
+ */
+public final class EntryDaemon implements DaemonProcess.GracefulDaemon, AutoCloseable {
+
+	private static final Logger logger = LogManager.getLogger(EntryDaemon.class);
+
+	private static final Duration HEAD_POLL_INTERVAL = Duration.ofSeconds(1);
+
+	private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
+
+	private static final Duration REGISTRATION_RETRY = Duration.ofSeconds(2);
+
+	/** Longer than any request may take. */
+	private static final Duration DRAIN_PATIENCE = Duration.ofMinutes(65);
+
+	private final EntrySettings settings;
+
+	private final TableStore tables;
+
+	private final HostList hosts;
+
+	private final PrometheusRegistry registry = new PrometheusRegistry();
+
+	private final Blackboard blackboard = new Blackboard();
+
+	private final SingleControlThread control = new SingleControlThread("control");
+
+	private final Channels channels;
+
+	private final Member self;
+
+	private final BudgetLedger ledger;
+
+	private final FleetBudgetRouter router;
+
+	private final RpcServer rpcServer;
+
+	private final HttpGateway gateway;
+
+	private final AdminServer adminServer;
+
+	private volatile boolean registered;
+
+	private volatile boolean closedByOthers;
+
+	private volatile boolean stopping;
+
+	private EntryDaemon(EntrySettings settings, TableStore tables, HostList hosts, FleetSecret secret)
+			throws IOException {
+		this.settings = settings;
+		this.tables = tables;
+		this.hosts = hosts;
+		this.channels = new Channels(secret);
+		JvmMetrics.builder().register(this.registry);
+		this.self = member(settings);
+		this.blackboard.write(EntryBoard.ACCEPTING, false);
+		this.ledger = ledger();
+		this.router = new FleetBudgetRouter(this.self, this.ledger, this.channels, this.blackboard, this.control);
+		HolderService service = new HolderService(this.self.incarnation(), this.ledger, this.blackboard);
+		this.rpcServer = RpcServer.start(settings.host, settings.rpcPort, secret, List.of(service));
+		this.gateway = startGateway();
+		this.adminServer = AdminServer.start(settings.host, settings.adminPort, this.registry, this::isReady);
+	}
+
+	/**
+	 * Starts an entry that talks to the platform named in the settings.
+	 * @param settings checked settings
+	 * @return the running entry, which registers itself as soon as the platform answers
+	 * @throws IOException when a port cannot be bound
+	 * @throws UsageException when the fleet secret is wrong
+	 */
+	public static EntryDaemon start(EntrySettings settings) throws IOException, UsageException {
+		PlatformClient platform = PlatformClient.builder(settings.platformUrl)
+			.token(settings.platformToken)
+			.callTimeout(PLATFORM_TIMEOUT)
+			.build();
+		return start(settings, platform.tables(), platform.hosts());
+	}
+
+	/**
+	 * Starts an entry on given platform services.
+	 * @param settings checked settings
+	 * @param tables the table service
+	 * @param hosts the host list
+	 * @return the running entry
+	 * @throws IOException when a port cannot be bound
+	 * @throws UsageException when the fleet secret is wrong
+	 */
+	public static EntryDaemon start(EntrySettings settings, TableStore tables, HostList hosts)
+			throws IOException, UsageException {
+		EntryDaemon daemon = new EntryDaemon(settings, tables, hosts, settings.secret());
+		Thread registration = new Thread(daemon::register, "registration");
+		registration.setDaemon(true);
+		registration.start();
+		return daemon;
+	}
+
+	/**
+	 * Returns the port for callers.
+	 * @return the port
+	 */
+	public int httpPort() {
+		return this.gateway.port();
+	}
+
+	/**
+	 * Returns the identity of this run.
+	 * @return the incarnation
+	 */
+	public String incarnation() {
+		return this.self.incarnation();
+	}
+
+	/**
+	 * Returns whether this entry takes requests.
+	 * @return {@code true} with a registration and a configuration, until it stops
+	 */
+	public boolean isReady() {
+		return this.registered && Boolean.TRUE.equals(this.blackboard.read(EntryBoard.ACCEPTING))
+				&& this.blackboard.read(EntryBoard.CONFIG) != null;
+	}
+
+	@Override
+	public ExitCode stopGracefully() {
+		this.stopping = true;
+		this.control.submit(() -> {
+			this.blackboard.write(EntryBoard.ACCEPTING, false);
+			return true;
+		}).join();
+		CompletableFuture<Boolean> ledgerStop = this.ledger.stop(DRAIN_PATIENCE);
+		await(() -> this.gateway.requestsInProgress() == 0);
+		await(() -> this.control.submit(this.router::waiting).join() == 0);
+		boolean clean = !this.registered || ledgerStop.join();
+		close();
+		return (clean && !this.closedByOthers) ? ExitCode.DONE : ExitCode.FAILED;
+	}
+
+	@Override
+	public void close() {
+		this.gateway.close();
+		this.rpcServer.close();
+		this.ledger.close();
+		this.adminServer.close();
+		this.channels.close();
+		this.control.close();
+	}
+
+	private Member member(EntrySettings from) {
+		String incarnation = Incarnations.create(from.name, this.control.clock(), new SecureRandom());
+		return new Member(incarnation, Member.Role.ENTRY, from.host + ":" + from.rpcPort, from.host, from.region,
+				from.zone, from.site, null, 0, this.control.clock().millis());
+	}
+
+	private BudgetLedger ledger() {
+		BudgetLedger built = BudgetLedger.builder()
+			.incarnation(this.self.incarnation())
+			.address(this.self.address())
+			.store(this.tables)
+			.control(this.control)
+			.policy(AdaptiveGrantPolicy.of(BudgetConfig.Preset.COOPERATIVE))
+			.registry(this.registry)
+			.build();
+		built.addClosedListener(this::closedByOthers);
+		return built;
+	}
+
+	private HttpGateway startGateway() {
+		HostWatch hostWatch = new HostWatch(this.hosts, this.control);
+		FleetLostAgents lostAgents = new FleetLostAgents(this.blackboard, hostWatch);
+		ProcessCloser closer = new ProcessCloser(this.self.incarnation(), this.tables, this.control,
+				new GrpcAgentControl(this.channels), lostAgents);
+		startControllers(hostWatch, closer);
+		DefaultRequestRunner runner = DefaultRequestRunner.builder(this.self.incarnation(), this.self.site())
+			.control(this.control, this.blackboard)
+			.budget(this.router)
+			.agents(this.channels, lostAgents::isLost)
+			.tables(this.tables)
+			.registry(this.registry)
+			.build();
+		return HttpGateway.builder(this.self.incarnation(), this.blackboard, runner, this::checkKey)
+			.clock(this.control.clock())
+			.registry(this.registry)
+			.start(this.settings.httpHost, this.settings.httpPort);
+	}
+
+	private void startControllers(HostWatch hostWatch, ProcessCloser closer) {
+		HeadPoller poller = new HeadPoller(this.tables, this.control, HEAD_POLL_INTERVAL);
+		new ConfigController(this.tables, this.control, this.blackboard, poller, this.self.site(), this.registry);
+		new MembershipController(this.tables, this.control, this.blackboard, poller);
+		new DrainController(this.tables, this.control, this.blackboard, poller);
+		new CallersController(this.tables, this.control, this.ledger, poller);
+		new AgentStatusController(this.control, this.blackboard, this.channels, this.self.site());
+		new PeerMonitor(this.self, this.control, this.blackboard, this.channels, hostWatch, closer, this.registry);
+		poller.onContact(() -> this.blackboard.write(EntryBoard.PLATFORM_SEEN_AT_MS, this.control.clock().millis()));
+		this.control.execute(poller::start);
+	}
+
+	private CompletableFuture<Optional<Refusal>> checkKey(String requestId, CallerKey key) {
+		ReserveRequest request = ReserveRequest.newBuilder()
+			.setRequestId(requestId)
+			.setGatewayIncarnation(this.self.incarnation())
+			.setAccount(key.accountId())
+			.setKeySha256(key.sha256())
+			.build();
+		return this.router.reserve(request).thenApply((reservation) -> {
+			if (reservation.response().getGranted()) {
+				this.router.release(reservation, requestId);
+				return Optional.empty();
+			}
+			return Optional.of(io.verbenacleat.entry.request.ReserveRefusals.refusal(reservation.response()));
+		});
+	}
+
+	private void register() {
+		FleetRegistrar registrar = new FleetRegistrar(this.tables, PLATFORM_TIMEOUT, new SecureRandom());
+		boolean failed = false;
+		while (!this.registered && !this.stopping) {
+			try {
+				registrar.register(this.self);
+				this.registered = true;
+			}
+			catch (RegistrationException ex) {
+				if (!failed) {
+					logger.warn("Not registered yet: {}", ex.getMessage());
+				}
+				failed = true;
+				LockSupport.parkNanos(REGISTRATION_RETRY.toNanos());
+			}
+		}
+		if (this.registered) {
+			this.control.execute(this::accept);
+		}
+	}
+
+	private void accept() {
+		if (!this.stopping && !this.closedByOthers) {
+			this.blackboard.write(EntryBoard.ACCEPTING, true);
+			logger.info("Entry {} takes requests on port {}", this.self.incarnation(), httpPort());
+		}
+	}
+
+	private void closedByOthers() {
+		if (!this.stopping) {
+			logger.warn("Entry {} was closed by another process and stops", this.self.incarnation());
+			this.closedByOthers = true;
+			this.blackboard.write(EntryBoard.ACCEPTING, false);
+			Thread exit = new Thread(() -> System.exit(ExitCode.FAILED.code()), "exit");
+			exit.start();
+		}
+	}
+
+	private static void await(BooleanSupplier condition) {
+		while (!condition.getAsBoolean()) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/EntrySettings.java
@@ -0,0 +1,33 @@
+package io.verbenacleat.entry;
+
+import io.verbenacleat.core.daemon.CommonSettings;
+import io.verbenacleat.core.daemon.UsageException;
+import org.kohsuke.args4j.Option;
+
+/**
+ * The settings of the entry daemon. Filled once at the start; not safe for use by several
+ * threads before that.
+ */
+public final class EntrySettings extends CommonSettings {
+
+	/** The port for callers. */
+	@Option(name = "--http-port", metaVar = "PORT", usage = "port for callers (default 8080)")
+	public int httpPort = 8080;
+
+	/** The IP number for callers. */
+	@Option(name = "--http-host", metaVar = "IP", usage = "IP number to bind for callers (default: --host)")
+	public String httpHost = "";
+
+	@Override
+	public void check() throws UsageException {
+		super.check();
+		requirePort("--http-port", this.httpPort);
+		if (this.rpcPort == 0) {
+			throw new UsageException("--rpc-port is missing; an entry is known to the fleet by its port");
+		}
+		if (this.httpHost.isEmpty()) {
+			this.httpHost = this.host;
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/ConfiguredGrantPolicy.java
@@ -0,0 +1,43 @@
+package io.verbenacleat.entry.holder;
+
+import io.verbenacleat.core.config.BudgetConfig;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.budget.AdaptiveGrantPolicy;
+import io.verbenacleat.entry.budget.GrantDemand;
+import io.verbenacleat.entry.budget.GrantPolicy;
+
+/**
+ * The policy of the preset that the configuration in force names. Safe for use by several
+ * threads.
+ */
+public final class ConfiguredGrantPolicy implements GrantPolicy {
+
+	private final Blackboard blackboard;
+
+	/**
+	 * Creates a policy.
+	 * @param blackboard the blackboard of the entry
+	 */
+	public ConfiguredGrantPolicy(Blackboard blackboard) {
+		this.blackboard = blackboard;
+	}
+
+	@Override
+	public long extraTokens(GrantDemand demand) {
+		return preset().extraTokens(demand);
+	}
+
+	@Override
+	public long returnedTokens(GrantDemand demand) {
+		return preset().returnedTokens(demand);
+	}
+
+	private GrantPolicy preset() {
+		OfficeConfig config = this.blackboard.read(EntryBoard.CONFIG);
+		BudgetConfig budget = (config != null) ? config.budget() : BudgetConfig.DEFAULT;
+		return AdaptiveGrantPolicy.of(budget.preset());
+	}
+
+}
--- a/entry/src/main/java/io/verbenacleat/entry/holder/FleetBudgetRouter.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/FleetBudgetRouter.java
@@ -42,15 +42,14 @@
 
 	@Override
 	public CompletableFuture<RoutedReservation> reserve(ReserveRequest request) {
-		return new HolderSearch(this.directory, request,
-				(address, requestId) -> this.outbox.release(address, "", requestId))
-			.start();
+		return new HolderSearch(this.directory, request, this.outbox::release).start();
 	}
 
 	@Override
 	public CompletableFuture<Void> settle(String holderAddress, Receipt receipt) {
 		CompletableFuture<Void> patient = new CompletableFuture<>();
-		this.outbox.settle(holderAddress, receipt).thenAccept(patient::complete);
+		this.outbox.settle(new HolderAddress(receipt.getHolderIncarnation(), holderAddress), receipt)
+			.thenAccept(patient::complete);
 		return patient.orTimeout(SETTLE_PATIENCE.toMillis(), TimeUnit.MILLISECONDS)
 			.exceptionallyCompose((failure) -> CompletableFuture
 				.failedFuture(new HolderUnreachableException(receipt.getHolderIncarnation(), failure)));
@@ -58,7 +57,9 @@
 
 	@Override
 	public void release(RoutedReservation reservation, String requestId) {
-		this.outbox.release(reservation.holderAddress(), reservation.response().getHolderIncarnation(), requestId);
+		this.outbox.release(
+				new HolderAddress(reservation.response().getHolderIncarnation(), reservation.holderAddress()),
+				requestId);
 	}
 
 	/**
--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderDirectory.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderDirectory.java
@@ -41,20 +41,20 @@
 	 * holders spreads its requests over them.
 	 * @param accountId the account
 	 * @param requestId the request
-	 * @return the addresses, the home holder first; never empty
+	 * @return the entries, the home holder first; never empty
 	 */
-	List<String> addresses(String accountId, String requestId) {
+	List<HolderAddress> candidates(String accountId, String requestId) {
 		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
 		List<Member> entries = (members != null) ? members.entries(this.self.site()) : List.of();
 		if (entries.isEmpty()) {
-			return List.of(this.self.address());
+			return List.of(HolderAddress.of(this.self));
 		}
 		List<Member> ranked = HolderRanking.rank(accountId, entries);
 		int homes = Math.min(homes(accountId), ranked.size());
 		int first = Math.floorMod(requestId.hashCode(), homes);
 		List<Member> ordered = new ArrayList<>(ranked);
 		ordered.add(0, ordered.remove(first));
-		return ordered.stream().map(Member::address).toList();
+		return ordered.stream().map(HolderAddress::of).toList();
 	}
 
 	/**
--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderOutbox.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderOutbox.java
@@ -24,8 +24,8 @@
 	private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(1);
 
 	/**
-	 * Time for which items for a holder that is not listed are kept: a holder that has just
-	 * started may not be listed yet.
+	 * Time for which items for a holder that is not listed are kept: a holder that has
+	 * just started may not be listed yet.
 	 */
 	private static final Duration UNLISTED_PATIENCE = Duration.ofMinutes(5);
 
@@ -51,49 +51,47 @@
 
 	/**
 	 * Sends a receipt until it is acknowledged.
-	 * @param address the holder
+	 * @param holder the holder
 	 * @param receipt the receipt
 	 * @return completes when the holder knows the receipt
 	 */
-	CompletableFuture<Void> settle(String address, Receipt receipt) {
-		Item item = new Item(address, receipt.getHolderIncarnation(), receipt.getRequestId(), receipt,
-				this.control.clock().millis());
+	CompletableFuture<Void> settle(HolderAddress holder, Receipt receipt) {
+		Item item = new Item(holder, receipt.getRequestId(), receipt, this.control.clock().millis());
 		this.control.execute(() -> add("settle/" + receipt.getRequestId(), item));
 		return item.acknowledged;
 	}
 
 	/**
 	 * Sends a release until it is acknowledged.
-	 * @param address the holder
-	 * @param holder the holder incarnation, empty when it is not known
+	 * @param holder the holder
 	 * @param requestId the request
 	 */
-	void release(String address, String holder, String requestId) {
-		Item item = new Item(address, holder, requestId, null, this.control.clock().millis());
-		this.control.execute(() -> add("release/" + address + "/" + requestId, item));
+	void release(HolderAddress holder, String requestId) {
+		Item item = new Item(holder, requestId, null, this.control.clock().millis());
+		this.control.execute(() -> add("release/" + holder.incarnation() + "/" + requestId, item));
 	}
 
 	private void add(String key, Item item) {
 		this.items.put(key, item);
-		send(item.address, Map.of(key, item));
+		send(item.holder, Map.of(key, item));
 	}
 
 	private void repeat() {
 		this.items.values().removeIf(this::isHopeless);
-		Map<String, Map<String, Item>> byAddress = new HashMap<>();
-		this.items.forEach((key, item) -> byAddress.computeIfAbsent(item.address, (any) -> new LinkedHashMap<>())
-			.put(key, item));
-		byAddress.forEach(this::send);
+		Map<HolderAddress, Map<String, Item>> byHolder = new HashMap<>();
+		this.items.forEach(
+				(key, item) -> byHolder.computeIfAbsent(item.holder, (any) -> new LinkedHashMap<>()).put(key, item));
+		byHolder.forEach(this::send);
 	}
 
 	private boolean isHopeless(Item item) {
 		boolean old = this.control.clock().millis() - item.sinceMs > UNLISTED_PATIENCE.toMillis();
-		return old && !this.directory.isMember(item.holder);
+		return old && !this.directory.isMember(item.holder.incarnation());
 	}
 
-	private void send(String address, Map<String, Item> batch) {
+	private void send(HolderAddress holder, Map<String, Item> batch) {
 		SettleRequest.Builder receipts = SettleRequest.newBuilder();
-		ReleaseRequest.Builder releases = ReleaseRequest.newBuilder();
+		ReleaseRequest.Builder releases = ReleaseRequest.newBuilder().setHolderIncarnation(holder.incarnation());
 		List<String> settled = new ArrayList<>();
 		List<String> released = new ArrayList<>();
 		batch.forEach((key, item) -> {
@@ -107,12 +105,12 @@
 			}
 		});
 		if (!settled.isEmpty()) {
-			this.directory.holder(address)
+			this.directory.holder(holder.address())
 				.settle(receipts.build())
 				.whenCompleteAsync((answer, failure) -> settleAnswered(settled, answer), this.control);
 		}
 		if (!released.isEmpty()) {
-			this.directory.holder(address)
+			this.directory.holder(holder.address())
 				.release(releases.build())
 				.whenCompleteAsync((answer, failure) -> acknowledge(released, failure == null), this.control);
 		}
@@ -135,9 +133,7 @@
 
 	private static final class Item {
 
-		private final String address;
-
-		private final String holder;
+		private final HolderAddress holder;
 
 		private final String requestId;
 
@@ -147,9 +143,7 @@
 
 		private final CompletableFuture<Void> acknowledged = new CompletableFuture<>();
 
-		private Item(String address, String holder, String requestId,
-				@Nullable Receipt receipt, long sinceMs) {
-			this.address = address;
+		private Item(HolderAddress holder, String requestId, @Nullable Receipt receipt, long sinceMs) {
 			this.holder = holder;
 			this.requestId = requestId;
 			this.receipt = receipt;
--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderSearch.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderSearch.java
@@ -8,7 +8,6 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.verbenacleat.entry.budget.RoutedReservation;
-import io.verbenacleat.proto.v1.HolderGrant;
 import io.verbenacleat.proto.v1.ReserveRefusal;
 import io.verbenacleat.proto.v1.ReserveRequest;
 import io.verbenacleat.proto.v1.ReserveResponse;
@@ -20,7 +19,9 @@
  */
 final class HolderSearch {
 
-	/** Home holders that may be out of reach at the same time, as after a rack failure. */
+	/**
+	 * Home holders that may be out of reach at the same time, as after a rack failure.
+	 */
 	private static final int MAX_HOME_HOLDERS = 3;
 
 	/** Other holders to ask; they are asked with the largest rest first. */
@@ -32,11 +33,11 @@
 
 	private final UnansweredReservations unanswered;
 
-	private final Deque<String> homes = new ArrayDeque<>();
+	private final Deque<HolderAddress> homes = new ArrayDeque<>();
 
-	private final Deque<String> alternatives = new ArrayDeque<>();
+	private final Deque<HolderAddress> alternatives = new ArrayDeque<>();
 
-	private final Set<String> asked = new HashSet<>();
+	private final Set<HolderAddress> asked = new HashSet<>();
 
 	private final CompletableFuture<RoutedReservation> result = new CompletableFuture<>();
 
@@ -53,7 +54,7 @@
 	 * @return the first grant, or the refusal of the home holder
 	 */
 	CompletableFuture<RoutedReservation> start() {
-		List<String> ranked = this.directory.addresses(this.request.getAccount(), this.request.getRequestId());
+		List<HolderAddress> ranked = this.directory.candidates(this.request.getAccount(), this.request.getRequestId());
 		this.homes.addAll(ranked.subList(0, Math.min(MAX_HOME_HOLDERS, ranked.size())));
 		askNext();
 		return this.result;
@@ -61,36 +62,36 @@
 
 	private void askNext() {
 		boolean forwarded = this.refusal != null;
-		String address = (forwarded) ? this.alternatives.poll() : this.homes.poll();
-		if (address == null) {
+		HolderAddress holder = (forwarded) ? this.alternatives.poll() : this.homes.poll();
+		if (holder == null) {
 			this.result.complete((this.refusal != null) ? this.refusal : unreachable());
 			return;
 		}
-		if (!this.asked.add(address)) {
+		if (!this.asked.add(holder)) {
 			askNext();
 			return;
 		}
 		ReserveRequest asking = this.request.toBuilder().setForwarded(forwarded).build();
-		this.directory.holder(address)
+		this.directory.holder(holder.address())
 			.reserve(asking)
-			.whenComplete((response, failure) -> answered(address, response, failure));
+			.whenComplete((response, failure) -> answered(holder, response, failure));
 	}
 
-	private void answered(String address, @Nullable ReserveResponse response, @Nullable Throwable failure) {
+	private void answered(HolderAddress holder, @Nullable ReserveResponse response, @Nullable Throwable failure) {
 		if (failure != null || response == null) {
-			this.unanswered.release(address, this.request.getRequestId());
+			this.unanswered.release(holder, this.request.getRequestId());
 		}
 		else if (response.getGranted()) {
-			this.result.complete(new RoutedReservation(address, response));
+			this.result.complete(new RoutedReservation(holder.address(), response));
 			return;
 		}
 		else if (this.refusal == null && response.getRefusal() != ReserveRefusal.HOLDER_NOT_OPEN
 				&& response.getRefusal() != ReserveRefusal.JOURNAL_FULL) {
-			this.refusal = new RoutedReservation(address, response);
+			this.refusal = new RoutedReservation(holder.address(), response);
 			response.getAlternativesList()
 				.stream()
 				.limit(MAX_ALTERNATIVES)
-				.map(HolderGrant::getAddress)
+				.map((grant) -> new HolderAddress(grant.getHolderIncarnation(), grant.getAddress()))
 				.forEach(this.alternatives::add);
 		}
 		askNext();
@@ -109,10 +110,10 @@
 
 		/**
 		 * Frees a reservation that may stand.
-		 * @param address the holder that did not answer
+		 * @param holder the holder that did not answer
 		 * @param requestId the request
 		 */
-		void release(String address, String requestId);
+		void release(HolderAddress holder, String requestId);
 
 	}
 
--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderService.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderService.java
@@ -71,7 +71,8 @@
 	private static <T> void answer(CompletableFuture<T> future, StreamObserver<T> observer) {
 		future.whenComplete((response, failure) -> {
 			if (failure != null) {
-				observer.onError(Status.UNAVAILABLE.withDescription("The holder could not answer").asRuntimeException());
+				observer
+					.onError(Status.UNAVAILABLE.withDescription("The holder could not answer").asRuntimeException());
 			}
 			else {
 				observer.onNext(response);
--- a/entry/src/main/java/io/verbenacleat/entry/member/AgentStatusController.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/AgentStatusController.java
@@ -65,10 +65,7 @@
 
 	private void membersChanged(Membership members) {
 		this.statuses.keySet().removeIf((incarnation) -> members.find(incarnation).isEmpty());
-		members.agents()
-			.stream()
-			.filter((agent) -> !this.statuses.containsKey(agent.incarnation()))
-			.forEach(this::ask);
+		members.agents().stream().filter((agent) -> !this.statuses.containsKey(agent.incarnation())).forEach(this::ask);
 	}
 
 	private void askAll() {
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/member/FleetLostAgents.java
@@ -0,0 +1,52 @@
+package io.verbenacleat.entry.member;
+
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Membership;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.budget.LostAgents;
+
+/**
+ * An agent is lost when a newer agent of its backend server has registered, or when the
+ * platform has taken its host away. Safe for use by several threads.
+ */
+public final class FleetLostAgents implements LostAgents {
+
+	private final Blackboard blackboard;
+
+	private final HostWatch hostWatch;
+
+	/**
+	 * Creates a judge of agents.
+	 * @param blackboard the blackboard of the entry
+	 * @param hostWatch the watch of the host list
+	 */
+	public FleetLostAgents(Blackboard blackboard, HostWatch hostWatch) {
+		this.blackboard = blackboard;
+		this.hostWatch = hostWatch;
+	}
+
+	@Override
+	public boolean isLost(Member agent) {
+		return this.hostWatch.isGone(agent.host()) || successorStartedAtMs(agent) != Long.MAX_VALUE;
+	}
+
+	@Override
+	public boolean endedBefore(Member agent, Member process) {
+		return successorStartedAtMs(agent) < process.startedAtMs();
+	}
+
+	private long successorStartedAtMs(Member agent) {
+		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
+		if (members == null || agent.backendServer() == null) {
+			return Long.MAX_VALUE;
+		}
+		return members.agents()
+			.stream()
+			.filter((other) -> agent.backendServer().equals(other.backendServer()) && other.fence() > agent.fence())
+			.mapToLong(Member::startedAtMs)
+			.min()
+			.orElse(Long.MAX_VALUE);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
@@ -0,0 +1,171 @@
+package io.verbenacleat.entry.member;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import com.google.common.util.concurrent.FutureCallback;
+import com.google.common.util.concurrent.Futures;
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Membership;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.budget.ProcessCloser;
+import io.verbenacleat.proto.v1.HolderServiceGrpc;
+import io.verbenacleat.proto.v1.ProbeRequest;
+import io.verbenacleat.proto.v1.ProbeResponse;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Probes the next entries in the ring of all entries, ordered by site, and has those
+ * closed that do not answer. An entry of another site is closed only when the platform
+ * has taken its host away, since a partition between sites must not close holders that
+ * still serve their side. Used on the control thread.
+ */
+public final class PeerMonitor {
+
+	private static final Logger logger = LogManager.getLogger(PeerMonitor.class);
+
+	private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
+
+	private static final Duration SILENCE_UNTIL_CLOSE = Duration.ofSeconds(10);
+
+	/** Each further entry waits longer, so that one closer does the work. */
+	private static final Duration SILENCE_PER_RANK = Duration.ofSeconds(5);
+
+	private static final Duration LONGEST_ROUND = Duration.ofSeconds(4);
+
+	private static final int PROBED_PEERS = 3;
+
+	private final Member self;
+
+	private final ControlThread control;
+
+	private final Blackboard blackboard;
+
+	private final Channels channels;
+
+	private final HostWatch hostWatch;
+
+	private final ProcessCloser closer;
+
+	private final Counter closed;
+
+	private final Map<String, Long> answeredAtNanos = new HashMap<>();
+
+	private long lastRoundNanos;
+
+	/**
+	 * Creates a monitor and starts it.
+	 * @param self this entry
+	 * @param control the control thread
+	 * @param blackboard the blackboard of the entry
+	 * @param channels the channels to the fleet
+	 * @param hostWatch the watch of the host list
+	 * @param closer closes lost processes
+	 * @param registry the metrics
+	 */
+	public PeerMonitor(Member self, ControlThread control, Blackboard blackboard, Channels channels,
+			HostWatch hostWatch, ProcessCloser closer, PrometheusRegistry registry) {
+		this.self = self;
+		this.control = control;
+		this.blackboard = blackboard;
+		this.channels = channels;
+		this.hostWatch = hostWatch;
+		this.closer = closer;
+		this.closed = Counter.builder()
+			.name("verbena_member_suspected")
+			.help("Entries that did not answer for long enough to be closed")
+			.register(registry);
+		control.scheduleWithFixedDelay(PROBE_INTERVAL, this::probePeers);
+	}
+
+	private void probePeers() {
+		List<Member> peers = peers();
+		forgetAfterPause();
+		this.answeredAtNanos.keySet()
+			.removeIf((incarnation) -> peers.stream().noneMatch((peer) -> peer.incarnation().equals(incarnation)));
+		for (int rank = 0; rank < peers.size(); rank++) {
+			Member peer = peers.get(rank);
+			this.answeredAtNanos.putIfAbsent(peer.incarnation(), nowNanos());
+			closeIfSilent(peer, rank);
+			probe(peer);
+		}
+	}
+
+	/**
+	 * Starts anew after this process was paused: the silence was its own.
+	 */
+	private void forgetAfterPause() {
+		if (nowNanos() - this.lastRoundNanos > LONGEST_ROUND.toNanos()) {
+			this.answeredAtNanos.clear();
+		}
+		this.lastRoundNanos = nowNanos();
+	}
+
+	private List<Member> peers() {
+		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
+		if (members == null) {
+			return List.of();
+		}
+		List<Member> ring = members.members()
+			.stream()
+			.filter((member) -> member.role() == Member.Role.ENTRY)
+			.sorted(Comparator.comparing(Member::site).thenComparing(Member::incarnation))
+			.toList();
+		int own = ring.indexOf(this.self);
+		if (own < 0) {
+			return List.of();
+		}
+		int count = Math.min(PROBED_PEERS, ring.size() - 1);
+		return IntStream.rangeClosed(1, count)
+			.mapToObj((distance) -> ring.get((own + distance) % ring.size()))
+			.toList();
+	}
+
+	private void closeIfSilent(Member peer, int rank) {
+		long silentMs = TimeUnit.NANOSECONDS
+			.toMillis(nowNanos() - this.answeredAtNanos.getOrDefault(peer.incarnation(), nowNanos()));
+		Duration patience = SILENCE_UNTIL_CLOSE.plus(SILENCE_PER_RANK.multipliedBy(rank));
+		boolean closable = peer.site().equals(this.self.site()) || this.hostWatch.isGone(peer.host());
+		if (silentMs > patience.toMillis() && closable) {
+			logger.warn("Entry {} did not answer for {} ms and is closed", peer.incarnation(), silentMs);
+			this.closed.inc();
+			this.answeredAtNanos.put(peer.incarnation(), nowNanos());
+			this.closer.closeProcess(peer.incarnation());
+		}
+	}
+
+	private void probe(Member peer) {
+		var call = HolderServiceGrpc.newFutureStub(this.channels.get(peer.address()))
+			.withDeadlineAfter(PROBE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
+			.probe(ProbeRequest.newBuilder().setIncarnation(this.self.incarnation()).build());
+		Futures.addCallback(call, new FutureCallback<>() {
+			@Override
+			public void onSuccess(ProbeResponse response) {
+				if (response.getIncarnation().equals(peer.incarnation())) {
+					PeerMonitor.this.answeredAtNanos.put(peer.incarnation(), nowNanos());
+				}
+			}
+
+			@Override
+			public void onFailure(Throwable failure) {
+				logger.debug("Entry {} did not answer a probe", peer.incarnation());
+			}
+		}, this.control);
+	}
+
+	private long nowNanos() {
+		return this.control.nanoTime();
+	}
+
+}
