--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/dispatch/WorkTarget.java
@@ -0,0 +1,26 @@
+package io.verbenacleat.entry.dispatch;
+
+import io.verbenacleat.core.config.BackendServerConfig;
+
+/**
+ * What a request needs from a backend server. Immutable.
+ *
+ * @param kind the kind of backend server
+ * @param name the model or the plain service
+ */
+public record WorkTarget(BackendServerConfig.Kind kind, String name) {
+
+	/**
+	 * Returns whether a backend server serves this target.
+	 * @param server the backend server
+	 * @return {@code true} when it does
+	 */
+	public boolean isServedBy(BackendServerConfig server) {
+		if (server.kind() != this.kind) {
+			return false;
+		}
+		return (this.kind == BackendServerConfig.Kind.MODEL_ENGINE) ? server.models().contains(this.name)
+				: this.name.equals(server.service());
+	}
+
+}
