Add the claims of requests that may not be repeated

Ruled out: deleting a claim whose order was not run, because an insert whose answer was lost can take effect after the deletion and would then name an order that nobody sends; such a row becomes RELEASED instead.

--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/claim/ClaimRow.java
@@ -0,0 +1,84 @@
+package io.verbenacleat.entry.claim;
+
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.proto.v1.OrderId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The row {@code claim/<account>/<hash>}: the request that owns an Idempotency-Key, and
+ * its one order. Immutable.
+ *
+ * @param requestId the request
+ * @param fingerprint the SHA-256 of method, path and body, lower-case hex
+ * @param gateway the gateway incarnation of the order
+ * @param sequence the sequence number of the order
+ * @param agent the agent of the order; the whole entry, so that a lost agent can be
+ * recognized after it left the membership
+ * @param state the state
+ * @param response the response when DONE, {@code null} when it is not stored
+ */
+public record ClaimRow(String requestId, String fingerprint, String gateway, long sequence, Member agent, State state,
+		@Nullable StoredResponse response) {
+
+	/**
+	 * Returns a new claim.
+	 * @param requestId the request
+	 * @param fingerprint the fingerprint of the request
+	 * @param orderId the order
+	 * @param agent the agent of the order
+	 * @return the claim, in state CLAIMED
+	 */
+	public static ClaimRow claimed(String requestId, String fingerprint, OrderId orderId, Member agent) {
+		return new ClaimRow(requestId, fingerprint, orderId.getGatewayIncarnation(), orderId.getSequence(), agent,
+				State.CLAIMED, null);
+	}
+
+	/**
+	 * Returns this claim in another state.
+	 * @param newState the state
+	 * @param newResponse the response, or {@code null}
+	 * @return the changed copy
+	 */
+	public ClaimRow with(State newState, @Nullable StoredResponse newResponse) {
+		return new ClaimRow(this.requestId, this.fingerprint, this.gateway, this.sequence, this.agent, newState,
+				newResponse);
+	}
+
+	/**
+	 * Returns the order of this claim.
+	 * @return the order id
+	 */
+	public OrderId orderId() {
+		return OrderId.newBuilder()
+			.setGatewayIncarnation(this.gateway)
+			.setAgentIncarnation(this.agent.incarnation())
+			.setSequence(this.sequence)
+			.build();
+	}
+
+	/**
+	 * Returns whether another row was written for the same order.
+	 * @param other the other row
+	 * @return {@code true} when request and order are the same
+	 */
+	public boolean isSameOrder(ClaimRow other) {
+		return this.requestId.equals(other.requestId) && orderId().equals(other.orderId());
+	}
+
+	/**
+	 * The state of a claim.
+	 */
+	public enum State {
+
+		/** The order may run. */
+		CLAIMED,
+
+		/** The order ran; it must never run again. */
+		DONE,
+
+		/** The order was not run and never will be; the key may be claimed again. */
+		RELEASED
+
+	}
+
+}
