--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/request/Answer.java
@@ -0,0 +1,104 @@
+package io.verbenacleat.entry.request;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+import com.google.protobuf.ByteString;
+import io.verbenacleat.entry.dispatch.RunMetrics;
+import io.verbenacleat.proto.v1.ExecuteEvent;
+import io.verbenacleat.proto.v1.HttpHead;
+import io.verbenacleat.proto.v1.Receipt;
+
+/**
+ * The answer to one caller: passes parts on while it is open, and ends once. Used in the
+ * serial context of its request only.
+ */
+final class Answer {
+
+	private final RunListener listener;
+
+	private final RunMetrics metrics;
+
+	private final Runnable onEnded;
+
+	private boolean accepted;
+
+	private boolean closed;
+
+	private long chatChunks;
+
+	Answer(RunListener listener, RunMetrics metrics, Runnable onEnded) {
+		this.listener = listener;
+		this.metrics = metrics;
+		this.onEnded = onEnded;
+	}
+
+	boolean isClosed() {
+		return this.closed;
+	}
+
+	/**
+	 * Returns how many chunks of a chat completion the caller was given.
+	 * @return the count
+	 */
+	long chatChunks() {
+		return this.chatChunks;
+	}
+
+	void accept() {
+		if (!this.closed && !this.accepted) {
+			this.accepted = true;
+			this.listener.onAccepted();
+		}
+	}
+
+	CompletionStage<Void> pass(ExecuteEvent event) {
+		if (this.closed) {
+			return CompletableFuture.completedFuture(null);
+		}
+		switch (event.getEventCase()) {
+			case CHAT_CHUNK -> {
+				this.chatChunks++;
+				this.listener.onChatChunk(event.getChatChunk());
+			}
+			case HTTP_HEAD -> this.listener.onHttpHead(event.getHttpHead());
+			default -> this.listener.onHttpBody(event.getHttpBody());
+		}
+		return this.listener.ready();
+	}
+
+	void finish(Receipt receipt) {
+		if (!this.closed) {
+			end();
+			this.listener.onFinished(receipt);
+		}
+	}
+
+	void replay(HttpHead head, ByteString body) {
+		if (!this.closed) {
+			end();
+			this.listener.onReplayed(head, body);
+		}
+	}
+
+	void refuse(Refusal refusal) {
+		if (!this.closed) {
+			end();
+			this.metrics.refused(refusal.code().code());
+			this.listener.onRefused(refusal);
+		}
+	}
+
+	/**
+	 * Ends the answer without a word, as the caller is gone.
+	 */
+	void close() {
+		this.closed = true;
+	}
+
+	private void end() {
+		this.closed = true;
+		this.onEnded.run();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/request/DefaultRequestRunner.java
@@ -0,0 +1,171 @@
+package io.verbenacleat.entry.request;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.budget.BudgetRouter;
+import io.verbenacleat.entry.claim.ClaimStore;
+import io.verbenacleat.entry.dispatch.AgentSelector;
+import io.verbenacleat.entry.dispatch.LostAgents;
+import io.verbenacleat.entry.dispatch.OrderResolver;
+import io.verbenacleat.entry.dispatch.OrderSender;
+import io.verbenacleat.entry.dispatch.OrderSequences;
+import io.verbenacleat.entry.dispatch.RetryBudget;
+import io.verbenacleat.entry.dispatch.RunMetrics;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The request runner of an entry. Safe for use by several threads.
+ *
+ * <pre>{@code
+ * RequestRunner runner = DefaultRequestRunner.builder(incarnation, site)
+ *     .control(control, blackboard)
+ *     .budget(router)
+ *     .agents(channels, lostAgents)
+ *     .tables(tables)
+ *     .registry(registry)
+ *     .build();
+ * }</pre>
+ */
+public final class DefaultRequestRunner implements RequestRunner {
+
+	private final String gateway;
+
+	private final RunnerParts parts;
+
+	private DefaultRequestRunner(String gateway, RunnerParts parts) {
+		this.gateway = gateway;
+		this.parts = parts;
+	}
+
+	/**
+	 * Returns a builder.
+	 * @param gateway the incarnation of this entry
+	 * @param site the site of this entry
+	 * @return a new builder
+	 */
+	public static Builder builder(String gateway, String site) {
+		return new Builder(gateway, site);
+	}
+
+	@Override
+	public RunningRequest run(RunRequest request, RunListener listener) {
+		RequestRun run = new RequestRun(this.parts, request, listener);
+		run.start(this.gateway);
+		return run;
+	}
+
+	/**
+	 * Collects what a runner needs; every part is required. Not safe for use by several
+	 * threads.
+	 */
+	public static final class Builder {
+
+		private final String gateway;
+
+		private final String site;
+
+		private @Nullable ControlThread control;
+
+		private @Nullable Blackboard blackboard;
+
+		private @Nullable BudgetRouter budget;
+
+		private @Nullable Channels channels;
+
+		private @Nullable LostAgents lostAgents;
+
+		private @Nullable TableStore tables;
+
+		private @Nullable PrometheusRegistry registry;
+
+		private Builder(String gateway, String site) {
+			this.gateway = gateway;
+			this.site = site;
+		}
+
+		/**
+		 * Sets the control thread and the blackboard.
+		 * @param newControl the control thread
+		 * @param newBlackboard the blackboard
+		 * @return this builder
+		 */
+		public Builder control(ControlThread newControl, Blackboard newBlackboard) {
+			this.control = newControl;
+			this.blackboard = newBlackboard;
+			return this;
+		}
+
+		/**
+		 * Sets the way to the budget holders.
+		 * @param newBudget the router
+		 * @return this builder
+		 */
+		public Builder budget(BudgetRouter newBudget) {
+			this.budget = newBudget;
+			return this;
+		}
+
+		/**
+		 * Sets the way to the agents.
+		 * @param newChannels the channels
+		 * @param newLostAgents knows the lost agents
+		 * @return this builder
+		 */
+		public Builder agents(Channels newChannels, LostAgents newLostAgents) {
+			this.channels = newChannels;
+			this.lostAgents = newLostAgents;
+			return this;
+		}
+
+		/**
+		 * Sets the table store of the claims.
+		 * @param newTables the table store
+		 * @return this builder
+		 */
+		public Builder tables(TableStore newTables) {
+			this.tables = newTables;
+			return this;
+		}
+
+		/**
+		 * Sets the registry of the metrics.
+		 * @param newRegistry the registry
+		 * @return this builder
+		 */
+		public Builder registry(PrometheusRegistry newRegistry) {
+			this.registry = newRegistry;
+			return this;
+		}
+
+		/**
+		 * Builds the runner.
+		 * @return the runner
+		 * @throws IllegalStateException when a part is missing
+		 */
+		public DefaultRequestRunner build() {
+			ControlThread timers = require(this.control, "control");
+			Blackboard board = require(this.blackboard, "blackboard");
+			Channels agents = require(this.channels, "agents");
+			RunMetrics metrics = new RunMetrics(require(this.registry, "registry"));
+			RunnerParts parts = new RunnerParts(board, timers, require(this.budget, "budget"),
+					new AgentSelector(this.site, board, timers.clock()), new OrderSequences(this.gateway),
+					new OrderSender(agents),
+					new OrderResolver(agents, timers, require(this.lostAgents, "lostAgents"), metrics),
+					new RetryBudget(timers.clock(), metrics),
+					new ClaimStore(require(this.tables, "tables"), timers, metrics), metrics);
+			return new DefaultRequestRunner(this.gateway, parts);
+		}
+
+		private static <T> T require(@Nullable T part, String name) {
+			if (part == null) {
+				throw new IllegalStateException("The part " + name + " is missing");
+			}
+			return part;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/request/OrderRun.java
@@ -0,0 +1,305 @@
+package io.verbenacleat.entry.request;
+
+import io.grpc.SynchronizationContext;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.entry.claim.StoredResponse;
+import io.verbenacleat.entry.dispatch.OrderFate;
+import io.verbenacleat.entry.dispatch.OrderResolver;
+import io.verbenacleat.entry.dispatch.OrderSender.SentOrder;
+import io.verbenacleat.proto.v1.ExecuteEvent;
+import io.verbenacleat.proto.v1.Finished;
+import io.verbenacleat.proto.v1.OrderId;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.RefusalReason;
+import io.verbenacleat.proto.v1.Refused;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One order from its sending until its fate is known and settled. Used in the serial
+ * context of its request only.
+ * <p>
+ * The end of the answer is passed on only after the holder has acknowledged the receipt.
+ * If the holder does not acknowledge within a second, the caller gets ANSWER_INCOMPLETE
+ * with outcome unknown in place of a normal end, as the receipt has one copy only; the
+ * router and the agent go on to report it, and the response of a request that may not be
+ * repeated is stored for repeats.
+ */
+final class OrderRun {
+
+	private final RunnerParts parts;
+
+	private final SynchronizationContext context;
+
+	private final Reservation reservation;
+
+	private final Answer answer;
+
+	private final OrderOwner owner;
+
+	private final Member agent;
+
+	private final OrderId orderId;
+
+	private final @Nullable HeldClaim claim;
+
+	private final ResponseCollector collector = new ResponseCollector();
+
+	private final long startedAtMs;
+
+	private @Nullable SentOrder sent;
+
+	private boolean accepted;
+
+	private boolean waitingForCaller;
+
+	private boolean cancelled;
+
+	private boolean resolving;
+
+	private boolean timedOut;
+
+	private boolean done;
+
+	OrderRun(RunnerParts parts, SynchronizationContext context, Reservation reservation, Answer answer,
+			OrderOwner owner, Member agent, OrderId orderId, @Nullable HeldClaim claim) {
+		this.parts = parts;
+		this.context = context;
+		this.reservation = reservation;
+		this.answer = answer;
+		this.owner = owner;
+		this.agent = agent;
+		this.orderId = orderId;
+		this.claim = claim;
+		this.startedAtMs = parts.control().clock().millis();
+	}
+
+	Member agent() {
+		return this.agent;
+	}
+
+	/**
+	 * Sends the order.
+	 * @param timeoutMs how long it may take
+	 */
+	void start(long timeoutMs) {
+		this.parts.selector().started(this.agent);
+		long resolvedThrough = this.parts.sequences().resolvedThrough(this.agent.incarnation());
+		this.sent = this.parts.sender()
+			.send(this.agent, this.reservation.order(this.orderId, timeoutMs, resolvedThrough),
+					new SerialOrderListener(this.context, this));
+	}
+
+	/**
+	 * Gives the order up as its time ran out or its caller is gone. A repeatable order is
+	 * cancelled, another one runs on.
+	 * @param timeout whether its time ran out
+	 */
+	void giveUp(boolean timeout) {
+		if (this.done) {
+			return;
+		}
+		this.timedOut |= timeout;
+		if (timeout && this.accepted) {
+			this.answer.refuse(lost());
+		}
+		if (this.reservation.request().repeatable()) {
+			cancel();
+			resolve();
+		}
+		else if (!this.accepted && timeout) {
+			resolve();
+		}
+		else if (this.waitingForCaller) {
+			requestMore();
+		}
+	}
+
+	void onAccepted() {
+		if (!this.done && !this.cancelled) {
+			this.accepted = true;
+			this.answer.accept();
+			requestMore();
+		}
+	}
+
+	void onPart(ExecuteEvent event) {
+		if (this.done || this.cancelled) {
+			return;
+		}
+		if (this.claim != null) {
+			this.collector.add(event);
+		}
+		this.waitingForCaller = true;
+		this.answer.pass(event).whenComplete((ready, failure) -> this.context.execute(this::callerReady));
+	}
+
+	void onRefused(Refused refused) {
+		if (refused.getReason() == RefusalReason.DUPLICATE_ORDER) {
+			// Refused as a copy: the order itself may run.
+			onBroken(false);
+			return;
+		}
+		switch (refused.getReason()) {
+			case BACKEND_UNREACHABLE, DRAINING, WRONG_INCARNATION -> this.parts.selector().failed(this.agent);
+			default -> {
+			}
+		}
+		notRun("refused", NotRunReason.of(refused));
+	}
+
+	void onFinished(Finished finished) {
+		if (!end("finished")) {
+			return;
+		}
+		complete(this.collector.response());
+		Receipt receipt = finished.getReceipt();
+		this.parts.budget()
+			.settle(this.reservation.routed().holderAddress(), receipt)
+			.whenComplete((settled, failure) -> this.context.execute(() -> answer(finished, failure == null)));
+	}
+
+	void onBroken(boolean unsent) {
+		if (this.done || this.cancelled) {
+			return;
+		}
+		this.parts.selector().failed(this.agent);
+		if (unsent) {
+			notRun("unreachable", NotRunReason.UNREACHABLE);
+			return;
+		}
+		if (this.accepted) {
+			this.answer.refuse(lost());
+		}
+		resolve();
+	}
+
+	private void callerReady() {
+		if (this.waitingForCaller) {
+			requestMore();
+		}
+	}
+
+	private void requestMore() {
+		this.waitingForCaller = false;
+		SentOrder order = this.sent;
+		if (order != null) {
+			order.requestMore();
+		}
+	}
+
+	private void cancel() {
+		this.cancelled = true;
+		SentOrder order = this.sent;
+		if (order != null) {
+			order.cancel();
+		}
+	}
+
+	private void resolve() {
+		if (this.resolving) {
+			return;
+		}
+		this.resolving = true;
+		OrderResolver.Resolution resolution = this.parts.resolver()
+			.resolve(this.agent, this.orderId, this.reservation.request().repeatable());
+		resolution.early().thenAccept((fate) -> this.context.execute(() -> onEarlyFate(fate)));
+		resolution.last().thenAccept((fate) -> this.context.execute(() -> onLastFate(fate)));
+	}
+
+	private void onEarlyFate(OrderFate fate) {
+		if (!this.done && !(fate instanceof OrderFate.NeverStarted)) {
+			this.answer.refuse(lost());
+		}
+	}
+
+	private void onLastFate(OrderFate fate) {
+		if (fate instanceof OrderFate.NeverStarted) {
+			notRun("never_started", NotRunReason.NEVER_STARTED);
+		}
+		else if (fate instanceof OrderFate.Ended ended) {
+			if (end("resolved")) {
+				cancel();
+				complete(Claiming.storedResponse(ended.response()));
+				settle(ended.response().getReceipt());
+			}
+		}
+		else if (fate instanceof OrderFate.AgentLost) {
+			if (end("taken_over")) {
+				this.parts.sequences().resolved(this.orderId);
+				settle(this.reservation.takenOver(this.orderId, this.agent, this.answer.chatChunks(), this.startedAtMs,
+						this.parts.control().clock().millis()));
+			}
+		}
+		else {
+			// The outcome is out of reach: the reservation stays, as the holder alone may
+			// still learn of a receipt.
+			end((fate instanceof OrderFate.Forgotten) ? "forgotten" : "unresolved");
+		}
+	}
+
+	private void settle(Receipt receipt) {
+		this.parts.budget()
+			.settle(this.reservation.routed().holderAddress(), receipt)
+			.whenComplete((settled, failure) -> this.context.execute(() -> this.answer.refuse(lost())));
+	}
+
+	private void complete(@Nullable StoredResponse response) {
+		HeldClaim held = this.claim;
+		if (held == null) {
+			this.parts.sequences().resolved(this.orderId);
+			return;
+		}
+		this.parts.claims().complete(held.key(), held.row(), response).thenAccept((written) -> {
+			if (written) {
+				this.parts.sequences().resolved(this.orderId);
+			}
+		});
+	}
+
+	private void answer(Finished finished, boolean acknowledged) {
+		switch (finished.getReceipt().getStatus()) {
+			case COMPLETE, CUT -> {
+				if (acknowledged) {
+					this.answer.finish(finished.getReceipt());
+				}
+				else {
+					this.answer.refuse(Refusal.unknown(RefusalCode.ANSWER_INCOMPLETE,
+							"The answer ended, but its bill could not be recorded in time."));
+				}
+			}
+			case FAILED -> this.answer.refuse(Refusal.unknown(RefusalCode.BACKEND_FAILED,
+					"The backend server failed: " + finished.getFailureCode()));
+			default -> this.answer.refuse(
+					Refusal.unknown(RefusalCode.ANSWER_INCOMPLETE, "The order was cancelled before its answer ended."));
+		}
+	}
+
+	private void notRun(String result, NotRunReason reason) {
+		if (end(result)) {
+			cancel();
+			if (this.claim == null) {
+				this.parts.sequences().resolved(this.orderId);
+			}
+			this.owner.onNotRun(this, reason);
+		}
+	}
+
+	private boolean end(String result) {
+		if (this.done) {
+			return false;
+		}
+		this.done = true;
+		this.parts.selector().ended(this.agent);
+		this.parts.metrics().order(result);
+		return true;
+	}
+
+	private Refusal lost() {
+		if (this.timedOut) {
+			return Refusal.unknown(RefusalCode.TIMEOUT, "The time of the request ran out.");
+		}
+		return (this.accepted) ? Refusal.unknown(RefusalCode.ANSWER_INCOMPLETE, "The answer broke off before its end.")
+				: Refusal.unknown(RefusalCode.ORDER_LOST, "The agent of the request did not answer.");
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/request/ResponseCollector.java
@@ -0,0 +1,54 @@
+package io.verbenacleat.entry.request;
+
+import com.google.protobuf.ByteString;
+import io.verbenacleat.entry.claim.StoredResponse;
+import io.verbenacleat.proto.v1.ExecuteEvent;
+import io.verbenacleat.proto.v1.HttpHead;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Collects the response of a plain service for its claim, up to the size that is stored.
+ * Used in the serial context of its request only.
+ */
+final class ResponseCollector {
+
+	private @Nullable HttpHead head;
+
+	private ByteString body = ByteString.EMPTY;
+
+	private boolean storable = true;
+
+	void add(ExecuteEvent event) {
+		if (event.hasHttpHead()) {
+			this.head = event.getHttpHead();
+		}
+		else if (event.hasHttpBody()) {
+			addBody(event.getHttpBody());
+		}
+		else {
+			this.storable = false;
+		}
+	}
+
+	/**
+	 * Returns the response.
+	 * @return the response, or {@code null} when it is too large or not of a plain
+	 * service
+	 */
+	@Nullable
+	StoredResponse response() {
+		HttpHead collected = this.head;
+		return (this.storable && collected != null) ? StoredResponse.of(collected, this.body) : null;
+	}
+
+	private void addBody(ByteString piece) {
+		if (this.body.size() + piece.size() > StoredResponse.MAX_BODY_BYTES) {
+			this.storable = false;
+			this.body = ByteString.EMPTY;
+		}
+		else if (this.storable) {
+			this.body = this.body.concat(piece);
+		}
+	}
+
+}
--- a/entry/src/main/java/io/verbenacleat/entry/request/RunListener.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RunListener.java
@@ -1,5 +1,8 @@
 package io.verbenacleat.entry.request;
 
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
 import com.google.protobuf.ByteString;
 import io.verbenacleat.proto.v1.HttpHead;
 import io.verbenacleat.proto.v1.Receipt;
@@ -53,4 +56,14 @@
 	 */
 	void onRefused(Refusal refusal);
 
+	/**
+	 * Returns when the listener can take the next part; asked after each part. Until then
+	 * no more of the answer is read from the agent. The methods of a listener never
+	 * block.
+	 * @return completes when the next part may come, on any thread; completed by default
+	 */
+	default CompletionStage<Void> ready() {
+		return CompletableFuture.completedFuture(null);
+	}
+
 }
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RunnerParts.java
@@ -0,0 +1,34 @@
+package io.verbenacleat.entry.request;
+
+import io.verbenacleat.core.config.LimitsConfig;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.budget.BudgetRouter;
+import io.verbenacleat.entry.claim.ClaimStore;
+import io.verbenacleat.entry.dispatch.AgentSelector;
+import io.verbenacleat.entry.dispatch.OrderResolver;
+import io.verbenacleat.entry.dispatch.OrderSender;
+import io.verbenacleat.entry.dispatch.OrderSequences;
+import io.verbenacleat.entry.dispatch.RetryBudget;
+import io.verbenacleat.entry.dispatch.RunMetrics;
+
+/**
+ * What all requests of an entry share. Immutable; each part is safe for use by several
+ * threads.
+ */
+record RunnerParts(Blackboard blackboard, ControlThread control, BudgetRouter budget, AgentSelector selector,
+		OrderSequences sequences, OrderSender sender, OrderResolver resolver, RetryBudget retries, ClaimStore claims,
+		RunMetrics metrics) {
+
+	/**
+	 * Returns when to come back after a refusal without a better estimate.
+	 * @return the time in milliseconds
+	 */
+	long retryAfterMs() {
+		OfficeConfig config = this.blackboard.read(EntryBoard.CONFIG);
+		return ((config != null) ? config.limits() : LimitsConfig.DEFAULT).retryAfterMs();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/request/WorkTargets.java
@@ -0,0 +1,34 @@
+package io.verbenacleat.entry.request;
+
+import io.verbenacleat.core.config.BackendServerConfig;
+import io.verbenacleat.entry.dispatch.WorkTarget;
+import io.verbenacleat.proto.v1.ChatWork;
+import io.verbenacleat.proto.v1.HttpWork;
+
+/**
+ * Finds what requests need from a backend server.
+ */
+final class WorkTargets {
+
+	private WorkTargets() {
+	}
+
+	/**
+	 * Returns the target of a request.
+	 * @param request the request
+	 * @return the model or the plain service
+	 * @throws IllegalArgumentException when the request carries no work
+	 */
+	static WorkTarget of(RunRequest request) {
+		ChatWork chat = request.chat();
+		if (chat != null) {
+			return new WorkTarget(BackendServerConfig.Kind.MODEL_ENGINE, chat.getModel());
+		}
+		HttpWork http = request.http();
+		if (http != null) {
+			return new WorkTarget(BackendServerConfig.Kind.SERVICE, http.getService());
+		}
+		throw new IllegalArgumentException("A request carries a chat completion or a call to a plain service");
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/request/BookingRunTests.java
@@ -0,0 +1,257 @@
+package io.verbenacleat.entry.request;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import com.google.protobuf.ByteString;
+import io.grpc.Status;
+import io.grpc.stub.StreamObserver;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WriteOutcome;
+import io.verbenacleat.proto.v1.ExecuteEvent;
+import io.verbenacleat.proto.v1.ExecuteRequest;
+import io.verbenacleat.proto.v1.HttpHead;
+import io.verbenacleat.proto.v1.RefusalReason;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Requests that may not be repeated: at most one run for each Idempotency-Key, whatever
+ * the table store, the agent and the caller do.
+ */
+public class BookingRunTests {
+
+	private RunnerFixture fixture;
+
+	public BookingRunTests() throws IOException {
+		this.fixture = new RunnerFixture();
+	}
+
+	@AfterMethod
+	public void reopen() throws IOException {
+		this.fixture.close();
+		this.fixture = new RunnerFixture();
+	}
+
+	@AfterClass
+	public void close() {
+		this.fixture.close();
+	}
+
+	private String run(RunRequest request) throws Exception {
+		return this.fixture.run(request).end();
+	}
+
+	private String runElsewhere(RunRequest request) throws Exception {
+		RecordingListener listener = new RecordingListener();
+		this.fixture.runner("gateway-2").run(request, listener);
+		return listener.end();
+	}
+
+	@Test
+	public void repeatIsReplayedAndNotRun() throws Exception {
+		RecordingListener listener = this.fixture.run(this.fixture.booking("key"));
+		assertEquals(listener.end(), "finished");
+		assertEquals(listener.events, List.of("accepted", "head 201", "booked", "finished"));
+		assertEquals(runElsewhere(this.fixture.booking("key")), "replayed 201 booked");
+		assertEquals(this.fixture.booking.executed, List.of("req-1"));
+		assertEquals(this.fixture.budget.released.poll(20, TimeUnit.SECONDS), "req-2");
+	}
+
+	@Test
+	public void anotherRequestWithTheSameKeyIsRefused() throws Exception {
+		run(this.fixture.booking("key"));
+		assertEquals(runElsewhere(this.fixture.booking("key", "other")), "idempotency_key_reused not-run");
+	}
+
+	@Test
+	public void storeOutIsNotRun() throws Exception {
+		this.fixture.tables.setAvailable(false);
+		RecordingListener listener = this.fixture.run(this.fixture.booking("key"));
+		assertEquals(listener.end(), "claim_store_unreachable not-run");
+		assertTrue(listener.refusal().retryAfterMs() > 0);
+		assertTrue(this.fixture.booking.received.isEmpty());
+		assertEquals(this.fixture.budget.released.poll(20, TimeUnit.SECONDS), "req-1");
+	}
+
+	@Test
+	public void lostAnswerOfTheClaimIsReadBack() throws Exception {
+		this.fixture.tables.loseNextAnswers(1);
+		assertEquals(run(this.fixture.booking("key")), "finished");
+		assertEquals(this.fixture.booking.executed, List.of("req-1"));
+	}
+
+	@Test
+	public void claimOfUnknownOutcomeIsNotRunAndDoesNotBlockRepeats() throws Exception {
+		RecordingListener listener = new RecordingListener();
+		this.fixture.tables.loseNextAnswers(1);
+		this.fixture.runner("gateway-1", new OutageAfterWrite()).run(this.fixture.booking("key"), listener);
+		assertEquals(listener.end(), "claim_store_unreachable not-run");
+		assertTrue(this.fixture.booking.received.isEmpty());
+		this.fixture.tables.setAvailable(true);
+		assertEquals(runElsewhere(this.fixture.booking("key")), "finished");
+		assertEquals(this.fixture.booking.executed, List.of("req-2"));
+	}
+
+	@Test
+	public void refusedOrderIsNotSentToAnotherAgentAndMayBeRepeated() throws Exception {
+		FakeAgent agent = this.fixture.booking;
+		agent.script = (request, events) -> FakeAgent.refuse(events, RefusalReason.OVERLOADED);
+		assertEquals(run(this.fixture.booking("key")), "overloaded not-run");
+		assertEquals(agent.received.size(), 1);
+		agent.script = agent::runWhole;
+		assertEquals(runElsewhere(this.fixture.booking("key")), "finished");
+		assertEquals(agent.executed, List.of("req-2"));
+	}
+
+	@Test
+	public void repeatOfARunningOrderIsInProgress() throws Exception {
+		CompletableFuture<StreamObserver<ExecuteEvent>> stream = hang();
+		RecordingListener listener = this.fixture.run(this.fixture.booking("key"));
+		stream.get(20, TimeUnit.SECONDS);
+		assertEquals(runElsewhere(this.fixture.booking("key")), "request_in_progress unknown");
+		finish(stream.join());
+		assertEquals(listener.end(), "finished");
+	}
+
+	@Test
+	public void goneCallerAndDeadlineDoNotStopTheOrder() throws Exception {
+		CompletableFuture<StreamObserver<ExecuteEvent>> stream = hang();
+		RecordingListener listener = new RecordingListener();
+		RequestRunner.RunningRequest running = this.fixture.runner("gateway-1")
+			.run(this.fixture.booking("key"), listener);
+		stream.get(20, TimeUnit.SECONDS);
+		running.callerGone();
+		this.fixture.control.passDeadlines();
+		finish(stream.join());
+		assertEquals(this.fixture.budget.settled.poll(20, TimeUnit.SECONDS).getRequestId(), "req-1");
+		assertEquals(listener.ends.get(), 0);
+		assertEquals(runElsewhere(this.fixture.booking("key")), "replayed 201 booked");
+	}
+
+	@Test
+	public void brokenStreamIsUnknownAndItsOutcomeIsReplayed() throws Exception {
+		FakeAgent agent = this.fixture.booking;
+		agent.answersResolve = false;
+		agent.script = (request, events) -> {
+			agent.begin(request);
+			agent.finishOrder(request);
+			events.onError(Status.INTERNAL.asRuntimeException());
+		};
+		assertEquals(run(this.fixture.booking("key")), "order_lost unknown");
+		agent.answersResolve = true;
+		assertEquals(runElsewhere(this.fixture.booking("key")), "replayed 201 booked");
+		assertEquals(agent.executed, List.of("req-1"));
+	}
+
+	@Test
+	public void repeatAfterTheLossOfTheAgentIsUnknown() throws Exception {
+		FakeAgent agent = this.fixture.booking;
+		agent.answersResolve = false;
+		agent.script = (request, events) -> events.onError(Status.UNAVAILABLE.asRuntimeException());
+		this.fixture.agentsLost = true;
+		assertEquals(run(this.fixture.booking("key")), "order_lost unknown");
+		assertEquals(this.fixture.budget.settled.poll(20, TimeUnit.SECONDS).getHeldTokens(), 10);
+		assertEquals(runElsewhere(this.fixture.booking("key")), "outcome_unknown unknown");
+		assertEquals(agent.received.size(), 1);
+	}
+
+	@Test
+	public void largeResponseIsNotStored() throws Exception {
+		FakeAgent agent = this.fixture.booking;
+		agent.script = (request, events) -> {
+			agent.begin(request);
+			agent.fates.put(request.getOrderId(), FakeAgent.ended(request).toBuilder().clearHttpHead().build());
+			events.onNext(FakeAgent.accepted());
+			events.onNext(FakeAgent.event(1).setHttpHead(HttpHead.newBuilder().setStatus(200)).build());
+			events.onNext(FakeAgent.event(2).setHttpBody(ByteString.copyFrom(new byte[64 * 1024])).build());
+			events.onNext(FakeAgent.event(3).setHttpBody(ByteString.copyFrom(new byte[1])).build());
+			events.onNext(FakeAgent.finished(request, 4, 4));
+			events.onCompleted();
+		};
+		assertEquals(run(this.fixture.booking("key")), "finished");
+		assertEquals(runElsewhere(this.fixture.booking("key")), "outcome_unknown unknown");
+		assertEquals(agent.executed.size(), 1);
+	}
+
+	@Test
+	public void concurrentRepeatsRunAtMostOnceThoughAnswersAreLost() throws Exception {
+		List<String> executed = this.fixture.booking.executed;
+		TableStore store = new LossyTableStore(this.fixture.tables, 11);
+		List<RequestRunner> runners = List.of(this.fixture.runner("gateway-1", store),
+				this.fixture.runner("gateway-2", store));
+		for (int i = 0; i < 30; i++) {
+			int before = executed.size();
+			List<RunRequest> requests = new ArrayList<>();
+			List<RecordingListener> listeners = new ArrayList<>();
+			for (int copy = 0; copy < 6; copy++) {
+				requests.add(this.fixture.booking("key-" + i));
+				listeners.add(new RecordingListener());
+			}
+			for (int copy = 0; copy < 6; copy++) {
+				runners.get(copy % 2).run(requests.get(copy), listeners.get(copy));
+			}
+			for (int copy = 0; copy < 6; copy++) {
+				String end = listeners.get(copy).end();
+				String requestId = requests.get(copy).requestId();
+				assertEquals(executed.contains(requestId) && end.endsWith("not-run"), false, end);
+				assertNotEquals(end, "timeout unknown");
+			}
+			assertTrue(executed.size() <= before + 1, "Key " + i + " ran " + (executed.size() - before) + " times");
+		}
+		assertTrue(executed.size() >= 20, "Most keys ran: " + executed.size());
+	}
+
+	private CompletableFuture<StreamObserver<ExecuteEvent>> hang() {
+		CompletableFuture<StreamObserver<ExecuteEvent>> stream = new CompletableFuture<>();
+		this.fixture.booking.script = (request, events) -> {
+			this.fixture.booking.begin(request);
+			stream.complete(events);
+		};
+		return stream;
+	}
+
+	private void finish(StreamObserver<ExecuteEvent> events) {
+		ExecuteRequest request = this.fixture.booking.received.get(0);
+		this.fixture.booking.fates.remove(request.getOrderId());
+		this.fixture.booking.executed.remove(request.getRequestId());
+		this.fixture.booking.runWhole(request, events);
+	}
+
+	/**
+	 * Goes out with the first write, whose answer is lost.
+	 */
+	private final class OutageAfterWrite implements TableStore {
+
+		@Override
+		public CompletableFuture<List<Row>> read(List<String> keys) {
+			return BookingRunTests.this.fixture.tables.read(keys);
+		}
+
+		@Override
+		public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+			return BookingRunTests.this.fixture.tables.scan(prefix, after, limit);
+		}
+
+		@Override
+		public CompletableFuture<WriteOutcome> transact(Transaction transaction) {
+			CompletableFuture<WriteOutcome> outcome = BookingRunTests.this.fixture.tables.transact(transaction);
+			if (outcome.join() instanceof WriteOutcome.Unknown) {
+				BookingRunTests.this.fixture.tables.setAvailable(false);
+			}
+			return outcome;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/request/ChatRunTests.java
@@ -0,0 +1,305 @@
+package io.verbenacleat.entry.request;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import io.grpc.Status;
+import io.grpc.stub.ServerCallStreamObserver;
+import io.verbenacleat.proto.v1.OrderState;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReceiptStatus;
+import io.verbenacleat.proto.v1.RefusalReason;
+import io.verbenacleat.proto.v1.ReserveRefusal;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import io.verbenacleat.proto.v1.ResolveOrderResponse;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Repeatable requests: complete answers only, right outcomes, one receipt or one release
+ * for each reservation.
+ */
+public class ChatRunTests {
+
+	private RunnerFixture fixture;
+
+	public ChatRunTests() throws IOException {
+		this.fixture = new RunnerFixture();
+	}
+
+	@AfterMethod
+	public void reopen() throws IOException {
+		this.fixture.close();
+		this.fixture = new RunnerFixture();
+	}
+
+	@AfterClass
+	public void close() {
+		this.fixture.close();
+	}
+
+	private Receipt settled() throws InterruptedException {
+		return this.fixture.budget.settled.poll(20, TimeUnit.SECONDS);
+	}
+
+	private String released() throws InterruptedException {
+		return this.fixture.budget.released.poll(20, TimeUnit.SECONDS);
+	}
+
+	@Test
+	public void wholeAnswerEndsAfterItsReceiptIsSettled() throws Exception {
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), "finished");
+		assertEquals(listener.events, List.of("accepted", "a", "b", "finished"));
+		assertEquals(settled().getRequestId(), "req-1");
+		assertTrue(this.fixture.budget.released.isEmpty());
+	}
+
+	@Test
+	public void unacknowledgedReceiptNeverEndsNormally() throws Exception {
+		this.fixture.budget.acknowledges = false;
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), "answer_incomplete unknown");
+		assertEquals(settled().getRequestId(), "req-1");
+	}
+
+	@DataProvider
+	public Object[][] reserveRefusals() {
+		return new Object[][] { { ReserveRefusal.UNKNOWN_ACCOUNT, "invalid_api_key", 0L },
+				{ ReserveRefusal.UNKNOWN_KEY, "invalid_api_key", 0L },
+				{ ReserveRefusal.REVOKED_KEY, "revoked_api_key", 0L },
+				{ ReserveRefusal.QUOTA_EXHAUSTED, "insufficient_quota", 0L },
+				{ ReserveRefusal.BUDGET_RESERVED, "budget_reserved", 700L },
+				{ ReserveRefusal.TABLE_UNREACHABLE, "budget_unreachable", 700L },
+				{ ReserveRefusal.HOLDER_NOT_OPEN, "budget_unreachable", 700L },
+				{ ReserveRefusal.JOURNAL_FULL, "journal_full", 700L } };
+	}
+
+	@Test(dataProvider = "reserveRefusals")
+	public void refusedReservationIsNotRun(ReserveRefusal refusal, String code, long retryAfterMs) throws Exception {
+		this.fixture.budget.response = ReserveResponse.newBuilder().setRefusal(refusal).setRetryAfterMs(700).build();
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), code + " not-run");
+		assertEquals(listener.refusal().retryAfterMs(), retryAfterMs);
+		assertTrue(this.fixture.first.received.isEmpty());
+	}
+
+	@Test
+	public void refusedOrderGoesToAnotherAgent() throws Exception {
+		this.fixture.first.script = (request, events) -> FakeAgent.refuse(events, RefusalReason.DRAINING);
+		assertEquals(this.fixture.run(this.fixture.chat()).end(), "finished");
+		assertEquals(this.fixture.second.executed, List.of("req-1"));
+	}
+
+	@Test
+	public void refusalOfAllAgentsIsNotRunAndReleased() throws Exception {
+		this.fixture.first.script = (request, events) -> FakeAgent.refuse(events, RefusalReason.OVERLOADED);
+		this.fixture.second.script = this.fixture.first.script;
+		assertEquals(this.fixture.run(this.fixture.chat()).end(), "no_backend_server not-run");
+		assertEquals(released(), "req-1");
+		assertTrue(this.fixture.budget.settled.isEmpty());
+	}
+
+	@Test
+	public void closedHolderIsNotRetried() throws Exception {
+		this.fixture.first.script = (request, events) -> FakeAgent.refuse(events, RefusalReason.HOLDER_CLOSED);
+		assertEquals(this.fixture.run(this.fixture.chat()).end(), "budget_unreachable not-run");
+		assertTrue(this.fixture.second.received.isEmpty());
+	}
+
+	@Test
+	public void unreachableAgentIsReplacedByAnother() throws Exception {
+		this.fixture.first.close();
+		assertEquals(this.fixture.run(this.fixture.chat()).end(), "finished");
+		assertEquals(this.fixture.second.executed, List.of("req-1"));
+	}
+
+	@Test
+	public void brokenStreamIsUnknownAndSettledLater() throws Exception {
+		FakeAgent agent = this.fixture.first;
+		agent.answersResolve = false;
+		agent.script = (request, events) -> {
+			agent.begin(request);
+			events.onNext(FakeAgent.accepted());
+			events.onNext(FakeAgent.chunk(1, "a"));
+			events.onError(Status.INTERNAL.asRuntimeException());
+		};
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), "answer_incomplete unknown");
+		assertTrue(this.fixture.budget.settled.isEmpty());
+		agent.finishOrder(agent.received.get(0));
+		agent.answersResolve = true;
+		assertEquals(settled().getRequestId(), "req-1");
+		assertTrue(this.fixture.budget.released.isEmpty());
+		assertTrue(this.fixture.second.received.isEmpty());
+	}
+
+	@Test
+	public void orderWithoutAnswerIsUnknownAndReleasedOnceItNeverStarts() throws Exception {
+		FakeAgent agent = this.fixture.first;
+		agent.answersResolve = false;
+		agent.script = (request, events) -> events.onError(Status.INTERNAL.asRuntimeException());
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), "order_lost unknown");
+		agent.answersResolve = true;
+		assertEquals(released(), "req-1");
+		assertTrue(this.fixture.second.received.isEmpty());
+	}
+
+	@Test
+	public void lostAgentIsBilledForDeliveredAndHoldsTheRest() throws Exception {
+		FakeAgent agent = this.fixture.first;
+		this.fixture.agentsLost = true;
+		agent.answersResolve = false;
+		agent.script = (request, events) -> {
+			events.onNext(FakeAgent.accepted());
+			events.onNext(FakeAgent.chunk(1, "a"));
+			events.onError(Status.UNAVAILABLE.asRuntimeException());
+		};
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), "answer_incomplete unknown");
+		Receipt receipt = settled();
+		assertEquals(receipt.getStatus(), ReceiptStatus.TAKEN_OVER);
+		assertEquals(receipt.getBilledTokens(), 1);
+		assertEquals(receipt.getHeldTokens(), 99);
+	}
+
+	@Test
+	public void tombstonedOrderGoesToAnotherAgent() throws Exception {
+		this.fixture.first.script = (request, events) -> events.onError(Status.INTERNAL.asRuntimeException());
+		assertEquals(this.fixture.run(this.fixture.chat()).end(), "finished");
+		assertEquals(this.fixture.second.executed, List.of("req-1"));
+	}
+
+	@DataProvider
+	public Object[][] wrongParts() {
+		return new Object[][] { { "repeated", new long[] { 1, 1 }, 2L }, { "lost", new long[] { 1, 3 }, 2L },
+				{ "out of order", new long[] { 2, 1 }, 2L }, { "late first part", new long[] { 0, 1 }, 2L },
+				{ "wrong count", new long[] { 1, 2 }, 4L }, { "early end", new long[] { 1 }, -1L } };
+	}
+
+	@Test(dataProvider = "wrongParts")
+	public void wrongPartsNeverEndNormally(String name, long[] numbers, long count) throws Exception {
+		FakeAgent agent = this.fixture.first;
+		agent.script = (request, events) -> {
+			agent.begin(request);
+			agent.finishOrder(request);
+			events.onNext(FakeAgent.accepted());
+			for (long number : numbers) {
+				events.onNext(FakeAgent.chunk(number, "part"));
+			}
+			if (count >= 0) {
+				events.onNext(FakeAgent.finished(request, numbers[numbers.length - 1] + 1, count));
+			}
+			events.onCompleted();
+		};
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), "answer_incomplete unknown", name);
+		assertEquals(settled().getRequestId(), "req-1");
+		assertEquals(listener.ends.get(), 1);
+	}
+
+	@Test
+	public void receiptOfAnotherRequestNeverEndsNormally() throws Exception {
+		this.fixture.first.script = (request, events) -> {
+			events.onNext(FakeAgent.accepted());
+			events.onNext(FakeAgent.finished(request.toBuilder().setRequestId("req-9").build(), 1, 1));
+		};
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertEquals(listener.end(), "answer_incomplete unknown");
+	}
+
+	@Test
+	public void deadlineBeforeTheStartIsNotRun() throws Exception {
+		CompletableFuture<Boolean> started = new CompletableFuture<>();
+		CountDownLatch arrived = new CountDownLatch(1);
+		CountDownLatch answered = new CountDownLatch(1);
+		FakeAgent agent = this.fixture.first;
+		agent.script = (request, events) -> new Thread(() -> {
+			arrived.countDown();
+			awaitLatch(answered);
+			started.complete(agent.begin(request));
+		}).start();
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		assertTrue(arrived.await(20, TimeUnit.SECONDS));
+		this.fixture.control.passDeadlines();
+		assertEquals(listener.end(), "timeout not-run");
+		assertEquals(released(), "req-1");
+		answered.countDown();
+		assertFalse(started.get(20, TimeUnit.SECONDS), "The delayed order found its tombstone");
+	}
+
+	@Test
+	public void deadlineInTheAnswerIsUnknownAndCancelsTheOrder() throws Exception {
+		CountDownLatch cancelled = new CountDownLatch(1);
+		hangAfterFirstPart(this.fixture.first, cancelled);
+		RecordingListener listener = this.fixture.run(this.fixture.chat());
+		listener.firstPart.get(20, TimeUnit.SECONDS);
+		this.fixture.control.passDeadlines();
+		assertEquals(listener.end(), "timeout unknown");
+		assertTrue(cancelled.await(20, TimeUnit.SECONDS));
+		assertEquals(settled().getRequestId(), "req-1");
+	}
+
+	@Test
+	public void goneCallerCancelsTheOrderAndHearsNothing() throws Exception {
+		CountDownLatch cancelled = new CountDownLatch(1);
+		hangAfterFirstPart(this.fixture.first, cancelled);
+		RecordingListener listener = new RecordingListener();
+		RequestRunner.RunningRequest running = this.fixture.runner("gateway-1").run(this.fixture.chat(), listener);
+		listener.firstPart.get(20, TimeUnit.SECONDS);
+		running.callerGone();
+		assertTrue(cancelled.await(20, TimeUnit.SECONDS));
+		assertEquals(settled().getRequestId(), "req-1");
+		assertEquals(listener.events, List.of("accepted", "a"));
+	}
+
+	@Test
+	public void slowCallerHoldsTheNextPartBack() throws Exception {
+		RecordingListener listener = new RecordingListener();
+		CompletableFuture<Void> ready = new CompletableFuture<>();
+		listener.ready = ready;
+		this.fixture.runner("gateway-1").run(this.fixture.chat(), listener);
+		listener.firstPart.get(20, TimeUnit.SECONDS);
+		this.fixture.control.submit(() -> true).get(20, TimeUnit.SECONDS);
+		assertEquals(listener.events, List.of("accepted", "a"));
+		listener.ready = CompletableFuture.completedFuture(null);
+		ready.complete(null);
+		assertEquals(listener.end(), "finished");
+	}
+
+	private static void hangAfterFirstPart(FakeAgent agent, CountDownLatch cancelled) {
+		agent.script = (request, events) -> {
+			((ServerCallStreamObserver<?>) events).setOnCancelHandler(() -> {
+				agent.fates.put(request.getOrderId(),
+						ResolveOrderResponse.newBuilder()
+							.setState(OrderState.FINISHED)
+							.setReceipt(FakeAgent.receipt(request).toBuilder().setStatus(ReceiptStatus.CANCELLED))
+							.build());
+				cancelled.countDown();
+			});
+			agent.begin(request);
+			events.onNext(FakeAgent.accepted());
+			events.onNext(FakeAgent.chunk(1, "a"));
+		};
+	}
+
+	private static void awaitLatch(CountDownLatch latch) {
+		try {
+			latch.await(20, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/request/DeadlineControl.java
@@ -0,0 +1,61 @@
+package io.verbenacleat.entry.request;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.verbenacleat.core.control.Cancellable;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.control.SingleControlThread;
+
+/**
+ * A real control thread whose timers of {@link RunnerFixture#LONG}, the deadlines of
+ * requests, run when the test says so. Safe for use by several threads.
+ */
+final class DeadlineControl implements ControlThread {
+
+	private final SingleControlThread thread = new SingleControlThread("test-control");
+
+	private final List<Runnable> deadlines = new CopyOnWriteArrayList<>();
+
+	void passDeadlines() {
+		this.deadlines.forEach(this.thread::execute);
+		this.deadlines.clear();
+	}
+
+	@Override
+	public Clock clock() {
+		return this.thread.clock();
+	}
+
+	@Override
+	public void execute(Runnable task) {
+		this.thread.execute(task);
+	}
+
+	@Override
+	public Cancellable schedule(Duration delay, Runnable task) {
+		if (!delay.equals(RunnerFixture.LONG)) {
+			return this.thread.schedule(delay, task);
+		}
+		this.deadlines.add(task);
+		return () -> this.deadlines.remove(task);
+	}
+
+	@Override
+	public Cancellable scheduleWithFixedDelay(Duration delay, Runnable task) {
+		return this.thread.scheduleWithFixedDelay(delay, task);
+	}
+
+	@Override
+	public boolean isCurrent() {
+		return this.thread.isCurrent();
+	}
+
+	@Override
+	public void close() {
+		this.thread.close();
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/request/LossyTableStore.java
@@ -0,0 +1,70 @@
+package io.verbenacleat.entry.request;
+
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.platform.PlatformUnavailableException;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WriteOutcome;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A table store that loses some answers: the write took effect, never does, or does later
+ * than the next call. Safe for use by several threads.
+ */
+final class LossyTableStore implements TableStore {
+
+	private final TableStore store;
+
+	private final Random random;
+
+	private @Nullable Transaction late;
+
+	LossyTableStore(TableStore store, long seed) {
+		this.store = store;
+		this.random = new Random(seed);
+	}
+
+	@Override
+	public synchronized CompletableFuture<List<Row>> read(List<String> keys) {
+		CompletableFuture<List<Row>> rows = this.store.read(keys);
+		applyLate();
+		return rows;
+	}
+
+	@Override
+	public synchronized CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+		return this.store.scan(prefix, after, limit);
+	}
+
+	@Override
+	public synchronized CompletableFuture<WriteOutcome> transact(Transaction transaction) {
+		switch (this.random.nextInt(6)) {
+			case 0 -> this.store.transact(transaction).join();
+			case 1 -> applyLate();
+			case 2 -> {
+				applyLate();
+				this.late = transaction;
+			}
+			default -> {
+				CompletableFuture<WriteOutcome> outcome = this.store.transact(transaction);
+				applyLate();
+				return outcome;
+			}
+		}
+		return CompletableFuture
+			.completedFuture(new WriteOutcome.Unknown(new PlatformUnavailableException("The answer was lost", null)));
+	}
+
+	private void applyLate() {
+		Transaction pending = this.late;
+		this.late = null;
+		if (pending != null) {
+			this.store.transact(pending).join();
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/request/RunnerFixture.java
@@ -0,0 +1,131 @@
+package io.verbenacleat.entry.request;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.account.CallerKey;
+import io.verbenacleat.core.config.BackendServerConfig;
+import io.verbenacleat.core.config.BudgetConfig;
+import io.verbenacleat.core.config.LimitsConfig;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Membership;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.proto.v1.ChatWork;
+import io.verbenacleat.proto.v1.HttpWork;
+
+/**
+ * A runner with a fake budget, two fake agents of one model, of which {@code first} is
+ * preferred as it is at the site of the entry, and one of a plain service.
+ */
+final class RunnerFixture implements AutoCloseable {
+
+	static final Duration LONG = Duration.ofSeconds(60);
+
+	final FakeAgent first = new FakeAgent("first");
+
+	final FakeAgent second = new FakeAgent("second");
+
+	final FakeAgent booking = new FakeAgent("booking");
+
+	final FakeBudget budget = new FakeBudget();
+
+	final InMemoryTableStore tables = new InMemoryTableStore();
+
+	final DeadlineControl control = new DeadlineControl();
+
+	final Blackboard blackboard = new Blackboard();
+
+	final Channels channels = new Channels(FakeAgent.SECRET);
+
+	volatile boolean agentsLost;
+
+	private final AtomicInteger requests = new AtomicInteger();
+
+	RunnerFixture() throws IOException {
+		this.blackboard.write(EntryBoard.CONFIG,
+				new OfficeConfig(1, "office", "region", List.of(), List.of(),
+						List.of(server("first", "model"), server("second", "model"), service("booking")),
+						LimitsConfig.DEFAULT, BudgetConfig.DEFAULT));
+		publish(this.first.member(), elsewhere(this.second.member()), this.booking.member());
+	}
+
+	void publish(Member... members) {
+		this.blackboard.write(EntryBoard.MEMBERS, new Membership(List.of(members)));
+	}
+
+	RequestRunner runner(String gateway) {
+		return runner(gateway, this.tables);
+	}
+
+	RequestRunner runner(String gateway, TableStore store) {
+		return DefaultRequestRunner.builder(gateway, "site")
+			.control(this.control, this.blackboard)
+			.budget(this.budget)
+			.agents(this.channels, (agent) -> this.agentsLost)
+			.tables(store)
+			.registry(new PrometheusRegistry())
+			.build();
+	}
+
+	RecordingListener run(RunRequest request) {
+		RecordingListener listener = new RecordingListener();
+		runner("gateway-1").run(request, listener);
+		return listener;
+	}
+
+	RunRequest chat() {
+		return new RunRequest(requestId(), key(), ChatWork.newBuilder().setModel("model").build(), null, 100, true,
+				null, "print", LONG);
+	}
+
+	RunRequest booking(String idempotencyKey, String fingerprint) {
+		HttpWork work = HttpWork.newBuilder().setService("bookings").setMethod("POST").build();
+		return new RunRequest(requestId(), key(), null, work, 10, false, idempotencyKey, fingerprint, LONG);
+	}
+
+	RunRequest booking(String idempotencyKey) {
+		return booking(idempotencyKey, "print");
+	}
+
+	static CallerKey key() {
+		return CallerKey.create("account", new Random(7));
+	}
+
+	static Member elsewhere(Member member) {
+		return new Member(member.incarnation(), member.role(), member.address(), member.host(), member.region(),
+				member.zone(), "other", member.backendServer(), member.fence(), member.startedAtMs());
+	}
+
+	private String requestId() {
+		return "req-" + this.requests.incrementAndGet();
+	}
+
+	private static BackendServerConfig server(String name, String model) {
+		return new BackendServerConfig(name, BackendServerConfig.Kind.MODEL_ENGINE, "http://127.0.0.1", "site",
+				List.of(model), null, false);
+	}
+
+	private static BackendServerConfig service(String name) {
+		return new BackendServerConfig(name, BackendServerConfig.Kind.SERVICE, "http://127.0.0.1", "site", List.of(),
+				"bookings", false);
+	}
+
+	@Override
+	public void close() {
+		this.channels.close();
+		this.control.close();
+		this.first.close();
+		this.second.close();
+		this.booking.close();
+	}
+
+}
