Refuse a request whose claim step fails, and charge only sent retries

Cause: a failure inside a claim step left the decision open and the reservation unreleased; the retry budget was charged even when no other agent was left; an overloaded agent was reported as an overloaded entry; the selection searched the list of backend servers once for each agent. Ruled out: leaving it to the deadline of the request, which ends the answer but does not free the reservation. Tests read the gauge and three counters.

--- a/entry/src/main/java/io/verbenacleat/entry/dispatch/AgentSelector.java
+++ b/entry/src/main/java/io/verbenacleat/entry/dispatch/AgentSelector.java
@@ -7,7 +7,9 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 
+import io.verbenacleat.core.config.BackendServerConfig;
 import io.verbenacleat.core.config.OfficeConfig;
 import io.verbenacleat.core.control.Blackboard;
 import io.verbenacleat.core.member.Member;
@@ -68,6 +70,7 @@
 		}
 		Map<String, GetStatusResponse> statuses = readOr(EntryBoard.AGENT_STATUS, Map.of());
 		Set<String> drained = readOr(EntryBoard.DRAINED, Set.of());
+		Set<String> serving = serving(target, config, drained);
 		int salt = ThreadLocalRandom.current().nextInt();
 		Comparator<Member> order = Comparator.comparing(this::isPenalized)
 			.thenComparing((agent) -> !agent.site().equals(this.site))
@@ -76,7 +79,7 @@
 		return members.agents()
 			.stream()
 			.filter((agent) -> !excluded.contains(agent.incarnation()))
-			.filter((agent) -> serves(agent, target, config, drained))
+			.filter((agent) -> agent.backendServer() != null && serving.contains(agent.backendServer()))
 			.filter((agent) -> !isDraining(statuses.get(agent.incarnation())))
 			.min(order);
 	}
@@ -112,10 +115,13 @@
 		return (value != null) ? value : fallback;
 	}
 
-	private static boolean serves(Member agent, WorkTarget target, OfficeConfig config, Set<String> drained) {
-		String server = agent.backendServer();
-		return server != null && !drained.contains(server)
-				&& config.server(server).filter(target::isServedBy).isPresent();
+	private static Set<String> serving(WorkTarget target, OfficeConfig config, Set<String> drained) {
+		return config.servers()
+			.stream()
+			.filter(target::isServedBy)
+			.map(BackendServerConfig::name)
+			.filter((name) -> !drained.contains(name))
+			.collect(Collectors.toSet());
 	}
 
 	private static boolean isDraining(@Nullable GetStatusResponse status) {
--- a/entry/src/main/java/io/verbenacleat/entry/request/Claiming.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/Claiming.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.entry.claim.Claim;
@@ -13,6 +14,8 @@
 import io.verbenacleat.entry.dispatch.OrderFate;
 import io.verbenacleat.proto.v1.OrderId;
 import io.verbenacleat.proto.v1.ResolveOrderResponse;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +28,8 @@
  */
 final class Claiming {
 
+	private static final Logger logger = LogManager.getLogger(Claiming.class);
+
 	private final RunnerParts parts;
 
 	private final RunRequest request;
@@ -51,13 +56,22 @@
 	}
 
 	private void read() {
-		this.parts.claims().read(this.key).whenComplete((found, failure) -> {
-			if (found == null) {
+		then(this.parts.claims().read(this.key), this::onRead);
+	}
+
+	/**
+	 * Goes on with a result. Any failure ends in a refusal, so that the reservation is
+	 * freed; a claim that stands alone is resolved by a repeat.
+	 * @param <T> the type of the result
+	 * @param future the result
+	 * @param next takes the result
+	 */
+	private <T> void then(CompletableFuture<T> future, Consumer<T> next) {
+		future.thenAccept(next).whenComplete((done, failure) -> {
+			if (failure != null) {
+				logger.debug("The claim {} failed", this.key, failure);
 				refuse(storeUnreachable());
 			}
-			else {
-				onRead(found);
-			}
 		});
 	}
 
@@ -75,9 +89,8 @@
 		switch (claim.row().state()) {
 			case RELEASED -> claim(claim.version());
 			case DONE -> replay(claim.row().response());
-			case CLAIMED -> this.parts.resolver()
-				.ask(claim.row().agent(), claim.row().orderId())
-				.thenAccept((fate) -> onFate(claim, fate));
+			case CLAIMED -> then(this.parts.resolver().ask(claim.row().agent(), claim.row().orderId()),
+					(fate) -> onFate(claim, fate));
 		}
 	}
 
@@ -145,7 +158,7 @@
 		OrderId orderId = this.parts.sequences().next(agent.get().incarnation());
 		ClaimRow row = ClaimRow.claimed(this.request.requestId(), this.request.fingerprint(), orderId, agent.get());
 		HeldClaim claim = new HeldClaim(this.key, version, row);
-		this.parts.claims().claim(this.key, version, row).thenAccept((result) -> onClaimed(claim, result));
+		then(this.parts.claims().claim(this.key, version, row), (result) -> onClaimed(claim, result));
 	}
 
 	private void onClaimed(HeldClaim claim, ClaimResult result) {
--- a/entry/src/main/java/io/verbenacleat/entry/request/NotRunReason.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/NotRunReason.java
@@ -31,7 +31,6 @@
 		RefusalCode code = switch (reason) {
 			case GATEWAY_CLOSED -> RefusalCode.NOT_READY;
 			case HOLDER_CLOSED -> RefusalCode.BUDGET_UNREACHABLE;
-			case OVERLOADED -> RefusalCode.OVERLOADED;
 			default -> RefusalCode.NO_BACKEND_SERVER;
 		};
 		// Every agent refuses the orders of a closed gateway and on a closed holder.
--- a/entry/src/main/java/io/verbenacleat/entry/request/RequestRun.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RequestRun.java
@@ -99,6 +99,11 @@
 		return Refusal.notRun(RefusalCode.TIMEOUT, "The time of the request ran out before it was run.");
 	}
 
+	private Refusal noBackendServer() {
+		return Refusal.notRun(RefusalCode.NO_BACKEND_SERVER, "No backend server takes this request.")
+			.withRetryAfterMs(this.parts.retryAfterMs());
+	}
+
 	private void reserved(@Nullable RoutedReservation routed) {
 		if (routed == null) {
 			refuse(ReserveRefusals.unreachable(this.parts.retryAfterMs()));
@@ -115,7 +120,7 @@
 			refuse(timeout());
 		}
 		else if (this.request.repeatable()) {
-			dispatch(granted);
+			select().ifPresentOrElse((agent) -> dispatch(granted, agent), () -> refuse(noBackendServer()));
 		}
 		else if (idempotencyKey == null) {
 			refuse(Refusal.notRun(RefusalCode.IDEMPOTENCY_KEY_REQUIRED,
@@ -146,14 +151,12 @@
 		}
 	}
 
-	private void dispatch(Reservation granted) {
-		Optional<Member> agent = this.parts.selector().select(WorkTargets.of(this.request), this.excluded);
-		if (agent.isEmpty()) {
-			refuse(Refusal.notRun(RefusalCode.NO_BACKEND_SERVER, "No backend server takes this request.")
-				.withRetryAfterMs(this.parts.retryAfterMs()));
-			return;
-		}
-		send(granted, agent.get(), this.parts.sequences().next(agent.get().incarnation()));
+	private void dispatch(Reservation granted, Member agent) {
+		send(granted, agent, this.parts.sequences().next(agent.incarnation()));
+	}
+
+	private Optional<Member> select() {
+		return this.parts.selector().select(WorkTargets.of(this.request), this.excluded);
 	}
 
 	private void send(Reservation granted, Member agent, OrderId orderId) {
@@ -175,8 +178,9 @@
 		// A request that may not be repeated is sent to the one agent of its claim.
 		boolean mayRetry = this.request.repeatable() && reason.retryable();
 		this.excluded.add(notRun.agent().incarnation());
-		if (mayRetry && this.parts.retries().tryRetry(reason.label())) {
-			dispatch(granted);
+		Optional<Member> next = (mayRetry) ? select() : Optional.empty();
+		if (next.isPresent() && this.parts.retries().tryRetry(reason.label())) {
+			dispatch(granted, next.get());
 			return;
 		}
 		long retryAfterMs = (reason.retryAfterMs() > 0) ? reason.retryAfterMs() : this.parts.retryAfterMs();
--- a/entry/src/test/java/io/verbenacleat/entry/request/ChatRunTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/request/ChatRunTests.java
@@ -98,6 +98,8 @@
 		this.fixture.first.script = (request, events) -> FakeAgent.refuse(events, RefusalReason.DRAINING);
 		assertEquals(this.fixture.run(this.fixture.chat()).end(), "finished");
 		assertEquals(this.fixture.second.executed, List.of("req-1"));
+		assertEquals(this.fixture.metric("verbena_retries_total{reason=\"draining\"}"), "1.0");
+		assertEquals(this.fixture.metric("verbena_orders_total{result=\"finished\"}"), "1.0");
 	}
 
 	@Test
@@ -150,8 +152,11 @@
 		agent.script = (request, events) -> events.onError(Status.INTERNAL.asRuntimeException());
 		RecordingListener listener = this.fixture.run(this.fixture.chat());
 		assertEquals(listener.end(), "order_lost unknown");
+		assertEquals(this.fixture.metric("verbena_orders_resolving"), "1.0");
 		agent.answersResolve = true;
 		assertEquals(released(), "req-1");
+		assertEquals(this.fixture.metric("verbena_orders_resolving"), "0.0");
+		assertEquals(this.fixture.metric("verbena_refusals_total{code=\"order_lost\"}"), "1.0");
 		assertTrue(this.fixture.second.received.isEmpty());
 	}
 
