Add verbenactl

Cause: operators need accounts, callers, backend servers, configuration and bills from one program. Ruled out: the sub-command handler of args4j; its inner parsers do not read the environment, so each command is parsed by SettingsParser. Change: module ctl with groups account, caller, backend, config, request, process; bin/verbenactl; own log configuration on standard error. The usage text is made from an unfilled command, because args4j prints present values as defaults and would show the platform token from the environment. The loader reports all missing keys also when the base lists no site. Conclusion: exit codes, messages and output are checked against the in-memory table store.

--- a/core/src/main/java/io/verbenacleat/core/config/ConfigLoader.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigLoader.java
@@ -65,7 +65,8 @@
 		if (base != null) {
 			sites.addAll(names(base, null));
 		}
-		for (String site : sites) {
+		// Without any site, the load of a site that does not exist reports the rest.
+		for (String site : (sites.isEmpty()) ? Set.of("") : sites) {
 			try {
 				configs.put(site, load(0, files, site));
 			}
@@ -73,10 +74,7 @@
 				problems.addAll(ex.problems());
 			}
 		}
-		if (!problems.isEmpty() || sites.isEmpty()) {
-			if (problems.isEmpty()) {
-				problems.add(new ConfigProblem(files.base().file(), "sites", "nothing", "a list of 1 to 1000 sites"));
-			}
+		if (!problems.isEmpty()) {
 			throw new ConfigException(List.copyOf(problems));
 		}
 		return configs;
--- a/core/src/test/java/io/verbenacleat/core/config/ConfigLoaderTests.java
+++ b/core/src/test/java/io/verbenacleat/core/config/ConfigLoaderTests.java
@@ -54,6 +54,14 @@
 		assertEquals(ex.getMessage().lines().count(), 3);
 	}
 
+	@Test
+	public void reportsAllMissingKeysOfBaseWithoutSites() {
+		ConfigException ex = expectThrows(ConfigException.class,
+				() -> this.loader.loadAll(ConfigTexts.files("limits: {maxInProgress: 0}\n")));
+		assertEquals(ex.problems().stream().map(ConfigProblem::path).sorted().toList().toString(),
+				"[limits.maxInProgress, office, region, servers, sites]");
+	}
+
 	@Test(dataProvider = "badBases")
 	public void namesFilePathFoundAndAllowed(String from, String to, String line) {
 		ConfigFiles files = ConfigTexts.files(ConfigTexts.BASE.replace(from, to));
--- /dev/null
+++ b/ctl/src/main/java/io/verbenacleat/ctl/BackendCommands.java
@@ -0,0 +1,116 @@
+package io.verbenacleat.ctl;
+
+import java.util.ArrayList;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.verbenacleat.core.config.BackendServerConfig;
+import io.verbenacleat.core.config.ConfigException;
+import io.verbenacleat.core.config.ConfigLoader;
+import io.verbenacleat.core.config.ConfigStore;
+import io.verbenacleat.core.config.StoredConfig;
+import io.verbenacleat.core.daemon.UsageException;
+import io.verbenacleat.core.member.DrainAdmin;
+import io.verbenacleat.core.member.DrainRow;
+import io.verbenacleat.core.platform.PlatformException;
+import org.jspecify.annotations.Nullable;
+import org.kohsuke.args4j.Argument;
+
+/**
+ * The commands on backend servers. Stateless.
+ */
+final class BackendCommands {
+
+	private BackendCommands() {
+	}
+
+	static CommandGroup group() {
+		return new CommandGroup("backend", "backend servers",
+				Map.of("list", List::new, "drain", Drain::new, "undrain", Undrain::new));
+	}
+
+	// A server that only an overlay names is known too.
+	private static Map<String, BackendServerConfig> servers(Context context)
+			throws PlatformException, ConfigException, UsageException, CommandFailedException {
+		StoredConfig stored = new ConfigStore(context.store(), context.clock()).current()
+			.orElseThrow(() -> new CommandFailedException("No configuration was ever applied"));
+		Map<String, BackendServerConfig> servers = new TreeMap<>();
+		new ConfigLoader().loadAll(stored.files())
+			.values()
+			.forEach((config) -> config.servers().forEach((server) -> servers.putIfAbsent(server.name(), server)));
+		return servers;
+	}
+
+	private static final class List extends Command {
+
+		@Override
+		void run(Context context) throws PlatformException, ConfigException, UsageException, CommandFailedException {
+			java.util.List<BackendView> views = new ArrayList<>();
+			DrainAdmin admin = new DrainAdmin(context.store(), context.clock());
+			for (BackendServerConfig server : servers(context).values()) {
+				views.add(BackendView.of(server, admin.read(server.name()).orElse(null)));
+			}
+			context.output().print(views);
+		}
+
+	}
+
+	private abstract static class Change extends Command {
+
+		private final boolean draining;
+
+		/** The backend server. */
+		@Argument(index = 0, required = true, metaVar = "SERVER", usage = "name of the backend server")
+		public String server = "";
+
+		Change(boolean draining) {
+			this.draining = draining;
+		}
+
+		@Override
+		void run(Context context) throws PlatformException, ConfigException, UsageException, CommandFailedException {
+			BackendServerConfig known = servers(context).get(this.server);
+			if (known == null) {
+				throw new CommandFailedException("Backend server '" + this.server
+						+ "' is unknown; 'verbenactl backend list' shows the known ones");
+			}
+			DrainRow row = new DrainAdmin(context.store(), context.clock()).set(this.server, this.draining,
+					this.author);
+			context.output().print(BackendView.of(known, row));
+		}
+
+	}
+
+	private static final class Drain extends Change {
+
+		Drain() {
+			super(true);
+		}
+
+	}
+
+	private static final class Undrain extends Change {
+
+		Undrain() {
+			super(false);
+		}
+
+	}
+
+	/**
+	 * The printed form of a backend server.
+	 */
+	record BackendView(String server, String kind, String url, String site, boolean draining, @Nullable String by,
+			@Nullable String since) {
+
+		static BackendView of(BackendServerConfig server, @Nullable DrainRow row) {
+			String kind = (server.kind() == BackendServerConfig.Kind.SERVICE) ? "service" : "model-engine";
+			boolean changed = row != null && row.atMs() > 0;
+			return new BackendView(server.name(), kind, server.url(), server.site(), row != null && row.draining(),
+					(row != null && changed) ? row.by() : null,
+					(row != null && changed) ? Context.time(row.atMs()) : null);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/ctl/src/main/java/io/verbenacleat/ctl/CommandGroup.java
@@ -0,0 +1,20 @@
+package io.verbenacleat.ctl;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+/**
+ * The commands on one kind of object. Immutable.
+ *
+ * @param name the name of the group
+ * @param summary what the group is for
+ * @param commands makes the command of a name
+ */
+record CommandGroup(String name, String summary, Map<String, Supplier<Command>> commands) {
+
+	CommandGroup {
+		commands = new TreeMap<>(commands);
+	}
+
+}
--- /dev/null
+++ b/ctl/src/main/java/io/verbenacleat/ctl/ConfigDiff.java
@@ -0,0 +1,72 @@
+package io.verbenacleat.ctl;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.json.Json;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Compares the merged configurations of all sites, value by value. Stateless.
+ */
+final class ConfigDiff {
+
+	private ConfigDiff() {
+	}
+
+	static List<Change> between(Map<String, OfficeConfig> before, Map<String, OfficeConfig> after) {
+		List<Change> changes = new ArrayList<>();
+		Set<String> sites = new TreeSet<>(before.keySet());
+		sites.addAll(after.keySet());
+		for (String site : sites) {
+			Map<String, String> old = flatten(before.get(site));
+			Map<String, String> next = flatten(after.get(site));
+			Set<String> paths = new TreeSet<>(old.keySet());
+			paths.addAll(next.keySet());
+			for (String path : paths) {
+				String from = old.get(path);
+				String to = next.get(path);
+				if (from == null || !from.equals(to)) {
+					changes.add(new Change(site, path, from, to));
+				}
+			}
+		}
+		return changes;
+	}
+
+	private static Map<String, String> flatten(@Nullable OfficeConfig config) {
+		Map<String, String> values = new TreeMap<>();
+		if (config != null) {
+			flatten("", Json.mapper().valueToTree(config), values);
+			values.remove("version");
+		}
+		return values;
+	}
+
+	private static void flatten(String path, JsonNode node, Map<String, String> values) {
+		if (node.isObject()) {
+			node.properties()
+				.forEach((entry) -> flatten(((path.isEmpty()) ? "" : path + ".") + entry.getKey(), entry.getValue(),
+						values));
+		}
+		else if (node.isArray() && !node.isEmpty() && node.get(0).has("name")) {
+			node.forEach((element) -> flatten(path + "[" + element.path("name").asText() + "]", element, values));
+		}
+		else {
+			values.put(path, (node.isValueNode()) ? node.asText() : node.toString());
+		}
+	}
+
+	/**
+	 * One value that differs.
+	 */
+	record Change(String site, String path, @Nullable String from, @Nullable String to) {
+	}
+
+}
--- /dev/null
+++ b/ctl/src/test/java/io/verbenacleat/ctl/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the command line.
+ */
+@NullMarked
+package io.verbenacleat.ctl;
+
+import org.jspecify.annotations.NullMarked;
