--- a/core/src/test/java/io/verbenacleat/core/account/AccountAdminTests.java
+++ b/core/src/test/java/io/verbenacleat/core/account/AccountAdminTests.java
@@ -17,12 +17,14 @@
 import io.verbenacleat.core.platform.PlatformUnavailableException;
 import io.verbenacleat.core.platform.Transaction;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNotNull;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.expectThrows;
 
 /**
  * Guards against budgets that are raised or settled twice and against callers without a
@@ -85,6 +87,37 @@
 		assertThrows(UnknownAccountException.class, () -> this.accounts.topUp("other", "new", 1));
 	}
 
+	@Test(dataProvider = "deliveries")
+	public void delayedWritesNeverCountTwice(int delayedWrites, int deliverBeforeWrite) throws Exception {
+		this.accounts.create("bench", "quotes", 0);
+		DelayingTableStore delaying = new DelayingTableStore(this.table);
+		AccountAdmin admin = new AccountAdmin(new BlockingTableStore(delaying, Duration.ofSeconds(10)),
+				Clock.systemUTC());
+		delaying.delay(delayedWrites, deliverBeforeWrite);
+		assertEquals(admin.topUp("bench", "t1", 100).toppedUpTokens(), 100);
+		delaying.deliver();
+		assertEquals(this.accounts.topUp("bench", "t1", 100).toppedUpTokens(), 100);
+	}
+
+	@DataProvider
+	public Object[][] deliveries() {
+		return new Object[][] { { 1, 0 }, { 1, 1 }, { 3, 0 }, { 3, 1 } };
+	}
+
+	@Test
+	public void unansweredWritesEndAfterABoundedNumberOfTries() throws Exception {
+		this.accounts.create("bench", "quotes", 0);
+		DelayingTableStore delaying = new DelayingTableStore(this.table);
+		AccountAdmin admin = new AccountAdmin(new BlockingTableStore(delaying, Duration.ofSeconds(10)),
+				Clock.systemUTC());
+		delaying.delay(Integer.MAX_VALUE, 0);
+		PlatformUnavailableException ex = expectThrows(PlatformUnavailableException.class,
+				() -> admin.topUp("bench", "t1", 100));
+		assertEquals(ex.getMessage(), "The write has an unknown outcome after 32 tries");
+		delaying.deliver();
+		assertEquals(this.accounts.show("bench").toppedUpTokens(), 100);
+	}
+
 	@Test
 	public void settlementCountsOnce() throws Exception {
 		Account held = Account.create("bench", "quotes", 0).plusTopUp(1000).withClosedGrant("holder", 100, 50);
--- /dev/null
+++ b/core/src/test/java/io/verbenacleat/core/member/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of members.
+ */
+@NullMarked
+package io.verbenacleat.core.member;
+
+import org.jspecify.annotations.NullMarked;
