Show zones in config diff and bound config history

Cause: a change of a zone alone gave an empty diff; a history of all versions reads every stored text; backend list read one row per server; a column without values was missing from tables. Ruled out: sites as part of OfficeConfig, a shared type; ConfigLoader.sites reads them. Conclusion: covered by CommandLineTests and DrainAdminTests.

--- a/core/src/main/java/io/verbenacleat/core/config/ConfigLoader.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigLoader.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.core.config;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -80,6 +81,25 @@
 		return configs;
 	}
 
+	/**
+	 * Reads the sites that the configuration of one site lists.
+	 * @param files files that passed the check
+	 * @param site the site whose overlay is merged
+	 * @return the sites
+	 * @throws ConfigException when a file is refused
+	 */
+	public List<SiteConfig> sites(ConfigFiles files, String site) throws ConfigException {
+		JsonNode merged = this.reader.read(files.base());
+		ConfigText overlay = files.overlays().get(site);
+		if (overlay != null) {
+			merged = OverlayMerger.merge(merged, this.reader.read(overlay));
+		}
+		List<SiteConfig> sites = new ArrayList<>();
+		merged.path("sites")
+			.forEach((node) -> sites.add(new SiteConfig(node.path("name").asText(), node.path("zone").asText())));
+		return sites;
+	}
+
 	private @Nullable JsonNode readPart(ConfigText text, Set<ConfigProblem> problems) {
 		try {
 			JsonNode tree = this.reader.read(text);
--- a/core/src/main/java/io/verbenacleat/core/config/ConfigStore.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigStore.java
@@ -32,7 +32,8 @@
 
 	private static final String KEY_PREFIX = "config/";
 
-	private static final int SCAN_ROWS = 100;
+	// Each row may have several MiB of text.
+	private static final int SCAN_ROWS = 10;
 
 	private final BlockingTableStore store;
 
@@ -95,13 +96,14 @@
 	}
 
 	/**
-	 * Reads all versions.
+	 * Reads the versions after one.
+	 * @param afterNumber the version after which to start, 0 for all
 	 * @return the versions, oldest first
 	 * @throws PlatformException when the rows cannot be read
 	 */
-	public List<StoredConfig> history() throws PlatformException {
+	public List<StoredConfig> history(long afterNumber) throws PlatformException {
 		List<StoredConfig> history = new ArrayList<>();
-		String after = "";
+		String after = (afterNumber > 0) ? key(afterNumber) : "";
 		List<Row> rows;
 		do {
 			rows = this.store.scan(KEY_PREFIX, after, SCAN_ROWS);
--- a/core/src/main/java/io/verbenacleat/core/member/DrainAdmin.java
+++ b/core/src/main/java/io/verbenacleat/core/member/DrainAdmin.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import io.verbenacleat.core.head.Head;
 import io.verbenacleat.core.json.Json;
@@ -21,6 +22,8 @@
  */
 public final class DrainAdmin {
 
+	private static final int SCAN_ROWS = 1000;
+
 	private final BlockingTableStore store;
 
 	private final Clock clock;
@@ -46,6 +49,26 @@
 		return (row.exists()) ? Optional.of(parse(row, DrainRow.class)) : Optional.empty();
 	}
 
+	/**
+	 * Reads the rows of all backend servers that ever drained.
+	 * @return the rows by name of the backend server
+	 * @throws PlatformException when the rows cannot be read
+	 */
+	public Map<String, DrainRow> list() throws PlatformException {
+		Map<String, DrainRow> found = new TreeMap<>();
+		String after = "";
+		List<Row> rows;
+		do {
+			rows = this.store.scan(DrainRow.KEY_PREFIX, after, SCAN_ROWS);
+			for (Row row : rows) {
+				after = row.key();
+				found.put(after.substring(DrainRow.KEY_PREFIX.length()), parse(row, DrainRow.class));
+			}
+		}
+		while (rows.size() == SCAN_ROWS);
+		return found;
+	}
+
 	/**
 	 * Drains a backend server or ends its drain; does nothing when it is so already.
 	 * @param server the name of the backend server
--- a/core/src/test/java/io/verbenacleat/core/config/ConfigStoreTests.java
+++ b/core/src/test/java/io/verbenacleat/core/config/ConfigStoreTests.java
@@ -55,7 +55,7 @@
 			}
 			assertTrue(reader.get());
 			Map<Long, String> history = new TreeMap<>();
-			store().history().forEach((stored) -> history.put(stored.number(), stored.applyId()));
+			store().history(0).forEach((stored) -> history.put(stored.number(), stored.applyId()));
 			assertEquals(history, accepted);
 			assertEquals(history.size(), WRITERS * APPLIES);
 			Head head = Json.read(this.blocking.read(Head.KEY).json(), Head.class);
@@ -105,7 +105,8 @@
 				() -> store.apply(this.files, "b", "second", 5));
 		assertEquals(ex.getMessage(), "Expected version 5 of the configuration, but version 1 is current");
 		assertEquals(ConfigStore.readCurrent(own).get().applyId(), "first");
-		assertEquals(store.history().size(), 1);
+		assertEquals(store.history(0).size(), 1);
+		assertEquals(store.history(1).size(), 0);
 	}
 
 	private ConfigStore store() {
--- a/core/src/test/java/io/verbenacleat/core/member/DrainAdminTests.java
+++ b/core/src/test/java/io/verbenacleat/core/member/DrainAdminTests.java
@@ -32,6 +32,7 @@
 		assertTrue(this.admin.set("engine-1", true, "ana").draining());
 		assertEquals(this.admin.set("engine-1", true, "ben").by(), "ana");
 		assertTrue(this.admin.read("engine-1").orElseThrow().draining());
+		assertEquals(this.admin.list().keySet().toString(), "[engine-1]");
 		assertFalse(this.admin.set("engine-1", false, "ben").draining());
 		assertEquals(Json.read(this.store.read(Head.KEY).json(), Head.class).version(Head.DRAIN), 2);
 	}
--- a/ctl/src/main/java/io/verbenacleat/ctl/BackendCommands.java
+++ b/ctl/src/main/java/io/verbenacleat/ctl/BackendCommands.java
@@ -46,9 +46,9 @@
 		@Override
 		void run(Context context) throws PlatformException, ConfigException, UsageException, CommandFailedException {
 			java.util.List<BackendView> views = new ArrayList<>();
-			DrainAdmin admin = new DrainAdmin(context.store(), context.clock());
+			Map<String, DrainRow> drains = new DrainAdmin(context.store(), context.clock()).list();
 			for (BackendServerConfig server : servers(context).values()) {
-				views.add(BackendView.of(server, admin.read(server.name()).orElse(null)));
+				views.add(BackendView.of(server, drains.get(server.name())));
 			}
 			context.output().print(views);
 		}
--- a/ctl/src/main/java/io/verbenacleat/ctl/ConfigCommands.java
+++ b/ctl/src/main/java/io/verbenacleat/ctl/ConfigCommands.java
@@ -22,6 +22,8 @@
  */
 final class ConfigCommands {
 
+	private static final long DEFAULT_HISTORY = 50;
+
 	private ConfigCommands() {
 	}
 
@@ -80,10 +82,9 @@
 
 		@Override
 		void run(Context context) throws ConfigException, PlatformException, UsageException, CommandFailedException {
-			Map<String, OfficeConfig> after = new ConfigLoader().loadAll(files());
+			ConfigFiles after = files();
 			StoredConfig stored = find(context, this.number);
-			Map<String, OfficeConfig> before = (stored != null) ? new ConfigLoader().loadAll(stored.files()) : Map.of();
-			context.output().print(ConfigDiff.between(before, after));
+			context.output().print(ConfigDiff.between((stored != null) ? stored.files() : null, after));
 		}
 
 	}
@@ -140,9 +141,18 @@
 
 	private static final class History extends Command {
 
+		/** How many versions to show. */
+		@Option(name = "--limit", metaVar = "N", usage = "how many versions to show, the newest ones")
+		public long limit = DEFAULT_HISTORY;
+
 		@Override
 		void run(Context context) throws PlatformException, UsageException {
-			context.output().print(store(context).history().stream().map(VersionView::of).toList());
+			if (this.limit < 1) {
+				throw new UsageException("--limit: found " + this.limit + ", allowed is 1 or more");
+			}
+			long current = store(context).current().map(StoredConfig::number).orElse(0L);
+			long after = Math.max(0, current - this.limit);
+			context.output().print(store(context).history(after).stream().map(VersionView::of).toList());
 		}
 
 	}
--- a/ctl/src/main/java/io/verbenacleat/ctl/ConfigDiff.java
+++ b/ctl/src/main/java/io/verbenacleat/ctl/ConfigDiff.java
@@ -8,6 +8,9 @@
 import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.verbenacleat.core.config.ConfigException;
+import io.verbenacleat.core.config.ConfigFiles;
+import io.verbenacleat.core.config.ConfigLoader;
 import io.verbenacleat.core.config.OfficeConfig;
 import io.verbenacleat.core.json.Json;
 import org.jspecify.annotations.Nullable;
@@ -20,13 +23,18 @@
 	private ConfigDiff() {
 	}
 
-	static List<Change> between(Map<String, OfficeConfig> before, Map<String, OfficeConfig> after) {
+	static List<Change> between(@Nullable ConfigFiles before, ConfigFiles after) throws ConfigException {
+		return between((before != null) ? flatten(before) : Map.of(), flatten(after));
+	}
+
+	private static List<Change> between(Map<String, Map<String, String>> before,
+			Map<String, Map<String, String>> after) {
 		List<Change> changes = new ArrayList<>();
 		Set<String> sites = new TreeSet<>(before.keySet());
 		sites.addAll(after.keySet());
 		for (String site : sites) {
-			Map<String, String> old = flatten(before.get(site));
-			Map<String, String> next = flatten(after.get(site));
+			Map<String, String> old = before.getOrDefault(site, Map.of());
+			Map<String, String> next = after.getOrDefault(site, Map.of());
 			Set<String> paths = new TreeSet<>(old.keySet());
 			paths.addAll(next.keySet());
 			for (String path : paths) {
@@ -40,13 +48,17 @@
 		return changes;
 	}
 
-	private static Map<String, String> flatten(@Nullable OfficeConfig config) {
-		Map<String, String> values = new TreeMap<>();
-		if (config != null) {
-			flatten("", Json.mapper().valueToTree(config), values);
+	private static Map<String, Map<String, String>> flatten(ConfigFiles files) throws ConfigException {
+		ConfigLoader loader = new ConfigLoader();
+		Map<String, Map<String, String>> bySite = new TreeMap<>();
+		for (Map.Entry<String, OfficeConfig> entry : loader.loadAll(files).entrySet()) {
+			Map<String, String> values = new TreeMap<>();
+			flatten("", Json.mapper().valueToTree(entry.getValue()), values);
+			flatten("sites", Json.mapper().valueToTree(loader.sites(files, entry.getKey())), values);
 			values.remove("version");
+			bySite.put(entry.getKey(), values);
 		}
-		return values;
+		return bySite;
 	}
 
 	private static void flatten(String path, JsonNode node, Map<String, String> values) {
--- a/ctl/src/main/java/io/verbenacleat/ctl/Output.java
+++ b/ctl/src/main/java/io/verbenacleat/ctl/Output.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Set;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.verbenacleat.core.json.Json;
 
 /**
@@ -18,6 +20,11 @@
 
 	private static final String GAP = "  ";
 
+	// Absent values keep their column and member, so that scripts find them.
+	private static final ObjectMapper MAPPER = Json.mapper()
+		.copy()
+		.setDefaultPropertyInclusion(JsonInclude.Include.ALWAYS);
+
 	private final PrintStream out;
 
 	private final OutputFormat format;
@@ -28,9 +35,9 @@
 	}
 
 	void print(Object value) {
-		JsonNode tree = Json.mapper().valueToTree(value);
+		JsonNode tree = MAPPER.valueToTree(value);
 		if (this.format == OutputFormat.JSON) {
-			this.out.println(Json.write(tree));
+			this.out.println(tree);
 		}
 		else if (tree.isArray()) {
 			printTable(tree);
--- a/ctl/src/test/java/io/verbenacleat/ctl/CommandLineTests.java
+++ b/ctl/src/test/java/io/verbenacleat/ctl/CommandLineTests.java
@@ -1,8 +1,11 @@
 package io.verbenacleat.ctl;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 
@@ -74,6 +77,8 @@
 		assertTrue(stored.contains(CallerKey.parse(key).orElseThrow().sha256()));
 		assertEquals(run("caller", "list", "bench"), ExitCode.DONE);
 		assertFalse(this.out.contains("vk_"), this.out);
+		assertTrue(this.out.startsWith("caller  createdAt"), this.out);
+		assertTrue(this.out.lines().findFirst().orElse("").endsWith("revokedAt"), this.out);
 		assertEquals(run("caller", "revoke", "bench", "desk"), ExitCode.DONE);
 		assertTrue(this.out.contains("revokedAt: 2"), this.out);
 		assertEquals(run("caller", "revoke", "bench", "other"), ExitCode.FAILED);
@@ -95,11 +100,29 @@
 				ExitCode.DONE);
 		assertEquals(run("config", "history", "--output", "json"), ExitCode.DONE);
 		assertTrue(this.out.matches("(?s)\\[\\{\"version\":1,.*\\{\"version\":2,.*"), this.out);
+		assertEquals(run("config", "history", "--limit", "1", "--output", "json"), ExitCode.DONE);
+		assertTrue(this.out.startsWith("[{\"version\":2,"), this.out);
+		assertEquals(run("config", "history", "--limit", "0"), ExitCode.USAGE);
 		assertEquals(run("config", "show", "--number", "3"), ExitCode.FAILED);
 		assertEquals(run("config", "show", "--site", "austin", "--output", "json"), ExitCode.DONE);
 		assertTrue(this.out.contains("\"requestTimeoutMs\":60000"), this.out);
 	}
 
+	@Test
+	public void diffShowsAChangeOfZone() throws IOException {
+		run("config", "apply", "--base", BASE, "--expect-version", "0");
+		Path changed = Files.createTempFile("base", ".yaml");
+		try {
+			Files.writeString(changed, Files.readString(Path.of(BASE)).replace("zone: south-texas-2", "zone: other"));
+			assertEquals(run("config", "diff", "--base", changed.toString(), "--output", "json"), ExitCode.DONE);
+			assertTrue(this.out.startsWith("[{\"site\":\"austin\",\"path\":\"sites[austin].zone\","
+					+ "\"from\":\"south-texas-2\",\"to\":\"other\"}"), this.out);
+		}
+		finally {
+			Files.delete(changed);
+		}
+	}
+
 	@Test
 	public void configCheckReportsEachProblemInOneLine() {
 		assertEquals(run("config", "check", "--base", BASE, "--overlay", OVERLAY), ExitCode.DONE);
