--- a/core/src/main/java/io/verbenacleat/core/config/ConfigLoader.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigLoader.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.core.config;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -65,7 +66,8 @@
 		if (base != null) {
 			sites.addAll(names(base, null));
 		}
-		for (String site : sites) {
+		// Without any site, the load of a site that does not exist reports the rest.
+		for (String site : (sites.isEmpty()) ? Set.of("") : sites) {
 			try {
 				configs.put(site, load(0, files, site));
 			}
@@ -73,15 +75,31 @@
 				problems.addAll(ex.problems());
 			}
 		}
-		if (!problems.isEmpty() || sites.isEmpty()) {
-			if (problems.isEmpty()) {
-				problems.add(new ConfigProblem(files.base().file(), "sites", "nothing", "a list of 1 to 1000 sites"));
-			}
+		if (!problems.isEmpty()) {
 			throw new ConfigException(List.copyOf(problems));
 		}
 		return configs;
 	}
 
+	/**
+	 * Reads the sites that the configuration of one site lists.
+	 * @param files files that passed the check
+	 * @param site the site whose overlay is merged
+	 * @return the sites
+	 * @throws ConfigException when a file is refused
+	 */
+	public List<SiteConfig> sites(ConfigFiles files, String site) throws ConfigException {
+		JsonNode merged = this.reader.read(files.base());
+		ConfigText overlay = files.overlays().get(site);
+		if (overlay != null) {
+			merged = OverlayMerger.merge(merged, this.reader.read(overlay));
+		}
+		List<SiteConfig> sites = new ArrayList<>();
+		merged.path("sites")
+			.forEach((node) -> sites.add(new SiteConfig(node.path("name").asText(), node.path("zone").asText())));
+		return sites;
+	}
+
 	private @Nullable JsonNode readPart(ConfigText text, Set<ConfigProblem> problems) {
 		try {
 			JsonNode tree = this.reader.read(text);
