Let the entry name the gateways that hold reservations

Cause: the reconciler asks agents only about gateways with reservations. Change: BudgetLedger.reservingGateways; order of imports.

--- a/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
@@ -52,7 +52,7 @@
 			this.settings.check();
 		}
 		catch (UsageException ex) {
-			fail(ExitCode.USAGE, ex.getMessage());
+			fail(ExitCode.USAGE, messageOf(ex));
 		}
 		System.setProperty(LAYOUT_PROPERTY, this.settings.logLayout.name().toLowerCase(Locale.ROOT));
 		start();
@@ -64,12 +64,14 @@
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
 		}
 		catch (Exception ex) {
-			fail(ExitCode.FAILED, (ex.getMessage() != null) ? ex.getMessage() : ex.getClass().getSimpleName());
+			fail(ExitCode.FAILED, messageOf(ex));
 		}
 	}
 
 	/**
-	 * Ends the process itself: the exit code of a process that a signal ends would not be 0.
+	 * Ends the process itself: the exit code of a process that a signal ends would not be
+	 * 0.
+	 * @param daemon the running daemon
 	 */
 	private static void stop(GracefulDaemon daemon) {
 		Logger logger = LogManager.getLogger(DaemonProcess.class);
@@ -86,6 +88,11 @@
 		Runtime.getRuntime().halt(code.code());
 	}
 
+	private static String messageOf(Exception failure) {
+		String message = failure.getMessage();
+		return (message != null) ? message : failure.getClass().getSimpleName();
+	}
+
 	private void fail(ExitCode code, String message) {
 		System.err.println(this.program + ": " + message.replace('\n', ' '));
 		Runtime.getRuntime().halt(code.code());
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -13,8 +13,6 @@
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.account.CallerKey;
-import io.verbenacleat.core.config.BudgetConfig;
-import io.verbenacleat.core.config.OfficeConfig;
 import io.verbenacleat.core.control.Blackboard;
 import io.verbenacleat.core.control.SingleControlThread;
 import io.verbenacleat.core.daemon.AdminServer;
@@ -32,9 +30,10 @@
 import io.verbenacleat.core.rpc.Channels;
 import io.verbenacleat.core.rpc.FleetSecret;
 import io.verbenacleat.core.rpc.RpcServer;
-import io.verbenacleat.entry.budget.AdaptiveGrantPolicy;
 import io.verbenacleat.entry.budget.BudgetLedger;
+import io.verbenacleat.entry.budget.GatewayReconciler;
 import io.verbenacleat.entry.budget.ProcessCloser;
+import io.verbenacleat.entry.holder.ConfiguredGrantPolicy;
 import io.verbenacleat.entry.holder.FleetBudgetRouter;
 import io.verbenacleat.entry.holder.HolderService;
 import io.verbenacleat.entry.http.HttpGateway;
@@ -49,6 +48,7 @@
 import io.verbenacleat.entry.member.PeerMonitor;
 import io.verbenacleat.entry.request.DefaultRequestRunner;
 import io.verbenacleat.entry.request.Refusal;
+import io.verbenacleat.entry.request.ReserveRefusals;
 import io.verbenacleat.proto.v1.ReserveRequest;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -67,6 +67,8 @@
 
 	private static final Duration REGISTRATION_RETRY = Duration.ofSeconds(2);
 
+	private static final long KEY_CHECK_RETRY_MS = 1_000;
+
 	/** Longer than any request may take. */
 	private static final Duration DRAIN_PATIENCE = Duration.ofMinutes(65);
 
@@ -214,7 +216,7 @@
 			.address(this.self.address())
 			.store(this.tables)
 			.control(this.control)
-			.policy(AdaptiveGrantPolicy.of(BudgetConfig.Preset.COOPERATIVE))
+			.policy(new ConfiguredGrantPolicy(this.blackboard))
 			.registry(this.registry)
 			.build();
 		built.addClosedListener(this::closedByOthers);
@@ -224,8 +226,11 @@
 	private HttpGateway startGateway() {
 		HostWatch hostWatch = new HostWatch(this.hosts, this.control);
 		FleetLostAgents lostAgents = new FleetLostAgents(this.blackboard, hostWatch);
-		ProcessCloser closer = new ProcessCloser(this.self.incarnation(), this.tables, this.control,
-				new GrpcAgentControl(this.channels), lostAgents);
+		GrpcAgentControl agentControl = new GrpcAgentControl(this.channels);
+		ProcessCloser closer = new ProcessCloser(this.self.incarnation(), this.tables, this.control, agentControl,
+				lostAgents);
+		new GatewayReconciler(this.self.incarnation(), this.ledger, this.tables, this.control, agentControl,
+				lostAgents);
 		startControllers(hostWatch, closer);
 		DefaultRequestRunner runner = DefaultRequestRunner.builder(this.self.incarnation(), this.self.site())
 			.control(this.control, this.blackboard)
@@ -264,7 +269,7 @@
 				this.router.release(reservation, requestId);
 				return Optional.empty();
 			}
-			return Optional.of(io.verbenacleat.entry.request.ReserveRefusals.refusal(reservation.response()));
+			return Optional.of(ReserveRefusals.map(reservation.response(), KEY_CHECK_RETRY_MS));
 		});
 	}
 
--- a/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.Cancellable;
@@ -148,6 +149,19 @@
 		});
 	}
 
+	/**
+	 * Returns the gateways that have open reservations here; called on the control
+	 * thread.
+	 * @return the gateway incarnations
+	 */
+	public Set<String> reservingGateways() {
+		return this.state.accounts.values()
+			.stream()
+			.flatMap((account) -> account.reservations.values().stream())
+			.map(Reservation::gateway)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
 	/**
 	 * Adds a listener that is told when this holder learns that it was closed.
 	 * @param listener runs on the control thread, once
--- a/entry/src/main/java/io/verbenacleat/entry/budget/GatewayReconciler.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/GatewayReconciler.java
@@ -51,7 +51,7 @@
 	}
 
 	private void reconcile() {
-		for (String gateway : this.ledger.reservingGateways(INTERVAL)) {
+		for (String gateway : this.ledger.reservingGateways()) {
 			if (!gateway.equals(this.incarnation) && this.inProgress.add(gateway)) {
 				this.store.read(ProcessRow.key(gateway)).whenCompleteAsync((row, failure) -> {
 					if (row != null && row.exists()) {
--- a/entry/src/main/java/io/verbenacleat/entry/request/ReserveRefusals.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/ReserveRefusals.java
@@ -5,7 +5,7 @@
 /**
  * Maps the refusals of budget holders to those that callers see.
  */
-final class ReserveRefusals {
+public final class ReserveRefusals {
 
 	private ReserveRefusals() {
 	}
@@ -16,7 +16,7 @@
 	 * @param defaultRetryAfterMs when to come back if the holder did not say
 	 * @return the refusal
 	 */
-	static Refusal map(ReserveResponse response, long defaultRetryAfterMs) {
+	public static Refusal map(ReserveResponse response, long defaultRetryAfterMs) {
 		long retryAfterMs = (response.getRetryAfterMs() > 0) ? response.getRetryAfterMs() : defaultRetryAfterMs;
 		return switch (response.getRefusal()) {
 			case UNKNOWN_ACCOUNT, UNKNOWN_KEY -> Refusal.notRun(RefusalCode.INVALID_API_KEY, "The key is not known.");
