Add the order table, the backend clients and the receipt reporter

Cause: an agent must be the only sender of work to its backend server, start each order at most once and report a receipt until it is durable.

Ruled out: one tombstone row per refused order without a bound; above the bound a floor per gateway stands for all older orders that have not started.

--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/engine/EventReader.java
@@ -0,0 +1,50 @@
+package io.verbenacleat.agent.engine;
+
+import java.io.IOException;
+
+import okio.BufferedSource;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads the data of server-sent events from a response body. Reads no further than the
+ * event it returns. Not safe for use by several threads.
+ */
+final class EventReader {
+
+	/** Protects the memory of the agent from an engine that sends no line ends. */
+	private static final long MAX_LINE_BYTES = 1024 * 1024;
+
+	private static final String DATA = "data:";
+
+	private final BufferedSource source;
+
+	EventReader(BufferedSource source) {
+		this.source = source;
+	}
+
+	/**
+	 * Waits for the next event.
+	 * @return its data, or {@code null} at the end of the stream
+	 * @throws IOException when the stream breaks or a line is too long
+	 */
+	@Nullable
+	String next() throws IOException {
+		StringBuilder data = new StringBuilder();
+		boolean any = false;
+		while (!this.source.exhausted()) {
+			String line = this.source.readUtf8LineStrict(MAX_LINE_BYTES);
+			if (line.isEmpty() && any) {
+				return data.toString();
+			}
+			if (line.startsWith(DATA)) {
+				data.append((any) ? "\n" : "").append(line.substring(DATA.length()).stripLeading());
+				any = true;
+			}
+			if (data.length() > MAX_LINE_BYTES) {
+				throw new IOException("An event is too long");
+			}
+		}
+		return null;
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/order/AdmissionRules.java
@@ -0,0 +1,31 @@
+package io.verbenacleat.agent.order;
+
+import io.verbenacleat.proto.v1.ExecuteRequest;
+
+/**
+ * What the order table asks of the rest of the agent before it starts an order. Called on
+ * the control thread only.
+ */
+public interface AdmissionRules {
+
+	/**
+	 * Returns whether the agent drains.
+	 * @return {@code true} when new orders are refused
+	 */
+	boolean draining();
+
+	/**
+	 * Returns whether the backend server serves the model or service of an order.
+	 * @param order the order
+	 * @return {@code true} when it does
+	 */
+	boolean serves(ExecuteRequest order);
+
+	/**
+	 * Returns whether the receipts of all running orders and one more could be kept.
+	 * @param running the number of running orders
+	 * @return {@code true} when there is room
+	 */
+	boolean roomForReceipts(int running);
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/order/GatewayOrders.java
@@ -0,0 +1,83 @@
+package io.verbenacleat.agent.order;
+
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The orders of one gateway incarnation. Below the mark only running orders are kept.
+ * Between the mark and the floor an order without a slot never started and never will, so
+ * any number of tombstones fits in one number. Control thread only.
+ */
+final class GatewayOrders {
+
+	private final TreeMap<Long, OrderSlot> slots = new TreeMap<>();
+
+	private long mark;
+
+	private long floor;
+
+	long mark() {
+		return this.mark;
+	}
+
+	/**
+	 * Returns what is known of an order.
+	 * @param sequence the order
+	 * @return its slot, or {@code null} when it may still start or was forgotten
+	 */
+	@Nullable
+	OrderSlot get(long sequence) {
+		OrderSlot slot = this.slots.get(sequence);
+		if (slot == null && sequence > this.mark && sequence <= this.floor) {
+			return OrderSlot.TOMBSTONE;
+		}
+		return slot;
+	}
+
+	boolean contains(long sequence) {
+		return this.slots.containsKey(sequence);
+	}
+
+	void put(long sequence, OrderSlot slot) {
+		this.slots.put(sequence, slot);
+	}
+
+	void remove(long sequence) {
+		this.slots.remove(sequence);
+	}
+
+	/**
+	 * Makes sure that no order up to a sequence starts any more.
+	 * @param sequence the sequence
+	 */
+	void raiseFloor(long sequence) {
+		this.floor = Math.max(this.floor, sequence);
+	}
+
+	/**
+	 * Raises the mark and forgets the orders that ended below it.
+	 * @param resolvedThrough the new mark; a lower one than before changes nothing
+	 * @return the slots that were forgotten
+	 */
+	Map<Long, OrderSlot> raiseMark(long resolvedThrough) {
+		Map<Long, OrderSlot> forgotten = new TreeMap<>();
+		this.mark = Math.max(this.mark, resolvedThrough);
+		Iterator<Map.Entry<Long, OrderSlot>> entries = this.slots.headMap(this.mark, true).entrySet().iterator();
+		while (entries.hasNext()) {
+			Map.Entry<Long, OrderSlot> entry = entries.next();
+			if (!(entry.getValue() instanceof OrderSlot.Running)) {
+				forgotten.put(entry.getKey(), entry.getValue());
+				entries.remove();
+			}
+		}
+		return forgotten;
+	}
+
+	Map<Long, OrderSlot> slots() {
+		return this.slots;
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderSlot.java
@@ -0,0 +1,51 @@
+package io.verbenacleat.agent.order;
+
+import io.verbenacleat.proto.v1.Receipt;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What the order table knows of one order. Immutable.
+ */
+sealed interface OrderSlot {
+
+	/** The slot of an order that never started and never will. */
+	OrderSlot TOMBSTONE = new Tombstone();
+
+	/**
+	 * Returns how much of a kept response the slot holds.
+	 * @return the size in bytes, 0 without a response
+	 */
+	default int keptBytes() {
+		return 0;
+	}
+
+	/**
+	 * The order never started and never will.
+	 */
+	record Tombstone() implements OrderSlot {
+	}
+
+	/**
+	 * The order runs.
+	 *
+	 * @param order the order
+	 */
+	record Running(RunningOrder order) implements OrderSlot {
+	}
+
+	/**
+	 * The order ended.
+	 *
+	 * @param receipt the bill
+	 * @param response the whole response of a not-repeatable call, or {@code null}
+	 */
+	record Finished(Receipt receipt, @Nullable KeptResponse response) implements OrderSlot {
+
+		@Override
+		public int keptBytes() {
+			return (this.response != null) ? this.response.head().getSerializedSize() + this.response.body().size() : 0;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/receipt/HolderQueue.java
@@ -0,0 +1,95 @@
+package io.verbenacleat.agent.receipt;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.SettleRequest;
+import io.verbenacleat.proto.v1.SettleResponse;
+
+/**
+ * The receipts that wait for one holder, and when to report them next. Control thread
+ * only.
+ */
+final class HolderQueue {
+
+	private static final int MAX_BATCH = 500;
+
+	private static final long FIRST_BACKOFF_MS = 1_000;
+
+	private static final long MAX_BACKOFF_MS = 30_000;
+
+	private final String holder;
+
+	private final String address;
+
+	private final Map<String, Receipt> receipts = new LinkedHashMap<>();
+
+	private boolean inFlight;
+
+	private boolean holderClosed;
+
+	private long backoffMs;
+
+	private long dueAtMs = Long.MIN_VALUE;
+
+	HolderQueue(String holder, String address) {
+		this.holder = holder;
+		this.address = address;
+	}
+
+	String holder() {
+		return this.holder;
+	}
+
+	String address() {
+		return this.address;
+	}
+
+	void add(Receipt receipt) {
+		this.receipts.put(receipt.getRequestId(), receipt);
+	}
+
+	Collection<Receipt> receipts() {
+		return this.receipts.values();
+	}
+
+	int size() {
+		return this.receipts.size();
+	}
+
+	/**
+	 * Returns whether the holder does not take receipts at present.
+	 * @return {@code true} after a failed report, or when the holder was closed
+	 */
+	boolean stuck() {
+		return this.holderClosed || this.backoffMs > 0;
+	}
+
+	boolean due(long nowMs) {
+		return !this.inFlight && !this.holderClosed && !this.receipts.isEmpty() && nowMs >= this.dueAtMs;
+	}
+
+	SettleRequest nextBatch() {
+		this.inFlight = true;
+		SettleRequest.Builder batch = SettleRequest.newBuilder();
+		this.receipts.values().stream().limit(MAX_BATCH).forEach(batch::addReceipts);
+		return batch.build();
+	}
+
+	void answered(SettleResponse response) {
+		this.inFlight = false;
+		this.backoffMs = 0;
+		this.dueAtMs = Long.MIN_VALUE;
+		this.holderClosed = response.getHolderClosed();
+		response.getDurableRequestIdsList().forEach(this.receipts::remove);
+	}
+
+	void failed(long nowMs) {
+		this.inFlight = false;
+		this.backoffMs = Math.min(MAX_BACKOFF_MS, Math.max(FIRST_BACKOFF_MS, this.backoffMs * 2));
+		this.dueAtMs = nowMs + this.backoffMs;
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/service/HopHeaders.java
@@ -0,0 +1,42 @@
+package io.verbenacleat.agent.service;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+import io.verbenacleat.proto.v1.HttpHeader;
+
+/**
+ * Drops the headers that concern one connection only (RFC 9110, section 7.6.1).
+ * Stateless.
+ */
+final class HopHeaders {
+
+	private static final Set<String> ALWAYS = Set.of("connection", "keep-alive", "proxy-authenticate",
+			"proxy-authorization", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "host",
+			"content-length");
+
+	private HopHeaders() {
+	}
+
+	/**
+	 * Returns the end-to-end headers.
+	 * @param headers all headers
+	 * @return those that may be passed on, in the same order
+	 */
+	static List<HttpHeader> drop(List<HttpHeader> headers) {
+		Set<String> dropped = new HashSet<>(ALWAYS);
+		for (HttpHeader header : headers) {
+			if (header.getName().equalsIgnoreCase("connection")) {
+				for (String name : header.getValue().split(",", -1)) {
+					dropped.add(name.strip().toLowerCase(Locale.ROOT));
+				}
+			}
+		}
+		return headers.stream()
+			.filter((header) -> !dropped.contains(header.getName().toLowerCase(Locale.ROOT)))
+			.toList();
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/service/PlainServiceClient.java
@@ -0,0 +1,113 @@
+package io.verbenacleat.agent.service;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.google.protobuf.ByteString;
+import io.verbenacleat.agent.backend.BackendCalls;
+import io.verbenacleat.agent.backend.BackendTarget;
+import io.verbenacleat.agent.order.Backend;
+import io.verbenacleat.agent.order.BackendOutcome;
+import io.verbenacleat.agent.order.BackendSink;
+import io.verbenacleat.agent.order.Cancellation;
+import io.verbenacleat.proto.v1.ExecuteRequest;
+import io.verbenacleat.proto.v1.HttpHead;
+import io.verbenacleat.proto.v1.HttpHeader;
+import io.verbenacleat.proto.v1.ReceiptStatus;
+import io.verbenacleat.proto.v1.RefusalReason;
+import okhttp3.Call;
+import okhttp3.Request;
+import okhttp3.Response;
+import okhttp3.ResponseBody;
+
+/**
+ * Passes requests through to a plain service and streams its answers. An answer with an
+ * error status is a complete answer. Never sends a request twice. Safe for use by several
+ * threads.
+ */
+public final class PlainServiceClient implements Backend {
+
+	private static final int PIECE_BYTES = 32 * 1024;
+
+	private final BackendCalls calls;
+
+	private final BackendTarget target;
+
+	/**
+	 * Creates a client.
+	 * @param calls makes the HTTP calls
+	 * @param target the service
+	 */
+	public PlainServiceClient(BackendCalls calls, BackendTarget target) {
+		this.calls = calls;
+		this.target = target;
+	}
+
+	@Override
+	public BackendOutcome run(ExecuteRequest order, BackendSink sink, Cancellation cancellation) {
+		Request request;
+		try {
+			request = ServiceRequest.of(order, this.target);
+		}
+		catch (IllegalArgumentException ex) {
+			return BackendOutcome.notRun(RefusalReason.INVALID_ORDER, String.valueOf(ex.getMessage()));
+		}
+		long price = order.getHttp().getPriceTokens();
+		BackendCalls.Attempt attempt = new BackendCalls.Attempt(sink::started);
+		Call call = this.calls.newCall(request, attempt);
+		cancellation.onCancel(call::cancel);
+		try (Response response = call.execute()) {
+			pass(response, sink);
+			return BackendOutcome.ended(ReceiptStatus.COMPLETE).withBill(price, 0);
+		}
+		catch (IOException ex) {
+			if (!attempt.connected()) {
+				return BackendOutcome.notRun(RefusalReason.BACKEND_UNREACHABLE, "no connection to the service: " + ex);
+			}
+			return broken(order, ex, cancellation);
+		}
+	}
+
+	private static void pass(Response response, BackendSink sink) throws IOException {
+		List<HttpHeader> headers = new ArrayList<>();
+		response.headers()
+			.forEach((header) -> headers
+				.add(HttpHeader.newBuilder().setName(header.getFirst()).setValue(header.getSecond()).build()));
+		sink.httpHead(HttpHead.newBuilder().setStatus(response.code()).addAllHeaders(HopHeaders.drop(headers)).build());
+		ResponseBody body = response.body();
+		if (body == null) {
+			return;
+		}
+		byte[] piece = new byte[PIECE_BYTES];
+		int length = body.source().read(piece);
+		while (length >= 0) {
+			if (length > 0) {
+				sink.httpBody(ByteString.copyFrom(piece, 0, length));
+			}
+			length = body.source().read(piece);
+		}
+	}
+
+	/**
+	 * Returns the outcome of a call whose connection broke after it was sent. The price
+	 * of a not-repeatable call is held, since nobody knows whether it took effect.
+	 * @param order the order
+	 * @param cause the failure
+	 * @param cancellation tells whether the agent broke the connection itself
+	 * @return the outcome
+	 */
+	private static BackendOutcome broken(ExecuteRequest order, IOException cause, Cancellation cancellation) {
+		long price = order.getHttp().getPriceTokens();
+		if (cancellation.isCancelled()) {
+			return BackendOutcome.ended(ReceiptStatus.CANCELLED).withBill(price, 0);
+		}
+		if (order.getRepeatable()) {
+			return BackendOutcome.failed("service_connection_broken", "the connection to the service broke: " + cause);
+		}
+		return BackendOutcome
+			.failed("outcome_unknown", "the connection broke after the call was sent, its outcome is unknown: " + cause)
+			.withBill(0, price);
+	}
+
+}
