--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
@@ -0,0 +1,276 @@
+package io.verbenacleat.agent;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.agent.drain.DrainWatch;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.control.SingleControlThread;
+import io.verbenacleat.core.daemon.AdminServer;
+import io.verbenacleat.core.daemon.UsageException;
+import io.verbenacleat.core.head.Head;
+import io.verbenacleat.core.head.HeadPoller;
+import io.verbenacleat.core.id.Incarnations;
+import io.verbenacleat.core.member.FleetRegistrar;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.RegistrationException;
+import io.verbenacleat.core.platform.HostList;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.core.rpc.FleetSecret;
+import io.verbenacleat.core.rpc.RpcServer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One running agent. Safe for use by several threads.
+ *
+ * <pre>{@code
+ * try (AgentDaemon agent = AgentDaemon.start(settings, tables, hosts, registry)) {
+ *     agent.shutdown();
+ * }
+ * }</pre>
+ */
+public final class AgentDaemon implements AutoCloseable {
+
+	private static final Logger logger = LogManager.getLogger(AgentDaemon.class);
+
+	private static final Duration POLL_INTERVAL = Duration.ofSeconds(2);
+
+	private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
+
+	private final AgentSettings settings;
+
+	private final String incarnation;
+
+	private final ControlThread control = new SingleControlThread("control");
+
+	private final FleetRegistrar registrar;
+
+	private final AgentParts parts;
+
+	private final HeadPoller poller;
+
+	private final DrainWatch drainWatch;
+
+	private @Nullable RpcServer rpcServer;
+
+	private @Nullable AdminServer adminServer;
+
+	private @Nullable Member member;
+
+	private volatile boolean registered;
+
+	private volatile boolean stopping;
+
+	private volatile long lastContactMs;
+
+	private AgentDaemon(AgentSettings settings, FleetSecret secret, TableStore store, HostList hosts,
+			ConfigSource configSource, PrometheusRegistry registry) {
+		this.settings = settings;
+		SecureRandom random = new SecureRandom();
+		this.incarnation = Incarnations.create(settings.name, this.control.clock(), random);
+		this.registrar = new FleetRegistrar(store, PLATFORM_TIMEOUT, random);
+		this.parts = new AgentParts(settings, this.incarnation, this.control, store, configSource, new Channels(secret),
+				registry);
+		this.poller = new HeadPoller(store, this.control, POLL_INTERVAL);
+		this.drainWatch = new DrainWatch(this.control, store, hosts, this.parts.drain(), settings.server,
+				settings.host);
+		this.lastContactMs = this.control.clock().millis();
+		GaugeWithCallback.builder()
+			.name("verbena_config_age_seconds")
+			.help("Time since the table service last answered a poll")
+			.callback((callback) -> callback.call((this.control.clock().millis() - this.lastContactMs) / 1_000.0))
+			.register(registry);
+	}
+
+	/**
+	 * Starts an agent and registers it. Blocks until the platform has taken the
+	 * registration.
+	 * @param settings the settings, checked
+	 * @param store the table store
+	 * @param hosts the host list
+	 * @param registry the metrics
+	 * @return the running agent
+	 * @throws AgentStartException when a port is taken or the platform does not answer
+	 * @throws UsageException when the fleet secret is missing or too short
+	 */
+	public static AgentDaemon start(AgentSettings settings, TableStore store, HostList hosts,
+			PrometheusRegistry registry) throws AgentStartException, UsageException {
+		return start(settings, store, hosts, new StoredConfigSource(store, settings.site), registry);
+	}
+
+	static AgentDaemon start(AgentSettings settings, TableStore store, HostList hosts, ConfigSource configSource,
+			PrometheusRegistry registry) throws AgentStartException, UsageException {
+		FleetSecret secret = settings.secret();
+		AgentDaemon daemon = new AgentDaemon(settings, secret, store, hosts, configSource, registry);
+		try {
+			daemon.bind(secret, registry);
+			daemon.register();
+			daemon.follow();
+			return daemon;
+		}
+		catch (AgentStartException ex) {
+			daemon.close();
+			throw ex;
+		}
+	}
+
+	/**
+	 * Returns whether the agent is registered, has a configuration with its backend
+	 * server, and does not stop.
+	 * @return {@code true} when it takes orders
+	 */
+	public boolean ready() {
+		return this.registered && !this.stopping && this.parts.config().backend() != null;
+	}
+
+	/**
+	 * Returns the identity of this run.
+	 * @return the incarnation
+	 */
+	public String incarnation() {
+		return this.incarnation;
+	}
+
+	/**
+	 * Returns the gRPC port.
+	 * @return the port that was bound
+	 */
+	public int rpcPort() {
+		RpcServer server = this.rpcServer;
+		return (server != null) ? server.port() : 0;
+	}
+
+	/**
+	 * Returns the port for health and metrics.
+	 * @return the port that was bound
+	 */
+	public int adminPort() {
+		AdminServer server = this.adminServer;
+		return (server != null) ? server.port() : 0;
+	}
+
+	/**
+	 * Stops gracefully, as SIGTERM does: refuses new orders, finishes those that run,
+	 * waits until the receipts are durable, deregisters and closes. Blocks.
+	 */
+	public void shutdown() {
+		this.stopping = true;
+		boolean durable = this.control.submit(() -> this.parts.sequence().begin())
+			.thenCompose(Function.identity())
+			.join();
+		if (!durable) {
+			logger.warn("Stopping with {} receipts that are not known to be durable", this.parts.receipts().waiting());
+		}
+		deregister();
+		close();
+	}
+
+	/**
+	 * Stops at once; running orders break.
+	 */
+	@Override
+	public void close() {
+		this.stopping = true;
+		this.poller.close();
+		this.drainWatch.close();
+		if (this.rpcServer != null) {
+			this.rpcServer.close();
+		}
+		this.parts.close();
+		if (this.adminServer != null) {
+			this.adminServer.close();
+		}
+		this.control.close();
+	}
+
+	private void bind(FleetSecret secret, PrometheusRegistry registry) throws AgentStartException {
+		try {
+			this.rpcServer = RpcServer.start(this.settings.host, this.settings.rpcPort, secret,
+					List.of(this.parts.service()));
+		}
+		catch (IOException ex) {
+			throw new AgentStartException("Cannot bind gRPC port " + this.settings.host + ":" + this.settings.rpcPort
+					+ ", is another agent running? " + rootMessage(ex), ex);
+		}
+		try {
+			int port = (this.settings.adminPort > 0) ? this.settings.adminPort : freePort(this.settings.host);
+			this.adminServer = AdminServer.start(this.settings.host, port, registry, this::ready);
+		}
+		catch (IOException | RuntimeException ex) {
+			throw new AgentStartException("Cannot bind admin port " + this.settings.host + ":" + this.settings.adminPort
+					+ ": " + rootMessage(ex), ex);
+		}
+	}
+
+	private void register() throws AgentStartException {
+		try {
+			long fence = this.registrar.raiseFence(this.settings.server, this.incarnation);
+			Member entered = new Member(this.incarnation, Member.Role.AGENT, this.settings.host + ":" + rpcPort(),
+					this.settings.host, this.settings.region, this.settings.zone, this.settings.site,
+					this.settings.server, fence, this.control.clock().millis());
+			this.registrar.register(entered);
+			this.member = entered;
+			this.parts.config().setFence(fence);
+			this.registered = true;
+			logger.info("Agent {} registered for {} at {} with fencing number {}", this.incarnation,
+					this.settings.server, entered.address(), fence);
+		}
+		catch (RegistrationException ex) {
+			throw new AgentStartException(String.valueOf(ex.getMessage()), ex);
+		}
+	}
+
+	private void follow() {
+		this.poller.onTopic(Head.CONFIG, (topic) -> this.parts.config().read());
+		this.poller.onTopic(Head.DRAIN, (topic) -> this.drainWatch.readRow());
+		this.poller.onContact(() -> this.lastContactMs = this.control.clock().millis());
+		CompletableFuture<?> started = this.control.submit(() -> {
+			this.parts.receipts().start();
+			this.drainWatch.start();
+			this.poller.start();
+			return true;
+		});
+		started.join();
+		this.parts.probe().start();
+	}
+
+	private void deregister() {
+		Member entered = this.member;
+		if (entered == null) {
+			return;
+		}
+		try {
+			this.registrar.deregister(entered);
+			logger.info("Agent {} deregistered", this.incarnation);
+		}
+		catch (RegistrationException ex) {
+			logger.warn("Agent {} not deregistered: {}", this.incarnation, ex.getMessage());
+		}
+	}
+
+	private static int freePort(String host) throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+			return socket.getLocalPort();
+		}
+	}
+
+	private static String rootMessage(Throwable failure) {
+		Throwable root = failure;
+		while (root.getCause() != null) {
+			root = root.getCause();
+		}
+		return String.valueOf(root.getMessage());
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/ConfigFollower.java
@@ -0,0 +1,150 @@
+package io.verbenacleat.agent;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.agent.backend.BackendCalls;
+import io.verbenacleat.agent.backend.BackendTarget;
+import io.verbenacleat.agent.engine.ChatEngineClient;
+import io.verbenacleat.agent.order.Backend;
+import io.verbenacleat.agent.service.PlainServiceClient;
+import io.verbenacleat.core.config.BackendServerConfig;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.proto.v1.ExecuteRequest;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows the configuration and makes the client for the backend server. Never goes back
+ * to an older version. Written on the control thread; may be read from any thread.
+ */
+final class ConfigFollower {
+
+	private static final Logger logger = LogManager.getLogger(ConfigFollower.class);
+
+	private final ControlThread control;
+
+	private final ConfigSource source;
+
+	private final BackendCalls calls;
+
+	private final AgentSettings settings;
+
+	private long fence;
+
+	private String lastFailure = "";
+
+	private volatile @Nullable Current current;
+
+	ConfigFollower(ControlThread control, ConfigSource source, BackendCalls calls, AgentSettings settings) {
+		this.control = control;
+		this.source = source;
+		this.calls = calls;
+		this.settings = settings;
+	}
+
+	/**
+	 * Sets the fencing number; must be called before the first {@link #read}.
+	 * @param newFence the fencing number
+	 */
+	void setFence(long newFence) {
+		this.fence = newFence;
+	}
+
+	/**
+	 * Reads the configuration.
+	 * @return completes when the configuration is in use
+	 */
+	CompletableFuture<?> read() {
+		return this.source.read()
+			.thenAcceptAsync(this::apply, this.control)
+			.whenCompleteAsync((result, failure) -> report(failure), this.control);
+	}
+
+	/**
+	 * Returns the client for the backend server.
+	 * @return the client, {@code null} while the backend server is not configured
+	 */
+	@Nullable
+	Backend backend() {
+		Current present = this.current;
+		return (present != null) ? present.backend() : null;
+	}
+
+	/**
+	 * Returns the base URL of the backend server.
+	 * @return the URL, {@code null} while the backend server is not configured
+	 */
+	@Nullable
+	String url() {
+		Current present = this.current;
+		return (present != null) ? present.url() : null;
+	}
+
+	/**
+	 * Returns the version in use.
+	 * @return the version, 0 for none
+	 */
+	long version() {
+		Current present = this.current;
+		return (present != null) ? present.version() : 0;
+	}
+
+	/**
+	 * Returns whether the backend server serves the model or service of an order.
+	 * @param order the order
+	 * @return {@code true} when it does
+	 */
+	boolean serves(ExecuteRequest order) {
+		Current present = this.current;
+		BackendServerConfig server = (present != null) ? present.server() : null;
+		if (server == null) {
+			return false;
+		}
+		if (server.kind() == BackendServerConfig.Kind.MODEL_ENGINE) {
+			return order.hasChat() && server.models().contains(order.getChat().getModel());
+		}
+		return order.hasHttp() && order.getHttp().getService().equals(server.service());
+	}
+
+	private void apply(OfficeConfig config) {
+		Current present = this.current;
+		if (present != null && config.version() <= present.version()) {
+			return;
+		}
+		BackendServerConfig server = config.server(this.settings.server).orElse(null);
+		if (server == null) {
+			logger.warn("Configuration {} has no backend server {}", config.version(), this.settings.server);
+			this.current = new Current(config.version(), null, null, null);
+			return;
+		}
+		String url = (this.settings.backendUrl.isEmpty()) ? server.url() : this.settings.backendUrl;
+		BackendTarget target = new BackendTarget(url, this.fence);
+		Backend backend = (server.kind() == BackendServerConfig.Kind.MODEL_ENGINE)
+				? new ChatEngineClient(this.calls, target) : new PlainServiceClient(this.calls, target);
+		this.current = new Current(config.version(), server, backend, target.url());
+		logger.info("Configuration {} in use, backend server {} at {}", config.version(), server.name(), target.url());
+	}
+
+	private void report(@Nullable Throwable failure) {
+		String message = (failure != null) ? String.valueOf(failure.getMessage()) : "";
+		if (!message.isEmpty() && !message.equals(this.lastFailure)) {
+			logger.warn("Configuration not read: {}", message.replace('\n', ' '));
+		}
+		this.lastFailure = message;
+	}
+
+	/**
+	 * The configuration in use. Immutable.
+	 *
+	 * @param version its version
+	 * @param server the backend server, {@code null} when the version does not list it
+	 * @param backend the client
+	 * @param url the base URL
+	 */
+	private record Current(long version, @Nullable BackendServerConfig server, @Nullable Backend backend,
+			@Nullable String url) {
+	}
+
+}
--- a/agent/src/main/java/io/verbenacleat/agent/drain/DrainWatch.java
+++ b/agent/src/main/java/io/verbenacleat/agent/drain/DrainWatch.java
@@ -8,6 +8,7 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.DrainRow;
 import io.verbenacleat.core.platform.HostEntry;
 import io.verbenacleat.core.platform.HostList;
 import io.verbenacleat.core.platform.Row;
--- a/agent/src/main/java/io/verbenacleat/agent/order/AgentGrpcService.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/AgentGrpcService.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.agent.order;
 
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 import io.grpc.Status;
@@ -34,6 +35,8 @@
 
 	private final Supplier<AgentStatus> status;
 
+	private final AtomicInteger openStreams = new AtomicInteger();
+
 	/**
 	 * Creates a service.
 	 * @param control the control thread
@@ -54,7 +57,9 @@
 	@Override
 	public void execute(ExecuteRequest request, StreamObserver<ExecuteEvent> observer) {
 		long receivedAtMs = this.control.clock().millis();
-		EventStream stream = new EventStream((ServerCallStreamObserver<ExecuteEvent>) observer);
+		EventStream stream = new EventStream((ServerCallStreamObserver<ExecuteEvent>) observer,
+				this.openStreams::decrementAndGet);
+		this.openStreams.incrementAndGet();
 		this.control.execute(() -> this.executor.execute(request, stream, receivedAtMs));
 	}
 
@@ -89,6 +94,14 @@
 		});
 	}
 
+	/**
+	 * Returns how many gateways have not received the end of their stream.
+	 * @return the count
+	 */
+	public int openStreams() {
+		return this.openStreams.get();
+	}
+
 	private CloseProcessResponse close(String process, String asking) {
 		this.table.close(process);
 		List<RunningOrder> running = this.table.runningOf(process);
--- a/agent/src/main/java/io/verbenacleat/agent/order/EventStream.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/EventStream.java
@@ -25,11 +25,16 @@
 	/**
 	 * Creates a stream; must be called before the gRPC method returns.
 	 * @param observer the observer of the call
+	 * @param onClosed called once when all parts were sent or the gateway went away
 	 */
-	EventStream(ServerCallStreamObserver<ExecuteEvent> observer) {
+	EventStream(ServerCallStreamObserver<ExecuteEvent> observer, Runnable onClosed) {
 		this.observer = observer;
 		observer.setOnReadyHandler(this::wake);
-		observer.setOnCancelHandler(this::leave);
+		observer.setOnCloseHandler(onClosed);
+		observer.setOnCancelHandler(() -> {
+			leave();
+			onClosed.run();
+		});
 	}
 
 	/**
