--- /dev/null
+++ b/agent/src/test/java/io/verbenacleat/agent/backend/FakeBackend.java
@@ -0,0 +1,124 @@
+package io.verbenacleat.agent.backend;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+import com.sun.net.httpserver.Headers;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+
+/**
+ * An HTTP server on the loopback interface whose answer a test writes. Safe for use by
+ * several threads.
+ */
+public final class FakeBackend implements AutoCloseable {
+
+	private final HttpServer server;
+
+	private final ExecutorService executor = Executors.newCachedThreadPool();
+
+	private final List<Received> received = new CopyOnWriteArrayList<>();
+
+	/**
+	 * Starts a server.
+	 * @param answer writes each answer; the exchange is closed after it
+	 * @throws IOException when no port is free
+	 */
+	public FakeBackend(Answer answer) throws IOException {
+		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+		this.server.setExecutor(this.executor);
+		this.server.createContext("/", (exchange) -> {
+			byte[] body = exchange.getRequestBody().readAllBytes();
+			this.received.add(new Received(exchange.getRequestMethod(), exchange.getRequestURI().toString(),
+					exchange.getRequestHeaders(), new String(body, StandardCharsets.UTF_8)));
+			try {
+				answer.write(exchange);
+			}
+			finally {
+				exchange.close();
+			}
+		});
+		this.server.start();
+	}
+
+	/**
+	 * Writes the head of a chunked answer and some events.
+	 * @param exchange the exchange
+	 * @param events the data of the events
+	 * @throws IOException when the client went away
+	 */
+	public static void events(HttpExchange exchange, String... events) throws IOException {
+		if (exchange.getResponseCode() < 0) {
+			exchange.getResponseHeaders().set("Content-Type", "text/event-stream");
+			exchange.sendResponseHeaders(200, 0);
+		}
+		for (String event : events) {
+			exchange.getResponseBody().write(("data: " + event + "\n\n").getBytes(StandardCharsets.UTF_8));
+		}
+		exchange.getResponseBody().flush();
+	}
+
+	/**
+	 * Returns a chunk with content.
+	 * @param text the content
+	 * @return the JSON
+	 */
+	public static String chunk(String text) {
+		return "{\"choices\":[{\"delta\":{\"content\":\"" + text + "\"}}]}";
+	}
+
+	/**
+	 * Returns the base URL.
+	 * @return the URL
+	 */
+	public String url() {
+		return "http://127.0.0.1:" + this.server.getAddress().getPort();
+	}
+
+	/**
+	 * Returns the requests.
+	 * @return the requests in the order in which they came
+	 */
+	public List<Received> received() {
+		return this.received;
+	}
+
+	@Override
+	public void close() {
+		this.server.stop(0);
+		this.executor.shutdownNow();
+	}
+
+	/**
+	 * Writes an answer.
+	 */
+	@FunctionalInterface
+	public interface Answer {
+
+		/**
+		 * Writes an answer.
+		 * @param exchange the exchange
+		 * @throws IOException when the client went away
+		 */
+		void write(HttpExchange exchange) throws IOException;
+
+	}
+
+	/**
+	 * A request.
+	 *
+	 * @param method the method
+	 * @param uri the path and query
+	 * @param headers the headers
+	 * @param body the body
+	 */
+	public record Received(String method, String uri, Headers headers, String body) {
+	}
+
+}
--- /dev/null
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderTablePropertyTests.java
@@ -0,0 +1,212 @@
+package io.verbenacleat.agent.order;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.proto.v1.ExecuteRequest;
+import io.verbenacleat.proto.v1.OrderId;
+import io.verbenacleat.proto.v1.OrderState;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.RefusalReason;
+import io.verbenacleat.proto.v1.ResolveOrderResponse;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.ShrinkingMode;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against an order that starts twice, or after a refusal, a tombstone, a close or
+ * a drain, under any interleaving and with the memory bounds in reach.
+ */
+class OrderTablePropertyTests {
+
+	private static final String AGENT = "agent";
+
+	@Property(seed = "20261204", tries = 3_000, shrinking = ShrinkingMode.FULL)
+	void startsNoOrderThatMustNotStart(@ForAll("steps") List<Step> steps, @ForAll("limits") OrderLimits limits) {
+		Run run = new Run(limits);
+		steps.forEach(run::apply);
+	}
+
+	@Provide
+	Arbitrary<List<Step>> steps() {
+		Arbitrary<Step> step = Combinators
+			.combine(Arbitraries.of(Action.values()), Arbitraries.integers().between(0, 2),
+					Arbitraries.integers().between(1, 8), Arbitraries.integers().between(0, 2),
+					Arbitraries.of(true, false))
+			.as(Step::new);
+		return step.list().ofMaxSize(60);
+	}
+
+	@Provide
+	Arbitrary<OrderLimits> limits() {
+		return Combinators
+			.combine(Arbitraries.integers().between(1, 6), Arbitraries.integers().between(1, 20),
+					Arbitraries.integers().between(1, 4), Arbitraries.of(0L, 100_000L, 1_000_000L))
+			.as(OrderLimits::new);
+	}
+
+	enum Action {
+
+		EXECUTE, EXECUTE_AGAIN, EXECUTE_LATE, RESOLVE, CLOSE, DRAIN, END, NOT_RUN
+
+	}
+
+	record Step(Action action, int gateway, int sequence, int holder, boolean flag) {
+
+		OrderId id() {
+			return TestOrders.order("g" + this.gateway, AGENT, this.sequence).getOrderId();
+		}
+
+	}
+
+	/** Runs the steps on a table and on plain sets of what happened. */
+	private static final class Run implements AdmissionRules {
+
+		private final ManualControlThread control = new ManualControlThread(Instant.EPOCH);
+
+		private final OrderTable table;
+
+		private final Map<OrderId, RunningOrder> running = new HashMap<>();
+
+		private final Map<OrderId, Receipt> finished = new HashMap<>();
+
+		private final Set<OrderId> started = new HashSet<>();
+
+		private final Set<OrderId> forbidden = new HashSet<>();
+
+		private final Set<String> closed = new HashSet<>();
+
+		private boolean draining;
+
+		private Run(OrderLimits limits) {
+			this.table = new OrderTable(AGENT, this.control.clock(), limits, this);
+		}
+
+		private void apply(Step step) {
+			switch (step.action()) {
+				case EXECUTE, EXECUTE_AGAIN -> execute(step, this.control.clock().millis());
+				case EXECUTE_LATE -> {
+					long sentMs = this.control.clock().millis();
+					this.control.advance(Duration.ofMinutes(2));
+					execute(step, sentMs);
+				}
+				case RESOLVE -> resolve(step);
+				case CLOSE -> {
+					this.table.close("g" + step.gateway());
+					this.closed.add("g" + step.gateway());
+				}
+				case DRAIN -> {
+					this.draining = step.flag();
+				}
+				case END -> end(step.id(), true);
+				case NOT_RUN -> end(step.id(), false);
+			}
+			assertEquals(this.table.inProgress(), this.running.size());
+		}
+
+		private void execute(Step step, long receivedAtMs) {
+			OrderId id = step.id();
+			ExecuteRequest request = TestOrders.order("g" + step.gateway(), AGENT, step.sequence())
+				.setHolderIncarnation("g" + step.holder())
+				.setRepeatable(step.flag())
+				.setResolvedThrough(mark(id))
+				.setHttp(TestOrders.http("POST", "/"))
+				.build();
+			Admission admission = this.table.admit(request, receivedAtMs);
+			if (admission instanceof Admission.Started start) {
+				assertFalse(this.draining, "started while draining");
+				assertTrue(this.started.add(id), "started twice");
+				assertFalse(this.forbidden.contains(id), "started after a refusal or tombstone");
+				assertFalse(this.closed.contains("g" + step.gateway()), "started after the close of its gateway");
+				assertFalse(this.closed.contains("g" + step.holder()), "started after the close of its holder");
+				assertEquals(receivedAtMs, this.control.clock().millis(), "started after its timeout");
+				this.running.put(id, start.order());
+			}
+			else if (admission instanceof Admission.Denied denied && denied.reason() == RefusalReason.DUPLICATE_ORDER) {
+				assertTrue(this.started.contains(id), "refused as a duplicate without a start");
+			}
+			else if (!this.started.contains(id)) {
+				this.forbidden.add(id);
+			}
+		}
+
+		private void resolve(Step step) {
+			OrderId id = step.id();
+			ResolveOrderResponse response = this.table.resolve(id, step.flag());
+			if (response.getState() == OrderState.NEVER_STARTED) {
+				assertFalse(this.running.containsKey(id) || this.finished.containsKey(id), "denied an order that ran");
+				this.forbidden.add(id);
+			}
+			else if (response.getState() == OrderState.FINISHED) {
+				assertEquals(response.getReceipt(), this.finished.get(id));
+			}
+			else if (response.getState() == OrderState.RUNNING) {
+				assertTrue(this.running.containsKey(id));
+			}
+			if (this.finished.containsKey(id)) {
+				assertNotEquals(response.getState(), OrderState.RUNNING);
+			}
+		}
+
+		private void end(OrderId id, boolean ran) {
+			RunningOrder order = this.running.remove(id);
+			if (order == null) {
+				return;
+			}
+			if (ran) {
+				Receipt receipt = Receipt.newBuilder().setRequestId(order.request().getRequestId()).build();
+				this.finished.put(id, receipt);
+				this.table.finish(order, receipt, null);
+			}
+			else {
+				this.forbidden.add(id);
+				this.table.notRun(order);
+			}
+		}
+
+		/** The gateway has resolved all orders below its first one that is open. */
+		private long mark(OrderId id) {
+			List<Long> open = new ArrayList<>();
+			for (long sequence = 1; sequence <= id.getSequence(); sequence++) {
+				OrderId other = id.toBuilder().setSequence(sequence).build();
+				if (!this.finished.containsKey(other) && !this.forbidden.contains(other)) {
+					open.add(sequence);
+				}
+			}
+			return Math.min(id.getSequence() - 1, (open.isEmpty()) ? id.getSequence() : open.get(0) - 1);
+		}
+
+		@Override
+		public boolean draining() {
+			return this.draining;
+		}
+
+		@Override
+		public boolean serves(ExecuteRequest order) {
+			return true;
+		}
+
+		@Override
+		public boolean roomForReceipts(int count) {
+			return true;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderTableTests.java
@@ -0,0 +1,145 @@
+package io.verbenacleat.agent.order;
+
+import java.time.Instant;
+
+import com.google.protobuf.ByteString;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.proto.v1.ExecuteRequest;
+import io.verbenacleat.proto.v1.HttpHead;
+import io.verbenacleat.proto.v1.OrderState;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.RefusalReason;
+import io.verbenacleat.proto.v1.ResolveOrderResponse;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against refusals with the wrong reason and outcomes that are lost too early.
+ */
+public class OrderTableTests implements AdmissionRules {
+
+	private final ManualControlThread control = new ManualControlThread(Instant.EPOCH);
+
+	private boolean draining;
+
+	private boolean serves;
+
+	private boolean room;
+
+	private OrderTable table = table(new OrderLimits(2, 10, 3, KeptResponse.MAX_BYTES));
+
+	@BeforeMethod
+	public void reset() {
+		this.draining = false;
+		this.serves = true;
+		this.room = true;
+		this.table = table(new OrderLimits(2, 10, 3, KeptResponse.MAX_BYTES));
+	}
+
+	@Test
+	public void refusesWithTheReasonOfTheTable() {
+		assertEquals(deniedFor(order(1).setOrderId(order(1).getOrderIdBuilder().setAgentIncarnation("old"))),
+				RefusalReason.WRONG_INCARNATION);
+		assertEquals(deniedFor(order(1).setTimeoutMs(0)), RefusalReason.INVALID_ORDER);
+		assertEquals(deniedFor(order(2).setResolvedThrough(2)), RefusalReason.INVALID_ORDER);
+		assertEquals(deniedFor(order(1).clearWork()), RefusalReason.INVALID_ORDER);
+		this.table.resolve(order(1).getOrderId(), false);
+		assertEquals(deniedFor(order(1)), RefusalReason.TOMBSTONED);
+		start(order(2));
+		assertEquals(deniedFor(order(2)), RefusalReason.DUPLICATE_ORDER);
+		this.table.close("h");
+		assertEquals(deniedFor(order(3).setHolderIncarnation("h")), RefusalReason.HOLDER_CLOSED);
+		this.table.close("g");
+		assertEquals(deniedFor(order(4)), RefusalReason.GATEWAY_CLOSED);
+	}
+
+	@Test
+	public void refusesWithTheReasonOfTheAgent() {
+		this.draining = true;
+		assertEquals(deniedFor(order(1)), RefusalReason.DRAINING);
+		this.draining = false;
+		this.serves = false;
+		assertEquals(deniedFor(order(2)), RefusalReason.MODEL_NOT_SERVED);
+		this.serves = true;
+		this.room = false;
+		assertEquals(deniedFor(order(3)), RefusalReason.OVERLOADED);
+		this.room = true;
+		assertEquals(deniedFor(order(1)), RefusalReason.TOMBSTONED);
+		start(order(4));
+		start(order(5));
+		assertEquals(deniedFor(order(6)), RefusalReason.OVERLOADED);
+	}
+
+	@Test
+	public void keepsTheResponseUntilTheMark() {
+		RunningOrder order = start(order(1).setRepeatable(false).setHttp(TestOrders.http("POST", "/a")));
+		assertEquals(deniedFor(order(2).setRepeatable(false).setHttp(TestOrders.http("POST", "/b"))),
+				RefusalReason.OVERLOADED);
+		HttpHead head = HttpHead.newBuilder().setStatus(201).build();
+		this.table.finish(order, Receipt.newBuilder().setRequestId("r").build(),
+				new KeptResponse(head, ByteString.copyFromUtf8("booked")));
+		ResolveOrderResponse kept = this.table.resolve(order(1).getOrderId(), false);
+		assertEquals(kept.getHttpBody().toStringUtf8(), "booked");
+		assertEquals(kept.getHttpHead(), head);
+		start(order(3).setResolvedThrough(2).setRepeatable(false).setHttp(TestOrders.http("POST", "/c")));
+		assertEquals(this.table.resolve(order(1).getOrderId(), false).getState(), OrderState.FORGOTTEN);
+	}
+
+	@Test
+	public void closeCancelsOnlyRepeatableOrdersOfTheGateway() {
+		RunningOrder repeatable = start(order(1));
+		RunningOrder once = start(order(2).setRepeatable(false).setHttp(TestOrders.http("POST", "/a")));
+		this.table.close("g");
+		assertTrue(repeatable.cancellation().isCancelled());
+		assertFalse(once.cancellation().isCancelled());
+		assertEquals(this.table.runningOf("g").size(), 2);
+	}
+
+	@Test
+	public void startsNothingOnceTooManyProcessesWereSeen() {
+		this.table.close("a");
+		this.table.close("b");
+		this.table.close("c");
+		start(order(1));
+		this.table.close("d");
+		assertTrue(this.table.exhausted());
+		assertEquals(deniedFor(order(2).setHolderIncarnation("d")), RefusalReason.OVERLOADED);
+		assertEquals(this.table.resolve(order(1).getOrderId(), false).getState(), OrderState.RUNNING);
+	}
+
+	@Override
+	public boolean draining() {
+		return this.draining;
+	}
+
+	@Override
+	public boolean serves(ExecuteRequest order) {
+		return this.serves;
+	}
+
+	@Override
+	public boolean roomForReceipts(int running) {
+		return this.room;
+	}
+
+	private OrderTable table(OrderLimits limits) {
+		return new OrderTable("agent", this.control.clock(), limits, this);
+	}
+
+	private static ExecuteRequest.Builder order(long sequence) {
+		return TestOrders.order("g", "agent", sequence).setChat(TestOrders.chat(10));
+	}
+
+	private RunningOrder start(ExecuteRequest.Builder order) {
+		return ((Admission.Started) this.table.admit(order.build(), this.control.clock().millis())).order();
+	}
+
+	private RefusalReason deniedFor(ExecuteRequest.Builder order) {
+		return ((Admission.Denied) this.table.admit(order.build(), this.control.clock().millis())).reason();
+	}
+
+}
