--- a/agent/src/main/java/io/verbenacleat/agent/AgentMain.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentMain.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 
+import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.daemon.CommonSettings.LogLayout;
 import io.verbenacleat.core.daemon.ExitCode;
@@ -73,12 +74,22 @@
 		if (settings.logLayout == LogLayout.JSON) {
 			System.setProperty("verbena.log.layout", "json");
 		}
-		PlatformClient platform = PlatformClient.builder(settings.platformUrl).token(settings.platformToken).build();
+		PlatformClient platform = platform(settings);
 		PrometheusRegistry registry = new PrometheusRegistry();
+		JvmMetrics.builder().register(registry);
 		AgentDaemon daemon = AgentDaemon.start(settings, platform.tables(), platform.hosts(), registry);
 		Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
 	}
 
+	private static PlatformClient platform(AgentSettings settings) throws UsageException {
+		try {
+			return PlatformClient.builder(settings.platformUrl).token(settings.platformToken).build();
+		}
+		catch (IllegalArgumentException ex) {
+			throw new UsageException("--platform-url: " + ex.getMessage());
+		}
+	}
+
 	/**
 	 * Stops the agent and ends the process with code 0, which a JVM that was ended by a
 	 * signal does not do by itself.
--- a/agent/src/main/java/io/verbenacleat/agent/backend/BackendProbe.java
+++ b/agent/src/main/java/io/verbenacleat/agent/backend/BackendProbe.java
@@ -37,7 +37,7 @@
 		return thread;
 	});
 
-	private volatile boolean reachable;
+	private volatile boolean reachable = true;
 
 	/**
 	 * Creates a probe that does nothing until {@link #start}.
@@ -56,7 +56,7 @@
 
 	/**
 	 * Returns whether the backend server took the last connection.
-	 * @return {@code true} when it did
+	 * @return {@code true} when it did, or when none was tried yet
 	 */
 	public boolean reachable() {
 		return this.reachable;
@@ -69,7 +69,10 @@
 
 	private void probe() {
 		String target = this.url.get();
-		boolean found = target != null && connects(target);
+		if (target == null) {
+			return;
+		}
+		boolean found = connects(target);
 		if (found != this.reachable) {
 			this.reachable = found;
 			logger.info("Backend server {} is {}", target, (found) ? "reachable" : "unreachable");
--- a/agent/src/main/java/io/verbenacleat/agent/engine/ChatEngineClient.java
+++ b/agent/src/main/java/io/verbenacleat/agent/engine/ChatEngineClient.java
@@ -55,7 +55,7 @@
 		try {
 			request = request(order);
 		}
-		catch (JsonFormatException ex) {
+		catch (JsonFormatException | IllegalArgumentException ex) {
 			return BackendOutcome.notRun(RefusalReason.INVALID_ORDER, String.valueOf(ex.getMessage()));
 		}
 		BackendCalls.Attempt attempt = new BackendCalls.Attempt(sink::started);
--- a/agent/src/main/java/io/verbenacleat/agent/order/AgentGrpcService.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/AgentGrpcService.java
@@ -121,6 +121,9 @@
 	}
 
 	private <T> void answer(StreamObserver<T> observer, Supplier<T> supplier) {
+		// With a handler, an answer to a caller that went away is dropped in silence.
+		((ServerCallStreamObserver<T>) observer).setOnCancelHandler(() -> {
+		});
 		this.control.execute(() -> {
 			T response;
 			try {
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderExecutor.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderExecutor.java
@@ -100,7 +100,7 @@
 		this.metrics.inProgress(this.table.inProgress());
 		order.cancellation().onCancel(stream::stopWaiting);
 		stream.onGone(order::cancelIfRepeatable);
-		long leftMs = receivedAtMs + order.request().getTimeoutMs() - this.control.clock().millis();
+		long leftMs = order.request().getTimeoutMs() - (this.control.clock().millis() - receivedAtMs);
 		Cancellable timer = this.control.schedule(Duration.ofMillis(Math.max(0, leftMs)), () -> {
 			order.cancelIfRepeatable();
 			stream.stopWaiting();
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderForm.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderForm.java
@@ -9,6 +9,8 @@
  */
 final class OrderForm {
 
+	private static final long MAX_TIMEOUT_MS = 24 * 60 * 60 * 1_000L;
+
 	private OrderForm() {
 	}
 
@@ -29,22 +31,26 @@
 				|| request.getHolderIncarnation().isEmpty() || request.getHolderAddress().isEmpty()) {
 			return "request_id, account, holder_incarnation or holder_address is missing";
 		}
-		if (request.getTimeoutMs() < 1) {
-			return "timeout_ms must be 1 or more";
+		if (request.getTimeoutMs() < 1 || request.getTimeoutMs() > MAX_TIMEOUT_MS) {
+			return "timeout_ms must be from 1 to " + MAX_TIMEOUT_MS;
 		}
 		return faultOfWork(request);
 	}
 
 	private static @Nullable String faultOfWork(ExecuteRequest request) {
 		if (request.hasChat()) {
-			boolean bounded = request.getChat().getPromptBoundTokens() > 0
-					&& request.getChat().getAnswerBoundTokens() > 0;
-			return (bounded) ? null : "a chat order needs a prompt bound and an answer bound";
+			long prompt = request.getChat().getPromptBoundTokens();
+			long answer = request.getChat().getAnswerBoundTokens();
+			boolean bounded = prompt > 0 && answer > 0 && prompt <= request.getReservedTokens()
+					&& answer <= request.getReservedTokens() - prompt;
+			return (bounded) ? null : "a chat order needs a prompt bound and an answer bound that are reserved";
 		}
 		if (request.hasHttp()) {
+			long price = request.getHttp().getPriceTokens();
 			boolean whole = !request.getHttp().getMethod().isEmpty()
-					&& request.getHttp().getPathAndQuery().startsWith("/") && request.getHttp().getPriceTokens() >= 0;
-			return (whole) ? null : "a service order needs a method, a path from / and a price from 0";
+					&& request.getHttp().getPathAndQuery().startsWith("/") && price >= 0
+					&& price <= request.getReservedTokens();
+			return (whole) ? null : "a service order needs a method, a path from / and a price that is reserved";
 		}
 		return "the order has no work";
 	}
--- a/agent/src/main/java/io/verbenacleat/agent/receipt/HolderQueue.java
+++ b/agent/src/main/java/io/verbenacleat/agent/receipt/HolderQueue.java
@@ -20,6 +20,8 @@
 
 	private static final long MAX_BACKOFF_MS = 30_000;
 
+	private static final long IDLE_MS = 300_000;
+
 	private final String holder;
 
 	private final String address;
@@ -30,6 +32,8 @@
 
 	private boolean holderClosed;
 
+	private long lastUsedMs;
+
 	private long backoffMs;
 
 	private long dueAtMs = Long.MIN_VALUE;
@@ -47,7 +51,8 @@
 		return this.address;
 	}
 
-	void add(Receipt receipt) {
+	void add(Receipt receipt, long nowMs) {
+		this.lastUsedMs = nowMs;
 		this.receipts.put(receipt.getRequestId(), receipt);
 	}
 
@@ -59,6 +64,15 @@
 		return this.receipts.size();
 	}
 
+	/**
+	 * Returns whether no receipt waited for some minutes.
+	 * @param nowMs the time
+	 * @return {@code true} when the connection to the holder may be closed
+	 */
+	boolean idle(long nowMs) {
+		return this.receipts.isEmpty() && nowMs - this.lastUsedMs >= IDLE_MS;
+	}
+
 	/**
 	 * Returns whether the holder does not take receipts at present.
 	 * @return {@code true} after a failed report, or when the holder was closed
--- a/agent/src/main/java/io/verbenacleat/agent/receipt/ReceiptReporter.java
+++ b/agent/src/main/java/io/verbenacleat/agent/receipt/ReceiptReporter.java
@@ -9,9 +9,15 @@
 import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.proto.v1.Receipt;
 import io.verbenacleat.proto.v1.SettleResponse;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,10 +33,12 @@
 	/** The most receipts that wait, those of running orders included. */
 	public static final int MAX_WAITING = 8_192;
 
+	private static final Logger logger = LogManager.getLogger(ReceiptReporter.class);
+
 	private static final Duration INTERVAL = Duration.ofSeconds(1);
 
 	/** The final rows appear some 10 s after a holder was lost, at the earliest. */
-	private static final Duration FINAL_ROW_INTERVAL = Duration.ofSeconds(15);
+	private static final Duration CLEANUP_INTERVAL = Duration.ofSeconds(15);
 
 	private final ControlThread control;
 
@@ -61,7 +69,7 @@
 	 */
 	public void start() {
 		this.timers.add(this.control.scheduleWithFixedDelay(INTERVAL, this::report));
-		this.timers.add(this.control.scheduleWithFixedDelay(FINAL_ROW_INTERVAL, this::readFinalRows));
+		this.timers.add(this.control.scheduleWithFixedDelay(CLEANUP_INTERVAL, this::cleanUp));
 	}
 
 	/**
@@ -71,7 +79,7 @@
 	 */
 	public void add(Receipt receipt, String holderAddress) {
 		this.queues.computeIfAbsent(receipt.getHolderIncarnation(), (holder) -> new HolderQueue(holder, holderAddress))
-			.add(receipt);
+			.add(receipt, this.control.clock().millis());
 		count();
 	}
 
@@ -123,21 +131,50 @@
 			return;
 		}
 		queue.answered(response);
-		if (queue.size() == 0) {
-			this.queues.remove(queue.holder(), queue);
-		}
 		count();
 	}
 
-	private void readFinalRows() {
-		for (HolderQueue queue : this.queues.values()) {
-			if (queue.stuck()) {
-				this.store.read(JournalRow.finalKey(queue.holder())).whenCompleteAsync((row, failure) -> {
-					if (row != null && row.exists()) {
-						drop(queue);
-					}
-				}, this.control);
+	private void cleanUp() {
+		long nowMs = this.control.clock().millis();
+		for (HolderQueue queue : List.copyOf(this.queues.values())) {
+			if (queue.idle(nowMs)) {
+				drop(queue);
 			}
+			else if (queue.stuck()) {
+				this.store.read(List.of(JournalRow.finalKey(queue.holder()), ProcessRow.key(queue.holder())))
+					.whenCompleteAsync((rows, failure) -> {
+						if (rows != null) {
+							dropIfClosed(queue, rows.get(0), rows.get(1));
+						}
+					}, this.control);
+			}
+		}
+	}
+
+	/**
+	 * Drops the receipts of a holder that is closed. A holder that stopped gracefully has
+	 * no final row; it had written the receipts of all its reservations before.
+	 * @param queue the receipts
+	 * @param finalRow the final row of the holder
+	 * @param processRow the process row of the holder
+	 */
+	private void dropIfClosed(HolderQueue queue, Row finalRow, Row processRow) {
+		if (finalRow.exists()) {
+			drop(queue);
+		}
+		else if (isClosed(processRow)) {
+			logger.warn("Holder {} stopped without taking {} receipts, dropped", queue.holder(), queue.size());
+			drop(queue);
+		}
+	}
+
+	private static boolean isClosed(Row processRow) {
+		try {
+			return processRow.exists()
+					&& Json.read(processRow.json(), ProcessRow.class).state() == ProcessRow.State.CLOSED;
+		}
+		catch (JsonFormatException ex) {
+			throw new IllegalStateException("The row " + processRow.key() + " has a wrong form", ex);
 		}
 	}
 
--- a/agent/src/test/java/io/verbenacleat/agent/receipt/ReceiptReporterTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/receipt/ReceiptReporterTests.java
@@ -10,6 +10,8 @@
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.journal.JournalRow;
 import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.Transaction;
 import io.verbenacleat.proto.v1.Receipt;
@@ -33,6 +35,8 @@
 
 	private final List<SettleRequest> requests = new ArrayList<>();
 
+	private int releases;
+
 	private CompletableFuture<SettleResponse> answer = new CompletableFuture<>();
 
 	private ReceiptReporter reporter = new ReceiptReporter(this.control, this, this.store);
@@ -42,6 +46,7 @@
 		this.control = new ManualControlThread(Instant.EPOCH);
 		this.store = new InMemoryTableStore();
 		this.requests.clear();
+		this.releases = 0;
 		this.reporter = new ReceiptReporter(this.control, this, this.store);
 		this.reporter.start();
 	}
@@ -88,6 +93,29 @@
 		assertEquals(this.reporter.waiting(), 0);
 	}
 
+	@Test
+	public void dropsReceiptsOfAHolderThatStoppedWithoutAFinalRow() {
+		this.answer = CompletableFuture.failedFuture(new IllegalStateException("unreachable"));
+		add("r1");
+		writeProcess(ProcessRow.State.CLOSING);
+		this.control.advance(Duration.ofMinutes(1));
+		assertEquals(this.reporter.waiting(), 1);
+		writeProcess(ProcessRow.State.CLOSED);
+		this.control.advance(Duration.ofSeconds(15));
+		assertEquals(this.reporter.waiting(), 0);
+		assertEquals(this.releases, 1);
+	}
+
+	@Test
+	public void releasesTheConnectionToAnIdleHolder() {
+		answer(SettleResponse.newBuilder().addDurableRequestIds("r1"));
+		add("r1");
+		this.control.advance(Duration.ofMinutes(4));
+		assertEquals(this.releases, 0);
+		this.control.advance(Duration.ofMinutes(2));
+		assertEquals(this.releases, 1);
+	}
+
 	@Test
 	public void hasNoRoomBeyondTheBound() {
 		this.answer = new CompletableFuture<>();
@@ -107,6 +135,15 @@
 	@Override
 	public void release(String address) {
 		assertEquals(address, "127.0.0.1:1");
+		this.releases++;
+	}
+
+	private void writeProcess(ProcessRow.State state) {
+		Member member = new Member("h", Member.Role.ENTRY, "127.0.0.1:1", "127.0.0.1", "r", "z", "s", null, 0, 0);
+		String key = ProcessRow.key("h");
+		this.store.transact(Transaction.builder()
+			.putIf(key, this.store.read(key).join().version(), Json.write(new ProcessRow(member, state, null)))
+			.build());
 	}
 
 	private void answer(SettleResponse.Builder response) {
