Forget the outcomes of closed and idle gateways at the bound

Cause: the last orders of each gateway stay above its mark when it stops, so the slots of a long-running agent would fill up and it would refuse all orders.

Ruled out: dropping the slots at the close; an unresolved order that ran would then be reported as never started.

Change: at the bound, marks are raised over the orders of closed gateways and of those idle for an hour; such orders are FORGOTTEN and still never start. Connections to the backend server are no longer kept: a request on a stale one would fail with an unknown outcome. Other stream options of callers are kept.

--- a/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
+++ b/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
@@ -23,10 +23,11 @@
 	/** Ends a call to a server that neither answers nor closes the connection. */
 	private static final int READ_TIMEOUT_MINUTES = 10;
 
-	/** Many servers close idle connections after 5 s. */
-	private static final int IDLE_CONNECTION_SECONDS = 4;
-
-	private static final int IDLE_CONNECTIONS = 16;
+	/**
+	 * A request on a kept connection that the server has closed would fail with an
+	 * unknown outcome, where a new connection is refused before anything is sent.
+	 */
+	private static final ConnectionPool NO_IDLE_CONNECTIONS = new ConnectionPool(0, 1, TimeUnit.SECONDS);
 
 	private static final String RETRY_AFTER = "Retry-After";
 
@@ -35,7 +36,7 @@
 	private final OkHttpClient client = new OkHttpClient.Builder().retryOnConnectionFailure(false)
 		.followRedirects(false)
 		.followSslRedirects(false)
-		.connectionPool(new ConnectionPool(IDLE_CONNECTIONS, IDLE_CONNECTION_SECONDS, TimeUnit.SECONDS))
+		.connectionPool(NO_IDLE_CONNECTIONS)
 		.connectTimeout(CONNECT_TIMEOUT_SECONDS, TimeUnit.SECONDS)
 		.readTimeout(READ_TIMEOUT_MINUTES, TimeUnit.MINUTES)
 		.writeTimeout(READ_TIMEOUT_MINUTES, TimeUnit.MINUTES)
--- a/agent/src/main/java/io/verbenacleat/agent/engine/ChatBody.java
+++ b/agent/src/main/java/io/verbenacleat/agent/engine/ChatBody.java
@@ -14,6 +14,8 @@
  */
 final class ChatBody {
 
+	private static final String STREAM_OPTIONS = "stream_options";
+
 	private static final String MAX_TOKENS = "max_tokens";
 
 	private static final String MAX_COMPLETION_TOKENS = "max_completion_tokens";
@@ -34,7 +36,9 @@
 		bound = Math.min(bound, root.path(MAX_TOKENS).asLong(bound));
 		bound = Math.min(bound, root.path(MAX_COMPLETION_TOKENS).asLong(bound));
 		root.put("stream", true);
-		root.putObject("stream_options").put("include_usage", true);
+		ObjectNode options = (root.get(STREAM_OPTIONS) instanceof ObjectNode given) ? given
+				: root.putObject(STREAM_OPTIONS);
+		options.put("include_usage", true);
 		root.put(MAX_TOKENS, bound);
 		if (root.has(MAX_COMPLETION_TOKENS)) {
 			root.put(MAX_COMPLETION_TOKENS, bound);
--- a/agent/src/main/java/io/verbenacleat/agent/order/GatewayOrders.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/GatewayOrders.java
@@ -15,10 +15,28 @@
 
 	private final TreeMap<Long, OrderSlot> slots = new TreeMap<>();
 
+	private long lastUsedMs;
+
 	private long mark;
 
 	private long floor;
 
+	void use(long nowMs) {
+		this.lastUsedMs = nowMs;
+	}
+
+	long lastUsedMs() {
+		return this.lastUsedMs;
+	}
+
+	/**
+	 * Returns the highest sequence that has a slot.
+	 * @return the sequence, 0 without slots
+	 */
+	long highest() {
+		return (this.slots.isEmpty()) ? 0 : this.slots.lastKey();
+	}
+
 	long mark() {
 		return this.mark;
 	}
@@ -37,10 +55,6 @@
 		return slot;
 	}
 
-	boolean contains(long sequence) {
-		return this.slots.containsKey(sequence);
-	}
-
 	void put(long sequence, OrderSlot slot) {
 		this.slots.put(sequence, slot);
 	}
@@ -76,8 +90,4 @@
 		return forgotten;
 	}
 
-	Map<Long, OrderSlot> slots() {
-		return this.slots;
-	}
-
 }
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderTable.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderTable.java
@@ -21,14 +21,20 @@
  * once, and never after a refusal, a tombstone, or the close of its gateway or holder.
  * Control thread only.
  * <p>
- * Memory is bounded by {@link OrderLimits}. When the slots are used up, new orders are
- * refused and tombstones are kept as a floor per gateway, which refuses all older orders
- * of that gateway that have not started. When more processes were seen than can be kept,
- * the table starts no order any more until the agent is restarted; no tombstone and no
- * close is forgotten.
+ * Memory is bounded by {@link OrderLimits}. When the slots or kept responses are used up,
+ * the marks of closed gateways, and of those without an order for an hour, are raised
+ * over their orders, whose outcomes are forgotten and which still never start. When that
+ * frees nothing, new orders are refused and tombstones are kept as a floor per gateway,
+ * which refuses all older orders of that gateway that have not started. When more
+ * processes were seen than can be kept, the table starts no order any more until the
+ * agent is restarted; no tombstone and no close is forgotten.
  */
 public final class OrderTable {
 
+	private static final long IDLE_GATEWAY_MS = 3_600_000;
+
+	private static final long RECLAIM_INTERVAL_MS = 10_000;
+
 	private final String incarnation;
 
 	private final Clock clock;
@@ -49,6 +55,8 @@
 
 	private boolean exhausted;
 
+	private long reclaimAtMs = Long.MIN_VALUE;
+
 	/**
 	 * Creates an empty table.
 	 * @param incarnation the incarnation of this agent
@@ -79,11 +87,13 @@
 		if (gateway == null) {
 			return denied(RefusalReason.OVERLOADED, "this agent has seen too many processes and must be restarted");
 		}
-		gateway.raiseMark(request.getResolvedThrough()).values().forEach(this::forget);
+		gateway.use(this.clock.millis());
+		forget(gateway.raiseMark(request.getResolvedThrough()));
 		denied = checkHistory(gateway, id.getSequence());
 		if (denied != null) {
 			return denied;
 		}
+		reclaim(request);
 		denied = checkState(request, receivedAtMs);
 		if (denied != null) {
 			bury(gateway, id.getSequence());
@@ -247,8 +257,7 @@
 			return denied(RefusalReason.OVERLOADED, "the timeout passed before the order could start");
 		}
 		if (this.exhausted || this.running.size() >= this.limits.maxInProgress()
-				|| this.slotCount >= this.limits.maxSlots() || !this.rules.roomForReceipts(this.running.size())
-				|| this.keptBytes + reservedBytes(request) > this.limits.maxKeptBytes()) {
+				|| !this.rules.roomForReceipts(this.running.size()) || full(request)) {
 			return denied(RefusalReason.OVERLOADED, "too many orders or receipts wait");
 		}
 		return null;
@@ -297,9 +306,27 @@
 		this.keptBytes += slot.keptBytes();
 	}
 
-	private void forget(OrderSlot slot) {
-		this.slotCount--;
-		this.keptBytes -= slot.keptBytes();
+	private boolean full(ExecuteRequest request) {
+		return this.slotCount >= this.limits.maxSlots()
+				|| this.keptBytes + reservedBytes(request) > this.limits.maxKeptBytes();
+	}
+
+	private void reclaim(ExecuteRequest request) {
+		long nowMs = this.clock.millis();
+		if (nowMs < this.reclaimAtMs || !full(request)) {
+			return;
+		}
+		this.reclaimAtMs = nowMs + RECLAIM_INTERVAL_MS;
+		this.gateways.forEach((name, gateway) -> {
+			if (this.closed.contains(name) || nowMs - gateway.lastUsedMs() >= IDLE_GATEWAY_MS) {
+				forget(gateway.raiseMark(gateway.highest()));
+			}
+		});
+	}
+
+	private void forget(Map<Long, OrderSlot> slots) {
+		this.slotCount -= slots.size();
+		slots.values().forEach((slot) -> this.keptBytes -= slot.keptBytes());
 	}
 
 	private static long reservedBytes(ExecuteRequest request) {
--- a/agent/src/test/java/io/verbenacleat/agent/order/OrderTableTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderTableTests.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.agent.order;
 
+import java.time.Duration;
 import java.time.Instant;
 
 import com.google.protobuf.ByteString;
@@ -99,6 +100,22 @@
 		assertEquals(this.table.runningOf("g").size(), 2);
 	}
 
+	@Test
+	public void forgetsOutcomesOfClosedGatewaysAtTheBound() {
+		for (int i = 1; i <= 9; i++) {
+			this.table.finish(start(order(i)), Receipt.getDefaultInstance(), null);
+		}
+		this.table.resolve(order(10).getOrderId(), false);
+		ExecuteRequest.Builder other = TestOrders.order("other", "agent", 1).setChat(TestOrders.chat(10));
+		assertEquals(deniedFor(other), RefusalReason.OVERLOADED);
+		this.table.close("g");
+		this.control.advance(Duration.ofSeconds(10));
+		start(other.setOrderId(other.getOrderIdBuilder().setSequence(2)));
+		assertEquals(this.table.resolve(order(1).getOrderId(), false).getState(), OrderState.FORGOTTEN);
+		assertEquals(deniedFor(order(10)), RefusalReason.GATEWAY_CLOSED);
+		assertEquals(deniedFor(other.setOrderId(other.getOrderIdBuilder().setSequence(1))), RefusalReason.TOMBSTONED);
+	}
+
 	@Test
 	public void startsNothingOnceTooManyProcessesWereSeen() {
 		this.table.close("a");
