--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderForm.java
@@ -0,0 +1,58 @@
+package io.verbenacleat.agent.order;
+
+import io.verbenacleat.proto.v1.ExecuteRequest;
+import io.verbenacleat.proto.v1.OrderId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Checks the form of orders. Stateless.
+ */
+final class OrderForm {
+
+	private static final long MAX_TIMEOUT_MS = 24 * 60 * 60 * 1_000L;
+
+	private OrderForm() {
+	}
+
+	/**
+	 * Finds what is wrong with the form of an order.
+	 * @param request the order
+	 * @return the fault in words, or {@code null} when there is none
+	 */
+	static @Nullable String faultOf(ExecuteRequest request) {
+		OrderId id = request.getOrderId();
+		if (id.getGatewayIncarnation().isEmpty() || id.getSequence() < 1) {
+			return "the order id needs a gateway and a sequence from 1";
+		}
+		if (request.getResolvedThrough() < 0 || request.getResolvedThrough() >= id.getSequence()) {
+			return "resolved_through must be from 0 and below the sequence";
+		}
+		if (request.getRequestId().isEmpty() || request.getAccount().isEmpty()
+				|| request.getHolderIncarnation().isEmpty() || request.getHolderAddress().isEmpty()) {
+			return "request_id, account, holder_incarnation or holder_address is missing";
+		}
+		if (request.getTimeoutMs() < 1 || request.getTimeoutMs() > MAX_TIMEOUT_MS) {
+			return "timeout_ms must be from 1 to " + MAX_TIMEOUT_MS;
+		}
+		return faultOfWork(request);
+	}
+
+	private static @Nullable String faultOfWork(ExecuteRequest request) {
+		if (request.hasChat()) {
+			long prompt = request.getChat().getPromptBoundTokens();
+			long answer = request.getChat().getAnswerBoundTokens();
+			boolean bounded = prompt > 0 && answer > 0 && prompt <= request.getReservedTokens()
+					&& answer <= request.getReservedTokens() - prompt;
+			return (bounded) ? null : "a chat order needs a prompt bound and an answer bound that are reserved";
+		}
+		if (request.hasHttp()) {
+			long price = request.getHttp().getPriceTokens();
+			boolean whole = !request.getHttp().getMethod().isEmpty()
+					&& request.getHttp().getPathAndQuery().startsWith("/") && price >= 0
+					&& price <= request.getReservedTokens();
+			return (whole) ? null : "a service order needs a method, a path from / and a price that is reserved";
+		}
+		return "the order has no work";
+	}
+
+}
