Use one judge of lost agents and one way to run a daemon

Cause: the dispatcher and the budget package had each an interface for lost agents, and the usage text of a daemon would show secrets from the environment as defaults. Ruled out: hiding single options (the next secret would be forgotten). Change: budget.LostAgents serves both; DaemonProcess prints the usage text from settings that were not filled. Conclusion: no behaviour changed but the usage text.

--- a/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.core.daemon;
 
 import java.util.Locale;
+import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -17,19 +18,19 @@
 
 	private final String program;
 
-	private final S settings;
+	private final Supplier<S> newSettings;
 
 	private final Starter<S> starter;
 
 	/**
 	 * Creates a process.
 	 * @param program the name of the program
-	 * @param settings the settings to fill
+	 * @param newSettings makes settings with their defaults
 	 * @param starter starts the daemon
 	 */
-	public DaemonProcess(String program, S settings, Starter<S> starter) {
+	public DaemonProcess(String program, Supplier<S> newSettings, Starter<S> starter) {
 		this.program = program;
-		this.settings = settings;
+		this.newSettings = newSettings;
 		this.starter = starter;
 	}
 
@@ -39,28 +40,30 @@
 	 */
 	public void run(String[] args) {
 		SettingsParser parser = new SettingsParser(this.program, System.getenv());
+		S settings = this.newSettings.get();
 		try {
-			parser.parse(this.settings, args);
-			if (this.settings.help) {
-				parser.printUsage(this.settings, System.out);
+			parser.parse(settings, args);
+			if (settings.help) {
+				// The usage text shows values as defaults, so it must not see secrets.
+				parser.printUsage(this.newSettings.get(), System.out);
 				return;
 			}
-			if (this.settings.version) {
+			if (settings.version) {
 				System.out.println(this.program + " " + Version.current());
 				return;
 			}
-			this.settings.check();
+			settings.check();
 		}
 		catch (UsageException ex) {
 			fail(ExitCode.USAGE, messageOf(ex));
 		}
-		System.setProperty(LAYOUT_PROPERTY, this.settings.logLayout.name().toLowerCase(Locale.ROOT));
-		start();
+		System.setProperty(LAYOUT_PROPERTY, settings.logLayout.name().toLowerCase(Locale.ROOT));
+		start(settings);
 	}
 
-	private void start() {
+	private void start(S settings) {
 		try {
-			GracefulDaemon daemon = this.starter.start(this.settings);
+			GracefulDaemon daemon = this.starter.start(settings);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
 		}
 		catch (Exception ex) {
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -235,7 +235,7 @@
 		DefaultRequestRunner runner = DefaultRequestRunner.builder(this.self.incarnation(), this.self.site())
 			.control(this.control, this.blackboard)
 			.budget(this.router)
-			.agents(this.channels, lostAgents::isLost)
+			.agents(this.channels, lostAgents)
 			.tables(this.tables)
 			.registry(this.registry)
 			.build();
--- a/entry/src/main/java/io/verbenacleat/entry/EntryMain.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryMain.java
@@ -15,7 +15,7 @@
 	 * @param args the command line
 	 */
 	public static void main(String[] args) {
-		new DaemonProcess<>("verbena-entry", new EntrySettings(), EntryDaemon::start).run(args);
+		new DaemonProcess<>("verbena-entry", EntrySettings::new, EntryDaemon::start).run(args);
 	}
 
 }
--- a/entry/src/main/java/io/verbenacleat/entry/dispatch/OrderResolver.java
+++ b/entry/src/main/java/io/verbenacleat/entry/dispatch/OrderResolver.java
@@ -7,6 +7,7 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.entry.budget.LostAgents;
 import io.verbenacleat.proto.v1.OrderId;
 import io.verbenacleat.proto.v1.ResolveOrderRequest;
 
--- a/entry/src/test/java/io/verbenacleat/entry/request/DeadlineControl.java
+++ b/entry/src/test/java/io/verbenacleat/entry/request/DeadlineControl.java
@@ -29,6 +29,11 @@
 		return this.thread.clock();
 	}
 
+	@Override
+	public long nanoTime() {
+		return this.thread.nanoTime();
+	}
+
 	@Override
 	public void execute(Runnable task) {
 		this.thread.execute(task);
