--- a/entry/src/main/java/io/verbenacleat/entry/budget/Settlement.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/Settlement.java
@@ -8,6 +8,7 @@
 
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.core.journal.JournalRow;
 import io.verbenacleat.proto.v1.Receipt;
 import io.verbenacleat.proto.v1.ReceiptStatus;
 import io.verbenacleat.proto.v1.SettleRequest;
@@ -31,6 +32,11 @@
 
 	private final BudgetMetrics metrics;
 
+	/**
+	 * Requests that the journal is searched for; a second search could bill them twice.
+	 */
+	private final Set<String> searched = new HashSet<>();
+
 	Settlement(LedgerState ledger, ControlThread control, Admission admission, ReceiptJournal journal,
 			JournalReader journalReader, BudgetMetrics metrics) {
 		this.ledger = ledger;
@@ -47,9 +53,9 @@
 			request.getReceiptsList().stream().filter(this::valid).forEach((receipt) -> take(receipt, unknown));
 		}
 		if (unknown.isEmpty()) {
-			return CompletableFuture.completedFuture(response(request));
+			return CompletableFuture.completedFuture(response(request, Set.of()));
 		}
-		return searchJournal(unknown).thenApply((done) -> response(request));
+		return searchJournal(unknown).thenApply((journaled) -> response(request, journaled));
 	}
 
 	private boolean valid(Receipt receipt) {
@@ -64,7 +70,9 @@
 		AccountState state = this.ledger.account(receipt.getAccount());
 		boolean reserved = state.reservations.containsKey(receipt.getRequestId());
 		if (!reserved && this.ledger.receipts.forgetful()) {
-			unknown.add(receipt);
+			if (this.searched.add(receipt.getRequestId())) {
+				unknown.add(receipt);
+			}
 		}
 		else {
 			bill(state, JournalReceipt.of(receipt));
@@ -94,40 +102,40 @@
 	 * Bills receipts that are not known here, unless the journal has them. When it cannot
 	 * be read they are not billed, and the agent sends them again.
 	 * @param unknown the receipts
-	 * @return completes after the search and does not fail
+	 * @return the requests that the journal has; does not fail
 	 */
-	private CompletableFuture<Void> searchJournal(List<Receipt> unknown) {
+	private CompletableFuture<Set<String>> searchJournal(List<Receipt> unknown) {
 		Set<String> ids = new HashSet<>();
 		unknown.forEach((receipt) -> ids.add(receipt.getRequestId()));
 		Set<String> found = new HashSet<>();
-		return this.journalReader
-			.read(this.ledger.incarnation,
-					(row) -> row.receipts()
-						.stream()
-						.map(JournalReceipt::requestId)
-						.filter(ids::contains)
-						.forEach(found::add))
+		return this.journalReader.read(this.ledger.incarnation, (row) -> addMatching(row, ids, found))
 			.handle((done, failure) -> {
+				this.searched.removeAll(ids);
 				if (failure == null) {
-					found.forEach(this.ledger.receipts::addDurable);
-					unknown.forEach(this::billUnlessKnown);
+					unknown.stream()
+						.filter((receipt) -> !found.contains(receipt.getRequestId()))
+						.forEach(this::billUnlessKnown);
 				}
-				return null;
+				return found;
 			});
 	}
 
+	private static void addMatching(JournalRow row, Set<String> ids, Set<String> found) {
+		row.receipts().stream().map(JournalReceipt::requestId).filter(ids::contains).forEach(found::add);
+	}
+
 	private void billUnlessKnown(Receipt receipt) {
 		if (!this.ledger.receipts.known(receipt.getRequestId()) && !this.ledger.refusesReceipts()) {
 			bill(this.ledger.account(receipt.getAccount()), JournalReceipt.of(receipt));
 		}
 	}
 
-	private SettleResponse response(SettleRequest request) {
+	private SettleResponse response(SettleRequest request, Set<String> journaled) {
 		SettleResponse.Builder response = SettleResponse.newBuilder().setHolderClosed(this.ledger.refusesReceipts());
 		request.getReceiptsList()
 			.stream()
 			.map(Receipt::getRequestId)
-			.filter(this.ledger.receipts::durable)
+			.filter((id) -> journaled.contains(id) || this.ledger.receipts.durable(id))
 			.forEach(response::addDurableRequestIds);
 		return response.build();
 	}
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/BudgetSimulation.java
@@ -0,0 +1,341 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
+
+import io.verbenacleat.core.account.Account;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReleaseRequest;
+import io.verbenacleat.proto.v1.ReserveRequest;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import io.verbenacleat.proto.v1.SettleRequest;
+import io.verbenacleat.proto.v1.SettleResponse;
+
+/**
+ * Drives ledgers, agents and closers over one store by numbered steps, and keeps its own
+ * account of what was executed. Not safe for use by several threads.
+ */
+final class BudgetSimulation {
+
+	private static final List<String> ACCOUNTS = List.of("a", "b");
+
+	private static final int HOLDERS = 3;
+
+	private static final int STEP_KINDS = 26;
+
+	private final TestOffice office = new TestOffice();
+
+	private final FakeAgents agents = new FakeAgents(this.office);
+
+	private final Predicate<String> droppedConditions;
+
+	private final List<TestOffice.Holder> holders = new ArrayList<>();
+
+	private final Map<String, TestOffice.Holder> everyHolder = new HashMap<>();
+
+	private final List<Pending> pending = new ArrayList<>();
+
+	private final List<Receipt> undispatched = new ArrayList<>();
+
+	/** Tokens that requests used, or may still use while they run, by account. */
+	private final Map<String, Long> usedTokens = new HashMap<>();
+
+	private final Map<String, Long> toppedUpTokens = new HashMap<>();
+
+	private final Map<String, Receipt> executed = new HashMap<>();
+
+	private final Set<String> lostRequests = new HashSet<>();
+
+	private final FaultyTableStore closerStore = new FaultyTableStore(this.office.store);
+
+	private final ManualControlThread closerControl = new ManualControlThread(Instant.EPOCH);
+
+	private final List<ProcessCloser> closers = new ArrayList<>();
+
+	private final Set<String> closing = new HashSet<>();
+
+	private final List<String> liveAgents = new ArrayList<>();
+
+	private boolean agentLost;
+
+	private int names;
+
+	BudgetSimulation(Predicate<String> droppedConditions) {
+		this.droppedConditions = droppedConditions;
+		for (String account : ACCOUNTS) {
+			this.office.addAccount(account, 400);
+			this.toppedUpTokens.put(account, 400L);
+		}
+		for (int i = 0; i < HOLDERS; i++) {
+			this.holders.add(newHolder());
+		}
+		for (int i = 0; i < 2; i++) {
+			addAgent();
+			this.closers.add(newCloser());
+		}
+	}
+
+	/**
+	 * Runs one step and checks from outside.
+	 * @param number the step; its digits choose what is done and to whom
+	 */
+	void step(int number) {
+		int what = number % STEP_KINDS;
+		int parameter = number / STEP_KINDS;
+		TestOffice.Holder holder = this.holders.get(parameter % HOLDERS);
+		switch (what) {
+			case 0, 1, 2, 3, 4, 5 -> reserve(holder, parameter / HOLDERS);
+			case 6, 7, 8, 9 -> dispatch(parameter);
+			case 10, 11 -> agent(parameter).finishAll();
+			case 12, 13 -> report(agent(parameter));
+			case 14 -> topUp(ACCOUNTS.get(parameter % 2), parameter % 300);
+			case 15 -> holder.store.setAvailable(parameter % 4 != 0);
+			case 16 -> holder.store.loseNextAnswers(1 + parameter % 3);
+			case 17 -> holder.store.delayNextWrites(1 + parameter % 2);
+			case 18 -> holder.store.deliverLate();
+			case 19 -> holder.setPaused(parameter % 4 == 0);
+			case 20 -> release(parameter);
+			case 21 -> closerFault(parameter);
+			case 22 -> close(holder, parameter);
+			case 23 -> agentFault(parameter);
+			default -> advanceMs((parameter % 3 == 0) ? 100_000 : 1_000);
+		}
+		advanceMs(parameter % 3 * 100);
+		collect();
+		check();
+	}
+
+	/**
+	 * Ends all faults, closes all holders, and checks the bills.
+	 */
+	void finish() {
+		for (TestOffice.Holder holder : this.everyHolder.values()) {
+			holder.store.deliverLate();
+			holder.store.setAvailable(true);
+			holder.store.delayNextWrites(0);
+			holder.setPaused(false);
+		}
+		this.closerStore.setAvailable(true);
+		this.agents.agents.values().forEach((agent) -> agent.unreachable = false);
+		this.agents.agents.values().forEach(FakeAgents.FakeAgent::finishAll);
+		for (int i = 0; i < 4; i++) {
+			advanceMs(6_000);
+			this.liveAgents.forEach((agent) -> report(this.agents.agent(agent)));
+			collect();
+			check();
+		}
+		for (String holder : this.everyHolder.keySet()) {
+			this.closers.get(0).closeProcess(holder);
+		}
+		advanceMs(60_000);
+		foldAll();
+		check();
+		checkBills();
+	}
+
+	private void foldAll() {
+		TestOffice.Holder last = this.office.holder("last", new FixedGrantPolicy(1));
+		for (String account : ACCOUNTS) {
+			ReserveRequest request = TestOffice.request("fold-" + account, account, 1_000_000_000);
+			CompletableFuture<ReserveResponse> answer = last.ledger.reserve(request);
+			last.advanceMs(1_000);
+			require(answer.isDone() && this.office.account(account).grants().isEmpty(), "all grants folded");
+		}
+	}
+
+	private void checkBills() {
+		Map<String, List<JournalReceipt>> bills = new HashMap<>();
+		this.office.receipts()
+			.forEach((bill) -> bills.computeIfAbsent(bill.requestId(), (id) -> new ArrayList<>()).add(bill));
+		bills.forEach((id, found) -> require(found.size() == 1, "one bill for " + id + ": " + found));
+		require(this.executed.keySet().containsAll(bills.keySet()), "a bill only for executed requests");
+		for (Receipt receipt : this.executed.values()) {
+			List<JournalReceipt> found = bills.get(receipt.getRequestId());
+			if (found != null) {
+				require(found.get(0).billedTokens() == receipt.getBilledTokens(), "the amount of " + receipt);
+			}
+			else {
+				require(this.lostRequests.contains(receipt.getRequestId()), "a bill for " + receipt);
+			}
+		}
+		for (String id : ACCOUNTS) {
+			Account account = this.office.account(id);
+			long used = this.usedTokens.getOrDefault(id, 0L);
+			require(account.settledTokens() + account.heldTokens() >= used, "settled and held cover what was used");
+			require(this.agentLost || (account.settledTokens() == used && account.heldTokens() == 0),
+					"settled is what was used: " + account + " " + used);
+		}
+	}
+
+	private void check() {
+		for (String id : ACCOUNTS) {
+			Account account = this.office.account(id);
+			require(this.usedTokens.getOrDefault(id, 0L) <= this.toppedUpTokens.getOrDefault(id, 0L),
+					"no overspend on " + id + ": " + this.usedTokens + " of " + this.toppedUpTokens);
+			require(account.ungrantedTokens() >= 0, "the invariant of " + account);
+			account.grants()
+				.values()
+				.forEach((grant) -> require(grant.restTokens() >= 0, "no more spent than granted: " + account));
+		}
+	}
+
+	private void reserve(TestOffice.Holder holder, int parameter) {
+		ReserveRequest request = TestOffice.request("req-" + this.names++, ACCOUNTS.get(parameter % 2),
+				1 + parameter % 120);
+		this.pending.add(new Pending(request, holder.incarnation, holder.ledger.reserve(request)));
+	}
+
+	private void collect() {
+		for (Iterator<Pending> iterator = this.pending.iterator(); iterator.hasNext();) {
+			Pending next = iterator.next();
+			if (next.answer.isDone()) {
+				iterator.remove();
+				if (next.answer.join().getGranted()) {
+					long tokens = next.request.getTokens();
+					this.undispatched.add(TestOffice.receipt(next.request.getRequestId(), next.request.getAccount(),
+							next.holder, Math.max(1, tokens - tokens % 7)));
+				}
+			}
+		}
+	}
+
+	private void dispatch(int parameter) {
+		if (!this.undispatched.isEmpty()) {
+			Receipt order = this.undispatched.remove(parameter % this.undispatched.size());
+			if (agent(parameter).start(order)) {
+				this.executed.put(order.getRequestId(), order);
+				this.usedTokens.merge(order.getAccount(), order.getBilledTokens(), Long::sum);
+			}
+			else {
+				release(order);
+			}
+		}
+	}
+
+	private void release(int parameter) {
+		if (!this.undispatched.isEmpty()) {
+			release(this.undispatched.remove(parameter % this.undispatched.size()));
+		}
+	}
+
+	private void release(Receipt order) {
+		String holder = order.getHolderIncarnation();
+		Objects.requireNonNull(this.everyHolder.get(holder)).ledger.release(
+				ReleaseRequest.newBuilder().setHolderIncarnation(holder).addRequestIds(order.getRequestId()).build());
+	}
+
+	private void report(FakeAgents.FakeAgent agent) {
+		for (TestOffice.Holder holder : this.everyHolder.values()) {
+			List<Receipt> receipts = agent.receipts.values()
+				.stream()
+				.filter((receipt) -> receipt.getHolderIncarnation().equals(holder.incarnation))
+				.toList();
+			if (!receipts.isEmpty()) {
+				CompletableFuture<SettleResponse> answer = holder.ledger
+					.settle(SettleRequest.newBuilder().addAllReceipts(receipts).build());
+				answer.thenAccept((response) -> response.getDurableRequestIdsList().forEach(agent.receipts::remove));
+			}
+		}
+	}
+
+	private void topUp(String account, long tokens) {
+		this.office.topUp(account, tokens);
+		this.toppedUpTokens.merge(account, tokens, Long::sum);
+	}
+
+	private void closerFault(int parameter) {
+		switch (parameter % 3) {
+			case 0 -> this.closerStore.setAvailable(parameter % 4 != 0);
+			case 1 -> this.closerStore.loseNextAnswers(2);
+			default -> {
+				int which = parameter % this.closers.size();
+				this.closers.get(which).close();
+				this.closers.set(which, newCloser());
+				this.closing.forEach(this.closers.get(which)::closeProcess);
+			}
+		}
+	}
+
+	private void close(TestOffice.Holder holder, int parameter) {
+		if (parameter % 2 == 0) {
+			this.closing.add(holder.incarnation);
+			this.closers.forEach((closer) -> closer.closeProcess(holder.incarnation));
+			this.holders.set(this.holders.indexOf(holder), newHolder());
+		}
+	}
+
+	private void agentFault(int parameter) {
+		int which = parameter % this.liveAgents.size();
+		FakeAgents.FakeAgent agent = this.agents.agent(this.liveAgents.get(which));
+		if (parameter % 16 == 7) {
+			this.lostRequests.addAll(agent.running.keySet());
+			this.lostRequests.addAll(agent.receipts.keySet());
+			this.agentLost = true;
+			agent.lost = true;
+			agent.running.clear();
+			agent.receipts.clear();
+			this.liveAgents.remove(which);
+			addAgent();
+		}
+		else {
+			agent.unreachable = parameter % 4 == 0;
+		}
+	}
+
+	private FakeAgents.FakeAgent agent(int parameter) {
+		String name = this.liveAgents.get(parameter % this.liveAgents.size());
+		return this.agents.agent(name);
+	}
+
+	private void addAgent() {
+		String name = "agent-" + this.names++;
+		this.agents.add(name);
+		this.liveAgents.add(name);
+	}
+
+	private TestOffice.Holder newHolder() {
+		GrantPolicy policy = (this.names % 2 == 0) ? new FixedGrantPolicy(120)
+				: new AdaptiveGrantPolicy(10, 50, 0.2, 1.5);
+		TestOffice.Holder holder = this.office.holder("holder-" + this.names++, policy);
+		holder.store.dropConditions(this.droppedConditions);
+		this.everyHolder.put(holder.incarnation, holder);
+		return holder;
+	}
+
+	private ProcessCloser newCloser() {
+		return new ProcessCloser("closer-" + this.names++, this.closerStore, this.closerControl, this.agents,
+				this.agents);
+	}
+
+	private void advanceMs(long ms) {
+		this.everyHolder.values().forEach((holder) -> holder.advanceMs(ms));
+		this.closerControl.advance(Duration.ofMillis(ms));
+	}
+
+	private static void require(boolean holds, String what) {
+		if (!holds) {
+			throw new AssertionError("Expected: " + what);
+		}
+	}
+
+	static Predicate<String> processRows() {
+		return (key) -> key.startsWith(ProcessRow.KEY_PREFIX);
+	}
+
+	private record Pending(ReserveRequest request, String holder, CompletableFuture<ReserveResponse> answer) {
+	}
+
+}
