--- a/entry/src/test/java/io/verbenacleat/entry/budget/FakeAgents.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/FakeAgents.java
@@ -23,6 +23,9 @@
 
 	private final TestOffice office;
 
+	private Runnable firstCall = () -> {
+	};
+
 	FakeAgents(TestOffice office) {
 		this.office = office;
 	}
@@ -36,12 +39,20 @@
 		return agent;
 	}
 
+	void onFirstCall(Runnable event) {
+		this.firstCall = event;
+	}
+
 	FakeAgent agent(String incarnation) {
 		return Objects.requireNonNull(this.agents.get(incarnation));
 	}
 
 	@Override
 	public CompletableFuture<CloseProcessResponse> closeProcess(Member member, CloseProcessRequest request) {
+		Runnable event = this.firstCall;
+		this.firstCall = () -> {
+		};
+		event.run();
 		FakeAgent agent = this.agents.get(member.incarnation());
 		if (agent == null || agent.lost || agent.unreachable) {
 			return CompletableFuture.failedFuture(new IllegalStateException("No answer"));
@@ -84,6 +95,10 @@
 			return true;
 		}
 
+		Receipt receipt(String requestId) {
+			return Objects.requireNonNull(this.receipts.get(requestId));
+		}
+
 		void finishAll() {
 			this.receipts.putAll(this.running);
 			this.running.clear();
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/ProcessCloserTests.java
@@ -0,0 +1,179 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.account.Account;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import io.verbenacleat.proto.v1.SettleRequest;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class ProcessCloserTests {
+
+	private TestOffice office = new TestOffice();
+
+	private FakeAgents agents = new FakeAgents(this.office);
+
+	private ManualControlThread control = new ManualControlThread(Instant.EPOCH);
+
+	private FaultyTableStore store = new FaultyTableStore(this.office.store);
+
+	private TestOffice.Holder holder = this.office.holder("unused", new FixedGrantPolicy(100));
+
+	@BeforeMethod
+	void openOffice() {
+		this.office = new TestOffice();
+		this.office.addAccount("a", 1_000);
+		this.agents = new FakeAgents(this.office);
+		this.agents.add("agent-1");
+		this.agents.add("agent-2");
+		this.control = new ManualControlThread(Instant.EPOCH);
+		this.store = new FaultyTableStore(this.office.store);
+		this.holder = this.office.holder("h1", new FixedGrantPolicy(100));
+		execute("r1", "agent-1", 30);
+		execute("r2", "agent-1", 40);
+	}
+
+	// Guards against lost and double bills: one receipt is durable, the other is not, and
+	// the paused holder wakes with its own copy after it was closed.
+	@Test
+	void takesOverReceiptsThatAreNotDurable() {
+		FakeAgents.FakeAgent agent = this.agents.agent("agent-1");
+		agent.finishAll();
+		settle(agent.receipt("r1"));
+		this.holder.advanceMs(5_000);
+		settle(agent.receipt("r2"));
+		close(closer("closer"), 5_000);
+		this.holder.advanceMs(10_000);
+		JournalRow last = this.office.get(JournalRow.finalKey("h1"), JournalRow.class);
+		assertEquals(last.receipts().size(), 1);
+		assertEquals(last.spentByAccount(), Map.of("a", 70L));
+		assertEquals(this.office.receipts().size(), 2);
+		assertEquals(fold(), account(70, 0));
+	}
+
+	// Guards against closing while an order still spends, and while an agent is silent.
+	@Test
+	void waitsForOrdersAndSilentAgents() {
+		this.agents.agent("agent-2").unreachable = true;
+		CompletableFuture<Void> closed = close(closer("closer"), 10_000);
+		assertEquals(this.office.state("h1"), ProcessRow.State.CLOSING);
+		this.agents.agent("agent-2").unreachable = false;
+		this.control.advance(Duration.ofSeconds(5));
+		assertFalse(closed.isDone());
+		this.agents.agent("agent-1").finishAll();
+		this.control.advance(Duration.ofSeconds(5));
+		assertTrue(closed.isDone());
+		assertFalse(this.office.isMember("h1"));
+		assertEquals(fold(), account(70, 0));
+	}
+
+	// Guards against returning tokens that a lost agent may have spent.
+	@Test
+	void holdsTheRestWhenAnAgentIsLost() {
+		this.agents.agent("agent-1").finishAll();
+		this.agents.agent("agent-2").lost = true;
+		close(closer("closer"), 5_000);
+		JournalRow last = this.office.get(JournalRow.finalKey("h1"), JournalRow.class);
+		assertEquals(last.lostAgents(), List.of("agent-2"));
+		assertEquals(fold(), account(70, 30));
+	}
+
+	// Guards against a half-closed process: the first closer dies before each of its
+	// writes
+	// in turn, and its answers are lost.
+	@Test
+	void isContinuedByAnotherCloser() {
+		this.agents.agent("agent-1").finishAll();
+		for (int step = 0; step < 6; step++) {
+			this.store.loseNextAnswers(1);
+			ProcessCloser first = closer("closer-" + step);
+			first.closeProcess("h1");
+			this.control.advance(Duration.ofMillis(300L * step));
+			first.close();
+		}
+		ProcessCloser second = closer("second");
+		ProcessCloser third = closer("third");
+		CompletableFuture<Void> both = CompletableFuture.allOf(second.closeProcess("h1"), third.closeProcess("h1"));
+		this.control.advance(Duration.ofSeconds(10));
+		assertTrue(both.isDone());
+		assertEquals(this.office.receipts().size(), 2);
+		assertEquals(fold(), account(70, 0));
+	}
+
+	// Guards against an agent that registers during the closing and never hears of it.
+	@Test
+	void asksAgentsThatRegisterMeanwhile() {
+		this.agents.agent("agent-1").finishAll();
+		ProcessCloser closer = closer("closer");
+		this.agents.onFirstCall(() -> this.agents.add("agent-3"));
+		close(closer, 10_000);
+		assertEquals(this.office.state("h1"), ProcessRow.State.CLOSED);
+		assertFalse(this.agents.agent("agent-3").start(TestOffice.receipt("r9", "a", "h1", 1)));
+	}
+
+	// Guards against a grant that a closed holder raises with a write that arrives late.
+	@Test
+	void outlivesLateRenewals() {
+		this.agents.agent("agent-1").finishAll();
+		this.holder.store.delayNextWrites(1);
+		CompletableFuture<ReserveResponse> late = this.holder.ledger.reserve(TestOffice.request("r3", "a", 500));
+		this.holder.advanceMs(50);
+		close(closer("closer"), 5_000);
+		this.holder.store.deliverLate();
+		this.holder.advanceMs(5_000);
+		assertFalse(late.join().getGranted());
+		assertEquals(fold(), account(70, 0));
+	}
+
+	private void execute(String requestId, String agent, long tokens) {
+		CompletableFuture<ReserveResponse> answer = this.holder.ledger
+			.reserve(TestOffice.request(requestId, "a", tokens));
+		this.holder.advanceMs(100);
+		assertTrue(answer.join().getGranted());
+		assertTrue(this.agents.agent(agent).start(TestOffice.receipt(requestId, "a", "h1", tokens)));
+	}
+
+	private void settle(Receipt receipt) {
+		this.holder.ledger.settle(SettleRequest.newBuilder().addReceipts(receipt).build());
+		this.holder.advanceMs(0);
+	}
+
+	private ProcessCloser closer(String incarnation) {
+		return new ProcessCloser(incarnation, this.store, this.control, this.agents, this.agents);
+	}
+
+	private CompletableFuture<Void> close(ProcessCloser closer, long ms) {
+		CompletableFuture<Void> closed = closer.closeProcess("h1");
+		this.control.advance(Duration.ofMillis(ms));
+		return closed;
+	}
+
+	/**
+	 * Lets another holder read the account row, which folds the grant.
+	 * @return the row afterwards
+	 */
+	private Account fold() {
+		TestOffice.Holder other = this.office.holder("h2", new FixedGrantPolicy(100));
+		other.ledger.reserve(TestOffice.request("fold", "a", 10_000));
+		other.advanceMs(1_000);
+		return this.office.account("a");
+	}
+
+	private static Account account(long settledTokens, long heldTokens) {
+		return new Account("a", "workspace", 3, 1_000, settledTokens, heldTokens, Map.of());
+	}
+
+}
