Keep repeated and reordered messages from leaking tokens

Cause: a request sent twice while it waited was reserved twice under one id; a release that overtook its request left a reservation for ever; a receipt for an earlier process at the same address looked acknowledged; conflicts on one busy account made short requests of all accounts refused for 500 ms. Change: a repeated request shares the waiting answer; early releases are remembered (the latest 10,000); receipts of other holders are answered with holder_closed; contention is no longer taken for an outage. Ruled out: remembering every release, which would refuse a request that the gateway reserves again on purpose.

--- a/entry/src/main/java/io/verbenacleat/entry/budget/Admission.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/Admission.java
@@ -83,7 +83,13 @@
 		if (present != null) {
 			return CompletableFuture.completedFuture(ReserveResponses.granted(this.ledger.incarnation, present, state));
 		}
-		if (this.ledger.receipts.known(reservation.requestId())) {
+		for (Waiter waiter : state.waiters) {
+			if (waiter.reservation.requestId().equals(reservation.requestId())) {
+				return waiter.answer;
+			}
+		}
+		if (this.ledger.receipts.known(reservation.requestId())
+				|| this.ledger.releasedEarly.getIfPresent(reservation.requestId()) != null) {
 			return refuse(ReserveRefusal.BUDGET_RESERVED, state);
 		}
 		if (this.journal.full()) {
@@ -134,13 +140,15 @@
 	 * Takes back a reservation that still waits.
 	 * @param state the account
 	 * @param requestId the request
+	 * @return whether it waited
 	 */
-	void withdraw(AccountState state, String requestId) {
+	boolean withdraw(AccountState state, String requestId) {
 		List<Waiter> withdrawn = state.waiters.stream()
 			.filter((waiter) -> waiter.reservation.requestId().equals(requestId))
 			.toList();
 		state.waiters.removeAll(withdrawn);
 		withdrawn.forEach((waiter) -> refuse(waiter, ReserveRefusal.BUDGET_RESERVED, state));
+		return !withdrawn.isEmpty();
 	}
 
 	/**
@@ -180,7 +188,7 @@
 	private ReserveRefusal refusal(AccountState state, Waiter waiter, GrantWriter.Result result) {
 		return switch (result) {
 			case DECIDED -> ReserveResponses.shortRefusal(this.ledger.incarnation, state, waiter.reservation.tokens());
-			case UNREACHABLE -> ReserveRefusal.TABLE_UNREACHABLE;
+			case UNREACHABLE, CONTENDED -> ReserveRefusal.TABLE_UNREACHABLE;
 			case NO_ACCOUNT -> ReserveRefusal.UNKNOWN_ACCOUNT;
 			case NOT_OPEN -> ReserveRefusal.HOLDER_NOT_OPEN;
 		};
--- a/entry/src/main/java/io/verbenacleat/entry/budget/GrantWriter.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/GrantWriter.java
@@ -162,7 +162,7 @@
 
 	private void again(Attempt attempt) {
 		if (attempt.number >= MAX_ATTEMPTS) {
-			finish(attempt.state, Result.UNREACHABLE);
+			finish(attempt.state, Result.CONTENDED);
 		}
 		else {
 			read(new Attempt(attempt.state, attempt.returnAll, attempt.number + 1));
@@ -238,9 +238,12 @@
 		/** The grant was decided on the basis of the present row. */
 		DECIDED,
 
-		/** The table store did not answer, or conflicts did not end. */
+		/** The table store did not answer. */
 		UNREACHABLE,
 
+		/** Other writers changed the row at each attempt. */
+		CONTENDED,
+
 		/** The account does not exist. */
 		NO_ACCOUNT,
 
--- a/entry/src/main/java/io/verbenacleat/entry/budget/LedgerState.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/LedgerState.java
@@ -5,6 +5,9 @@
 import java.util.Map;
 import java.util.Set;
 
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+
 /**
  * What the parts of a {@link BudgetLedger} share. Used on the control thread only.
  */
@@ -20,6 +23,12 @@
 
 	final Set<String> closedGateways = new HashSet<>();
 
+	/**
+	 * Requests that were released before their reservation was decided. Only messages in
+	 * transit matter, so the latest are enough.
+	 */
+	final Cache<String, Boolean> releasedEarly = Caffeine.newBuilder().maximumSize(10_000).build();
+
 	/** Whether reservations are refused because the process stops. */
 	boolean stopping;
 
--- a/entry/src/main/java/io/verbenacleat/entry/budget/Settlement.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/Settlement.java
@@ -131,7 +131,12 @@
 	}
 
 	private SettleResponse response(SettleRequest request, Set<String> journaled) {
-		SettleResponse.Builder response = SettleResponse.newBuilder().setHolderClosed(this.ledger.refusesReceipts());
+		// A receipt for an earlier process at this address waits for the closer too.
+		boolean otherHolder = request.getReceiptsList()
+			.stream()
+			.anyMatch((receipt) -> !receipt.getHolderIncarnation().equals(this.ledger.incarnation));
+		SettleResponse.Builder response = SettleResponse.newBuilder()
+			.setHolderClosed(otherHolder || this.ledger.refusesReceipts());
 		request.getReceiptsList()
 			.stream()
 			.map(Receipt::getRequestId)
@@ -141,13 +146,20 @@
 	}
 
 	void release(List<String> requestIds) {
+		Set<String> unknown = new HashSet<>(requestIds);
 		for (AccountState state : new ArrayList<>(this.ledger.accounts.values())) {
+			if (state.reservations.isEmpty() && state.waiters.isEmpty()) {
+				continue;
+			}
 			for (String requestId : requestIds) {
-				state.release(requestId);
-				this.admission.withdraw(state, requestId);
+				boolean waited = this.admission.withdraw(state, requestId);
+				if (state.release(requestId) != null || waited) {
+					unknown.remove(requestId);
+				}
 			}
 			this.admission.serve(state);
 		}
+		unknown.forEach((requestId) -> this.ledger.releasedEarly.put(requestId, Boolean.TRUE));
 	}
 
 	void durable(List<JournalReceipt> receipts) {
--- a/entry/src/test/java/io/verbenacleat/entry/budget/BudgetLedgerTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/BudgetLedgerTests.java
@@ -175,6 +175,36 @@
 		assertEquals(reserve("r4", 1).getRefusal(), ReserveRefusal.BUDGET_RESERVED);
 	}
 
+	// Guards against a leak of tokens when a request is sent twice, or its release
+	// overtakes it.
+	@Test
+	void survivesRepeatedAndReorderedMessages() {
+		this.holder.store.delayNextWrites(1);
+		CompletableFuture<ReserveResponse> first = this.holder.ledger.reserve(TestOffice.request("r1", "a", 600));
+		this.holder.advanceMs(50);
+		assertTrue(reserve("r1", 600).getGranted());
+		assertTrue(first.join().getGranted());
+		assertTrue(reserve("r1", 600).getGranted());
+		release("r1");
+		assertTrue(reserve("r2", 1_000).getGranted());
+		release("r2");
+		release("r3");
+		assertFalse(reserve("r3", 10).getGranted());
+		assertTrue(reserve("r4", 1_000).getGranted());
+	}
+
+	// Guards against a receipt for an earlier process at this address that is taken for
+	// acknowledged.
+	@Test
+	void sendsReceiptsOfOtherHoldersToTheCloser() {
+		Receipt receipt = TestOffice.receipt("r1", "a", "earlier", 5);
+		CompletableFuture<SettleResponse> answer = this.holder.ledger
+			.settle(SettleRequest.newBuilder().addReceipts(receipt).build());
+		this.holder.advanceMs(20_000);
+		assertTrue(answer.join().getHolderClosed());
+		assertEquals(this.office.receipts(), List.of());
+	}
+
 	// Guards against tokens that a lost gateway keeps, and against freeing what may have
 	// run.
 	@Test
