Test wrong part numbers with a fitting count

Cause: a trial run without the check of part numbers passed all tests, because the count in Finished also differed in each case. Change: three more cases in which the count fits the number of parts that came, and a check that the caller is given only parts in sequence.

--- a/entry/src/test/java/io/verbenacleat/entry/request/ChatRunTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/request/ChatRunTests.java
@@ -189,7 +189,9 @@
 	public Object[][] wrongParts() {
 		return new Object[][] { { "repeated", new long[] { 1, 1 }, 2L }, { "lost", new long[] { 1, 3 }, 2L },
 				{ "out of order", new long[] { 2, 1 }, 2L }, { "late first part", new long[] { 0, 1 }, 2L },
-				{ "wrong count", new long[] { 1, 2 }, 4L }, { "early end", new long[] { 1 }, -1L } };
+				{ "repeated, right count", new long[] { 1, 1 }, 3L }, { "lost, right count", new long[] { 1, 3 }, 3L },
+				{ "out of order, right count", new long[] { 2, 1 }, 3L }, { "wrong count", new long[] { 1, 2 }, 4L },
+				{ "early end", new long[] { 1 }, -1L } };
 	}
 
 	@Test(dataProvider = "wrongParts")
@@ -200,7 +202,7 @@
 			agent.finishOrder(request);
 			events.onNext(FakeAgent.accepted());
 			for (long number : numbers) {
-				events.onNext(FakeAgent.chunk(number, "part"));
+				events.onNext(FakeAgent.chunk(number, "part " + number));
 			}
 			if (count >= 0) {
 				events.onNext(FakeAgent.finished(request, numbers[numbers.length - 1] + 1, count));
@@ -211,6 +213,8 @@
 		assertEquals(listener.end(), "answer_incomplete unknown", name);
 		assertEquals(settled().getRequestId(), "req-1");
 		assertEquals(listener.ends.get(), 1);
+		List<String> parts = listener.events.stream().filter((event) -> event.startsWith("part")).toList();
+		assertEquals(parts, List.of("part 1", "part 2").subList(0, parts.size()), name);
 	}
 
 	@Test
