Store only whole responses for repeats

Ruled out: refusing such repeats as request_in_progress, which asks the caller to come back for a response that does not exist. Change: a response is kept only with a receipt of status COMPLETE; a receipt of another order is no answer; tests in which the store stays out for one gateway while it sends a further order to the same agent.

--- a/entry/src/main/java/io/verbenacleat/entry/dispatch/ResolveLoop.java
+++ b/entry/src/main/java/io/verbenacleat/entry/dispatch/ResolveLoop.java
@@ -7,6 +7,7 @@
 import io.grpc.stub.StreamObserver;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.proto.v1.AgentServiceGrpc;
+import io.verbenacleat.proto.v1.Receipt;
 import io.verbenacleat.proto.v1.ResolveOrderRequest;
 import io.verbenacleat.proto.v1.ResolveOrderResponse;
 
@@ -112,12 +113,16 @@
 		return switch (response.getState()) {
 			case NEVER_STARTED -> new OrderFate.NeverStarted();
 			case RUNNING -> new OrderFate.Running();
-			case FINISHED -> (response.hasReceipt()) ? new OrderFate.Ended(response) : new OrderFate.Unknown();
+			case FINISHED -> (isOurs(response.getReceipt())) ? new OrderFate.Ended(response) : new OrderFate.Unknown();
 			case FORGOTTEN -> new OrderFate.Forgotten();
 			default -> new OrderFate.Unknown();
 		};
 	}
 
+	private boolean isOurs(Receipt receipt) {
+		return receipt.getOrderId().equals(this.request.getOrderId());
+	}
+
 	private final class Answer implements StreamObserver<ResolveOrderResponse> {
 
 		@Override
--- a/entry/src/main/java/io/verbenacleat/entry/request/Claiming.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/Claiming.java
@@ -117,7 +117,7 @@
 	}
 
 	private void onEnded(Claim claim, ResolveOrderResponse response) {
-		StoredResponse stored = storedResponse(response);
+		StoredResponse stored = ResponseCollector.kept(response);
 		// The result is not awaited: the agent keeps the outcome until the gateway of the
 		// first request has stored it.
 		CompletableFuture<Boolean> written = this.parts.claims().complete(this.key, claim.row(), stored);
@@ -129,16 +129,6 @@
 		replay(stored);
 	}
 
-	/**
-	 * Returns the response that an agent kept.
-	 * @param response the answer of the agent
-	 * @return the response, or {@code null} when there is none that may be stored
-	 */
-	static @Nullable StoredResponse storedResponse(ResolveOrderResponse response) {
-		boolean storable = response.hasHttpHead() && response.getHttpBody().size() <= StoredResponse.MAX_BODY_BYTES;
-		return (storable) ? StoredResponse.of(response.getHttpHead(), response.getHttpBody()) : null;
-	}
-
 	private void replay(@Nullable StoredResponse response) {
 		if (response == null) {
 			refuse(outcomeUnknown("The first request with this Idempotency-Key ended; its response is not stored."));
--- a/entry/src/main/java/io/verbenacleat/entry/request/OrderRun.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/OrderRun.java
@@ -151,7 +151,7 @@
 		if (!end("finished")) {
 			return;
 		}
-		complete(this.collector.response());
+		complete(this.collector.response(finished.getReceipt()));
 		Receipt receipt = finished.getReceipt();
 		this.parts.budget()
 			.settle(this.reservation.routed().holderAddress(), receipt)
@@ -219,7 +219,7 @@
 		else if (fate instanceof OrderFate.Ended ended) {
 			if (end("resolved")) {
 				cancel();
-				complete(Claiming.storedResponse(ended.response()));
+				complete(ResponseCollector.kept(ended.response()));
 				settle(ended.response().getReceipt());
 			}
 		}
--- a/entry/src/main/java/io/verbenacleat/entry/request/ResponseCollector.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/ResponseCollector.java
@@ -4,6 +4,9 @@
 import io.verbenacleat.entry.claim.StoredResponse;
 import io.verbenacleat.proto.v1.ExecuteEvent;
 import io.verbenacleat.proto.v1.HttpHead;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReceiptStatus;
+import io.verbenacleat.proto.v1.ResolveOrderResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,13 +35,26 @@
 
 	/**
 	 * Returns the response.
-	 * @return the response, or {@code null} when it is too large or not of a plain
-	 * service
+	 * @param receipt the receipt at its end
+	 * @return the response, or {@code null} when it is not whole, too large or not of a
+	 * plain service
 	 */
 	@Nullable
-	StoredResponse response() {
+	StoredResponse response(Receipt receipt) {
 		HttpHead collected = this.head;
-		return (this.storable && collected != null) ? StoredResponse.of(collected, this.body) : null;
+		boolean whole = this.storable && receipt.getStatus() == ReceiptStatus.COMPLETE;
+		return (whole && collected != null) ? StoredResponse.of(collected, this.body) : null;
+	}
+
+	/**
+	 * Returns the response that an agent kept.
+	 * @param answer the answer of the agent
+	 * @return the response, or {@code null} when it is not whole, too large or not kept
+	 */
+	static @Nullable StoredResponse kept(ResolveOrderResponse answer) {
+		boolean whole = answer.hasHttpHead() && answer.getReceipt().getStatus() == ReceiptStatus.COMPLETE;
+		boolean storable = whole && answer.getHttpBody().size() <= StoredResponse.MAX_BODY_BYTES;
+		return (storable) ? StoredResponse.of(answer.getHttpHead(), answer.getHttpBody()) : null;
 	}
 
 	private void addBody(ByteString piece) {
--- a/entry/src/test/java/io/verbenacleat/entry/request/BookingRunTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/request/BookingRunTests.java
@@ -9,13 +9,17 @@
 import com.google.protobuf.ByteString;
 import io.grpc.Status;
 import io.grpc.stub.StreamObserver;
+import io.verbenacleat.core.platform.PlatformUnavailableException;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.core.platform.Transaction;
 import io.verbenacleat.core.platform.WriteOutcome;
 import io.verbenacleat.proto.v1.ExecuteEvent;
 import io.verbenacleat.proto.v1.ExecuteRequest;
+import io.verbenacleat.proto.v1.Finished;
 import io.verbenacleat.proto.v1.HttpHead;
+import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReceiptStatus;
 import io.verbenacleat.proto.v1.RefusalReason;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.AfterMethod;
@@ -53,8 +57,12 @@
 	}
 
 	private String runElsewhere(RunRequest request) throws Exception {
+		return run(this.fixture.runner("gateway-2"), request);
+	}
+
+	private static String run(RequestRunner runner, RunRequest request) throws Exception {
 		RecordingListener listener = new RecordingListener();
-		this.fixture.runner("gateway-2").run(request, listener);
+		runner.run(request, listener);
 		return listener.end();
 	}
 
@@ -93,14 +101,40 @@
 
 	@Test
 	public void claimOfUnknownOutcomeIsNotRunAndDoesNotBlockRepeats() throws Exception {
-		RecordingListener listener = new RecordingListener();
-		this.fixture.tables.loseNextAnswers(1);
-		this.fixture.runner("gateway-1", new OutageAfterWrite()).run(this.fixture.booking("key"), listener);
-		assertEquals(listener.end(), "claim_store_unreachable not-run");
+		RequestRunner runner = this.fixture.runner("gateway-1", new OutageAfterWrite(true));
+		assertEquals(run(runner, this.fixture.booking("key")), "claim_store_unreachable not-run");
 		assertTrue(this.fixture.booking.received.isEmpty());
-		this.fixture.tables.setAvailable(true);
+		assertEquals(run(runner, this.fixture.inquiry()), "finished");
 		assertEquals(runElsewhere(this.fixture.booking("key")), "finished");
-		assertEquals(this.fixture.booking.executed, List.of("req-2"));
+		assertEquals(this.fixture.booking.executed, List.of("req-2", "req-3"));
+	}
+
+	@Test
+	public void outcomeIsReplayedThoughTheStoreNeverTookIt() throws Exception {
+		RequestRunner runner = this.fixture.runner("gateway-1", new OutageAfterWrite(false));
+		assertEquals(run(runner, this.fixture.booking("key")), "finished");
+		assertEquals(run(runner, this.fixture.inquiry()), "finished");
+		assertEquals(runElsewhere(this.fixture.booking("key")), "replayed 201 booked");
+		assertEquals(this.fixture.booking.executed, List.of("req-1", "req-2"));
+	}
+
+	@Test
+	public void failedResponseIsNeverReplayed() throws Exception {
+		FakeAgent agent = this.fixture.booking;
+		agent.script = (request, events) -> {
+			agent.begin(request);
+			Receipt failed = FakeAgent.receipt(request).toBuilder().setStatus(ReceiptStatus.FAILED).build();
+			agent.fates.put(request.getOrderId(), FakeAgent.ended(request).toBuilder().setReceipt(failed).build());
+			events.onNext(FakeAgent.accepted());
+			events.onNext(FakeAgent.event(1).setHttpHead(HttpHead.newBuilder().setStatus(200)).build());
+			events.onNext(FakeAgent.event(2)
+				.setFinished(Finished.newBuilder().setPartCount(2).setReceipt(failed).setFailureCode("reset"))
+				.build());
+			events.onCompleted();
+		};
+		assertEquals(run(this.fixture.booking("key")), "backend_failed unknown");
+		assertEquals(runElsewhere(this.fixture.booking("key")), "outcome_unknown unknown");
+		assertEquals(agent.executed.size(), 1);
 	}
 
 	@Test
@@ -217,9 +251,7 @@
 		long giveUpAtNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
 		String end = "";
 		for (int i = 0; System.nanoTime() < giveUpAtNanos; i++) {
-			RecordingListener listener = new RecordingListener();
-			runners.get(i % 2).run(this.fixture.booking(key), listener);
-			end = listener.end();
+			end = run(runners.get(i % 2), this.fixture.booking(key));
 			if (!end.startsWith("request_in_progress") && !end.endsWith("not-run")) {
 				return end;
 			}
@@ -244,27 +276,41 @@
 	}
 
 	/**
-	 * Goes out with the first write, whose answer is lost.
+	 * Is out after the first write, whose answer may be lost.
 	 */
 	private final class OutageAfterWrite implements TableStore {
 
+		private final TableStore tables = BookingRunTests.this.fixture.tables;
+
+		private final PlatformUnavailableException failure = new PlatformUnavailableException("Out", null);
+
+		private final boolean losesAnswer;
+
+		private volatile boolean out;
+
+		private OutageAfterWrite(boolean losesAnswer) {
+			this.losesAnswer = losesAnswer;
+		}
+
 		@Override
 		public CompletableFuture<List<Row>> read(List<String> keys) {
-			return BookingRunTests.this.fixture.tables.read(keys);
+			return (this.out) ? CompletableFuture.failedFuture(this.failure) : this.tables.read(keys);
 		}
 
 		@Override
 		public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
-			return BookingRunTests.this.fixture.tables.scan(prefix, after, limit);
+			return this.tables.scan(prefix, after, limit);
 		}
 
 		@Override
 		public CompletableFuture<WriteOutcome> transact(Transaction transaction) {
-			CompletableFuture<WriteOutcome> outcome = BookingRunTests.this.fixture.tables.transact(transaction);
-			if (outcome.join() instanceof WriteOutcome.Unknown) {
-				BookingRunTests.this.fixture.tables.setAvailable(false);
+			if (this.out) {
+				return CompletableFuture.completedFuture(new WriteOutcome.NotApplied(this.failure));
 			}
-			return outcome;
+			this.out = true;
+			CompletableFuture<WriteOutcome> outcome = this.tables.transact(transaction);
+			return (this.losesAnswer) ? CompletableFuture.completedFuture(new WriteOutcome.Unknown(this.failure))
+					: outcome;
 		}
 
 	}
--- a/entry/src/test/java/io/verbenacleat/entry/request/RunnerFixture.java
+++ b/entry/src/test/java/io/verbenacleat/entry/request/RunnerFixture.java
@@ -114,6 +114,11 @@
 		return new RunRequest(requestId(), key(), null, work, 10, false, idempotencyKey, fingerprint, LONG);
 	}
 
+	RunRequest inquiry() {
+		HttpWork work = HttpWork.newBuilder().setService("bookings").setMethod("GET").build();
+		return new RunRequest(requestId(), key(), null, work, 10, true, null, "print", LONG);
+	}
+
 	RunRequest booking(String idempotencyKey) {
 		return booking(idempotencyKey, "print");
 	}
