--- a/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
+++ b/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
@@ -27,7 +27,7 @@
 	 * A request on a kept connection that the server has closed would fail with an
 	 * unknown outcome, where a new connection is refused before anything is sent.
 	 */
-	private static final ConnectionPool NO_IDLE_CONNECTIONS = new ConnectionPool(0, 1, TimeUnit.SECONDS);
+	private static final int IDLE_CONNECTIONS = 0;
 
 	private static final String RETRY_AFTER = "Retry-After";
 
@@ -36,7 +36,7 @@
 	private final OkHttpClient client = new OkHttpClient.Builder().retryOnConnectionFailure(false)
 		.followRedirects(false)
 		.followSslRedirects(false)
-		.connectionPool(NO_IDLE_CONNECTIONS)
+		.connectionPool(new ConnectionPool(IDLE_CONNECTIONS, 1, TimeUnit.SECONDS))
 		.connectTimeout(CONNECT_TIMEOUT_SECONDS, TimeUnit.SECONDS)
 		.readTimeout(READ_TIMEOUT_MINUTES, TimeUnit.MINUTES)
 		.writeTimeout(READ_TIMEOUT_MINUTES, TimeUnit.MINUTES)
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderLimits.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderLimits.java
@@ -3,7 +3,7 @@
 /**
  * The bounds of the order table's memory. Immutable. A finished order takes about 1 KB, a
  * gateway or a closed process about 200 bytes, reckoned; with the default bounds the
- * table stays below 28 MB.
+ * table stays below 17 MB.
  *
  * @param maxInProgress the most orders that run at a time
  * @param maxSlots the most orders above the marks that are kept one by one
@@ -19,7 +19,7 @@
 	 * @return the bounds
 	 */
 	public static OrderLimits of(int maxInProgress) {
-		return new OrderLimits(maxInProgress, 12_288, 20_000, 8L * 1024 * 1024);
+		return new OrderLimits(maxInProgress, 8_192, 10_000, 4L * 1024 * 1024);
 	}
 
 }
