Add platform, engine and booking stand-ins

Cause: tests and the quickstart need the platform, a model engine and an application service by their protocols, with faults on request.

Ruled out: relying on the bind of the server for a taken port. A second booking stand-in started on a port in use without a failure, so the port is probed with a plain socket first. Relying on stop() of the server: it returns before the listening socket is closed, which failed refusalsAreNotApplied in one of two runs; close() now waits until the port is free.

--- /dev/null
+++ b/standins/src/main/java/io/verbenacleat/standins/BookingStandin.java
@@ -0,0 +1,159 @@
+package io.verbenacleat.standins;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.verbenacleat.core.json.JsonFormatException;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A plain application service for bookings and payments. It executes every call that
+ * arrives and does not recognize repeated ones, so that a call that was executed twice is
+ * seen in its records. Safe for use by several threads.
+ */
+public final class BookingStandin implements Standin {
+
+	private final ScheduledExecutorService timers = StandinServer.newTimers("booking-standin-timers");
+
+	private final Map<String, ObjectNode> bookings = new LinkedHashMap<>();
+
+	private final Map<String, Integer> confirmations = new LinkedHashMap<>();
+
+	private final List<BookingCall> calls = new ArrayList<>();
+
+	private final Duration delay;
+
+	private final StandinServer server;
+
+	private BookingStandin(BookingSettings settings) {
+		this.delay = Duration.ofMillis(settings.delayMs);
+		BookingRoutes routes = new BookingRoutes();
+		this.server = StandinServer.start(settings.port, this.timers, routes::addTo);
+	}
+
+	/**
+	 * Starts a stand-in.
+	 * @param settings the settings
+	 * @return the running stand-in
+	 */
+	public static BookingStandin start(BookingSettings settings) {
+		return new BookingStandin(settings);
+	}
+
+	/**
+	 * Runs the program.
+	 * @param args the command line
+	 */
+	public static void main(String[] args) {
+		StandinMain.runProgram("standin-booking", args, new BookingSettings(), BookingStandin::start);
+	}
+
+	/**
+	 * Returns the executed calls in order.
+	 * @return a copy
+	 */
+	public synchronized List<BookingCall> records() {
+		return List.copyOf(this.calls);
+	}
+
+	@Override
+	public String url() {
+		return this.server.url();
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+	private synchronized Context create(Context ctx) throws JsonFormatException {
+		ObjectNode booking = StandinServer.body(ctx, ObjectNode.class);
+		log(ctx);
+		String id = "booking-" + (this.bookings.size() + 1);
+		booking.put("id", id);
+		this.bookings.put(id, booking);
+		return answerLater(ctx, 201, booking);
+	}
+
+	private synchronized Context list(Context ctx) {
+		log(ctx);
+		return answerLater(ctx, 200, new Bookings(List.copyOf(this.bookings.values())));
+	}
+
+	private synchronized Context find(Context ctx) {
+		log(ctx);
+		@Nullable
+		ObjectNode booking = this.bookings.get(ctx.path("id").value());
+		if (booking == null) {
+			return answerLater(ctx, 404, StandinServer.ErrorBody.of("No such booking", 404));
+		}
+		return answerLater(ctx, 200, booking);
+	}
+
+	private synchronized Context confirm(Context ctx) {
+		log(ctx);
+		String id = ctx.path("id").value();
+		int count = this.confirmations.merge(id, 1, Integer::sum);
+		return answerLater(ctx, 200, new Payment(id, "confirmed", count));
+	}
+
+	private void log(Context ctx) {
+		this.calls.add(new BookingCall(this.calls.size() + 1, ctx.getMethod(), ctx.getRequestPath(),
+				StandinServer.header(ctx, "Verbena-Request-Id"), StandinServer.header(ctx, "Idempotency-Key"),
+				System.currentTimeMillis()));
+	}
+
+	private Context answerLater(Context ctx, int status, Object body) {
+		StandinServer.after(this.timers, this.delay, () -> StandinServer.answer(ctx, status, body));
+		return ctx;
+	}
+
+	/**
+	 * The routes.
+	 */
+	private final class BookingRoutes {
+
+		private void addTo(Jooby app) {
+			app.post("/bookings", BookingStandin.this::create);
+			app.get("/bookings", BookingStandin.this::list);
+			app.get("/bookings/{id}", BookingStandin.this::find);
+			app.post("/payments/{id}/confirm", BookingStandin.this::confirm);
+			app.get("/standin/records", (ctx) -> StandinServer.answer(ctx, 200, new Records(records())));
+		}
+
+	}
+
+	/**
+	 * The answer to a list of bookings.
+	 *
+	 * @param bookings the bookings in order of creation
+	 */
+	record Bookings(List<ObjectNode> bookings) {
+	}
+
+	/**
+	 * The answer to a confirmation.
+	 *
+	 * @param id the payment
+	 * @param status {@code confirmed}
+	 * @param confirmations how often it was confirmed
+	 */
+	record Payment(String id, String status, int confirmations) {
+	}
+
+	/**
+	 * The log of the service.
+	 *
+	 * @param calls executed calls in order
+	 */
+	record Records(List<BookingCall> calls) {
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/io/verbenacleat/standins/Generation.java
@@ -0,0 +1,125 @@
+package io.verbenacleat.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.ScheduledExecutorService;
+
+import io.jooby.Context;
+import io.jooby.MediaType;
+import io.jooby.Sender;
+
+/**
+ * One answer of the engine stand-in, generated token by token. The next token follows
+ * when the previous one was written, so that a broken connection ends the generation. The
+ * steps run on the timers; the record may be read by any thread.
+ */
+final class Generation {
+
+	private static final String STOP = "stop";
+
+	private static final String LENGTH = "length";
+
+	private final ChatAnswer answer;
+
+	private final ScheduledExecutorService timers;
+
+	private final Duration firstToken;
+
+	private final Duration tokenInterval;
+
+	private final int targetTokens;
+
+	private final String finishReason;
+
+	private final Sender sender;
+
+	private EngineRecord record;
+
+	/**
+	 * Creates a generation.
+	 * @param ctx the request, without an answer so far
+	 * @param answer writes the answer
+	 * @param settings the settings of the engine
+	 * @param timers runs the steps
+	 * @param record the record at the start
+	 */
+	Generation(Context ctx, ChatAnswer answer, EngineSettings settings, ScheduledExecutorService timers,
+			EngineRecord record) {
+		ChatRequest request = answer.request();
+		int maxTokens = (settings.ignoreMaxTokens) ? Integer.MAX_VALUE : request.maxTokens();
+		this.answer = answer;
+		this.timers = timers;
+		this.firstToken = Duration.ofMillis(settings.firstTokenMs);
+		this.tokenInterval = Duration.ofMillis(settings.tokenIntervalMs);
+		this.targetTokens = Math.min(request.answerTokens(), maxTokens);
+		this.finishReason = (request.answerTokens() > maxTokens) ? LENGTH : STOP;
+		this.record = record;
+		ctx.setResponseType((request.stream()) ? MediaType.valueOf("text/event-stream") : MediaType.json);
+		this.sender = ctx.responseSender();
+	}
+
+	/**
+	 * Starts the generation.
+	 */
+	void start() {
+		StandinServer.after(this.timers, this.firstToken, this::step);
+	}
+
+	/**
+	 * Returns the record as it stands.
+	 * @return the record
+	 */
+	synchronized EngineRecord record() {
+		return this.record;
+	}
+
+	private void step() {
+		int generated = record().generatedTokens();
+		if (generated == this.targetTokens) {
+			finish(generated);
+			return;
+		}
+		update(record().withGeneratedTokens(generated + 1));
+		write((isStream()) ? event(this.answer.tokenChunk(generated)) : "\n",
+				() -> StandinServer.after(this.timers, this.tokenInterval, this::step));
+	}
+
+	private void finish(int generated) {
+		String end = this.answer.whole(this.finishReason, generated);
+		if (isStream()) {
+			end = event(this.answer.finishChunk(this.finishReason, generated));
+			if (this.answer.request().includeUsage()) {
+				end += event(this.answer.usageChunk(generated));
+			}
+			end += event("[DONE]");
+		}
+		update(record().withFinished(false, System.currentTimeMillis()));
+		write(end, this.sender::close);
+	}
+
+	// White space before a JSON text has no meaning: an answer that is not streamed sends
+	// one line feed per token to notice a broken connection.
+	private void write(String text, Runnable next) {
+		this.sender.write(text.getBytes(StandardCharsets.UTF_8), (ctx, failure) -> {
+			if (failure == null) {
+				next.run();
+			}
+			else {
+				update(record().withFinished(true, System.currentTimeMillis()));
+			}
+		});
+	}
+
+	private boolean isStream() {
+		return this.answer.request().stream();
+	}
+
+	private synchronized void update(EngineRecord changed) {
+		this.record = changed;
+	}
+
+	private static String event(String data) {
+		return "data: " + data + "\n\n";
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/io/verbenacleat/standins/PlatformStandin.java
@@ -0,0 +1,235 @@
+package io.verbenacleat.standins;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.Route;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.platform.HostEntry;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WriteOutcome;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The platform in one process, by the protocol of {@code docs/platform-protocol.md}, with
+ * faults that are switched at run time. The paths under {@code /standin} need no token.
+ * Safe for use by several threads.
+ *
+ * <pre>{@code
+ * try (PlatformStandin platform = PlatformStandin.start(new PlatformSettings())) {
+ *     platform.faults().loseNextAnswers(1);
+ *     ...
+ * }
+ * }</pre>
+ */
+public final class PlatformStandin implements Standin {
+
+	private static final int DEFAULT_LIST_LIMIT = 1_000;
+
+	private final ScheduledExecutorService timers = StandinServer.newTimers("platform-standin-timers");
+
+	private final PlatformFaults faults = new PlatformFaults();
+
+	private final PlatformTables tables = new PlatformTables();
+
+	private final PlatformObjects objects = new PlatformObjects();
+
+	private final PlatformHosts hosts;
+
+	private final PlatformWeights weights;
+
+	private final byte[] authorization;
+
+	private final StandinServer server;
+
+	private PlatformStandin(PlatformSettings settings) {
+		this.hosts = new PlatformHosts(this.timers, settings.hostListLagMs);
+		this.weights = new PlatformWeights(Clock.systemUTC(), settings.weightsPerMinute);
+		this.authorization = (settings.platformToken.isEmpty()) ? new byte[0]
+				: ("Bearer " + settings.platformToken).getBytes(StandardCharsets.UTF_8);
+		PlatformRoutes routes = new PlatformRoutes();
+		this.server = StandinServer.start(settings.port, this.timers, routes::addTo);
+	}
+
+	/**
+	 * Starts a stand-in.
+	 * @param settings the settings
+	 * @return the running stand-in
+	 */
+	public static PlatformStandin start(PlatformSettings settings) {
+		return new PlatformStandin(settings);
+	}
+
+	/**
+	 * Runs the program.
+	 * @param args the command line
+	 */
+	public static void main(String[] args) {
+		StandinMain.runProgram("standin-platform", args, new PlatformSettings(), PlatformStandin::start);
+	}
+
+	/**
+	 * Returns the switches of the faults.
+	 * @return the switches
+	 */
+	public PlatformFaults faults() {
+		return this.faults;
+	}
+
+	/**
+	 * Replaces the host list; the change becomes visible after the lag of the settings.
+	 * @param hosts the new list
+	 */
+	public void setHosts(List<HostEntry> hosts) {
+		this.hosts.set(new PlatformHosts.Change(hosts, null));
+	}
+
+	@Override
+	public String url() {
+		return this.server.url();
+	}
+
+	@Override
+	public void close() {
+		this.server.close();
+	}
+
+	private boolean isAuthorized(Context ctx) {
+		byte[] given = StandinServer.header(ctx, "Authorization").getBytes(StandardCharsets.UTF_8);
+		return this.authorization.length == 0 || MessageDigest.isEqual(this.authorization, given);
+	}
+
+	private void answerLater(Context ctx, int status, Object body) {
+		StandinServer.after(this.timers, this.faults.delay(), () -> StandinServer.answer(ctx, status, body));
+	}
+
+	private void transact(Context ctx) throws JsonFormatException {
+		Transaction transaction = StandinServer.body(ctx, Transaction.class);
+		PlatformTables.check(transaction);
+		@Nullable
+		Duration lateness = this.faults.takeLateness();
+		if (lateness != null) {
+			StandinServer.after(this.timers, lateness, () -> this.tables.transact(transaction));
+			return;
+		}
+		WriteOutcome outcome = this.tables.transact(transaction);
+		if (outcome instanceof WriteOutcome.Applied applied) {
+			if (!this.faults.takeLostAnswer()) {
+				answerLater(ctx, 200, new PlatformTables.VersionsAnswer(applied.versions()));
+			}
+		}
+		else if (outcome instanceof WriteOutcome.Conflict conflict) {
+			answerLater(ctx, 409, new PlatformTables.VersionsAnswer(conflict.versions()));
+		}
+	}
+
+	private void fetchWeights(Context ctx) {
+		long retryAfterSeconds = this.weights.takeRetryAfterSeconds();
+		if (retryAfterSeconds > 0) {
+			ctx.setResponseHeader("Retry-After", Long.toString(retryAfterSeconds));
+			answerLater(ctx, 429, StandinServer.ErrorBody.of("The rate limit is exceeded", 429));
+			return;
+		}
+		answerLater(ctx, 200, PlatformWeights.metadata(ctx.path("model").value()));
+	}
+
+	private void putObject(Context ctx) {
+		this.objects.put(ctx.path("key").value(), ctx.body().bytes());
+		StandinServer.after(this.timers, this.faults.delay(), () -> {
+			ctx.setResponseCode(204);
+			ctx.send(new byte[0]);
+		});
+	}
+
+	private void getObject(Context ctx) {
+		byte @Nullable [] bytes = this.objects.get(ctx.path("key").value());
+		if (bytes == null) {
+			answerLater(ctx, 404, StandinServer.ErrorBody.of("No such object", 404));
+			return;
+		}
+		StandinServer.after(this.timers, this.faults.delay(), () -> {
+			ctx.setResponseType(MediaType.octetStream);
+			ctx.send(bytes);
+		});
+	}
+
+	private void listObjects(Context ctx) {
+		int limit = ctx.query("limit").intValue(DEFAULT_LIST_LIMIT);
+		answerLater(ctx, 200, this.objects.list(ctx.query("prefix").value(""), ctx.query("after").value(""), limit));
+	}
+
+	/**
+	 * The routes. A handler returns at once; the answer follows after the delay.
+	 */
+	private final class PlatformRoutes {
+
+		private void addTo(Jooby app) {
+			app.post("/v1/tables/read", guarded((ctx) -> answerLater(ctx, 200,
+					PlatformStandin.this.tables.read(StandinServer.body(ctx, PlatformTables.ReadRequest.class)))));
+			app.post("/v1/tables/scan", guarded((ctx) -> answerLater(ctx, 200,
+					PlatformStandin.this.tables.scan(StandinServer.body(ctx, PlatformTables.ScanRequest.class)))));
+			app.post("/v1/tables/transact", guarded(PlatformStandin.this::transact));
+			app.get("/v1/hosts", guarded((ctx) -> answerLater(ctx, 200,
+					new PlatformHosts.HostsAnswer(PlatformStandin.this.hosts.visible()))));
+			app.get("/v1/objects", guarded(PlatformStandin.this::listObjects));
+			app.get("/v1/objects/{key:.+}", guarded(PlatformStandin.this::getObject));
+			app.put("/v1/objects/{key:.+}", guarded(PlatformStandin.this::putObject));
+			app.get("/v1/weights/{model}", guarded(PlatformStandin.this::fetchWeights));
+			app.post("/standin/faults", this::changeFaults);
+			app.put("/standin/hosts", this::changeHosts);
+			app.get("/standin/records", (ctx) -> StandinServer.answer(ctx, 200, PlatformStandin.this.tables.records()));
+		}
+
+		private Context changeFaults(Context ctx) throws JsonFormatException {
+			PlatformStandin.this.faults.change(StandinServer.body(ctx, PlatformFaults.Change.class));
+			return StandinServer.answer(ctx, 200, new Acknowledgement(true));
+		}
+
+		private Context changeHosts(Context ctx) throws JsonFormatException {
+			PlatformStandin.this.hosts.set(StandinServer.body(ctx, PlatformHosts.Change.class));
+			return StandinServer.answer(ctx, 200, new Acknowledgement(true));
+		}
+
+		private Route.Handler guarded(PlatformHandler handler) {
+			return (ctx) -> {
+				if (!isAuthorized(ctx)) {
+					answerLater(ctx, 401, StandinServer.ErrorBody.of("The bearer token is missing or wrong", 401));
+				}
+				else if (PlatformStandin.this.faults.takeRefusal()) {
+					answerLater(ctx, 503, new PlatformTables.RefusalAnswer(false));
+				}
+				else {
+					handler.handle(ctx);
+				}
+				return ctx;
+			};
+		}
+
+	}
+
+	/**
+	 * Handles a request that was admitted.
+	 */
+	@FunctionalInterface
+	private interface PlatformHandler {
+
+		void handle(Context ctx) throws JsonFormatException;
+
+	}
+
+	/**
+	 * The answer to a control request.
+	 *
+	 * @param accepted {@code true}
+	 */
+	record Acknowledgement(boolean accepted) {
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/io/verbenacleat/standins/StandinMain.java
@@ -0,0 +1,128 @@
+package io.verbenacleat.standins;
+
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+
+import io.verbenacleat.core.daemon.ExitCode;
+import io.verbenacleat.core.daemon.SettingsParser;
+import io.verbenacleat.core.daemon.UsageException;
+import io.verbenacleat.core.daemon.Version;
+
+/**
+ * The start of a stand-in as a program: settings, usage text, exit code. Used once per
+ * process.
+ */
+final class StandinMain {
+
+	private final String program;
+
+	private final Map<String, String> environment;
+
+	private final PrintStream out;
+
+	private final PrintStream err;
+
+	/**
+	 * Creates a start.
+	 * @param program the name of the program
+	 * @param environment the environment variables
+	 * @param out where answers go
+	 * @param err where failures go
+	 */
+	StandinMain(String program, Map<String, String> environment, PrintStream out, PrintStream err) {
+		this.program = program;
+		this.environment = environment;
+		this.out = out;
+		this.err = err;
+	}
+
+	/**
+	 * Runs a stand-in as the whole program, until the process is stopped.
+	 * @param <S> the type of the settings
+	 * @param program the name of the program
+	 * @param args the command line
+	 * @param settings the settings to fill
+	 * @param starter starts the stand-in
+	 */
+	static <S extends StandinSettings> void runProgram(String program, String[] args, S settings, Starter<S> starter) {
+		ExitCode code = new StandinMain(program, System.getenv(), System.out, System.err).run(args, settings, starter,
+				StandinMain::awaitStop);
+		System.exit(code.code());
+	}
+
+	/**
+	 * Runs a stand-in.
+	 * @param <S> the type of the settings
+	 * @param args the command line
+	 * @param settings the settings to fill
+	 * @param starter starts the stand-in
+	 * @param wait returns when the stand-in is to be stopped
+	 * @return the exit code
+	 */
+	<S extends StandinSettings> ExitCode run(String[] args, S settings, Starter<S> starter, Runnable wait) {
+		try {
+			new SettingsParser(this.program, this.environment).parse(settings, args);
+			if (settings.help) {
+				new SettingsParser(this.program, this.environment).printUsage(settings, this.out);
+				return ExitCode.DONE;
+			}
+			if (settings.version) {
+				this.out.println(this.program + " " + Version.current());
+				return ExitCode.DONE;
+			}
+			settings.check();
+		}
+		catch (UsageException ex) {
+			this.err.println(this.program + ": " + ex.getMessage());
+			return ExitCode.USAGE;
+		}
+		try (Standin standin = starter.start(settings)) {
+			this.out.println("listening on " + standin.url());
+			this.out.flush();
+			wait.run();
+			return ExitCode.DONE;
+		}
+		catch (RuntimeException ex) {
+			this.err.println(this.program + ": cannot start on port " + settings.port + ": " + reason(ex));
+			return ExitCode.FAILED;
+		}
+	}
+
+	private static void awaitStop() {
+		CountDownLatch never = new CountDownLatch(1);
+		try {
+			never.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
+	private static String reason(Throwable failure) {
+		Throwable cause = failure;
+		while (cause.getCause() != null) {
+			cause = cause.getCause();
+		}
+		String message = cause.getMessage();
+		return (message != null) ? message.replace('\n', ' ') : cause.getClass().getSimpleName();
+	}
+
+	/**
+	 * Starts a stand-in.
+	 *
+	 * @param <S> the type of the settings
+	 */
+	@FunctionalInterface
+	interface Starter<S> {
+
+		/**
+		 * Starts the stand-in.
+		 * @param settings the settings
+		 * @return the running stand-in
+		 */
+		Standin start(S settings);
+
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/io/verbenacleat/standins/StandinServer.java
@@ -0,0 +1,250 @@
+package io.verbenacleat.standins;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import io.jooby.MediaType;
+import io.jooby.ServerOptions;
+import io.jooby.StatusCode;
+import io.jooby.netty.NettyServer;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+
+/**
+ * The HTTP server of a stand-in on the loopback address, with timers for delayed answers.
+ * Handlers do not block. Safe for use by several threads.
+ */
+final class StandinServer implements Standin {
+
+	private static final String HOST = "127.0.0.1";
+
+	private static final int WORKER_THREADS = 8;
+
+	private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+
+	// A free port may be taken by another process between its choice and the bind.
+	private static final int FREE_PORT_ATTEMPTS = 5;
+
+	private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
+
+	private static final Duration STOP_POLL = Duration.ofMillis(5);
+
+	private final NettyServer server;
+
+	private final ScheduledExecutorService timers;
+
+	private final int port;
+
+	private StandinServer(NettyServer server, ScheduledExecutorService timers, int port) {
+		this.server = server;
+		this.timers = timers;
+		this.port = port;
+	}
+
+	/**
+	 * Starts a server.
+	 * @param port the port, 0 for any free one
+	 * @param timers the timers, stopped with the server
+	 * @param routes adds the routes
+	 * @return the running server
+	 * @throws IllegalStateException when the port cannot be bound
+	 */
+	static StandinServer start(int port, ScheduledExecutorService timers, Routes routes) {
+		int attempts = (port == 0) ? FREE_PORT_ATTEMPTS : 1;
+		while (true) {
+			attempts--;
+			try {
+				return startOnce(port, timers, routes);
+			}
+			catch (IllegalStateException ex) {
+				if (attempts == 0) {
+					timers.shutdownNow();
+					throw ex;
+				}
+			}
+		}
+	}
+
+	/**
+	 * Returns timers for a stand-in.
+	 * @param name the name of the thread
+	 * @return one thread that runs delayed tasks
+	 */
+	static ScheduledExecutorService newTimers(String name) {
+		ScheduledThreadPoolExecutor timers = new ScheduledThreadPoolExecutor(1, (task) -> {
+			Thread thread = new Thread(task, name);
+			thread.setDaemon(true);
+			return thread;
+		});
+		timers.setRemoveOnCancelPolicy(true);
+		return timers;
+	}
+
+	/**
+	 * Runs a task after a delay, at once when the delay is zero; does nothing after the
+	 * stop.
+	 * @param timers the timers
+	 * @param delay the delay
+	 * @param task the task
+	 */
+	static void after(ScheduledExecutorService timers, Duration delay, Runnable task) {
+		try {
+			timers.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS);
+		}
+		catch (RejectedExecutionException ex) {
+			// The stand-in was stopped: the request gets no answer.
+		}
+	}
+
+	/**
+	 * Sends a JSON answer.
+	 * @param ctx the request
+	 * @param status the HTTP status
+	 * @param body the body
+	 * @return the request
+	 */
+	static Context answer(Context ctx, int status, Object body) {
+		ctx.setResponseCode(status);
+		ctx.setResponseType(MediaType.json);
+		return ctx.send(Json.write(body));
+	}
+
+	/**
+	 * Reads the body of a request.
+	 * @param <T> the type
+	 * @param ctx the request
+	 * @param type the type
+	 * @return the value
+	 * @throws JsonFormatException when the body does not fit the type
+	 */
+	static <T> T body(Context ctx, Class<T> type) throws JsonFormatException {
+		return Json.read(ctx.body().value(""), type);
+	}
+
+	/**
+	 * Returns a header.
+	 * @param ctx the request
+	 * @param name the name
+	 * @return the value, empty without one
+	 */
+	static String header(Context ctx, String name) {
+		return ctx.header(name).value("");
+	}
+
+	@Override
+	public String url() {
+		return "http://" + HOST + ":" + this.port;
+	}
+
+	@Override
+	public void close() {
+		this.timers.shutdownNow();
+		this.server.stop();
+		awaitPortFree();
+	}
+
+	// The server closes its listening socket after stop() has returned.
+	private void awaitPortFree() {
+		long deadlineNanos = System.nanoTime() + STOP_TIMEOUT.toNanos();
+		while (System.nanoTime() < deadlineNanos) {
+			try {
+				requireFree(this.port);
+				return;
+			}
+			catch (IOException ex) {
+				LockSupport.parkNanos(STOP_POLL.toNanos());
+			}
+		}
+	}
+
+	private static StandinServer startOnce(int port, ScheduledExecutorService timers, Routes routes) {
+		Jooby app = new Jooby();
+		app.error(StandinServer::sendError);
+		routes.addTo(app);
+		ServerOptions options = new ServerOptions();
+		options.setHost(HOST);
+		options.setPort(port);
+		options.setIoThreads(2);
+		options.setWorkerThreads(WORKER_THREADS);
+		options.setMaxRequestSize(MAX_BODY_BYTES);
+		NettyServer server = new NettyServer();
+		server.setOptions(options);
+		try {
+			requireFree(options.getPort());
+			server.start(app);
+		}
+		// The server throws checked exceptions, such as BindException, undeclared.
+		catch (Exception ex) {
+			server.stop();
+			throw new IllegalStateException("The server did not start", ex);
+		}
+		return new StandinServer(server, timers, options.getPort());
+	}
+
+	// The server binds a port that another of its kind already serves without a failure,
+	// observed with two booking stand-ins on one port; a plain socket does not.
+	private static void requireFree(int port) throws IOException {
+		try (ServerSocket probe = new ServerSocket()) {
+			probe.bind(new InetSocketAddress(HOST, port));
+		}
+	}
+
+	private static void sendError(Context ctx, Throwable cause, StatusCode code) {
+		int status = (cause instanceof JsonFormatException || cause instanceof IllegalArgumentException) ? 400
+				: code.value();
+		String message = (cause.getMessage() != null) ? cause.getMessage() : cause.getClass().getSimpleName();
+		answer(ctx, status, ErrorBody.of(message, status));
+	}
+
+	/**
+	 * Adds the routes of a stand-in.
+	 */
+	@FunctionalInterface
+	interface Routes {
+
+		/**
+		 * Adds the routes.
+		 * @param app the application
+		 */
+		void addTo(Jooby app);
+
+	}
+
+	/**
+	 * The body of an error answer.
+	 *
+	 * @param error what failed
+	 */
+	record ErrorBody(ErrorDetail error) {
+
+		/**
+		 * Returns the body of an error answer.
+		 * @param message what failed
+		 * @param status the HTTP status
+		 * @return the body
+		 */
+		static ErrorBody of(String message, int status) {
+			return new ErrorBody(new ErrorDetail(message, status));
+		}
+
+	}
+
+	/**
+	 * What failed.
+	 *
+	 * @param message one sentence
+	 * @param code the HTTP status
+	 */
+	record ErrorDetail(String message, int code) {
+	}
+
+}
--- /dev/null
+++ b/standins/src/main/java/io/verbenacleat/standins/StandinSettings.java
@@ -0,0 +1,45 @@
+package io.verbenacleat.standins;
+
+import io.verbenacleat.core.daemon.UsageException;
+import org.kohsuke.args4j.Option;
+
+/**
+ * The settings that all stand-ins have. Filled once at the start; not safe for use by
+ * several threads before that.
+ */
+public abstract class StandinSettings {
+
+	/** Prints the usage text and exits. */
+	@Option(name = "--help", help = true, usage = "print this text")
+	public boolean help;
+
+	/** Prints the version and exits. */
+	@Option(name = "--version", help = true, usage = "print the version")
+	public boolean version;
+
+	/** The port on the loopback address. */
+	@Option(name = "--port", metaVar = "PORT", usage = "port on 127.0.0.1 (default 0, any free port)")
+	public int port;
+
+	/**
+	 * Checks the settings.
+	 * @throws UsageException when a setting is out of range
+	 */
+	public void check() throws UsageException {
+		requireRange("--port", this.port, 65_535);
+	}
+
+	/**
+	 * Checks the range of a number.
+	 * @param flag the flag for the message
+	 * @param value the number
+	 * @param max the largest allowed number
+	 * @throws UsageException when the number is not from 0 to the maximum
+	 */
+	protected static void requireRange(String flag, long value, long max) throws UsageException {
+		if (value < 0 || value > max) {
+			throw new UsageException(flag + ": found " + value + ", allowed is 0 to " + max);
+		}
+	}
+
+}
--- a/standins/src/main/java/io/verbenacleat/standins/package-info.java
+++ b/standins/src/main/java/io/verbenacleat/standins/package-info.java
@@ -1,5 +1,6 @@
 /**
- * Placeholder.
+ * Stand-ins for the platform, the model engine and the booking server, for tests and the
+ * quickstart.
  */
 @NullMarked
 package io.verbenacleat.standins;
