Serve object keys with slashes in the platform stand-in

Cause: a put of the key a/b.c was answered with 404.

Ruled out: the client, which sends the path as specified; a regular expression path variable of the router does not span slashes.

Change: the routes use a catch-all variable; a test puts, gets and lists a key with a slash, and reads the host list.

--- a/standins/src/main/java/io/verbenacleat/standins/PlatformStandin.java
+++ b/standins/src/main/java/io/verbenacleat/standins/PlatformStandin.java
@@ -179,8 +179,8 @@
 			app.get("/v1/hosts", guarded((ctx) -> answerLater(ctx, 200,
 					new PlatformHosts.HostsAnswer(PlatformStandin.this.hosts.visible()))));
 			app.get("/v1/objects", guarded(PlatformStandin.this::listObjects));
-			app.get("/v1/objects/{key:.+}", guarded(PlatformStandin.this::getObject));
-			app.put("/v1/objects/{key:.+}", guarded(PlatformStandin.this::putObject));
+			app.get("/v1/objects/*key", guarded(PlatformStandin.this::getObject));
+			app.put("/v1/objects/*key", guarded(PlatformStandin.this::putObject));
 			app.get("/v1/weights/{model}", guarded(PlatformStandin.this::fetchWeights));
 			app.post("/standin/faults", this::changeFaults);
 			app.put("/standin/hosts", this::changeHosts);
--- a/standins/src/test/java/io/verbenacleat/standins/PlatformClientTests.java
+++ b/standins/src/test/java/io/verbenacleat/standins/PlatformClientTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
+import io.verbenacleat.core.platform.HostEntry;
 import io.verbenacleat.core.platform.PlatformClient;
 import io.verbenacleat.core.platform.PlatformProtocolException;
 import io.verbenacleat.core.platform.Row;
@@ -77,4 +78,17 @@
 		}
 	}
 
+	@Test
+	public void objectsAndHostsAreReadBack() {
+		try (PlatformStandin platform = platform(); PlatformClient client = client(platform.url(), 10_000)) {
+			client.objects().put("a/b.c", new byte[] { 1, 2 }).join();
+			assertEquals(client.objects().get("a/b.c").join().orElseThrow(), new byte[] { 1, 2 });
+			assertTrue(client.objects().get("a/x").join().isEmpty());
+			assertEquals(client.objects().list("a/", "", 10).join(), List.of("a/b.c"));
+			HostEntry host = new HostEntry("127.0.0.1", "zone-a", HostEntry.State.LEAVING);
+			platform.setHosts(List.of(host));
+			assertEquals(client.hosts().hosts().join(), List.of(host));
+		}
+	}
+
 }
