Test a transaction that is applied after its call timed out

Cause: a client that took a timeout for "not applied" would repeat a write that still takes effect later; no test covered that.

Ruled out: a fixed wait in the test; it polls with a deadline.

Change: one test with the fault applyNextLate.

--- a/standins/src/test/java/io/verbenacleat/standins/PlatformClientTests.java
+++ b/standins/src/test/java/io/verbenacleat/standins/PlatformClientTests.java
@@ -91,4 +91,20 @@
 		}
 	}
 
+	@Test
+	public void lateTransactionIsUnknownAndAppliedAfterwards() {
+		try (PlatformStandin platform = platform();
+				PlatformClient hasty = client(platform.url(), 1_000);
+				PlatformClient client = client(platform.url(), 10_000)) {
+			client.tables().read("a").join();
+			platform.faults().applyNextLate(1, 1_500);
+			assertTrue(hasty.tables().transact(INSERT).join() instanceof WriteOutcome.Unknown);
+			long deadline = System.nanoTime() + 20_000_000_000L;
+			while (!client.tables().read("a").join().exists() && System.nanoTime() < deadline) {
+				Thread.onSpinWait();
+			}
+			assertEquals(client.tables().read("b").join().version(), 1);
+		}
+	}
+
 }
