--- a/standins/src/main/java/io/verbenacleat/standins/StandinServer.java
+++ b/standins/src/main/java/io/verbenacleat/standins/StandinServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.jooby.Context;
 import io.jooby.Jooby;
@@ -33,6 +34,10 @@
 	// A free port may be taken by another process between its choice and the bind.
 	private static final int FREE_PORT_ATTEMPTS = 5;
 
+	private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
+
+	private static final Duration STOP_POLL = Duration.ofMillis(5);
+
 	private final NettyServer server;
 
 	private final ScheduledExecutorService timers;
@@ -144,6 +149,21 @@
 	public void close() {
 		this.timers.shutdownNow();
 		this.server.stop();
+		awaitPortFree();
+	}
+
+	// The server closes its listening socket after stop() has returned.
+	private void awaitPortFree() {
+		long deadlineNanos = System.nanoTime() + STOP_TIMEOUT.toNanos();
+		while (System.nanoTime() < deadlineNanos) {
+			try {
+				requireFree(this.port);
+				return;
+			}
+			catch (IOException ex) {
+				LockSupport.parkNanos(STOP_POLL.toNanos());
+			}
+		}
 	}
 
 	private static StandinServer startOnce(int port, ScheduledExecutorService timers, Routes routes) {
--- a/standins/src/test/java/io/verbenacleat/standins/PlatformClientTests.java
+++ b/standins/src/test/java/io/verbenacleat/standins/PlatformClientTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 
+import io.verbenacleat.core.platform.HostEntry;
 import io.verbenacleat.core.platform.PlatformClient;
 import io.verbenacleat.core.platform.PlatformProtocolException;
 import io.verbenacleat.core.platform.Row;
@@ -77,4 +78,33 @@
 		}
 	}
 
+	@Test
+	public void objectsAndHostsAreReadBack() {
+		try (PlatformStandin platform = platform(); PlatformClient client = client(platform.url(), 10_000)) {
+			client.objects().put("a/b.c", new byte[] { 1, 2 }).join();
+			assertEquals(client.objects().get("a/b.c").join().orElseThrow(), new byte[] { 1, 2 });
+			assertTrue(client.objects().get("a/x").join().isEmpty());
+			assertEquals(client.objects().list("a/", "", 10).join(), List.of("a/b.c"));
+			HostEntry host = new HostEntry("127.0.0.1", "zone-a", HostEntry.State.LEAVING);
+			platform.setHosts(List.of(host));
+			assertEquals(client.hosts().hosts().join(), List.of(host));
+		}
+	}
+
+	@Test
+	public void lateTransactionIsUnknownAndAppliedAfterwards() {
+		try (PlatformStandin platform = platform();
+				PlatformClient hasty = client(platform.url(), 1_000);
+				PlatformClient client = client(platform.url(), 10_000)) {
+			client.tables().read("a").join();
+			platform.faults().applyNextLate(1, 1_500);
+			assertTrue(hasty.tables().transact(INSERT).join() instanceof WriteOutcome.Unknown);
+			long deadline = System.nanoTime() + 20_000_000_000L;
+			while (!client.tables().read("a").join().exists() && System.nanoTime() < deadline) {
+				Thread.onSpinWait();
+			}
+			assertEquals(client.tables().read("b").join().version(), 1);
+		}
+	}
+
 }
