Stop holders gracefully in the random histories

Cause: the property closed holders but never stopped one. Change: one step kind in 26 stops a ledger and starts another.

--- a/entry/src/test/java/io/verbenacleat/entry/budget/BudgetSimulation.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/BudgetSimulation.java
@@ -111,6 +111,7 @@
 			case 21 -> closerFault(parameter);
 			case 22 -> close(holder, parameter);
 			case 23 -> agentFault(parameter);
+			case 24 -> stop(holder, parameter);
 			default -> advanceMs((parameter % 3 == 0) ? 100_000 : 1_000);
 		}
 		advanceMs(parameter % 3 * 100);
@@ -277,6 +278,13 @@
 		}
 	}
 
+	private void stop(TestOffice.Holder holder, int parameter) {
+		if (parameter % 2 == 0) {
+			holder.ledger.stop(Duration.ofSeconds(30));
+			this.holders.set(this.holders.indexOf(holder), newHolder());
+		}
+	}
+
 	private void agentFault(int parameter) {
 		int which = parameter % this.liveAgents.size();
 		FakeAgents.FakeAgent agent = this.agents.agent(this.liveAgents.get(which));
