Bind HTTP ports once and read an answer only as fast as its caller

Cause: the HTTP server binds a port that another of its kind serves without a failure, and a caller that stops reading made the entry keep up to 4 MiB. Ruled out: dropping slow callers at a limit (the answer would be lost though the caller still reads). Change: core.daemon.HttpServer checks the port before the start and waits for its release; the gateway tells the runner when it may take more. Conclusion: admin server, gateway and stand-ins share one way to bind.

--- a/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
@@ -1,8 +1,6 @@
 package io.verbenacleat.agent;
 
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
@@ -207,8 +205,7 @@
 					+ ", is another agent running? " + rootMessage(ex), ex);
 		}
 		try {
-			int port = (this.settings.adminPort > 0) ? this.settings.adminPort : freePort(this.settings.host);
-			this.adminServer = AdminServer.start(this.settings.host, port, registry, this::ready);
+			this.adminServer = AdminServer.start(this.settings.host, this.settings.adminPort, registry, this::ready);
 		}
 		catch (IOException | RuntimeException ex) {
 			throw new AgentStartException("Cannot bind admin port " + this.settings.host + ":" + this.settings.adminPort
@@ -275,12 +272,6 @@
 		}
 	}
 
-	private static int freePort(String host) throws IOException {
-		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-			return socket.getLocalPort();
-		}
-	}
-
 	private static String rootMessage(Throwable failure) {
 		Throwable root = failure;
 		while (root.getCause() != null) {
--- a/core/src/main/java/io/verbenacleat/core/daemon/AdminServer.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/AdminServer.java
@@ -10,7 +10,6 @@
 import io.jooby.MediaType;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 
@@ -20,37 +19,33 @@
  */
 public final class AdminServer implements AutoCloseable {
 
-	private final NettyServer server;
+	private final HttpServer server;
 
-	private final int port;
-
-	private AdminServer(NettyServer server, int port) {
+	private AdminServer(HttpServer server) {
 		this.server = server;
-		this.port = port;
 	}
 
 	/**
 	 * Starts the server.
 	 * @param host the IP number to bind
-	 * @param port the port, more than 0
+	 * @param port the port, 0 for any free one
 	 * @param registry the metrics
 	 * @param ready tells whether the daemon is ready for work
 	 * @return the running server
+	 * @throws IOException when the port cannot be bound
 	 */
-	public static AdminServer start(String host, int port, PrometheusRegistry registry, BooleanSupplier ready) {
+	public static AdminServer start(String host, int port, PrometheusRegistry registry, BooleanSupplier ready)
+			throws IOException {
 		Jooby app = new Jooby();
 		app.get("/health/live", (ctx) -> "live\n");
 		app.get("/health/ready", (ctx) -> ready(ctx, ready));
 		app.get("/metrics", (ctx) -> metrics(ctx, registry));
-		NettyServer server = new NettyServer();
 		ServerOptions options = new ServerOptions();
 		options.setHost(host);
 		options.setPort(port);
 		options.setIoThreads(1);
 		options.setWorkerThreads(2);
-		server.setOptions(options);
-		server.start(app);
-		return new AdminServer(server, port);
+		return new AdminServer(HttpServer.start(app, options));
 	}
 
 	/**
@@ -58,12 +53,12 @@
 	 * @return the port
 	 */
 	public int port() {
-		return this.port;
+		return this.server.port();
 	}
 
 	@Override
 	public void close() {
-		this.server.stop();
+		this.server.close();
 	}
 
 	private static String ready(Context ctx, BooleanSupplier ready) {
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -223,7 +223,7 @@
 		return built;
 	}
 
-	private HttpGateway startGateway() {
+	private HttpGateway startGateway() throws IOException {
 		HostWatch hostWatch = new HostWatch(this.hosts, this.control);
 		FleetLostAgents lostAgents = new FleetLostAgents(this.blackboard, hostWatch);
 		GrpcAgentControl agentControl = new GrpcAgentControl(this.channels);
--- a/entry/src/main/java/io/verbenacleat/entry/http/Exchange.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/Exchange.java
@@ -1,6 +1,8 @@
 package io.verbenacleat.entry.http;
 
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -17,8 +19,8 @@
  */
 final class Exchange {
 
-	/** A caller that reads slower than this much behind is dropped. */
-	private static final long MAX_UNSENT_BYTES = 4L * 1024 * 1024;
+	/** With more than this unsent, no more of the answer is read from the agent. */
+	private static final long MAX_UNSENT_BYTES = 64L * 1024;
 
 	private static final int MILLIS_PER_SECOND = 1_000;
 
@@ -34,6 +36,8 @@
 
 	private final AtomicLong unsentBytes = new AtomicLong();
 
+	private volatile CompletableFuture<Void> writable = CompletableFuture.completedFuture(null);
+
 	private volatile boolean callerGone;
 
 	private volatile Runnable callerGoneListener = () -> {
@@ -132,19 +136,30 @@
 		if (open == null || this.callerGone) {
 			return;
 		}
-		if (this.unsentBytes.addAndGet(part.length) > MAX_UNSENT_BYTES) {
-			this.metrics.countSlowCaller();
-			leave();
-			return;
-		}
+		this.unsentBytes.addAndGet(part.length);
 		open.write(part, (any, failure) -> {
-			this.unsentBytes.addAndGet(-part.length);
+			if (this.unsentBytes.addAndGet(-part.length) <= MAX_UNSENT_BYTES) {
+				this.writable.complete(null);
+			}
 			if (failure != null) {
 				leave();
 			}
 		});
 	}
 
+	/**
+	 * Returns when the next part may be written.
+	 * @return completes when the caller has read enough or is gone
+	 */
+	CompletionStage<Void> ready() {
+		CompletableFuture<Void> next = new CompletableFuture<>();
+		this.writable = next;
+		if (this.unsentBytes.get() <= MAX_UNSENT_BYTES || this.callerGone) {
+			next.complete(null);
+		}
+		return next;
+	}
+
 	/**
 	 * Ends a response that is sent in parts.
 	 */
@@ -196,6 +211,7 @@
 			this.callerGone = true;
 			this.metrics.countCallerGone();
 			this.callerGoneListener.run();
+			this.writable.complete(null);
 			end();
 		}
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/http/ExchangeListener.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/ExchangeListener.java
@@ -1,5 +1,7 @@
 package io.verbenacleat.entry.http;
 
+import java.util.concurrent.CompletionStage;
+
 import com.google.protobuf.ByteString;
 import io.verbenacleat.entry.request.Refusal;
 import io.verbenacleat.entry.request.RefusalCode;
@@ -44,6 +46,11 @@
 		throw new IllegalStateException("A stored response in the answer of a chat completion");
 	}
 
+	@Override
+	public CompletionStage<Void> ready() {
+		return this.exchange.ready();
+	}
+
 	@Override
 	public void onRefused(Refusal refusal) {
 		if (this.exchange.isStarted()) {
--- a/entry/src/main/java/io/verbenacleat/entry/http/GatewayMetrics.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/GatewayMetrics.java
@@ -14,8 +14,6 @@
 
 	private final Counter refusals;
 
-	private final Counter slowCallers;
-
 	private final Counter callersGone;
 
 	GatewayMetrics(PrometheusRegistry registry, Admission admission) {
@@ -29,10 +27,6 @@
 			.help("Requests that got no normal answer, by code and outcome")
 			.labelNames("code", "outcome")
 			.register(registry);
-		this.slowCallers = Counter.builder()
-			.name("verbena_gateway_slow_callers")
-			.help("Callers dropped because they read too slowly")
-			.register(registry);
 		this.callersGone = Counter.builder()
 			.name("verbena_gateway_callers_gone")
 			.help("Callers that went away before the end of their answer")
@@ -52,10 +46,6 @@
 		this.refusals.labelValues(refusal.code().code(), refusal.outcome().text()).inc();
 	}
 
-	void countSlowCaller() {
-		this.slowCallers.inc();
-	}
-
 	void countCallerGone() {
 		this.callersGone.inc();
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/http/HttpGateway.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/HttpGateway.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.entry.http;
 
+import java.io.IOException;
 import java.time.Clock;
 
 import io.jooby.Context;
@@ -7,10 +8,10 @@
 import io.jooby.Router;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.config.OfficeConfig;
 import io.verbenacleat.core.control.Blackboard;
+import io.verbenacleat.core.daemon.HttpServer;
 import io.verbenacleat.entry.request.Refusal;
 import io.verbenacleat.entry.request.RefusalCode;
 import io.verbenacleat.entry.request.RequestRunner;
@@ -26,7 +27,7 @@
 
 	private static final int WORKER_THREADS = 32;
 
-	private final NettyServer server = new NettyServer();
+	private final HttpServer server;
 
 	private final Admission admission;
 
@@ -36,11 +37,12 @@
 
 	private final RequestIds requestIds;
 
-	private HttpGateway(Builder builder) {
+	private HttpGateway(Builder builder, String host, int port) throws IOException {
 		this.admission = new Admission(builder.blackboard, builder.clock);
 		this.metrics = new GatewayMetrics(builder.registry, this.admission);
 		this.routes = new GatewayRoutes(builder.runner, builder.keyCheck, this.metrics);
 		this.requestIds = new RequestIds(builder.incarnation);
+		this.server = start(host, port);
 	}
 
 	/**
@@ -60,7 +62,7 @@
 	 * @return the port
 	 */
 	public int port() {
-		return this.server.getOptions().getPort();
+		return this.server.port();
 	}
 
 	/**
@@ -73,17 +75,16 @@
 
 	@Override
 	public void close() {
-		this.server.stop();
+		this.server.close();
 	}
 
-	private void start(String host, int port) {
+	private HttpServer start(String host, int port) throws IOException {
 		ServerOptions options = new ServerOptions();
 		options.setHost(host);
 		options.setPort(port);
 		options.setWorkerThreads(WORKER_THREADS);
 		options.setMaxRequestSize(MAX_BODY_BYTES);
 		options.setDefaultHeaders(false);
-		this.server.setOptions(options);
 		Jooby app = new Jooby();
 		app.error((context, failure, status) -> refuseUnhandled(context, status));
 		app.post("/v1/chat/completions", (context) -> handle(context, this.routes::chat));
@@ -91,7 +92,7 @@
 		for (String method : Router.METHODS) {
 			app.route(method, "/*", (context) -> handle(context, this.routes::service));
 		}
-		this.server.start(app);
+		return HttpServer.start(app, options);
 	}
 
 	private Object handle(Context context, Route route) throws Exception {
@@ -188,11 +189,10 @@
 		 * @param host the IP number to bind
 		 * @param port the port, 0 for any free one
 		 * @return the running gateway
+		 * @throws IOException when the port cannot be bound
 		 */
-		public HttpGateway start(String host, int port) {
-			HttpGateway gateway = new HttpGateway(this);
-			gateway.start(host, port);
-			return gateway;
+		public HttpGateway start(String host, int port) throws IOException {
+			return new HttpGateway(this, host, port);
 		}
 
 	}
--- a/entry/src/test/java/io/verbenacleat/entry/http/HttpGatewayTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/http/HttpGatewayTests.java
@@ -35,6 +35,7 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -63,11 +64,10 @@
 
 	private ScriptedRunner runner = new ScriptedRunner();
 
-	private HttpGateway gateway = startGateway();
+	private @Nullable HttpGateway gateway;
 
 	@BeforeMethod
-	public void restart() {
-		this.gateway.close();
+	public void restart() throws IOException {
 		this.blackboard = new Blackboard();
 		this.runner = new ScriptedRunner();
 		this.gateway = startGateway();
@@ -75,7 +75,7 @@
 
 	@AfterMethod(alwaysRun = true)
 	public void stop() {
-		this.gateway.close();
+		gateway().close();
 	}
 
 	@DataProvider
@@ -280,7 +280,7 @@
 		}
 	}
 
-	private HttpGateway startGateway() {
+	private HttpGateway startGateway() throws IOException {
 		this.blackboard.write(EntryBoard.CONFIG, config());
 		this.blackboard.write(EntryBoard.ACCEPTING, true);
 		return HttpGateway
@@ -289,12 +289,16 @@
 			.start("127.0.0.1", 0);
 	}
 
+	private HttpGateway gateway() {
+		return Objects.requireNonNull(this.gateway);
+	}
+
 	private void awaitIdle() {
 		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
-		while (this.gateway.requestsInProgress() > 0 && System.nanoTime() < deadline) {
+		while (gateway().requestsInProgress() > 0 && System.nanoTime() < deadline) {
 			Thread.onSpinWait();
 		}
-		assertEquals(this.gateway.requestsInProgress(), 0);
+		assertEquals(gateway().requestsInProgress(), 0);
 	}
 
 	private Response post(String path, String body, String key) throws IOException {
@@ -302,7 +306,7 @@
 	}
 
 	private Request.Builder request(String path, String key) {
-		return new Request.Builder().url("http://127.0.0.1:" + this.gateway.port() + path)
+		return new Request.Builder().url("http://127.0.0.1:" + gateway().port() + path)
 			.header("Authorization", "Bearer " + key);
 	}
 
--- a/standins/src/main/java/io/verbenacleat/standins/StandinServer.java
+++ b/standins/src/main/java/io/verbenacleat/standins/StandinServer.java
@@ -1,21 +1,18 @@
 package io.verbenacleat.standins;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 
 import io.jooby.Context;
 import io.jooby.Jooby;
 import io.jooby.MediaType;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
+import io.verbenacleat.core.daemon.HttpServer;
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.core.json.JsonFormatException;
 
@@ -31,23 +28,13 @@
 
 	private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
 
-	// A free port may be taken by another process between its choice and the bind.
-	private static final int FREE_PORT_ATTEMPTS = 5;
-
-	private static final Duration STOP_TIMEOUT = Duration.ofSeconds(10);
-
-	private static final Duration STOP_POLL = Duration.ofMillis(5);
-
-	private final NettyServer server;
+	private final HttpServer server;
 
 	private final ScheduledExecutorService timers;
 
-	private final int port;
-
-	private StandinServer(NettyServer server, ScheduledExecutorService timers, int port) {
+	private StandinServer(HttpServer server, ScheduledExecutorService timers) {
 		this.server = server;
 		this.timers = timers;
-		this.port = port;
 	}
 
 	/**
@@ -59,18 +46,21 @@
 	 * @throws IllegalStateException when the port cannot be bound
 	 */
 	static StandinServer start(int port, ScheduledExecutorService timers, Routes routes) {
-		int attempts = (port == 0) ? FREE_PORT_ATTEMPTS : 1;
-		while (true) {
-			attempts--;
-			try {
-				return startOnce(port, timers, routes);
-			}
-			catch (IllegalStateException ex) {
-				if (attempts == 0) {
-					timers.shutdownNow();
-					throw ex;
-				}
-			}
+		Jooby app = new Jooby();
+		app.error(StandinServer::sendError);
+		routes.addTo(app);
+		ServerOptions options = new ServerOptions();
+		options.setHost(HOST);
+		options.setPort(port);
+		options.setIoThreads(2);
+		options.setWorkerThreads(WORKER_THREADS);
+		options.setMaxRequestSize(MAX_BODY_BYTES);
+		try {
+			return new StandinServer(HttpServer.start(app, options), timers);
+		}
+		catch (IOException ex) {
+			timers.shutdownNow();
+			throw new IllegalStateException(ex.getMessage(), ex);
 		}
 	}
 
@@ -142,60 +132,13 @@
 
 	@Override
 	public String url() {
-		return "http://" + HOST + ":" + this.port;
+		return "http://" + HOST + ":" + this.server.port();
 	}
 
 	@Override
 	public void close() {
 		this.timers.shutdownNow();
-		this.server.stop();
-		awaitPortFree();
-	}
-
-	// The server closes its listening socket after stop() has returned.
-	private void awaitPortFree() {
-		long deadlineNanos = System.nanoTime() + STOP_TIMEOUT.toNanos();
-		while (System.nanoTime() < deadlineNanos) {
-			try {
-				requireFree(this.port);
-				return;
-			}
-			catch (IOException ex) {
-				LockSupport.parkNanos(STOP_POLL.toNanos());
-			}
-		}
-	}
-
-	private static StandinServer startOnce(int port, ScheduledExecutorService timers, Routes routes) {
-		Jooby app = new Jooby();
-		app.error(StandinServer::sendError);
-		routes.addTo(app);
-		ServerOptions options = new ServerOptions();
-		options.setHost(HOST);
-		options.setPort(port);
-		options.setIoThreads(2);
-		options.setWorkerThreads(WORKER_THREADS);
-		options.setMaxRequestSize(MAX_BODY_BYTES);
-		NettyServer server = new NettyServer();
-		server.setOptions(options);
-		try {
-			requireFree(options.getPort());
-			server.start(app);
-		}
-		// The server throws checked exceptions, such as BindException, undeclared.
-		catch (Exception ex) {
-			server.stop();
-			throw new IllegalStateException("The server did not start", ex);
-		}
-		return new StandinServer(server, timers, options.getPort());
-	}
-
-	// The server binds a port that another of its kind already serves without a failure,
-	// observed with two booking stand-ins on one port; a plain socket does not.
-	private static void requireFree(int port) throws IOException {
-		try (ServerSocket probe = new ServerSocket()) {
-			probe.bind(new InetSocketAddress(HOST, port));
-		}
+		this.server.close();
 	}
 
 	private static void sendError(Context ctx, Throwable cause, StatusCode code) {
