--- a/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
@@ -13,12 +13,15 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.control.SingleControlThread;
 import io.verbenacleat.core.daemon.AdminServer;
+import io.verbenacleat.core.daemon.DaemonProcess;
+import io.verbenacleat.core.daemon.ExitCode;
 import io.verbenacleat.core.daemon.UsageException;
 import io.verbenacleat.core.head.Head;
 import io.verbenacleat.core.head.HeadPoller;
 import io.verbenacleat.core.id.Incarnations;
 import io.verbenacleat.core.member.FleetRegistrar;
 import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Members;
 import io.verbenacleat.core.member.RegistrationException;
 import io.verbenacleat.core.platform.HostList;
 import io.verbenacleat.core.platform.TableStore;
@@ -34,11 +37,11 @@
  *
  * <pre>{@code
  * try (AgentDaemon agent = AgentDaemon.start(settings, tables, hosts, registry)) {
- *     agent.shutdown();
+ *     agent.stopGracefully();
  * }
  * }</pre>
  */
-public final class AgentDaemon implements AutoCloseable {
+public final class AgentDaemon implements DaemonProcess.GracefulDaemon, AutoCloseable {
 
 	private static final Logger logger = LogManager.getLogger(AgentDaemon.class);
 
@@ -128,11 +131,12 @@
 
 	/**
 	 * Returns whether the agent is registered, has a configuration with its backend
-	 * server, and does not stop.
+	 * server, knows members, and does not stop.
 	 * @return {@code true} when it takes orders
 	 */
 	public boolean ready() {
-		return this.registered && !this.stopping && this.parts.config().backend() != null;
+		return this.registered && !this.stopping && this.parts.config().backend() != null
+				&& this.parts.members().known();
 	}
 
 	/**
@@ -164,17 +168,24 @@
 	/**
 	 * Stops gracefully, as SIGTERM does: refuses new orders, finishes those that run,
 	 * waits until the receipts are durable, deregisters and closes. Blocks.
+	 * @return {@code DONE}, or {@code FAILED} when receipts may be missing
 	 */
-	public void shutdown() {
+	@Override
+	public ExitCode stopGracefully() {
 		this.stopping = true;
 		boolean durable = this.control.submit(() -> this.parts.sequence().begin())
 			.thenCompose(Function.identity())
 			.join();
 		if (!durable) {
+			// The row stays open: a row that an agent closed itself tells that no receipt
+			// is missing.
 			logger.warn("Stopping with {} receipts that are not known to be durable", this.parts.receipts().waiting());
 		}
-		deregister();
+		else {
+			deregister();
+		}
 		close();
+		return (durable) ? ExitCode.DONE : ExitCode.FAILED;
 	}
 
 	/**
@@ -233,6 +244,7 @@
 
 	private void follow() {
 		this.poller.onTopic(Head.CONFIG, (topic) -> this.parts.config().read());
+		this.poller.onTopic(Members.KEY_PREFIX, this.parts.members()::read);
 		this.poller.onTopic(Head.DRAIN, (topic) -> this.drainWatch.readRow());
 		this.poller.onContact(() -> this.lastContactMs = this.control.clock().millis());
 		CompletableFuture<?> started = this.control.submit(() -> {
--- a/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
@@ -46,6 +46,8 @@
 
 	private final BackendProbe probe;
 
+	private final MemberWatch members;
+
 	private final ReceiptReporter receipts;
 
 	private final OrderTable table;
@@ -62,6 +64,7 @@
 		this.workers = new ThreadPoolExecutor(0, settings.maxInProgress, WORKER_IDLE_SECONDS, TimeUnit.SECONDS,
 				new SynchronousQueue<>(), AgentParts::worker);
 		this.config = new ConfigFollower(control, configSource, this.calls, settings);
+		this.members = new MemberWatch(control, store);
 		this.probe = new BackendProbe(this.config::url);
 		this.receipts = new ReceiptReporter(control, new GrpcSettleClient(channels), store);
 		this.table = new OrderTable(incarnation, control.clock(), OrderLimits.of(settings.maxInProgress), new Rules());
@@ -91,6 +94,10 @@
 		return this.config;
 	}
 
+	MemberWatch members() {
+		return this.members;
+	}
+
 	BackendProbe probe() {
 		return this.probe;
 	}
@@ -132,6 +139,11 @@
 
 	private final class Rules implements AdmissionRules {
 
+		@Override
+		public boolean isMember(String incarnation) {
+			return AgentParts.this.members.contains(incarnation);
+		}
+
 		@Override
 		public boolean draining() {
 			return AgentParts.this.drain.draining();
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/MemberWatch.java
@@ -0,0 +1,80 @@
+package io.verbenacleat.agent;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Members;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+
+/**
+ * The members of the fleet as read since this agent registered. Used on the control
+ * thread only.
+ */
+final class MemberWatch {
+
+	private final ControlThread control;
+
+	private final TableStore store;
+
+	private final Map<String, Row> zones = new HashMap<>();
+
+	private volatile Set<String> incarnations = Set.of();
+
+	MemberWatch(ControlThread control, TableStore store) {
+		this.control = control;
+		this.store = store;
+	}
+
+	/**
+	 * Returns whether a process is a member.
+	 * @param incarnation the process
+	 * @return {@code true} when a member row lists it
+	 */
+	boolean contains(String incarnation) {
+		return this.incarnations.contains(incarnation);
+	}
+
+	/**
+	 * Returns whether members were read; may be called from any thread.
+	 * @return {@code true} when a member row was read
+	 */
+	boolean known() {
+		return !this.incarnations.isEmpty();
+	}
+
+	/**
+	 * Reads the members of a zone.
+	 * @param key the key of the member row
+	 * @return completes when the row was read
+	 */
+	CompletableFuture<?> read(String key) {
+		return this.store.read(key).thenAcceptAsync(this::apply, this.control);
+	}
+
+	private void apply(Row row) {
+		Row present = this.zones.get(row.key());
+		if (!row.exists() || (present != null && present.version() >= row.version())) {
+			return;
+		}
+		this.zones.put(row.key(), row);
+		Set<String> listed = new HashSet<>();
+		for (Row zone : this.zones.values()) {
+			try {
+				Json.read(zone.json(), Members.class).members().stream().map(Member::incarnation).forEach(listed::add);
+			}
+			catch (JsonFormatException ex) {
+				throw new IllegalStateException("The row " + zone.key() + " has a wrong form", ex);
+			}
+		}
+		this.incarnations = listed;
+	}
+
+}
--- a/agent/src/main/java/io/verbenacleat/agent/order/AdmissionRules.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/AdmissionRules.java
@@ -14,6 +14,15 @@
 	 */
 	boolean draining();
 
+	/**
+	 * Returns whether a process is listed in the membership that was read since this
+	 * agent registered. A process that was closed before is not listed, and this agent
+	 * was not asked to refuse its orders.
+	 * @param incarnation the process
+	 * @return {@code true} when it is listed
+	 */
+	boolean isMember(String incarnation);
+
 	/**
 	 * Returns whether the backend server serves the model or service of an order.
 	 * @param order the order
--- a/agent/src/main/java/io/verbenacleat/agent/order/AgentGrpcService.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/AgentGrpcService.java
@@ -106,6 +106,7 @@
 		this.table.close(process);
 		List<RunningOrder> running = this.table.runningOf(process);
 		CloseProcessResponse.Builder response = CloseProcessResponse.newBuilder()
+			.setAgentIncarnation(this.status.get().incarnation())
 			.setInProgress(running.size())
 			.addAllReceipts(this.receipts.waitingFor(process));
 		this.receipts.waitingFor(asking)
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderTable.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderTable.java
@@ -247,6 +247,10 @@
 		if (this.closed.contains(request.getHolderIncarnation())) {
 			return denied(RefusalReason.HOLDER_CLOSED, "holder " + request.getHolderIncarnation() + " was closed");
 		}
+		if (!this.rules.isMember(request.getHolderIncarnation())
+				|| !this.rules.isMember(request.getOrderId().getGatewayIncarnation())) {
+			return denied(RefusalReason.NOT_A_MEMBER, "the gateway or the holder is not a known member");
+		}
 		if (this.rules.draining()) {
 			return denied(RefusalReason.DRAINING, "this agent drains");
 		}
--- a/agent/src/test/java/io/verbenacleat/agent/AgentDaemonTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/AgentDaemonTests.java
@@ -20,6 +20,8 @@
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.core.json.JsonFormatException;
 import io.verbenacleat.core.member.DrainRow;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Members;
 import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.Transaction;
@@ -75,8 +77,12 @@
 		this.holder = new FakeHolder(FleetSecret.of(SECRET));
 		this.backend = new FakeBackend(this::answer);
 		this.channels = new Channels(FleetSecret.of(SECRET));
-		Head head = new Head(Map.of(Head.CONFIG, 1L));
-		this.store.transact(Transaction.builder().insert(Head.KEY, Json.write(head)).build());
+		Head head = new Head(Map.of(Head.CONFIG, 1L, Members.key("z"), 1L));
+		Members entries = new Members(List.of(entry("gateway"), entry("asker")));
+		this.store.transact(Transaction.builder()
+			.insert(Head.KEY, Json.write(head))
+			.insert(Members.key("z"), Json.write(entries))
+			.build());
 	}
 
 	@AfterMethod(alwaysRun = true)
@@ -90,6 +96,10 @@
 		this.holder.close();
 	}
 
+	private static Member entry(String incarnation) {
+		return new Member(incarnation, Member.Role.ENTRY, "127.0.0.1:1", "127.0.0.1", "r", "z", "s", null, 0, 0);
+	}
+
 	@Test
 	public void numbersThePartsAndReportsTheReceipt() throws Exception {
 		startAgent(BackendServerConfig.Kind.MODEL_ENGINE);
@@ -160,7 +170,7 @@
 		startAgent(BackendServerConfig.Kind.MODEL_ENGINE);
 		GatewayCall call = execute(chat(1));
 		assertTrue(call.next().hasAccepted());
-		CompletableFuture<Void> stopped = CompletableFuture.runAsync(this.agent::shutdown);
+		CompletableFuture<Void> stopped = CompletableFuture.runAsync(this.agent::stopGracefully);
 		awaitDraining();
 		assertEquals(execute(chat(2)).next().getRefused().getReason(), RefusalReason.DRAINING);
 		assertFalse(this.agent.ready());
--- a/agent/src/test/java/io/verbenacleat/agent/AgentMainTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/AgentMainTests.java
@@ -18,18 +18,19 @@
 
 	@Test
 	public void endsWithUsageOnWrongSettings() {
-		assertEquals(AgentMain.run(new String[0], Map.of()), ExitCode.USAGE);
-		assertEquals(AgentMain.run(new String[] { "--unknown" }, COMPLETE), ExitCode.USAGE);
-		assertEquals(AgentMain.run(new String[] { "--max-in-progress", "0" }, COMPLETE), ExitCode.USAGE);
-		assertEquals(AgentMain.run(new String[] { "--backend-url", "engine" }, COMPLETE), ExitCode.USAGE);
-		assertEquals(AgentMain.run(new String[] { "--fleet-secret", "short" }, COMPLETE), ExitCode.USAGE);
-		assertEquals(AgentMain.run(new String[] { "--platform-url", "http://a:99999" }, COMPLETE), ExitCode.USAGE);
+		assertEquals(AgentMain.process().start(new String[0], Map.of()), ExitCode.USAGE);
+		assertEquals(AgentMain.process().start(new String[] { "--unknown" }, COMPLETE), ExitCode.USAGE);
+		assertEquals(AgentMain.process().start(new String[] { "--max-in-progress", "0" }, COMPLETE), ExitCode.USAGE);
+		assertEquals(AgentMain.process().start(new String[] { "--backend-url", "engine" }, COMPLETE), ExitCode.USAGE);
+		assertEquals(AgentMain.process().start(new String[] { "--fleet-secret", "short" }, COMPLETE), ExitCode.USAGE);
+		assertEquals(AgentMain.process().start(new String[] { "--platform-url", "http://a:99999" }, COMPLETE),
+				ExitCode.USAGE);
 	}
 
 	@Test
 	public void endsAtOnceWhenAskedForHelp() {
-		assertEquals(AgentMain.run(new String[] { "--help" }, Map.of()), ExitCode.DONE);
-		assertEquals(AgentMain.run(new String[] { "--version" }, Map.of()), ExitCode.DONE);
+		assertEquals(AgentMain.process().start(new String[] { "--help" }, Map.of()), ExitCode.DONE);
+		assertEquals(AgentMain.process().start(new String[] { "--version" }, Map.of()), ExitCode.DONE);
 	}
 
 }
--- a/agent/src/test/java/io/verbenacleat/agent/order/OrderExecutorTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderExecutorTests.java
@@ -97,6 +97,11 @@
 		this.control.runPending();
 	}
 
+	@Override
+	public boolean isMember(String incarnation) {
+		return true;
+	}
+
 	@Override
 	public boolean draining() {
 		return false;
--- a/agent/src/test/java/io/verbenacleat/agent/order/OrderTablePropertyTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderTablePropertyTests.java
@@ -63,7 +63,7 @@
 
 	enum Action {
 
-		EXECUTE, EXECUTE_AGAIN, EXECUTE_LATE, RESOLVE, CLOSE, DRAIN, END, NOT_RUN
+		EXECUTE, EXECUTE_AGAIN, EXECUTE_LATE, RESOLVE, CLOSE, JOIN, LEAVE, DRAIN, END, NOT_RUN
 
 	}
 
@@ -92,6 +92,8 @@
 
 		private final Set<String> closed = new HashSet<>();
 
+		private final Set<String> unknown = new HashSet<>();
+
 		private boolean draining;
 
 		private Run(OrderLimits limits) {
@@ -111,6 +113,8 @@
 					this.table.close("g" + step.gateway());
 					this.closed.add("g" + step.gateway());
 				}
+				case JOIN -> this.unknown.remove("g" + step.gateway());
+				case LEAVE -> this.unknown.add("g" + step.gateway());
 				case DRAIN -> {
 					this.draining = step.flag();
 				}
@@ -133,6 +137,8 @@
 				assertFalse(this.draining, "started while draining");
 				assertTrue(this.started.add(id), "started twice");
 				assertFalse(this.forbidden.contains(id), "started after a refusal or tombstone");
+				assertFalse(this.unknown.contains("g" + step.gateway()), "started for a gateway that is no member");
+				assertFalse(this.unknown.contains("g" + step.holder()), "started on a holder that is no member");
 				assertFalse(this.closed.contains("g" + step.gateway()), "started after the close of its gateway");
 				assertFalse(this.closed.contains("g" + step.holder()), "started after the close of its holder");
 				assertEquals(receivedAtMs, this.control.clock().millis(), "started after its timeout");
@@ -192,6 +198,11 @@
 			return Math.min(id.getSequence() - 1, (open.isEmpty()) ? id.getSequence() : open.get(0) - 1);
 		}
 
+		@Override
+		public boolean isMember(String incarnation) {
+			return !this.unknown.contains(incarnation);
+		}
+
 		@Override
 		public boolean draining() {
 			return this.draining;
--- a/agent/src/test/java/io/verbenacleat/agent/order/OrderTableTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderTableTests.java
@@ -27,6 +27,8 @@
 
 	private boolean draining;
 
+	private String unknown = "";
+
 	private boolean serves;
 
 	private boolean room;
@@ -38,6 +40,7 @@
 		this.draining = false;
 		this.serves = true;
 		this.room = true;
+		this.unknown = "";
 		this.table = table(new OrderLimits(2, 10, 3, KeptResponse.MAX_BYTES));
 	}
 
@@ -58,6 +61,16 @@
 		assertEquals(deniedFor(order(4)), RefusalReason.GATEWAY_CLOSED);
 	}
 
+	@Test
+	public void refusesOrdersOfProcessesThatAreNotMembers() {
+		this.unknown = "g";
+		assertEquals(deniedFor(order(1)), RefusalReason.NOT_A_MEMBER);
+		this.unknown = "h";
+		assertEquals(deniedFor(order(2).setHolderIncarnation("h")), RefusalReason.NOT_A_MEMBER);
+		this.unknown = "";
+		assertEquals(deniedFor(order(1)), RefusalReason.TOMBSTONED);
+	}
+
 	@Test
 	public void refusesWithTheReasonOfTheAgent() {
 		this.draining = true;
@@ -128,6 +141,11 @@
 		assertEquals(this.table.resolve(order(1).getOrderId(), false).getState(), OrderState.RUNNING);
 	}
 
+	@Override
+	public boolean isMember(String incarnation) {
+		return !this.unknown.equals(incarnation);
+	}
+
 	@Override
 	public boolean draining() {
 		return this.draining;
--- a/core/src/main/java/io/verbenacleat/core/daemon/CommonSettings.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/CommonSettings.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.core.daemon;
 
 import io.verbenacleat.core.rpc.FleetSecret;
+import okhttp3.HttpUrl;
 import org.jspecify.annotations.Nullable;
 import org.kohsuke.args4j.Option;
 
@@ -75,7 +76,7 @@
 		require("--zone", this.zone);
 		require("--site", this.site);
 		require("--platform-url", this.platformUrl);
-		if (!this.platformUrl.matches("https?://[^/ ]+/?")) {
+		if (!this.platformUrl.matches("https?://[^/ ]+/?") || HttpUrl.parse(this.platformUrl) == null) {
 			throw new UsageException(
 					"--platform-url: found '" + this.platformUrl + "', allowed is http(s)://host:port");
 		}
--- a/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
@@ -1,10 +1,12 @@
 package io.verbenacleat.core.daemon;
 
 import java.util.Locale;
+import java.util.Map;
 import java.util.function.Supplier;
 
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Runs a daemon as a process: settings, one clear line for each failure, exit codes, and
@@ -39,35 +41,49 @@
 	 * @param args the command line
 	 */
 	public void run(String[] args) {
-		SettingsParser parser = new SettingsParser(this.program, System.getenv());
+		ExitCode code = start(args, System.getenv());
+		if (code != null) {
+			Runtime.getRuntime().halt(code.code());
+		}
+	}
+
+	/**
+	 * Starts the daemon.
+	 * @param args the command line
+	 * @param environment the environment variables
+	 * @return the exit code when the program ends at once, {@code null} when the daemon
+	 * runs
+	 */
+	public @Nullable ExitCode start(String[] args, Map<String, String> environment) {
+		SettingsParser parser = new SettingsParser(this.program, environment);
 		S settings = this.newSettings.get();
 		try {
 			parser.parse(settings, args);
 			if (settings.help) {
 				// The usage text shows values as defaults, so it must not see secrets.
 				parser.printUsage(this.newSettings.get(), System.out);
-				return;
+				return ExitCode.DONE;
 			}
 			if (settings.version) {
 				System.out.println(this.program + " " + Version.current());
-				return;
+				return ExitCode.DONE;
 			}
 			settings.check();
 		}
 		catch (UsageException ex) {
-			fail(ExitCode.USAGE, messageOf(ex));
+			return fail(ExitCode.USAGE, ex);
 		}
 		System.setProperty(LAYOUT_PROPERTY, settings.logLayout.name().toLowerCase(Locale.ROOT));
-		start(settings);
-	}
-
-	private void start(S settings) {
 		try {
 			GracefulDaemon daemon = this.starter.start(settings);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+			return null;
+		}
+		catch (UsageException ex) {
+			return fail(ExitCode.USAGE, ex);
 		}
 		catch (Exception ex) {
-			fail(ExitCode.FAILED, messageOf(ex));
+			return fail(ExitCode.FAILED, ex);
 		}
 	}
 
@@ -91,14 +107,11 @@
 		Runtime.getRuntime().halt(code.code());
 	}
 
-	private static String messageOf(Exception failure) {
+	private ExitCode fail(ExitCode code, Exception failure) {
 		String message = failure.getMessage();
-		return (message != null) ? message : failure.getClass().getSimpleName();
-	}
-
-	private void fail(ExitCode code, String message) {
-		System.err.println(this.program + ": " + message.replace('\n', ' '));
-		Runtime.getRuntime().halt(code.code());
+		String line = (message != null) ? message : failure.getClass().getSimpleName();
+		System.err.println(this.program + ": " + line.replace('\n', ' '));
+		return code;
 	}
 
 	/**
--- a/core/src/main/java/io/verbenacleat/core/daemon/SettingsParser.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/SettingsParser.java
@@ -11,6 +11,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.NamedOptionDef;
 import org.kohsuke.args4j.ParserProperties;
+import org.kohsuke.args4j.spi.BooleanOptionHandler;
 import org.kohsuke.args4j.spi.OptionHandler;
 
 /**
@@ -68,14 +69,22 @@
 		parser(settings).printUsage(out);
 	}
 
-	private List<String> fromEnvironment(CmdLineParser parser, String[] args) {
+	private List<String> fromEnvironment(CmdLineParser parser, String[] args) throws UsageException {
 		List<String> given = Arrays.asList(args);
 		List<String> found = new ArrayList<>();
 		for (OptionHandler<?> handler : parser.getOptions()) {
 			String flag = ((NamedOptionDef) handler.option).name();
 			String value = this.environment.get(variable(flag));
 			boolean onCommandLine = given.stream().anyMatch((arg) -> arg.equals(flag) || arg.startsWith(flag + "="));
-			if (value != null && !onCommandLine) {
+			if (value == null || onCommandLine) {
+				continue;
+			}
+			if (handler instanceof BooleanOptionHandler) {
+				if (isTrue(flag, value)) {
+					found.add(flag);
+				}
+			}
+			else {
 				found.add(flag);
 				found.add(value);
 			}
@@ -83,6 +92,14 @@
 		return found;
 	}
 
+	private static boolean isTrue(String flag, String value) throws UsageException {
+		return switch (value.toLowerCase(Locale.ROOT)) {
+			case "true", "1" -> true;
+			case "false", "0", "" -> false;
+			default -> throw new UsageException(variable(flag) + ": found '" + value + "', allowed is true or false");
+		};
+	}
+
 	private static CmdLineParser parser(Object settings) {
 		return new CmdLineParser(settings, ParserProperties.defaults().withUsageWidth(USAGE_WIDTH));
 	}
--- a/core/src/main/java/io/verbenacleat/core/member/FleetRegistrar.java
+++ b/core/src/main/java/io/verbenacleat/core/member/FleetRegistrar.java
@@ -87,8 +87,11 @@
 			if (rows.get(0).exists()) {
 				return rows.get(0).version();
 			}
-			ProcessRow process = new ProcessRow(member, ProcessRow.State.OPEN, null);
-			Transaction transaction = membersChange(rows, members(rows.get(1)).plus(member), member.zone())
+			// The row head is written by each registration, so its version orders them
+			// all.
+			Member registered = member.withRegistration(rows.get(2).version() + 1);
+			ProcessRow process = new ProcessRow(registered, ProcessRow.State.OPEN, null);
+			Transaction transaction = membersChange(rows, members(rows.get(1)).plus(registered), member.zone())
 				.insert(rows.get(0).key(), Json.write(process))
 				.build();
 			return (apply(transaction)) ? 1L : null;
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -69,6 +69,12 @@
 
 	private static final long KEY_CHECK_RETRY_MS = 1_000;
 
+	/**
+	 * Agents poll the membership each 2 s and refuse orders of entries that they do not
+	 * know.
+	 */
+	private static final Duration MEMBERSHIP_SPREAD = Duration.ofMillis(2_500);
+
 	/** Longer than any request may take. */
 	private static final Duration DRAIN_PATIENCE = Duration.ofMinutes(65);
 
@@ -290,7 +296,7 @@
 			}
 		}
 		if (this.registered) {
-			this.control.execute(this::accept);
+			this.control.schedule(MEMBERSHIP_SPREAD, this::accept);
 		}
 	}
 
--- a/entry/src/main/java/io/verbenacleat/entry/member/FleetLostAgents.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/FleetLostAgents.java
@@ -28,15 +28,15 @@
 
 	@Override
 	public boolean isLost(Member agent) {
-		return this.hostWatch.isGone(agent.host()) || successorStartedAtMs(agent) != Long.MAX_VALUE;
+		return this.hostWatch.isGone(agent.host()) || successorRegistration(agent) != Long.MAX_VALUE;
 	}
 
 	@Override
 	public boolean endedBefore(Member agent, Member process) {
-		return successorStartedAtMs(agent) < process.startedAtMs();
+		return successorRegistration(agent) < process.registration();
 	}
 
-	private long successorStartedAtMs(Member agent) {
+	private long successorRegistration(Member agent) {
 		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
 		if (members == null || agent.backendServer() == null) {
 			return Long.MAX_VALUE;
@@ -44,7 +44,7 @@
 		return members.agents()
 			.stream()
 			.filter((other) -> agent.backendServer().equals(other.backendServer()) && other.fence() > agent.fence())
-			.mapToLong(Member::startedAtMs)
+			.mapToLong(Member::registration)
 			.min()
 			.orElse(Long.MAX_VALUE);
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/member/GrpcAgentControl.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/GrpcAgentControl.java
@@ -39,7 +39,12 @@
 		Futures.addCallback(call, new FutureCallback<>() {
 			@Override
 			public void onSuccess(CloseProcessResponse response) {
-				result.complete(response);
+				if (response.getAgentIncarnation().equals(agent.incarnation())) {
+					result.complete(response);
+				}
+				else {
+					result.completeExceptionally(new WrongAgentException(agent.incarnation()));
+				}
 			}
 
 			@Override
--- a/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
@@ -122,7 +122,7 @@
 			.filter((member) -> member.role() == Member.Role.ENTRY)
 			.sorted(Comparator.comparing(Member::site).thenComparing(Member::incarnation))
 			.toList();
-		int own = ring.indexOf(this.self);
+		int own = ring.stream().map(Member::incarnation).toList().indexOf(this.self.incarnation());
 		if (own < 0) {
 			return List.of();
 		}
--- a/proto/src/main/java/io/verbenacleat/proto/v1/Accepted.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/Accepted.java
@@ -8,345 +8,351 @@
 /**
  * Protobuf type {@code verbena.v1.Accepted}
  */
-public final class Accepted extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.Accepted)
-		AcceptedOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", Accepted.class.getName());
-	}
-
-	// Use Accepted.newBuilder() to construct.
-	private Accepted(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private Accepted() {
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Accepted.class,
-					io.verbenacleat.proto.v1.Accepted.Builder.class);
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.Accepted)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.Accepted other = (io.verbenacleat.proto.v1.Accepted) obj;
-
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.Accepted prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.Accepted}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.Accepted)
-			io.verbenacleat.proto.v1.AcceptedOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Accepted.class,
-						io.verbenacleat.proto.v1.Accepted.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.Accepted.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Accepted getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Accepted build() {
-			io.verbenacleat.proto.v1.Accepted result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Accepted buildPartial() {
-			io.verbenacleat.proto.v1.Accepted result = new io.verbenacleat.proto.v1.Accepted(this);
-			onBuilt();
-			return result;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.Accepted) {
-				return mergeFrom((io.verbenacleat.proto.v1.Accepted) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.Accepted other) {
-			if (other == io.verbenacleat.proto.v1.Accepted.getDefaultInstance())
-				return this;
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.Accepted)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.Accepted)
-	private static final io.verbenacleat.proto.v1.Accepted DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Accepted();
-	}
-
-	public static io.verbenacleat.proto.v1.Accepted getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<Accepted> PARSER = new com.google.protobuf.AbstractParser<Accepted>() {
-		@java.lang.Override
-		public Accepted parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<Accepted> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<Accepted> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Accepted getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class Accepted extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.Accepted)
+    AcceptedOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      Accepted.class.getName());
+  }
+  // Use Accepted.newBuilder() to construct.
+  private Accepted(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private Accepted() {
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.Accepted.class, io.verbenacleat.proto.v1.Accepted.Builder.class);
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.Accepted)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.Accepted other = (io.verbenacleat.proto.v1.Accepted) obj;
+
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.Accepted parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.Accepted parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Accepted parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.Accepted prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.Accepted}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.Accepted)
+      io.verbenacleat.proto.v1.AcceptedOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.Accepted.class, io.verbenacleat.proto.v1.Accepted.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.Accepted.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Accepted_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Accepted getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Accepted build() {
+      io.verbenacleat.proto.v1.Accepted result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Accepted buildPartial() {
+      io.verbenacleat.proto.v1.Accepted result = new io.verbenacleat.proto.v1.Accepted(this);
+      onBuilt();
+      return result;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.Accepted) {
+        return mergeFrom((io.verbenacleat.proto.v1.Accepted)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.Accepted other) {
+      if (other == io.verbenacleat.proto.v1.Accepted.getDefaultInstance()) return this;
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.Accepted)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.Accepted)
+  private static final io.verbenacleat.proto.v1.Accepted DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Accepted();
+  }
+
+  public static io.verbenacleat.proto.v1.Accepted getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<Accepted>
+      PARSER = new com.google.protobuf.AbstractParser<Accepted>() {
+    @java.lang.Override
+    public Accepted parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<Accepted> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<Accepted> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Accepted getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/AcceptedOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/AcceptedOrBuilder.java
@@ -6,7 +6,6 @@
 package io.verbenacleat.proto.v1;
 
 public interface AcceptedOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.Accepted)
-		com.google.protobuf.MessageOrBuilder {
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.Accepted)
+    com.google.protobuf.MessageOrBuilder {
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ChatWork.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ChatWork.java
@@ -8,726 +8,711 @@
 /**
  * Protobuf type {@code verbena.v1.ChatWork}
  */
-public final class ChatWork extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ChatWork)
-		ChatWorkOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ChatWork.class.getName());
-	}
-
-	// Use ChatWork.newBuilder() to construct.
-	private ChatWork(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ChatWork() {
-		model_ = "";
-		bodyJson_ = com.google.protobuf.ByteString.EMPTY;
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ChatWork.class,
-					io.verbenacleat.proto.v1.ChatWork.Builder.class);
-	}
-
-	public static final int MODEL_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object model_ = "";
-
-	/**
-	 * <code>string model = 1;</code>
-	 * @return The model.
-	 */
-	@java.lang.Override
-	public java.lang.String getModel() {
-		java.lang.Object ref = model_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			model_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string model = 1;</code>
-	 * @return The bytes for model.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getModelBytes() {
-		java.lang.Object ref = model_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			model_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int BODY_JSON_FIELD_NUMBER = 2;
-
-	private com.google.protobuf.ByteString bodyJson_ = com.google.protobuf.ByteString.EMPTY;
-
-	/**
-	 * <pre>
-	 * The request body as the caller sent it.
-	 * </pre>
-	 *
-	 * <code>bytes body_json = 2;</code>
-	 * @return The bodyJson.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getBodyJson() {
-		return bodyJson_;
-	}
-
-	public static final int PROMPT_BOUND_TOKENS_FIELD_NUMBER = 3;
-
-	private long promptBoundTokens_ = 0L;
-
-	/**
-	 * <code>int64 prompt_bound_tokens = 3;</code>
-	 * @return The promptBoundTokens.
-	 */
-	@java.lang.Override
-	public long getPromptBoundTokens() {
-		return promptBoundTokens_;
-	}
-
-	public static final int ANSWER_BOUND_TOKENS_FIELD_NUMBER = 4;
-
-	private long answerBoundTokens_ = 0L;
-
-	/**
-	 * <code>int64 answer_bound_tokens = 4;</code>
-	 * @return The answerBoundTokens.
-	 */
-	@java.lang.Override
-	public long getAnswerBoundTokens() {
-		return answerBoundTokens_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, model_);
-		}
-		if (!bodyJson_.isEmpty()) {
-			output.writeBytes(2, bodyJson_);
-		}
-		if (promptBoundTokens_ != 0L) {
-			output.writeInt64(3, promptBoundTokens_);
-		}
-		if (answerBoundTokens_ != 0L) {
-			output.writeInt64(4, answerBoundTokens_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, model_);
-		}
-		if (!bodyJson_.isEmpty()) {
-			size += com.google.protobuf.CodedOutputStream.computeBytesSize(2, bodyJson_);
-		}
-		if (promptBoundTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, promptBoundTokens_);
-		}
-		if (answerBoundTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(4, answerBoundTokens_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ChatWork)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ChatWork other = (io.verbenacleat.proto.v1.ChatWork) obj;
-
-		if (!getModel().equals(other.getModel()))
-			return false;
-		if (!getBodyJson().equals(other.getBodyJson()))
-			return false;
-		if (getPromptBoundTokens() != other.getPromptBoundTokens())
-			return false;
-		if (getAnswerBoundTokens() != other.getAnswerBoundTokens())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + MODEL_FIELD_NUMBER;
-		hash = (53 * hash) + getModel().hashCode();
-		hash = (37 * hash) + BODY_JSON_FIELD_NUMBER;
-		hash = (53 * hash) + getBodyJson().hashCode();
-		hash = (37 * hash) + PROMPT_BOUND_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getPromptBoundTokens());
-		hash = (37 * hash) + ANSWER_BOUND_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAnswerBoundTokens());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ChatWork prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ChatWork}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ChatWork)
-			io.verbenacleat.proto.v1.ChatWorkOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ChatWork.class,
-						io.verbenacleat.proto.v1.ChatWork.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ChatWork.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			model_ = "";
-			bodyJson_ = com.google.protobuf.ByteString.EMPTY;
-			promptBoundTokens_ = 0L;
-			answerBoundTokens_ = 0L;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ChatWork getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ChatWork build() {
-			io.verbenacleat.proto.v1.ChatWork result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ChatWork buildPartial() {
-			io.verbenacleat.proto.v1.ChatWork result = new io.verbenacleat.proto.v1.ChatWork(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ChatWork result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.model_ = model_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.bodyJson_ = bodyJson_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.promptBoundTokens_ = promptBoundTokens_;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.answerBoundTokens_ = answerBoundTokens_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ChatWork) {
-				return mergeFrom((io.verbenacleat.proto.v1.ChatWork) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ChatWork other) {
-			if (other == io.verbenacleat.proto.v1.ChatWork.getDefaultInstance())
-				return this;
-			if (!other.getModel().isEmpty()) {
-				model_ = other.model_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getBodyJson().isEmpty()) {
-				setBodyJson(other.getBodyJson());
-			}
-			if (other.getPromptBoundTokens() != 0L) {
-				setPromptBoundTokens(other.getPromptBoundTokens());
-			}
-			if (other.getAnswerBoundTokens() != 0L) {
-				setAnswerBoundTokens(other.getAnswerBoundTokens());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							model_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							bodyJson_ = input.readBytes();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 24: {
-							promptBoundTokens_ = input.readInt64();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 24
-						case 32: {
-							answerBoundTokens_ = input.readInt64();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 32
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object model_ = "";
-
-		/**
-		 * <code>string model = 1;</code>
-		 * @return The model.
-		 */
-		public java.lang.String getModel() {
-			java.lang.Object ref = model_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				model_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string model = 1;</code>
-		 * @return The bytes for model.
-		 */
-		public com.google.protobuf.ByteString getModelBytes() {
-			java.lang.Object ref = model_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				model_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string model = 1;</code>
-		 * @param value The model to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setModel(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			model_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string model = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearModel() {
-			model_ = getDefaultInstance().getModel();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string model = 1;</code>
-		 * @param value The bytes for model to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setModelBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			model_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private com.google.protobuf.ByteString bodyJson_ = com.google.protobuf.ByteString.EMPTY;
-
-		/**
-		 * <pre>
-		 * The request body as the caller sent it.
-		 * </pre>
-		 *
-		 * <code>bytes body_json = 2;</code>
-		 * @return The bodyJson.
-		 */
-		@java.lang.Override
-		public com.google.protobuf.ByteString getBodyJson() {
-			return bodyJson_;
-		}
-
-		/**
-		 * <pre>
-		 * The request body as the caller sent it.
-		 * </pre>
-		 *
-		 * <code>bytes body_json = 2;</code>
-		 * @param value The bodyJson to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBodyJson(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			bodyJson_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The request body as the caller sent it.
-		 * </pre>
-		 *
-		 * <code>bytes body_json = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearBodyJson() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			bodyJson_ = getDefaultInstance().getBodyJson();
-			onChanged();
-			return this;
-		}
-
-		private long promptBoundTokens_;
-
-		/**
-		 * <code>int64 prompt_bound_tokens = 3;</code>
-		 * @return The promptBoundTokens.
-		 */
-		@java.lang.Override
-		public long getPromptBoundTokens() {
-			return promptBoundTokens_;
-		}
-
-		/**
-		 * <code>int64 prompt_bound_tokens = 3;</code>
-		 * @param value The promptBoundTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPromptBoundTokens(long value) {
-
-			promptBoundTokens_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 prompt_bound_tokens = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPromptBoundTokens() {
-			bitField0_ = (bitField0_ & ~0x00000004);
-			promptBoundTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private long answerBoundTokens_;
-
-		/**
-		 * <code>int64 answer_bound_tokens = 4;</code>
-		 * @return The answerBoundTokens.
-		 */
-		@java.lang.Override
-		public long getAnswerBoundTokens() {
-			return answerBoundTokens_;
-		}
-
-		/**
-		 * <code>int64 answer_bound_tokens = 4;</code>
-		 * @param value The answerBoundTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAnswerBoundTokens(long value) {
-
-			answerBoundTokens_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 answer_bound_tokens = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAnswerBoundTokens() {
-			bitField0_ = (bitField0_ & ~0x00000008);
-			answerBoundTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ChatWork)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ChatWork)
-	private static final io.verbenacleat.proto.v1.ChatWork DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ChatWork();
-	}
-
-	public static io.verbenacleat.proto.v1.ChatWork getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ChatWork> PARSER = new com.google.protobuf.AbstractParser<ChatWork>() {
-		@java.lang.Override
-		public ChatWork parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ChatWork> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ChatWork> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ChatWork getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ChatWork extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ChatWork)
+    ChatWorkOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ChatWork.class.getName());
+  }
+  // Use ChatWork.newBuilder() to construct.
+  private ChatWork(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ChatWork() {
+    model_ = "";
+    bodyJson_ = com.google.protobuf.ByteString.EMPTY;
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ChatWork.class, io.verbenacleat.proto.v1.ChatWork.Builder.class);
+  }
+
+  public static final int MODEL_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object model_ = "";
+  /**
+   * <code>string model = 1;</code>
+   * @return The model.
+   */
+  @java.lang.Override
+  public java.lang.String getModel() {
+    java.lang.Object ref = model_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      model_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string model = 1;</code>
+   * @return The bytes for model.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getModelBytes() {
+    java.lang.Object ref = model_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      model_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int BODY_JSON_FIELD_NUMBER = 2;
+  private com.google.protobuf.ByteString bodyJson_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * The request body as the caller sent it.
+   * </pre>
+   *
+   * <code>bytes body_json = 2;</code>
+   * @return The bodyJson.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getBodyJson() {
+    return bodyJson_;
+  }
+
+  public static final int PROMPT_BOUND_TOKENS_FIELD_NUMBER = 3;
+  private long promptBoundTokens_ = 0L;
+  /**
+   * <code>int64 prompt_bound_tokens = 3;</code>
+   * @return The promptBoundTokens.
+   */
+  @java.lang.Override
+  public long getPromptBoundTokens() {
+    return promptBoundTokens_;
+  }
+
+  public static final int ANSWER_BOUND_TOKENS_FIELD_NUMBER = 4;
+  private long answerBoundTokens_ = 0L;
+  /**
+   * <code>int64 answer_bound_tokens = 4;</code>
+   * @return The answerBoundTokens.
+   */
+  @java.lang.Override
+  public long getAnswerBoundTokens() {
+    return answerBoundTokens_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, model_);
+    }
+    if (!bodyJson_.isEmpty()) {
+      output.writeBytes(2, bodyJson_);
+    }
+    if (promptBoundTokens_ != 0L) {
+      output.writeInt64(3, promptBoundTokens_);
+    }
+    if (answerBoundTokens_ != 0L) {
+      output.writeInt64(4, answerBoundTokens_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, model_);
+    }
+    if (!bodyJson_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(2, bodyJson_);
+    }
+    if (promptBoundTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, promptBoundTokens_);
+    }
+    if (answerBoundTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, answerBoundTokens_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ChatWork)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ChatWork other = (io.verbenacleat.proto.v1.ChatWork) obj;
+
+    if (!getModel()
+        .equals(other.getModel())) return false;
+    if (!getBodyJson()
+        .equals(other.getBodyJson())) return false;
+    if (getPromptBoundTokens()
+        != other.getPromptBoundTokens()) return false;
+    if (getAnswerBoundTokens()
+        != other.getAnswerBoundTokens()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + MODEL_FIELD_NUMBER;
+    hash = (53 * hash) + getModel().hashCode();
+    hash = (37 * hash) + BODY_JSON_FIELD_NUMBER;
+    hash = (53 * hash) + getBodyJson().hashCode();
+    hash = (37 * hash) + PROMPT_BOUND_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPromptBoundTokens());
+    hash = (37 * hash) + ANSWER_BOUND_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAnswerBoundTokens());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ChatWork parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ChatWork parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ChatWork parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ChatWork prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ChatWork}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ChatWork)
+      io.verbenacleat.proto.v1.ChatWorkOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ChatWork.class, io.verbenacleat.proto.v1.ChatWork.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ChatWork.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      model_ = "";
+      bodyJson_ = com.google.protobuf.ByteString.EMPTY;
+      promptBoundTokens_ = 0L;
+      answerBoundTokens_ = 0L;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ChatWork_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ChatWork getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ChatWork build() {
+      io.verbenacleat.proto.v1.ChatWork result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ChatWork buildPartial() {
+      io.verbenacleat.proto.v1.ChatWork result = new io.verbenacleat.proto.v1.ChatWork(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ChatWork result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.model_ = model_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.bodyJson_ = bodyJson_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.promptBoundTokens_ = promptBoundTokens_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.answerBoundTokens_ = answerBoundTokens_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ChatWork) {
+        return mergeFrom((io.verbenacleat.proto.v1.ChatWork)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ChatWork other) {
+      if (other == io.verbenacleat.proto.v1.ChatWork.getDefaultInstance()) return this;
+      if (!other.getModel().isEmpty()) {
+        model_ = other.model_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getBodyJson().isEmpty()) {
+        setBodyJson(other.getBodyJson());
+      }
+      if (other.getPromptBoundTokens() != 0L) {
+        setPromptBoundTokens(other.getPromptBoundTokens());
+      }
+      if (other.getAnswerBoundTokens() != 0L) {
+        setAnswerBoundTokens(other.getAnswerBoundTokens());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              model_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              bodyJson_ = input.readBytes();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 24: {
+              promptBoundTokens_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              answerBoundTokens_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object model_ = "";
+    /**
+     * <code>string model = 1;</code>
+     * @return The model.
+     */
+    public java.lang.String getModel() {
+      java.lang.Object ref = model_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        model_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string model = 1;</code>
+     * @return The bytes for model.
+     */
+    public com.google.protobuf.ByteString
+        getModelBytes() {
+      java.lang.Object ref = model_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        model_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string model = 1;</code>
+     * @param value The model to set.
+     * @return This builder for chaining.
+     */
+    public Builder setModel(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      model_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string model = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearModel() {
+      model_ = getDefaultInstance().getModel();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string model = 1;</code>
+     * @param value The bytes for model to set.
+     * @return This builder for chaining.
+     */
+    public Builder setModelBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      model_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString bodyJson_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * The request body as the caller sent it.
+     * </pre>
+     *
+     * <code>bytes body_json = 2;</code>
+     * @return The bodyJson.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getBodyJson() {
+      return bodyJson_;
+    }
+    /**
+     * <pre>
+     * The request body as the caller sent it.
+     * </pre>
+     *
+     * <code>bytes body_json = 2;</code>
+     * @param value The bodyJson to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBodyJson(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      bodyJson_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The request body as the caller sent it.
+     * </pre>
+     *
+     * <code>bytes body_json = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBodyJson() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      bodyJson_ = getDefaultInstance().getBodyJson();
+      onChanged();
+      return this;
+    }
+
+    private long promptBoundTokens_ ;
+    /**
+     * <code>int64 prompt_bound_tokens = 3;</code>
+     * @return The promptBoundTokens.
+     */
+    @java.lang.Override
+    public long getPromptBoundTokens() {
+      return promptBoundTokens_;
+    }
+    /**
+     * <code>int64 prompt_bound_tokens = 3;</code>
+     * @param value The promptBoundTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptBoundTokens(long value) {
+
+      promptBoundTokens_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 prompt_bound_tokens = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptBoundTokens() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      promptBoundTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long answerBoundTokens_ ;
+    /**
+     * <code>int64 answer_bound_tokens = 4;</code>
+     * @return The answerBoundTokens.
+     */
+    @java.lang.Override
+    public long getAnswerBoundTokens() {
+      return answerBoundTokens_;
+    }
+    /**
+     * <code>int64 answer_bound_tokens = 4;</code>
+     * @param value The answerBoundTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAnswerBoundTokens(long value) {
+
+      answerBoundTokens_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 answer_bound_tokens = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAnswerBoundTokens() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      answerBoundTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ChatWork)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ChatWork)
+  private static final io.verbenacleat.proto.v1.ChatWork DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ChatWork();
+  }
+
+  public static io.verbenacleat.proto.v1.ChatWork getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ChatWork>
+      PARSER = new com.google.protobuf.AbstractParser<ChatWork>() {
+    @java.lang.Override
+    public ChatWork parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ChatWork> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ChatWork> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ChatWork getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ChatWorkOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ChatWorkOrBuilder.java
@@ -6,41 +6,40 @@
 package io.verbenacleat.proto.v1;
 
 public interface ChatWorkOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ChatWork)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string model = 1;</code>
-	 * @return The model.
-	 */
-	java.lang.String getModel();
-
-	/**
-	 * <code>string model = 1;</code>
-	 * @return The bytes for model.
-	 */
-	com.google.protobuf.ByteString getModelBytes();
-
-	/**
-	 * <pre>
-	 * The request body as the caller sent it.
-	 * </pre>
-	 *
-	 * <code>bytes body_json = 2;</code>
-	 * @return The bodyJson.
-	 */
-	com.google.protobuf.ByteString getBodyJson();
-
-	/**
-	 * <code>int64 prompt_bound_tokens = 3;</code>
-	 * @return The promptBoundTokens.
-	 */
-	long getPromptBoundTokens();
-
-	/**
-	 * <code>int64 answer_bound_tokens = 4;</code>
-	 * @return The answerBoundTokens.
-	 */
-	long getAnswerBoundTokens();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ChatWork)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string model = 1;</code>
+   * @return The model.
+   */
+  java.lang.String getModel();
+  /**
+   * <code>string model = 1;</code>
+   * @return The bytes for model.
+   */
+  com.google.protobuf.ByteString
+      getModelBytes();
+
+  /**
+   * <pre>
+   * The request body as the caller sent it.
+   * </pre>
+   *
+   * <code>bytes body_json = 2;</code>
+   * @return The bodyJson.
+   */
+  com.google.protobuf.ByteString getBodyJson();
+
+  /**
+   * <code>int64 prompt_bound_tokens = 3;</code>
+   * @return The promptBoundTokens.
+   */
+  long getPromptBoundTokens();
+
+  /**
+   * <code>int64 answer_bound_tokens = 4;</code>
+   * @return The answerBoundTokens.
+   */
+  long getAnswerBoundTokens();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessRequest.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessRequest.java
@@ -8,669 +8,658 @@
 /**
  * Protobuf type {@code verbena.v1.CloseProcessRequest}
  */
-public final class CloseProcessRequest extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.CloseProcessRequest)
-		CloseProcessRequestOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", CloseProcessRequest.class.getName());
-	}
-
-	// Use CloseProcessRequest.newBuilder() to construct.
-	private CloseProcessRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private CloseProcessRequest() {
-		incarnation_ = "";
-		askingIncarnation_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.CloseProcessRequest.class,
-					io.verbenacleat.proto.v1.CloseProcessRequest.Builder.class);
-	}
-
-	public static final int INCARNATION_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object incarnation_ = "";
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getIncarnation() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			incarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getIncarnationBytes() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			incarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int ASKING_INCARNATION_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object askingIncarnation_ = "";
-
-	/**
-	 * <pre>
-	 * The entry that asks.
-	 * </pre>
-	 *
-	 * <code>string asking_incarnation = 2;</code>
-	 * @return The askingIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getAskingIncarnation() {
-		java.lang.Object ref = askingIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			askingIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <pre>
-	 * The entry that asks.
-	 * </pre>
-	 *
-	 * <code>string asking_incarnation = 2;</code>
-	 * @return The bytes for askingIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getAskingIncarnationBytes() {
-		java.lang.Object ref = askingIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			askingIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(askingIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, askingIncarnation_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(askingIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, askingIncarnation_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.CloseProcessRequest)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.CloseProcessRequest other = (io.verbenacleat.proto.v1.CloseProcessRequest) obj;
-
-		if (!getIncarnation().equals(other.getIncarnation()))
-			return false;
-		if (!getAskingIncarnation().equals(other.getAskingIncarnation()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getIncarnation().hashCode();
-		hash = (37 * hash) + ASKING_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getAskingIncarnation().hashCode();
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.CloseProcessRequest prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.CloseProcessRequest}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.CloseProcessRequest)
-			io.verbenacleat.proto.v1.CloseProcessRequestOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.CloseProcessRequest.class,
-						io.verbenacleat.proto.v1.CloseProcessRequest.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.CloseProcessRequest.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			incarnation_ = "";
-			askingIncarnation_ = "";
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.CloseProcessRequest getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.CloseProcessRequest.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.CloseProcessRequest build() {
-			io.verbenacleat.proto.v1.CloseProcessRequest result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.CloseProcessRequest buildPartial() {
-			io.verbenacleat.proto.v1.CloseProcessRequest result = new io.verbenacleat.proto.v1.CloseProcessRequest(
-					this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.CloseProcessRequest result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.incarnation_ = incarnation_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.askingIncarnation_ = askingIncarnation_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.CloseProcessRequest) {
-				return mergeFrom((io.verbenacleat.proto.v1.CloseProcessRequest) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.CloseProcessRequest other) {
-			if (other == io.verbenacleat.proto.v1.CloseProcessRequest.getDefaultInstance())
-				return this;
-			if (!other.getIncarnation().isEmpty()) {
-				incarnation_ = other.incarnation_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getAskingIncarnation().isEmpty()) {
-				askingIncarnation_ = other.askingIncarnation_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							incarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							askingIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object incarnation_ = "";
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The incarnation.
-		 */
-		public java.lang.String getIncarnation() {
-			java.lang.Object ref = incarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				incarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The bytes for incarnation.
-		 */
-		public com.google.protobuf.ByteString getIncarnationBytes() {
-			java.lang.Object ref = incarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				incarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearIncarnation() {
-			incarnation_ = getDefaultInstance().getIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The bytes for incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object askingIncarnation_ = "";
-
-		/**
-		 * <pre>
-		 * The entry that asks.
-		 * </pre>
-		 *
-		 * <code>string asking_incarnation = 2;</code>
-		 * @return The askingIncarnation.
-		 */
-		public java.lang.String getAskingIncarnation() {
-			java.lang.Object ref = askingIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				askingIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * The entry that asks.
-		 * </pre>
-		 *
-		 * <code>string asking_incarnation = 2;</code>
-		 * @return The bytes for askingIncarnation.
-		 */
-		public com.google.protobuf.ByteString getAskingIncarnationBytes() {
-			java.lang.Object ref = askingIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				askingIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * The entry that asks.
-		 * </pre>
-		 *
-		 * <code>string asking_incarnation = 2;</code>
-		 * @param value The askingIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAskingIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			askingIncarnation_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The entry that asks.
-		 * </pre>
-		 *
-		 * <code>string asking_incarnation = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAskingIncarnation() {
-			askingIncarnation_ = getDefaultInstance().getAskingIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The entry that asks.
-		 * </pre>
-		 *
-		 * <code>string asking_incarnation = 2;</code>
-		 * @param value The bytes for askingIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAskingIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			askingIncarnation_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.CloseProcessRequest)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.CloseProcessRequest)
-	private static final io.verbenacleat.proto.v1.CloseProcessRequest DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.CloseProcessRequest();
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessRequest getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<CloseProcessRequest> PARSER = new com.google.protobuf.AbstractParser<CloseProcessRequest>() {
-		@java.lang.Override
-		public CloseProcessRequest parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<CloseProcessRequest> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<CloseProcessRequest> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.CloseProcessRequest getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class CloseProcessRequest extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.CloseProcessRequest)
+    CloseProcessRequestOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      CloseProcessRequest.class.getName());
+  }
+  // Use CloseProcessRequest.newBuilder() to construct.
+  private CloseProcessRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private CloseProcessRequest() {
+    incarnation_ = "";
+    askingIncarnation_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.CloseProcessRequest.class, io.verbenacleat.proto.v1.CloseProcessRequest.Builder.class);
+  }
+
+  public static final int INCARNATION_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object incarnation_ = "";
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getIncarnation() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      incarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIncarnationBytes() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      incarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ASKING_INCARNATION_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object askingIncarnation_ = "";
+  /**
+   * <pre>
+   * The entry that asks.
+   * </pre>
+   *
+   * <code>string asking_incarnation = 2;</code>
+   * @return The askingIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getAskingIncarnation() {
+    java.lang.Object ref = askingIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      askingIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The entry that asks.
+   * </pre>
+   *
+   * <code>string asking_incarnation = 2;</code>
+   * @return The bytes for askingIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAskingIncarnationBytes() {
+    java.lang.Object ref = askingIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      askingIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(askingIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, askingIncarnation_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(askingIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, askingIncarnation_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.CloseProcessRequest)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.CloseProcessRequest other = (io.verbenacleat.proto.v1.CloseProcessRequest) obj;
+
+    if (!getIncarnation()
+        .equals(other.getIncarnation())) return false;
+    if (!getAskingIncarnation()
+        .equals(other.getAskingIncarnation())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getIncarnation().hashCode();
+    hash = (37 * hash) + ASKING_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getAskingIncarnation().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessRequest parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.CloseProcessRequest prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.CloseProcessRequest}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.CloseProcessRequest)
+      io.verbenacleat.proto.v1.CloseProcessRequestOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.CloseProcessRequest.class, io.verbenacleat.proto.v1.CloseProcessRequest.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.CloseProcessRequest.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      incarnation_ = "";
+      askingIncarnation_ = "";
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.CloseProcessRequest getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.CloseProcessRequest.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.CloseProcessRequest build() {
+      io.verbenacleat.proto.v1.CloseProcessRequest result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.CloseProcessRequest buildPartial() {
+      io.verbenacleat.proto.v1.CloseProcessRequest result = new io.verbenacleat.proto.v1.CloseProcessRequest(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.CloseProcessRequest result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.askingIncarnation_ = askingIncarnation_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.CloseProcessRequest) {
+        return mergeFrom((io.verbenacleat.proto.v1.CloseProcessRequest)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.CloseProcessRequest other) {
+      if (other == io.verbenacleat.proto.v1.CloseProcessRequest.getDefaultInstance()) return this;
+      if (!other.getIncarnation().isEmpty()) {
+        incarnation_ = other.incarnation_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getAskingIncarnation().isEmpty()) {
+        askingIncarnation_ = other.askingIncarnation_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              incarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              askingIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object incarnation_ = "";
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The incarnation.
+     */
+    public java.lang.String getIncarnation() {
+      java.lang.Object ref = incarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        incarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The bytes for incarnation.
+     */
+    public com.google.protobuf.ByteString
+        getIncarnationBytes() {
+      java.lang.Object ref = incarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        incarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      incarnation_ = getDefaultInstance().getIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The bytes for incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object askingIncarnation_ = "";
+    /**
+     * <pre>
+     * The entry that asks.
+     * </pre>
+     *
+     * <code>string asking_incarnation = 2;</code>
+     * @return The askingIncarnation.
+     */
+    public java.lang.String getAskingIncarnation() {
+      java.lang.Object ref = askingIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        askingIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The entry that asks.
+     * </pre>
+     *
+     * <code>string asking_incarnation = 2;</code>
+     * @return The bytes for askingIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getAskingIncarnationBytes() {
+      java.lang.Object ref = askingIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        askingIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The entry that asks.
+     * </pre>
+     *
+     * <code>string asking_incarnation = 2;</code>
+     * @param value The askingIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAskingIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      askingIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry that asks.
+     * </pre>
+     *
+     * <code>string asking_incarnation = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAskingIncarnation() {
+      askingIncarnation_ = getDefaultInstance().getAskingIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The entry that asks.
+     * </pre>
+     *
+     * <code>string asking_incarnation = 2;</code>
+     * @param value The bytes for askingIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAskingIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      askingIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.CloseProcessRequest)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.CloseProcessRequest)
+  private static final io.verbenacleat.proto.v1.CloseProcessRequest DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.CloseProcessRequest();
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessRequest getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<CloseProcessRequest>
+      PARSER = new com.google.protobuf.AbstractParser<CloseProcessRequest>() {
+    @java.lang.Override
+    public CloseProcessRequest parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<CloseProcessRequest> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<CloseProcessRequest> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.CloseProcessRequest getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessRequestOrBuilder.java
@@ -6,39 +6,38 @@
 package io.verbenacleat.proto.v1;
 
 public interface CloseProcessRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.CloseProcessRequest)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.CloseProcessRequest)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	java.lang.String getIncarnation();
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	com.google.protobuf.ByteString getIncarnationBytes();
-
-	/**
-	 * <pre>
-	 * The entry that asks.
-	 * </pre>
-	 *
-	 * <code>string asking_incarnation = 2;</code>
-	 * @return The askingIncarnation.
-	 */
-	java.lang.String getAskingIncarnation();
-
-	/**
-	 * <pre>
-	 * The entry that asks.
-	 * </pre>
-	 *
-	 * <code>string asking_incarnation = 2;</code>
-	 * @return The bytes for askingIncarnation.
-	 */
-	com.google.protobuf.ByteString getAskingIncarnationBytes();
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  java.lang.String getIncarnation();
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  com.google.protobuf.ByteString
+      getIncarnationBytes();
 
+  /**
+   * <pre>
+   * The entry that asks.
+   * </pre>
+   *
+   * <code>string asking_incarnation = 2;</code>
+   * @return The askingIncarnation.
+   */
+  java.lang.String getAskingIncarnation();
+  /**
+   * <pre>
+   * The entry that asks.
+   * </pre>
+   *
+   * <code>string asking_incarnation = 2;</code>
+   * @return The bytes for askingIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getAskingIncarnationBytes();
 }
