--- a/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessResponse.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessResponse.java
@@ -8,1173 +8,1304 @@
 /**
  * Protobuf type {@code verbena.v1.CloseProcessResponse}
  */
-public final class CloseProcessResponse extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.CloseProcessResponse)
-		CloseProcessResponseOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", CloseProcessResponse.class.getName());
-	}
-
-	// Use CloseProcessResponse.newBuilder() to construct.
-	private CloseProcessResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private CloseProcessResponse() {
-		receipts_ = java.util.Collections.emptyList();
-		executedRequestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.CloseProcessResponse.class,
-					io.verbenacleat.proto.v1.CloseProcessResponse.Builder.class);
-	}
-
-	public static final int IN_PROGRESS_FIELD_NUMBER = 1;
-
-	private int inProgress_ = 0;
-
-	/**
-	 * <pre>
-	 * Orders of the closed gateway, or on the grants of the closed holder, that still run.
-	 * </pre>
-	 *
-	 * <code>int32 in_progress = 1;</code>
-	 * @return The inProgress.
-	 */
-	@java.lang.Override
-	public int getInProgress() {
-		return inProgress_;
-	}
-
-	public static final int RECEIPTS_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_;
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
-		return receipts_;
-	}
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> getReceiptsOrBuilderList() {
-		return receipts_;
-	}
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	@java.lang.Override
-	public int getReceiptsCount() {
-		return receipts_.size();
-	}
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
-		return receipts_.get(index);
-	}
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(int index) {
-		return receipts_.get(index);
-	}
-
-	public static final int EXECUTED_REQUEST_IDS_FIELD_NUMBER = 3;
-
-	@SuppressWarnings("serial")
-	private com.google.protobuf.LazyStringArrayList executedRequestIds_ = com.google.protobuf.LazyStringArrayList
-		.emptyList();
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @return A list containing the executedRequestIds.
-	 */
-	public com.google.protobuf.ProtocolStringList getExecutedRequestIdsList() {
-		return executedRequestIds_;
-	}
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @return The count of executedRequestIds.
-	 */
-	public int getExecutedRequestIdsCount() {
-		return executedRequestIds_.size();
-	}
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @param index The index of the element to return.
-	 * @return The executedRequestIds at the given index.
-	 */
-	public java.lang.String getExecutedRequestIds(int index) {
-		return executedRequestIds_.get(index);
-	}
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @param index The index of the value to return.
-	 * @return The bytes of the executedRequestIds at the given index.
-	 */
-	public com.google.protobuf.ByteString getExecutedRequestIdsBytes(int index) {
-		return executedRequestIds_.getByteString(index);
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (inProgress_ != 0) {
-			output.writeInt32(1, inProgress_);
-		}
-		for (int i = 0; i < receipts_.size(); i++) {
-			output.writeMessage(2, receipts_.get(i));
-		}
-		for (int i = 0; i < executedRequestIds_.size(); i++) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 3, executedRequestIds_.getRaw(i));
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (inProgress_ != 0) {
-			size += com.google.protobuf.CodedOutputStream.computeInt32Size(1, inProgress_);
-		}
-		for (int i = 0; i < receipts_.size(); i++) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, receipts_.get(i));
-		}
-		{
-			int dataSize = 0;
-			for (int i = 0; i < executedRequestIds_.size(); i++) {
-				dataSize += computeStringSizeNoTag(executedRequestIds_.getRaw(i));
-			}
-			size += dataSize;
-			size += 1 * getExecutedRequestIdsList().size();
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.CloseProcessResponse)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.CloseProcessResponse other = (io.verbenacleat.proto.v1.CloseProcessResponse) obj;
-
-		if (getInProgress() != other.getInProgress())
-			return false;
-		if (!getReceiptsList().equals(other.getReceiptsList()))
-			return false;
-		if (!getExecutedRequestIdsList().equals(other.getExecutedRequestIdsList()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + IN_PROGRESS_FIELD_NUMBER;
-		hash = (53 * hash) + getInProgress();
-		if (getReceiptsCount() > 0) {
-			hash = (37 * hash) + RECEIPTS_FIELD_NUMBER;
-			hash = (53 * hash) + getReceiptsList().hashCode();
-		}
-		if (getExecutedRequestIdsCount() > 0) {
-			hash = (37 * hash) + EXECUTED_REQUEST_IDS_FIELD_NUMBER;
-			hash = (53 * hash) + getExecutedRequestIdsList().hashCode();
-		}
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.CloseProcessResponse prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.CloseProcessResponse}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.CloseProcessResponse)
-			io.verbenacleat.proto.v1.CloseProcessResponseOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.CloseProcessResponse.class,
-						io.verbenacleat.proto.v1.CloseProcessResponse.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.CloseProcessResponse.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			inProgress_ = 0;
-			if (receiptsBuilder_ == null) {
-				receipts_ = java.util.Collections.emptyList();
-			}
-			else {
-				receipts_ = null;
-				receiptsBuilder_.clear();
-			}
-			bitField0_ = (bitField0_ & ~0x00000002);
-			executedRequestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.CloseProcessResponse getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.CloseProcessResponse.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.CloseProcessResponse build() {
-			io.verbenacleat.proto.v1.CloseProcessResponse result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.CloseProcessResponse buildPartial() {
-			io.verbenacleat.proto.v1.CloseProcessResponse result = new io.verbenacleat.proto.v1.CloseProcessResponse(
-					this);
-			buildPartialRepeatedFields(result);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.CloseProcessResponse result) {
-			if (receiptsBuilder_ == null) {
-				if (((bitField0_ & 0x00000002) != 0)) {
-					receipts_ = java.util.Collections.unmodifiableList(receipts_);
-					bitField0_ = (bitField0_ & ~0x00000002);
-				}
-				result.receipts_ = receipts_;
-			}
-			else {
-				result.receipts_ = receiptsBuilder_.build();
-			}
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.CloseProcessResponse result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.inProgress_ = inProgress_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				executedRequestIds_.makeImmutable();
-				result.executedRequestIds_ = executedRequestIds_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.CloseProcessResponse) {
-				return mergeFrom((io.verbenacleat.proto.v1.CloseProcessResponse) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.CloseProcessResponse other) {
-			if (other == io.verbenacleat.proto.v1.CloseProcessResponse.getDefaultInstance())
-				return this;
-			if (other.getInProgress() != 0) {
-				setInProgress(other.getInProgress());
-			}
-			if (receiptsBuilder_ == null) {
-				if (!other.receipts_.isEmpty()) {
-					if (receipts_.isEmpty()) {
-						receipts_ = other.receipts_;
-						bitField0_ = (bitField0_ & ~0x00000002);
-					}
-					else {
-						ensureReceiptsIsMutable();
-						receipts_.addAll(other.receipts_);
-					}
-					onChanged();
-				}
-			}
-			else {
-				if (!other.receipts_.isEmpty()) {
-					if (receiptsBuilder_.isEmpty()) {
-						receiptsBuilder_.dispose();
-						receiptsBuilder_ = null;
-						receipts_ = other.receipts_;
-						bitField0_ = (bitField0_ & ~0x00000002);
-						receiptsBuilder_ = com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
-								? internalGetReceiptsFieldBuilder() : null;
-					}
-					else {
-						receiptsBuilder_.addAllMessages(other.receipts_);
-					}
-				}
-			}
-			if (!other.executedRequestIds_.isEmpty()) {
-				if (executedRequestIds_.isEmpty()) {
-					executedRequestIds_ = other.executedRequestIds_;
-					bitField0_ |= 0x00000004;
-				}
-				else {
-					ensureExecutedRequestIdsIsMutable();
-					executedRequestIds_.addAll(other.executedRequestIds_);
-				}
-				onChanged();
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 8: {
-							inProgress_ = input.readInt32();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 8
-						case 18: {
-							io.verbenacleat.proto.v1.Receipt m = input
-								.readMessage(io.verbenacleat.proto.v1.Receipt.parser(), extensionRegistry);
-							if (receiptsBuilder_ == null) {
-								ensureReceiptsIsMutable();
-								receipts_.add(m);
-							}
-							else {
-								receiptsBuilder_.addMessage(m);
-							}
-							break;
-						} // case 18
-						case 26: {
-							java.lang.String s = input.readStringRequireUtf8();
-							ensureExecutedRequestIdsIsMutable();
-							executedRequestIds_.add(s);
-							break;
-						} // case 26
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private int inProgress_;
-
-		/**
-		 * <pre>
-		 * Orders of the closed gateway, or on the grants of the closed holder, that still run.
-		 * </pre>
-		 *
-		 * <code>int32 in_progress = 1;</code>
-		 * @return The inProgress.
-		 */
-		@java.lang.Override
-		public int getInProgress() {
-			return inProgress_;
-		}
-
-		/**
-		 * <pre>
-		 * Orders of the closed gateway, or on the grants of the closed holder, that still run.
-		 * </pre>
-		 *
-		 * <code>int32 in_progress = 1;</code>
-		 * @param value The inProgress to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setInProgress(int value) {
-
-			inProgress_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Orders of the closed gateway, or on the grants of the closed holder, that still run.
-		 * </pre>
-		 *
-		 * <code>int32 in_progress = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearInProgress() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			inProgress_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_ = java.util.Collections.emptyList();
-
-		private void ensureReceiptsIsMutable() {
-			if (!((bitField0_ & 0x00000002) != 0)) {
-				receipts_ = new java.util.ArrayList<io.verbenacleat.proto.v1.Receipt>(receipts_);
-				bitField0_ |= 0x00000002;
-			}
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptsBuilder_;
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
-			if (receiptsBuilder_ == null) {
-				return java.util.Collections.unmodifiableList(receipts_);
-			}
-			else {
-				return receiptsBuilder_.getMessageList();
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public int getReceiptsCount() {
-			if (receiptsBuilder_ == null) {
-				return receipts_.size();
-			}
-			else {
-				return receiptsBuilder_.getCount();
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
-			if (receiptsBuilder_ == null) {
-				return receipts_.get(index);
-			}
-			else {
-				return receiptsBuilder_.getMessage(index);
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder setReceipts(int index, io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptsBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureReceiptsIsMutable();
-				receipts_.set(index, value);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.setMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder setReceipts(int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.set(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.setMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder addReceipts(io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptsBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureReceiptsIsMutable();
-				receipts_.add(value);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(value);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder addReceipts(int index, io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptsBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureReceiptsIsMutable();
-				receipts_.add(index, value);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder addReceipts(io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.add(builderForValue.build());
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder addReceipts(int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.add(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder addAllReceipts(java.lang.Iterable<? extends io.verbenacleat.proto.v1.Receipt> values) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				com.google.protobuf.AbstractMessageLite.Builder.addAll(values, receipts_);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addAllMessages(values);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder clearReceipts() {
-			if (receiptsBuilder_ == null) {
-				receipts_ = java.util.Collections.emptyList();
-				bitField0_ = (bitField0_ & ~0x00000002);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public Builder removeReceipts(int index) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.remove(index);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.remove(index);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder getReceiptsBuilder(int index) {
-			return internalGetReceiptsFieldBuilder().getBuilder(index);
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(int index) {
-			if (receiptsBuilder_ == null) {
-				return receipts_.get(index);
-			}
-			else {
-				return receiptsBuilder_.getMessageOrBuilder(index);
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> getReceiptsOrBuilderList() {
-			if (receiptsBuilder_ != null) {
-				return receiptsBuilder_.getMessageOrBuilderList();
-			}
-			else {
-				return java.util.Collections.unmodifiableList(receipts_);
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder() {
-			return internalGetReceiptsFieldBuilder().addBuilder(io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder(int index) {
-			return internalGetReceiptsFieldBuilder().addBuilder(index,
-					io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
-		}
-
-		/**
-		 * <pre>
-		 * Receipts on the grants of the closed holder that are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.Receipt.Builder> getReceiptsBuilderList() {
-			return internalGetReceiptsFieldBuilder().getBuilderList();
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> internalGetReceiptsFieldBuilder() {
-			if (receiptsBuilder_ == null) {
-				receiptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
-						receipts_, ((bitField0_ & 0x00000002) != 0), getParentForChildren(), isClean());
-				receipts_ = null;
-			}
-			return receiptsBuilder_;
-		}
-
-		private com.google.protobuf.LazyStringArrayList executedRequestIds_ = com.google.protobuf.LazyStringArrayList
-			.emptyList();
-
-		private void ensureExecutedRequestIdsIsMutable() {
-			if (!executedRequestIds_.isModifiable()) {
-				executedRequestIds_ = new com.google.protobuf.LazyStringArrayList(executedRequestIds_);
-			}
-			bitField0_ |= 0x00000004;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @return A list containing the executedRequestIds.
-		 */
-		public com.google.protobuf.ProtocolStringList getExecutedRequestIdsList() {
-			executedRequestIds_.makeImmutable();
-			return executedRequestIds_;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @return The count of executedRequestIds.
-		 */
-		public int getExecutedRequestIdsCount() {
-			return executedRequestIds_.size();
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @param index The index of the element to return.
-		 * @return The executedRequestIds at the given index.
-		 */
-		public java.lang.String getExecutedRequestIds(int index) {
-			return executedRequestIds_.get(index);
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @param index The index of the value to return.
-		 * @return The bytes of the executedRequestIds at the given index.
-		 */
-		public com.google.protobuf.ByteString getExecutedRequestIdsBytes(int index) {
-			return executedRequestIds_.getByteString(index);
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @param index The index to set the value at.
-		 * @param value The executedRequestIds to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setExecutedRequestIds(int index, java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			ensureExecutedRequestIdsIsMutable();
-			executedRequestIds_.set(index, value);
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @param value The executedRequestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addExecutedRequestIds(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			ensureExecutedRequestIdsIsMutable();
-			executedRequestIds_.add(value);
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @param values The executedRequestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addAllExecutedRequestIds(java.lang.Iterable<java.lang.String> values) {
-			ensureExecutedRequestIdsIsMutable();
-			com.google.protobuf.AbstractMessageLite.Builder.addAll(values, executedRequestIds_);
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearExecutedRequestIds() {
-			executedRequestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-			bitField0_ = (bitField0_ & ~0x00000004);
-			;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of the closed gateway on the grants of the asking holder that were executed here
-		 * and whose receipts are not durable yet.
-		 * </pre>
-		 *
-		 * <code>repeated string executed_request_ids = 3;</code>
-		 * @param value The bytes of the executedRequestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addExecutedRequestIdsBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			ensureExecutedRequestIdsIsMutable();
-			executedRequestIds_.add(value);
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.CloseProcessResponse)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.CloseProcessResponse)
-	private static final io.verbenacleat.proto.v1.CloseProcessResponse DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.CloseProcessResponse();
-	}
-
-	public static io.verbenacleat.proto.v1.CloseProcessResponse getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<CloseProcessResponse> PARSER = new com.google.protobuf.AbstractParser<CloseProcessResponse>() {
-		@java.lang.Override
-		public CloseProcessResponse parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<CloseProcessResponse> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<CloseProcessResponse> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.CloseProcessResponse getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class CloseProcessResponse extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.CloseProcessResponse)
+    CloseProcessResponseOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      CloseProcessResponse.class.getName());
+  }
+  // Use CloseProcessResponse.newBuilder() to construct.
+  private CloseProcessResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private CloseProcessResponse() {
+    receipts_ = java.util.Collections.emptyList();
+    executedRequestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    agentIncarnation_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.CloseProcessResponse.class, io.verbenacleat.proto.v1.CloseProcessResponse.Builder.class);
+  }
+
+  public static final int IN_PROGRESS_FIELD_NUMBER = 1;
+  private int inProgress_ = 0;
+  /**
+   * <pre>
+   * Orders of the closed gateway, or on the grants of the closed holder, that still run.
+   * </pre>
+   *
+   * <code>int32 in_progress = 1;</code>
+   * @return The inProgress.
+   */
+  @java.lang.Override
+  public int getInProgress() {
+    return inProgress_;
+  }
+
+  public static final int RECEIPTS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_;
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
+    return receipts_;
+  }
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+      getReceiptsOrBuilderList() {
+    return receipts_;
+  }
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  @java.lang.Override
+  public int getReceiptsCount() {
+    return receipts_.size();
+  }
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
+    return receipts_.get(index);
+  }
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(
+      int index) {
+    return receipts_.get(index);
+  }
+
+  public static final int EXECUTED_REQUEST_IDS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList executedRequestIds_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @return A list containing the executedRequestIds.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getExecutedRequestIdsList() {
+    return executedRequestIds_;
+  }
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @return The count of executedRequestIds.
+   */
+  public int getExecutedRequestIdsCount() {
+    return executedRequestIds_.size();
+  }
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @param index The index of the element to return.
+   * @return The executedRequestIds at the given index.
+   */
+  public java.lang.String getExecutedRequestIds(int index) {
+    return executedRequestIds_.get(index);
+  }
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the executedRequestIds at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getExecutedRequestIdsBytes(int index) {
+    return executedRequestIds_.getByteString(index);
+  }
+
+  public static final int AGENT_INCARNATION_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object agentIncarnation_ = "";
+  /**
+   * <pre>
+   * The agent that answers; another run at the same address cannot answer for it.
+   * </pre>
+   *
+   * <code>string agent_incarnation = 4;</code>
+   * @return The agentIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getAgentIncarnation() {
+    java.lang.Object ref = agentIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      agentIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * The agent that answers; another run at the same address cannot answer for it.
+   * </pre>
+   *
+   * <code>string agent_incarnation = 4;</code>
+   * @return The bytes for agentIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAgentIncarnationBytes() {
+    java.lang.Object ref = agentIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      agentIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (inProgress_ != 0) {
+      output.writeInt32(1, inProgress_);
+    }
+    for (int i = 0; i < receipts_.size(); i++) {
+      output.writeMessage(2, receipts_.get(i));
+    }
+    for (int i = 0; i < executedRequestIds_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, executedRequestIds_.getRaw(i));
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(agentIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, agentIncarnation_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (inProgress_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(1, inProgress_);
+    }
+    for (int i = 0; i < receipts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, receipts_.get(i));
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < executedRequestIds_.size(); i++) {
+        dataSize += computeStringSizeNoTag(executedRequestIds_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getExecutedRequestIdsList().size();
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(agentIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, agentIncarnation_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.CloseProcessResponse)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.CloseProcessResponse other = (io.verbenacleat.proto.v1.CloseProcessResponse) obj;
+
+    if (getInProgress()
+        != other.getInProgress()) return false;
+    if (!getReceiptsList()
+        .equals(other.getReceiptsList())) return false;
+    if (!getExecutedRequestIdsList()
+        .equals(other.getExecutedRequestIdsList())) return false;
+    if (!getAgentIncarnation()
+        .equals(other.getAgentIncarnation())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + IN_PROGRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getInProgress();
+    if (getReceiptsCount() > 0) {
+      hash = (37 * hash) + RECEIPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getReceiptsList().hashCode();
+    }
+    if (getExecutedRequestIdsCount() > 0) {
+      hash = (37 * hash) + EXECUTED_REQUEST_IDS_FIELD_NUMBER;
+      hash = (53 * hash) + getExecutedRequestIdsList().hashCode();
+    }
+    hash = (37 * hash) + AGENT_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getAgentIncarnation().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.CloseProcessResponse parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.CloseProcessResponse prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.CloseProcessResponse}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.CloseProcessResponse)
+      io.verbenacleat.proto.v1.CloseProcessResponseOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.CloseProcessResponse.class, io.verbenacleat.proto.v1.CloseProcessResponse.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.CloseProcessResponse.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      inProgress_ = 0;
+      if (receiptsBuilder_ == null) {
+        receipts_ = java.util.Collections.emptyList();
+      } else {
+        receipts_ = null;
+        receiptsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
+      executedRequestIds_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      agentIncarnation_ = "";
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_CloseProcessResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.CloseProcessResponse getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.CloseProcessResponse.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.CloseProcessResponse build() {
+      io.verbenacleat.proto.v1.CloseProcessResponse result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.CloseProcessResponse buildPartial() {
+      io.verbenacleat.proto.v1.CloseProcessResponse result = new io.verbenacleat.proto.v1.CloseProcessResponse(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.CloseProcessResponse result) {
+      if (receiptsBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          receipts_ = java.util.Collections.unmodifiableList(receipts_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.receipts_ = receipts_;
+      } else {
+        result.receipts_ = receiptsBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.CloseProcessResponse result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.inProgress_ = inProgress_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        executedRequestIds_.makeImmutable();
+        result.executedRequestIds_ = executedRequestIds_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.agentIncarnation_ = agentIncarnation_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.CloseProcessResponse) {
+        return mergeFrom((io.verbenacleat.proto.v1.CloseProcessResponse)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.CloseProcessResponse other) {
+      if (other == io.verbenacleat.proto.v1.CloseProcessResponse.getDefaultInstance()) return this;
+      if (other.getInProgress() != 0) {
+        setInProgress(other.getInProgress());
+      }
+      if (receiptsBuilder_ == null) {
+        if (!other.receipts_.isEmpty()) {
+          if (receipts_.isEmpty()) {
+            receipts_ = other.receipts_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureReceiptsIsMutable();
+            receipts_.addAll(other.receipts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.receipts_.isEmpty()) {
+          if (receiptsBuilder_.isEmpty()) {
+            receiptsBuilder_.dispose();
+            receiptsBuilder_ = null;
+            receipts_ = other.receipts_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            receiptsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReceiptsFieldBuilder() : null;
+          } else {
+            receiptsBuilder_.addAllMessages(other.receipts_);
+          }
+        }
+      }
+      if (!other.executedRequestIds_.isEmpty()) {
+        if (executedRequestIds_.isEmpty()) {
+          executedRequestIds_ = other.executedRequestIds_;
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureExecutedRequestIdsIsMutable();
+          executedRequestIds_.addAll(other.executedRequestIds_);
+        }
+        onChanged();
+      }
+      if (!other.getAgentIncarnation().isEmpty()) {
+        agentIncarnation_ = other.agentIncarnation_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 8: {
+              inProgress_ = input.readInt32();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 18: {
+              io.verbenacleat.proto.v1.Receipt m =
+                  input.readMessage(
+                      io.verbenacleat.proto.v1.Receipt.parser(),
+                      extensionRegistry);
+              if (receiptsBuilder_ == null) {
+                ensureReceiptsIsMutable();
+                receipts_.add(m);
+              } else {
+                receiptsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
+            case 26: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureExecutedRequestIdsIsMutable();
+              executedRequestIds_.add(s);
+              break;
+            } // case 26
+            case 34: {
+              agentIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private int inProgress_ ;
+    /**
+     * <pre>
+     * Orders of the closed gateway, or on the grants of the closed holder, that still run.
+     * </pre>
+     *
+     * <code>int32 in_progress = 1;</code>
+     * @return The inProgress.
+     */
+    @java.lang.Override
+    public int getInProgress() {
+      return inProgress_;
+    }
+    /**
+     * <pre>
+     * Orders of the closed gateway, or on the grants of the closed holder, that still run.
+     * </pre>
+     *
+     * <code>int32 in_progress = 1;</code>
+     * @param value The inProgress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInProgress(int value) {
+
+      inProgress_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Orders of the closed gateway, or on the grants of the closed holder, that still run.
+     * </pre>
+     *
+     * <code>int32 in_progress = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInProgress() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      inProgress_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_ =
+      java.util.Collections.emptyList();
+    private void ensureReceiptsIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        receipts_ = new java.util.ArrayList<io.verbenacleat.proto.v1.Receipt>(receipts_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptsBuilder_;
+
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
+      if (receiptsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(receipts_);
+      } else {
+        return receiptsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public int getReceiptsCount() {
+      if (receiptsBuilder_ == null) {
+        return receipts_.size();
+      } else {
+        return receiptsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
+      if (receiptsBuilder_ == null) {
+        return receipts_.get(index);
+      } else {
+        return receiptsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder setReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReceiptsIsMutable();
+        receipts_.set(index, value);
+        onChanged();
+      } else {
+        receiptsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder setReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        receiptsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder addReceipts(io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReceiptsIsMutable();
+        receipts_.add(value);
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder addReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReceiptsIsMutable();
+        receipts_.add(index, value);
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder addReceipts(
+        io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder addReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder addAllReceipts(
+        java.lang.Iterable<? extends io.verbenacleat.proto.v1.Receipt> values) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, receipts_);
+        onChanged();
+      } else {
+        receiptsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder clearReceipts() {
+      if (receiptsBuilder_ == null) {
+        receipts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        receiptsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public Builder removeReceipts(int index) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.remove(index);
+        onChanged();
+      } else {
+        receiptsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder getReceiptsBuilder(
+        int index) {
+      return internalGetReceiptsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(
+        int index) {
+      if (receiptsBuilder_ == null) {
+        return receipts_.get(index);  } else {
+        return receiptsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+         getReceiptsOrBuilderList() {
+      if (receiptsBuilder_ != null) {
+        return receiptsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(receipts_);
+      }
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder() {
+      return internalGetReceiptsFieldBuilder().addBuilder(
+          io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder(
+        int index) {
+      return internalGetReceiptsFieldBuilder().addBuilder(
+          index, io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Receipts on the grants of the closed holder that are not durable yet.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.Receipt.Builder> 
+         getReceiptsBuilderList() {
+      return internalGetReceiptsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+        internalGetReceiptsFieldBuilder() {
+      if (receiptsBuilder_ == null) {
+        receiptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
+                receipts_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        receipts_ = null;
+      }
+      return receiptsBuilder_;
+    }
+
+    private com.google.protobuf.LazyStringArrayList executedRequestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureExecutedRequestIdsIsMutable() {
+      if (!executedRequestIds_.isModifiable()) {
+        executedRequestIds_ = new com.google.protobuf.LazyStringArrayList(executedRequestIds_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @return A list containing the executedRequestIds.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getExecutedRequestIdsList() {
+      executedRequestIds_.makeImmutable();
+      return executedRequestIds_;
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @return The count of executedRequestIds.
+     */
+    public int getExecutedRequestIdsCount() {
+      return executedRequestIds_.size();
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @param index The index of the element to return.
+     * @return The executedRequestIds at the given index.
+     */
+    public java.lang.String getExecutedRequestIds(int index) {
+      return executedRequestIds_.get(index);
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the executedRequestIds at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getExecutedRequestIdsBytes(int index) {
+      return executedRequestIds_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The executedRequestIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExecutedRequestIds(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureExecutedRequestIdsIsMutable();
+      executedRequestIds_.set(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @param value The executedRequestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addExecutedRequestIds(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureExecutedRequestIdsIsMutable();
+      executedRequestIds_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @param values The executedRequestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllExecutedRequestIds(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureExecutedRequestIdsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, executedRequestIds_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExecutedRequestIds() {
+      executedRequestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000004);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of the closed gateway on the grants of the asking holder that were executed here
+     * and whose receipts are not durable yet.
+     * </pre>
+     *
+     * <code>repeated string executed_request_ids = 3;</code>
+     * @param value The bytes of the executedRequestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addExecutedRequestIdsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureExecutedRequestIdsIsMutable();
+      executedRequestIds_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object agentIncarnation_ = "";
+    /**
+     * <pre>
+     * The agent that answers; another run at the same address cannot answer for it.
+     * </pre>
+     *
+     * <code>string agent_incarnation = 4;</code>
+     * @return The agentIncarnation.
+     */
+    public java.lang.String getAgentIncarnation() {
+      java.lang.Object ref = agentIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        agentIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The agent that answers; another run at the same address cannot answer for it.
+     * </pre>
+     *
+     * <code>string agent_incarnation = 4;</code>
+     * @return The bytes for agentIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getAgentIncarnationBytes() {
+      java.lang.Object ref = agentIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        agentIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * The agent that answers; another run at the same address cannot answer for it.
+     * </pre>
+     *
+     * <code>string agent_incarnation = 4;</code>
+     * @param value The agentIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgentIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      agentIncarnation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The agent that answers; another run at the same address cannot answer for it.
+     * </pre>
+     *
+     * <code>string agent_incarnation = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgentIncarnation() {
+      agentIncarnation_ = getDefaultInstance().getAgentIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The agent that answers; another run at the same address cannot answer for it.
+     * </pre>
+     *
+     * <code>string agent_incarnation = 4;</code>
+     * @param value The bytes for agentIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgentIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      agentIncarnation_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.CloseProcessResponse)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.CloseProcessResponse)
+  private static final io.verbenacleat.proto.v1.CloseProcessResponse DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.CloseProcessResponse();
+  }
+
+  public static io.verbenacleat.proto.v1.CloseProcessResponse getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<CloseProcessResponse>
+      PARSER = new com.google.protobuf.AbstractParser<CloseProcessResponse>() {
+    @java.lang.Override
+    public CloseProcessResponse parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<CloseProcessResponse> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<CloseProcessResponse> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.CloseProcessResponse getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessResponseOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/CloseProcessResponseOrBuilder.java
@@ -6,108 +6,125 @@
 package io.verbenacleat.proto.v1;
 
 public interface CloseProcessResponseOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.CloseProcessResponse)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.CloseProcessResponse)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <pre>
-	 * Orders of the closed gateway, or on the grants of the closed holder, that still run.
-	 * </pre>
-	 *
-	 * <code>int32 in_progress = 1;</code>
-	 * @return The inProgress.
-	 */
-	int getInProgress();
+  /**
+   * <pre>
+   * Orders of the closed gateway, or on the grants of the closed holder, that still run.
+   * </pre>
+   *
+   * <code>int32 in_progress = 1;</code>
+   * @return The inProgress.
+   */
+  int getInProgress();
 
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList();
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  java.util.List<io.verbenacleat.proto.v1.Receipt> 
+      getReceiptsList();
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  io.verbenacleat.proto.v1.Receipt getReceipts(int index);
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  int getReceiptsCount();
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+      getReceiptsOrBuilderList();
+  /**
+   * <pre>
+   * Receipts on the grants of the closed holder that are not durable yet.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
+   */
+  io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(
+      int index);
 
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.Receipt getReceipts(int index);
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	int getReceiptsCount();
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> getReceiptsOrBuilderList();
-
-	/**
-	 * <pre>
-	 * Receipts on the grants of the closed holder that are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.Receipt receipts = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(int index);
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @return A list containing the executedRequestIds.
-	 */
-	java.util.List<java.lang.String> getExecutedRequestIdsList();
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @return The count of executedRequestIds.
-	 */
-	int getExecutedRequestIdsCount();
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @param index The index of the element to return.
-	 * @return The executedRequestIds at the given index.
-	 */
-	java.lang.String getExecutedRequestIds(int index);
-
-	/**
-	 * <pre>
-	 * Requests of the closed gateway on the grants of the asking holder that were executed here
-	 * and whose receipts are not durable yet.
-	 * </pre>
-	 *
-	 * <code>repeated string executed_request_ids = 3;</code>
-	 * @param index The index of the value to return.
-	 * @return The bytes of the executedRequestIds at the given index.
-	 */
-	com.google.protobuf.ByteString getExecutedRequestIdsBytes(int index);
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @return A list containing the executedRequestIds.
+   */
+  java.util.List<java.lang.String>
+      getExecutedRequestIdsList();
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @return The count of executedRequestIds.
+   */
+  int getExecutedRequestIdsCount();
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @param index The index of the element to return.
+   * @return The executedRequestIds at the given index.
+   */
+  java.lang.String getExecutedRequestIds(int index);
+  /**
+   * <pre>
+   * Requests of the closed gateway on the grants of the asking holder that were executed here
+   * and whose receipts are not durable yet.
+   * </pre>
+   *
+   * <code>repeated string executed_request_ids = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the executedRequestIds at the given index.
+   */
+  com.google.protobuf.ByteString
+      getExecutedRequestIdsBytes(int index);
 
+  /**
+   * <pre>
+   * The agent that answers; another run at the same address cannot answer for it.
+   * </pre>
+   *
+   * <code>string agent_incarnation = 4;</code>
+   * @return The agentIncarnation.
+   */
+  java.lang.String getAgentIncarnation();
+  /**
+   * <pre>
+   * The agent that answers; another run at the same address cannot answer for it.
+   * </pre>
+   *
+   * <code>string agent_incarnation = 4;</code>
+   * @return The bytes for agentIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getAgentIncarnationBytes();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteEvent.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteEvent.java
@@ -8,1611 +8,1554 @@
 /**
  * Protobuf type {@code verbena.v1.ExecuteEvent}
  */
-public final class ExecuteEvent extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ExecuteEvent)
-		ExecuteEventOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ExecuteEvent.class.getName());
-	}
-
-	// Use ExecuteEvent.newBuilder() to construct.
-	private ExecuteEvent(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ExecuteEvent() {
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ExecuteEvent.class,
-					io.verbenacleat.proto.v1.ExecuteEvent.Builder.class);
-	}
-
-	private int eventCase_ = 0;
-
-	@SuppressWarnings("serial")
-	private java.lang.Object event_;
-
-	public enum EventCase
-			implements com.google.protobuf.Internal.EnumLite, com.google.protobuf.AbstractMessage.InternalOneOfEnum {
-
-		ACCEPTED(2), REFUSED(3), CHAT_CHUNK(4), HTTP_HEAD(5), HTTP_BODY(6), FINISHED(7), EVENT_NOT_SET(0);
-
-		private final int value;
-
-		private EventCase(int value) {
-			this.value = value;
-		}
-
-		/**
-		 * @param value The number of the enum to look for.
-		 * @return The enum associated with the given number.
-		 * @deprecated Use {@link #forNumber(int)} instead.
-		 */
-		@java.lang.Deprecated
-		public static EventCase valueOf(int value) {
-			return forNumber(value);
-		}
-
-		public static EventCase forNumber(int value) {
-			switch (value) {
-				case 2:
-					return ACCEPTED;
-				case 3:
-					return REFUSED;
-				case 4:
-					return CHAT_CHUNK;
-				case 5:
-					return HTTP_HEAD;
-				case 6:
-					return HTTP_BODY;
-				case 7:
-					return FINISHED;
-				case 0:
-					return EVENT_NOT_SET;
-				default:
-					return null;
-			}
-		}
-
-		public int getNumber() {
-			return this.value;
-		}
-
-	};
-
-	public EventCase getEventCase() {
-		return EventCase.forNumber(eventCase_);
-	}
-
-	public static final int PART_NUMBER_FIELD_NUMBER = 1;
-
-	private long partNumber_ = 0L;
-
-	/**
-	 * <pre>
-	 * Counts from 0 for each order, without gaps.
-	 * </pre>
-	 *
-	 * <code>int64 part_number = 1;</code>
-	 * @return The partNumber.
-	 */
-	@java.lang.Override
-	public long getPartNumber() {
-		return partNumber_;
-	}
-
-	public static final int ACCEPTED_FIELD_NUMBER = 2;
-
-	/**
-	 * <code>.verbena.v1.Accepted accepted = 2;</code>
-	 * @return Whether the accepted field is set.
-	 */
-	@java.lang.Override
-	public boolean hasAccepted() {
-		return eventCase_ == 2;
-	}
-
-	/**
-	 * <code>.verbena.v1.Accepted accepted = 2;</code>
-	 * @return The accepted.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Accepted getAccepted() {
-		if (eventCase_ == 2) {
-			return (io.verbenacleat.proto.v1.Accepted) event_;
-		}
-		return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
-	}
-
-	/**
-	 * <code>.verbena.v1.Accepted accepted = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.AcceptedOrBuilder getAcceptedOrBuilder() {
-		if (eventCase_ == 2) {
-			return (io.verbenacleat.proto.v1.Accepted) event_;
-		}
-		return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
-	}
-
-	public static final int REFUSED_FIELD_NUMBER = 3;
-
-	/**
-	 * <code>.verbena.v1.Refused refused = 3;</code>
-	 * @return Whether the refused field is set.
-	 */
-	@java.lang.Override
-	public boolean hasRefused() {
-		return eventCase_ == 3;
-	}
-
-	/**
-	 * <code>.verbena.v1.Refused refused = 3;</code>
-	 * @return The refused.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Refused getRefused() {
-		if (eventCase_ == 3) {
-			return (io.verbenacleat.proto.v1.Refused) event_;
-		}
-		return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
-	}
-
-	/**
-	 * <code>.verbena.v1.Refused refused = 3;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.RefusedOrBuilder getRefusedOrBuilder() {
-		if (eventCase_ == 3) {
-			return (io.verbenacleat.proto.v1.Refused) event_;
-		}
-		return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
-	}
-
-	public static final int CHAT_CHUNK_FIELD_NUMBER = 4;
-
-	/**
-	 * <pre>
-	 * One JSON object of a chat completion stream, without "data:".
-	 * </pre>
-	 *
-	 * <code>bytes chat_chunk = 4;</code>
-	 * @return Whether the chatChunk field is set.
-	 */
-	@java.lang.Override
-	public boolean hasChatChunk() {
-		return eventCase_ == 4;
-	}
-
-	/**
-	 * <pre>
-	 * One JSON object of a chat completion stream, without "data:".
-	 * </pre>
-	 *
-	 * <code>bytes chat_chunk = 4;</code>
-	 * @return The chatChunk.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getChatChunk() {
-		if (eventCase_ == 4) {
-			return (com.google.protobuf.ByteString) event_;
-		}
-		return com.google.protobuf.ByteString.EMPTY;
-	}
-
-	public static final int HTTP_HEAD_FIELD_NUMBER = 5;
-
-	/**
-	 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-	 * @return Whether the httpHead field is set.
-	 */
-	@java.lang.Override
-	public boolean hasHttpHead() {
-		return eventCase_ == 5;
-	}
-
-	/**
-	 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-	 * @return The httpHead.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
-		if (eventCase_ == 5) {
-			return (io.verbenacleat.proto.v1.HttpHead) event_;
-		}
-		return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
-	}
-
-	/**
-	 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
-		if (eventCase_ == 5) {
-			return (io.verbenacleat.proto.v1.HttpHead) event_;
-		}
-		return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
-	}
-
-	public static final int HTTP_BODY_FIELD_NUMBER = 6;
-
-	/**
-	 * <code>bytes http_body = 6;</code>
-	 * @return Whether the httpBody field is set.
-	 */
-	@java.lang.Override
-	public boolean hasHttpBody() {
-		return eventCase_ == 6;
-	}
-
-	/**
-	 * <code>bytes http_body = 6;</code>
-	 * @return The httpBody.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHttpBody() {
-		if (eventCase_ == 6) {
-			return (com.google.protobuf.ByteString) event_;
-		}
-		return com.google.protobuf.ByteString.EMPTY;
-	}
-
-	public static final int FINISHED_FIELD_NUMBER = 7;
-
-	/**
-	 * <code>.verbena.v1.Finished finished = 7;</code>
-	 * @return Whether the finished field is set.
-	 */
-	@java.lang.Override
-	public boolean hasFinished() {
-		return eventCase_ == 7;
-	}
-
-	/**
-	 * <code>.verbena.v1.Finished finished = 7;</code>
-	 * @return The finished.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Finished getFinished() {
-		if (eventCase_ == 7) {
-			return (io.verbenacleat.proto.v1.Finished) event_;
-		}
-		return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
-	}
-
-	/**
-	 * <code>.verbena.v1.Finished finished = 7;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.FinishedOrBuilder getFinishedOrBuilder() {
-		if (eventCase_ == 7) {
-			return (io.verbenacleat.proto.v1.Finished) event_;
-		}
-		return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (partNumber_ != 0L) {
-			output.writeInt64(1, partNumber_);
-		}
-		if (eventCase_ == 2) {
-			output.writeMessage(2, (io.verbenacleat.proto.v1.Accepted) event_);
-		}
-		if (eventCase_ == 3) {
-			output.writeMessage(3, (io.verbenacleat.proto.v1.Refused) event_);
-		}
-		if (eventCase_ == 4) {
-			output.writeBytes(4, (com.google.protobuf.ByteString) event_);
-		}
-		if (eventCase_ == 5) {
-			output.writeMessage(5, (io.verbenacleat.proto.v1.HttpHead) event_);
-		}
-		if (eventCase_ == 6) {
-			output.writeBytes(6, (com.google.protobuf.ByteString) event_);
-		}
-		if (eventCase_ == 7) {
-			output.writeMessage(7, (io.verbenacleat.proto.v1.Finished) event_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (partNumber_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, partNumber_);
-		}
-		if (eventCase_ == 2) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(2,
-					(io.verbenacleat.proto.v1.Accepted) event_);
-		}
-		if (eventCase_ == 3) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(3,
-					(io.verbenacleat.proto.v1.Refused) event_);
-		}
-		if (eventCase_ == 4) {
-			size += com.google.protobuf.CodedOutputStream.computeBytesSize(4, (com.google.protobuf.ByteString) event_);
-		}
-		if (eventCase_ == 5) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(5,
-					(io.verbenacleat.proto.v1.HttpHead) event_);
-		}
-		if (eventCase_ == 6) {
-			size += com.google.protobuf.CodedOutputStream.computeBytesSize(6, (com.google.protobuf.ByteString) event_);
-		}
-		if (eventCase_ == 7) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(7,
-					(io.verbenacleat.proto.v1.Finished) event_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ExecuteEvent)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ExecuteEvent other = (io.verbenacleat.proto.v1.ExecuteEvent) obj;
-
-		if (getPartNumber() != other.getPartNumber())
-			return false;
-		if (!getEventCase().equals(other.getEventCase()))
-			return false;
-		switch (eventCase_) {
-			case 2:
-				if (!getAccepted().equals(other.getAccepted()))
-					return false;
-				break;
-			case 3:
-				if (!getRefused().equals(other.getRefused()))
-					return false;
-				break;
-			case 4:
-				if (!getChatChunk().equals(other.getChatChunk()))
-					return false;
-				break;
-			case 5:
-				if (!getHttpHead().equals(other.getHttpHead()))
-					return false;
-				break;
-			case 6:
-				if (!getHttpBody().equals(other.getHttpBody()))
-					return false;
-				break;
-			case 7:
-				if (!getFinished().equals(other.getFinished()))
-					return false;
-				break;
-			case 0:
-			default:
-		}
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + PART_NUMBER_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getPartNumber());
-		switch (eventCase_) {
-			case 2:
-				hash = (37 * hash) + ACCEPTED_FIELD_NUMBER;
-				hash = (53 * hash) + getAccepted().hashCode();
-				break;
-			case 3:
-				hash = (37 * hash) + REFUSED_FIELD_NUMBER;
-				hash = (53 * hash) + getRefused().hashCode();
-				break;
-			case 4:
-				hash = (37 * hash) + CHAT_CHUNK_FIELD_NUMBER;
-				hash = (53 * hash) + getChatChunk().hashCode();
-				break;
-			case 5:
-				hash = (37 * hash) + HTTP_HEAD_FIELD_NUMBER;
-				hash = (53 * hash) + getHttpHead().hashCode();
-				break;
-			case 6:
-				hash = (37 * hash) + HTTP_BODY_FIELD_NUMBER;
-				hash = (53 * hash) + getHttpBody().hashCode();
-				break;
-			case 7:
-				hash = (37 * hash) + FINISHED_FIELD_NUMBER;
-				hash = (53 * hash) + getFinished().hashCode();
-				break;
-			case 0:
-			default:
-		}
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ExecuteEvent prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ExecuteEvent}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ExecuteEvent)
-			io.verbenacleat.proto.v1.ExecuteEventOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ExecuteEvent.class,
-						io.verbenacleat.proto.v1.ExecuteEvent.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ExecuteEvent.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			partNumber_ = 0L;
-			if (acceptedBuilder_ != null) {
-				acceptedBuilder_.clear();
-			}
-			if (refusedBuilder_ != null) {
-				refusedBuilder_.clear();
-			}
-			if (httpHeadBuilder_ != null) {
-				httpHeadBuilder_.clear();
-			}
-			if (finishedBuilder_ != null) {
-				finishedBuilder_.clear();
-			}
-			eventCase_ = 0;
-			event_ = null;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ExecuteEvent getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ExecuteEvent.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ExecuteEvent build() {
-			io.verbenacleat.proto.v1.ExecuteEvent result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ExecuteEvent buildPartial() {
-			io.verbenacleat.proto.v1.ExecuteEvent result = new io.verbenacleat.proto.v1.ExecuteEvent(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			buildPartialOneofs(result);
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ExecuteEvent result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.partNumber_ = partNumber_;
-			}
-		}
-
-		private void buildPartialOneofs(io.verbenacleat.proto.v1.ExecuteEvent result) {
-			result.eventCase_ = eventCase_;
-			result.event_ = this.event_;
-			if (eventCase_ == 2 && acceptedBuilder_ != null) {
-				result.event_ = acceptedBuilder_.build();
-			}
-			if (eventCase_ == 3 && refusedBuilder_ != null) {
-				result.event_ = refusedBuilder_.build();
-			}
-			if (eventCase_ == 5 && httpHeadBuilder_ != null) {
-				result.event_ = httpHeadBuilder_.build();
-			}
-			if (eventCase_ == 7 && finishedBuilder_ != null) {
-				result.event_ = finishedBuilder_.build();
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ExecuteEvent) {
-				return mergeFrom((io.verbenacleat.proto.v1.ExecuteEvent) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ExecuteEvent other) {
-			if (other == io.verbenacleat.proto.v1.ExecuteEvent.getDefaultInstance())
-				return this;
-			if (other.getPartNumber() != 0L) {
-				setPartNumber(other.getPartNumber());
-			}
-			switch (other.getEventCase()) {
-				case ACCEPTED: {
-					mergeAccepted(other.getAccepted());
-					break;
-				}
-				case REFUSED: {
-					mergeRefused(other.getRefused());
-					break;
-				}
-				case CHAT_CHUNK: {
-					setChatChunk(other.getChatChunk());
-					break;
-				}
-				case HTTP_HEAD: {
-					mergeHttpHead(other.getHttpHead());
-					break;
-				}
-				case HTTP_BODY: {
-					setHttpBody(other.getHttpBody());
-					break;
-				}
-				case FINISHED: {
-					mergeFinished(other.getFinished());
-					break;
-				}
-				case EVENT_NOT_SET: {
-					break;
-				}
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 8: {
-							partNumber_ = input.readInt64();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 8
-						case 18: {
-							input.readMessage(internalGetAcceptedFieldBuilder().getBuilder(), extensionRegistry);
-							eventCase_ = 2;
-							break;
-						} // case 18
-						case 26: {
-							input.readMessage(internalGetRefusedFieldBuilder().getBuilder(), extensionRegistry);
-							eventCase_ = 3;
-							break;
-						} // case 26
-						case 34: {
-							event_ = input.readBytes();
-							eventCase_ = 4;
-							break;
-						} // case 34
-						case 42: {
-							input.readMessage(internalGetHttpHeadFieldBuilder().getBuilder(), extensionRegistry);
-							eventCase_ = 5;
-							break;
-						} // case 42
-						case 50: {
-							event_ = input.readBytes();
-							eventCase_ = 6;
-							break;
-						} // case 50
-						case 58: {
-							input.readMessage(internalGetFinishedFieldBuilder().getBuilder(), extensionRegistry);
-							eventCase_ = 7;
-							break;
-						} // case 58
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int eventCase_ = 0;
-
-		private java.lang.Object event_;
-
-		public EventCase getEventCase() {
-			return EventCase.forNumber(eventCase_);
-		}
-
-		public Builder clearEvent() {
-			eventCase_ = 0;
-			event_ = null;
-			onChanged();
-			return this;
-		}
-
-		private int bitField0_;
-
-		private long partNumber_;
-
-		/**
-		 * <pre>
-		 * Counts from 0 for each order, without gaps.
-		 * </pre>
-		 *
-		 * <code>int64 part_number = 1;</code>
-		 * @return The partNumber.
-		 */
-		@java.lang.Override
-		public long getPartNumber() {
-			return partNumber_;
-		}
-
-		/**
-		 * <pre>
-		 * Counts from 0 for each order, without gaps.
-		 * </pre>
-		 *
-		 * <code>int64 part_number = 1;</code>
-		 * @param value The partNumber to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPartNumber(long value) {
-
-			partNumber_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Counts from 0 for each order, without gaps.
-		 * </pre>
-		 *
-		 * <code>int64 part_number = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPartNumber() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			partNumber_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Accepted, io.verbenacleat.proto.v1.Accepted.Builder, io.verbenacleat.proto.v1.AcceptedOrBuilder> acceptedBuilder_;
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 * @return Whether the accepted field is set.
-		 */
-		@java.lang.Override
-		public boolean hasAccepted() {
-			return eventCase_ == 2;
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 * @return The accepted.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Accepted getAccepted() {
-			if (acceptedBuilder_ == null) {
-				if (eventCase_ == 2) {
-					return (io.verbenacleat.proto.v1.Accepted) event_;
-				}
-				return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
-			}
-			else {
-				if (eventCase_ == 2) {
-					return acceptedBuilder_.getMessage();
-				}
-				return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 */
-		public Builder setAccepted(io.verbenacleat.proto.v1.Accepted value) {
-			if (acceptedBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				event_ = value;
-				onChanged();
-			}
-			else {
-				acceptedBuilder_.setMessage(value);
-			}
-			eventCase_ = 2;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 */
-		public Builder setAccepted(io.verbenacleat.proto.v1.Accepted.Builder builderForValue) {
-			if (acceptedBuilder_ == null) {
-				event_ = builderForValue.build();
-				onChanged();
-			}
-			else {
-				acceptedBuilder_.setMessage(builderForValue.build());
-			}
-			eventCase_ = 2;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 */
-		public Builder mergeAccepted(io.verbenacleat.proto.v1.Accepted value) {
-			if (acceptedBuilder_ == null) {
-				if (eventCase_ == 2 && event_ != io.verbenacleat.proto.v1.Accepted.getDefaultInstance()) {
-					event_ = io.verbenacleat.proto.v1.Accepted.newBuilder((io.verbenacleat.proto.v1.Accepted) event_)
-						.mergeFrom(value)
-						.buildPartial();
-				}
-				else {
-					event_ = value;
-				}
-				onChanged();
-			}
-			else {
-				if (eventCase_ == 2) {
-					acceptedBuilder_.mergeFrom(value);
-				}
-				else {
-					acceptedBuilder_.setMessage(value);
-				}
-			}
-			eventCase_ = 2;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 */
-		public Builder clearAccepted() {
-			if (acceptedBuilder_ == null) {
-				if (eventCase_ == 2) {
-					eventCase_ = 0;
-					event_ = null;
-					onChanged();
-				}
-			}
-			else {
-				if (eventCase_ == 2) {
-					eventCase_ = 0;
-					event_ = null;
-				}
-				acceptedBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.Accepted.Builder getAcceptedBuilder() {
-			return internalGetAcceptedFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.AcceptedOrBuilder getAcceptedOrBuilder() {
-			if ((eventCase_ == 2) && (acceptedBuilder_ != null)) {
-				return acceptedBuilder_.getMessageOrBuilder();
-			}
-			else {
-				if (eventCase_ == 2) {
-					return (io.verbenacleat.proto.v1.Accepted) event_;
-				}
-				return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Accepted accepted = 2;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Accepted, io.verbenacleat.proto.v1.Accepted.Builder, io.verbenacleat.proto.v1.AcceptedOrBuilder> internalGetAcceptedFieldBuilder() {
-			if (acceptedBuilder_ == null) {
-				if (!(eventCase_ == 2)) {
-					event_ = io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
-				}
-				acceptedBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Accepted, io.verbenacleat.proto.v1.Accepted.Builder, io.verbenacleat.proto.v1.AcceptedOrBuilder>(
-						(io.verbenacleat.proto.v1.Accepted) event_, getParentForChildren(), isClean());
-				event_ = null;
-			}
-			eventCase_ = 2;
-			onChanged();
-			return acceptedBuilder_;
-		}
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Refused, io.verbenacleat.proto.v1.Refused.Builder, io.verbenacleat.proto.v1.RefusedOrBuilder> refusedBuilder_;
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 * @return Whether the refused field is set.
-		 */
-		@java.lang.Override
-		public boolean hasRefused() {
-			return eventCase_ == 3;
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 * @return The refused.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Refused getRefused() {
-			if (refusedBuilder_ == null) {
-				if (eventCase_ == 3) {
-					return (io.verbenacleat.proto.v1.Refused) event_;
-				}
-				return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
-			}
-			else {
-				if (eventCase_ == 3) {
-					return refusedBuilder_.getMessage();
-				}
-				return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 */
-		public Builder setRefused(io.verbenacleat.proto.v1.Refused value) {
-			if (refusedBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				event_ = value;
-				onChanged();
-			}
-			else {
-				refusedBuilder_.setMessage(value);
-			}
-			eventCase_ = 3;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 */
-		public Builder setRefused(io.verbenacleat.proto.v1.Refused.Builder builderForValue) {
-			if (refusedBuilder_ == null) {
-				event_ = builderForValue.build();
-				onChanged();
-			}
-			else {
-				refusedBuilder_.setMessage(builderForValue.build());
-			}
-			eventCase_ = 3;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 */
-		public Builder mergeRefused(io.verbenacleat.proto.v1.Refused value) {
-			if (refusedBuilder_ == null) {
-				if (eventCase_ == 3 && event_ != io.verbenacleat.proto.v1.Refused.getDefaultInstance()) {
-					event_ = io.verbenacleat.proto.v1.Refused.newBuilder((io.verbenacleat.proto.v1.Refused) event_)
-						.mergeFrom(value)
-						.buildPartial();
-				}
-				else {
-					event_ = value;
-				}
-				onChanged();
-			}
-			else {
-				if (eventCase_ == 3) {
-					refusedBuilder_.mergeFrom(value);
-				}
-				else {
-					refusedBuilder_.setMessage(value);
-				}
-			}
-			eventCase_ = 3;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 */
-		public Builder clearRefused() {
-			if (refusedBuilder_ == null) {
-				if (eventCase_ == 3) {
-					eventCase_ = 0;
-					event_ = null;
-					onChanged();
-				}
-			}
-			else {
-				if (eventCase_ == 3) {
-					eventCase_ = 0;
-					event_ = null;
-				}
-				refusedBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 */
-		public io.verbenacleat.proto.v1.Refused.Builder getRefusedBuilder() {
-			return internalGetRefusedFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.RefusedOrBuilder getRefusedOrBuilder() {
-			if ((eventCase_ == 3) && (refusedBuilder_ != null)) {
-				return refusedBuilder_.getMessageOrBuilder();
-			}
-			else {
-				if (eventCase_ == 3) {
-					return (io.verbenacleat.proto.v1.Refused) event_;
-				}
-				return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Refused refused = 3;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Refused, io.verbenacleat.proto.v1.Refused.Builder, io.verbenacleat.proto.v1.RefusedOrBuilder> internalGetRefusedFieldBuilder() {
-			if (refusedBuilder_ == null) {
-				if (!(eventCase_ == 3)) {
-					event_ = io.verbenacleat.proto.v1.Refused.getDefaultInstance();
-				}
-				refusedBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Refused, io.verbenacleat.proto.v1.Refused.Builder, io.verbenacleat.proto.v1.RefusedOrBuilder>(
-						(io.verbenacleat.proto.v1.Refused) event_, getParentForChildren(), isClean());
-				event_ = null;
-			}
-			eventCase_ = 3;
-			onChanged();
-			return refusedBuilder_;
-		}
-
-		/**
-		 * <pre>
-		 * One JSON object of a chat completion stream, without "data:".
-		 * </pre>
-		 *
-		 * <code>bytes chat_chunk = 4;</code>
-		 * @return Whether the chatChunk field is set.
-		 */
-		public boolean hasChatChunk() {
-			return eventCase_ == 4;
-		}
-
-		/**
-		 * <pre>
-		 * One JSON object of a chat completion stream, without "data:".
-		 * </pre>
-		 *
-		 * <code>bytes chat_chunk = 4;</code>
-		 * @return The chatChunk.
-		 */
-		public com.google.protobuf.ByteString getChatChunk() {
-			if (eventCase_ == 4) {
-				return (com.google.protobuf.ByteString) event_;
-			}
-			return com.google.protobuf.ByteString.EMPTY;
-		}
-
-		/**
-		 * <pre>
-		 * One JSON object of a chat completion stream, without "data:".
-		 * </pre>
-		 *
-		 * <code>bytes chat_chunk = 4;</code>
-		 * @param value The chatChunk to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setChatChunk(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			eventCase_ = 4;
-			event_ = value;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * One JSON object of a chat completion stream, without "data:".
-		 * </pre>
-		 *
-		 * <code>bytes chat_chunk = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearChatChunk() {
-			if (eventCase_ == 4) {
-				eventCase_ = 0;
-				event_ = null;
-				onChanged();
-			}
-			return this;
-		}
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> httpHeadBuilder_;
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 * @return Whether the httpHead field is set.
-		 */
-		@java.lang.Override
-		public boolean hasHttpHead() {
-			return eventCase_ == 5;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 * @return The httpHead.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
-			if (httpHeadBuilder_ == null) {
-				if (eventCase_ == 5) {
-					return (io.verbenacleat.proto.v1.HttpHead) event_;
-				}
-				return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
-			}
-			else {
-				if (eventCase_ == 5) {
-					return httpHeadBuilder_.getMessage();
-				}
-				return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 */
-		public Builder setHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
-			if (httpHeadBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				event_ = value;
-				onChanged();
-			}
-			else {
-				httpHeadBuilder_.setMessage(value);
-			}
-			eventCase_ = 5;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 */
-		public Builder setHttpHead(io.verbenacleat.proto.v1.HttpHead.Builder builderForValue) {
-			if (httpHeadBuilder_ == null) {
-				event_ = builderForValue.build();
-				onChanged();
-			}
-			else {
-				httpHeadBuilder_.setMessage(builderForValue.build());
-			}
-			eventCase_ = 5;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 */
-		public Builder mergeHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
-			if (httpHeadBuilder_ == null) {
-				if (eventCase_ == 5 && event_ != io.verbenacleat.proto.v1.HttpHead.getDefaultInstance()) {
-					event_ = io.verbenacleat.proto.v1.HttpHead.newBuilder((io.verbenacleat.proto.v1.HttpHead) event_)
-						.mergeFrom(value)
-						.buildPartial();
-				}
-				else {
-					event_ = value;
-				}
-				onChanged();
-			}
-			else {
-				if (eventCase_ == 5) {
-					httpHeadBuilder_.mergeFrom(value);
-				}
-				else {
-					httpHeadBuilder_.setMessage(value);
-				}
-			}
-			eventCase_ = 5;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 */
-		public Builder clearHttpHead() {
-			if (httpHeadBuilder_ == null) {
-				if (eventCase_ == 5) {
-					eventCase_ = 0;
-					event_ = null;
-					onChanged();
-				}
-			}
-			else {
-				if (eventCase_ == 5) {
-					eventCase_ = 0;
-					event_ = null;
-				}
-				httpHeadBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHead.Builder getHttpHeadBuilder() {
-			return internalGetHttpHeadFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
-			if ((eventCase_ == 5) && (httpHeadBuilder_ != null)) {
-				return httpHeadBuilder_.getMessageOrBuilder();
-			}
-			else {
-				if (eventCase_ == 5) {
-					return (io.verbenacleat.proto.v1.HttpHead) event_;
-				}
-				return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> internalGetHttpHeadFieldBuilder() {
-			if (httpHeadBuilder_ == null) {
-				if (!(eventCase_ == 5)) {
-					event_ = io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
-				}
-				httpHeadBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder>(
-						(io.verbenacleat.proto.v1.HttpHead) event_, getParentForChildren(), isClean());
-				event_ = null;
-			}
-			eventCase_ = 5;
-			onChanged();
-			return httpHeadBuilder_;
-		}
-
-		/**
-		 * <code>bytes http_body = 6;</code>
-		 * @return Whether the httpBody field is set.
-		 */
-		public boolean hasHttpBody() {
-			return eventCase_ == 6;
-		}
-
-		/**
-		 * <code>bytes http_body = 6;</code>
-		 * @return The httpBody.
-		 */
-		public com.google.protobuf.ByteString getHttpBody() {
-			if (eventCase_ == 6) {
-				return (com.google.protobuf.ByteString) event_;
-			}
-			return com.google.protobuf.ByteString.EMPTY;
-		}
-
-		/**
-		 * <code>bytes http_body = 6;</code>
-		 * @param value The httpBody to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHttpBody(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			eventCase_ = 6;
-			event_ = value;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bytes http_body = 6;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHttpBody() {
-			if (eventCase_ == 6) {
-				eventCase_ = 0;
-				event_ = null;
-				onChanged();
-			}
-			return this;
-		}
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Finished, io.verbenacleat.proto.v1.Finished.Builder, io.verbenacleat.proto.v1.FinishedOrBuilder> finishedBuilder_;
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 * @return Whether the finished field is set.
-		 */
-		@java.lang.Override
-		public boolean hasFinished() {
-			return eventCase_ == 7;
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 * @return The finished.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Finished getFinished() {
-			if (finishedBuilder_ == null) {
-				if (eventCase_ == 7) {
-					return (io.verbenacleat.proto.v1.Finished) event_;
-				}
-				return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
-			}
-			else {
-				if (eventCase_ == 7) {
-					return finishedBuilder_.getMessage();
-				}
-				return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 */
-		public Builder setFinished(io.verbenacleat.proto.v1.Finished value) {
-			if (finishedBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				event_ = value;
-				onChanged();
-			}
-			else {
-				finishedBuilder_.setMessage(value);
-			}
-			eventCase_ = 7;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 */
-		public Builder setFinished(io.verbenacleat.proto.v1.Finished.Builder builderForValue) {
-			if (finishedBuilder_ == null) {
-				event_ = builderForValue.build();
-				onChanged();
-			}
-			else {
-				finishedBuilder_.setMessage(builderForValue.build());
-			}
-			eventCase_ = 7;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 */
-		public Builder mergeFinished(io.verbenacleat.proto.v1.Finished value) {
-			if (finishedBuilder_ == null) {
-				if (eventCase_ == 7 && event_ != io.verbenacleat.proto.v1.Finished.getDefaultInstance()) {
-					event_ = io.verbenacleat.proto.v1.Finished.newBuilder((io.verbenacleat.proto.v1.Finished) event_)
-						.mergeFrom(value)
-						.buildPartial();
-				}
-				else {
-					event_ = value;
-				}
-				onChanged();
-			}
-			else {
-				if (eventCase_ == 7) {
-					finishedBuilder_.mergeFrom(value);
-				}
-				else {
-					finishedBuilder_.setMessage(value);
-				}
-			}
-			eventCase_ = 7;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 */
-		public Builder clearFinished() {
-			if (finishedBuilder_ == null) {
-				if (eventCase_ == 7) {
-					eventCase_ = 0;
-					event_ = null;
-					onChanged();
-				}
-			}
-			else {
-				if (eventCase_ == 7) {
-					eventCase_ = 0;
-					event_ = null;
-				}
-				finishedBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 */
-		public io.verbenacleat.proto.v1.Finished.Builder getFinishedBuilder() {
-			return internalGetFinishedFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.FinishedOrBuilder getFinishedOrBuilder() {
-			if ((eventCase_ == 7) && (finishedBuilder_ != null)) {
-				return finishedBuilder_.getMessageOrBuilder();
-			}
-			else {
-				if (eventCase_ == 7) {
-					return (io.verbenacleat.proto.v1.Finished) event_;
-				}
-				return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Finished finished = 7;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Finished, io.verbenacleat.proto.v1.Finished.Builder, io.verbenacleat.proto.v1.FinishedOrBuilder> internalGetFinishedFieldBuilder() {
-			if (finishedBuilder_ == null) {
-				if (!(eventCase_ == 7)) {
-					event_ = io.verbenacleat.proto.v1.Finished.getDefaultInstance();
-				}
-				finishedBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Finished, io.verbenacleat.proto.v1.Finished.Builder, io.verbenacleat.proto.v1.FinishedOrBuilder>(
-						(io.verbenacleat.proto.v1.Finished) event_, getParentForChildren(), isClean());
-				event_ = null;
-			}
-			eventCase_ = 7;
-			onChanged();
-			return finishedBuilder_;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ExecuteEvent)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ExecuteEvent)
-	private static final io.verbenacleat.proto.v1.ExecuteEvent DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ExecuteEvent();
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteEvent getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ExecuteEvent> PARSER = new com.google.protobuf.AbstractParser<ExecuteEvent>() {
-		@java.lang.Override
-		public ExecuteEvent parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ExecuteEvent> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ExecuteEvent> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ExecuteEvent getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ExecuteEvent extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ExecuteEvent)
+    ExecuteEventOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ExecuteEvent.class.getName());
+  }
+  // Use ExecuteEvent.newBuilder() to construct.
+  private ExecuteEvent(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ExecuteEvent() {
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ExecuteEvent.class, io.verbenacleat.proto.v1.ExecuteEvent.Builder.class);
+  }
+
+  private int eventCase_ = 0;
+  @SuppressWarnings("serial")
+  private java.lang.Object event_;
+  public enum EventCase
+      implements com.google.protobuf.Internal.EnumLite,
+          com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+    ACCEPTED(2),
+    REFUSED(3),
+    CHAT_CHUNK(4),
+    HTTP_HEAD(5),
+    HTTP_BODY(6),
+    FINISHED(7),
+    EVENT_NOT_SET(0);
+    private final int value;
+    private EventCase(int value) {
+      this.value = value;
+    }
+    /**
+     * @param value The number of the enum to look for.
+     * @return The enum associated with the given number.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static EventCase valueOf(int value) {
+      return forNumber(value);
+    }
+
+    public static EventCase forNumber(int value) {
+      switch (value) {
+        case 2: return ACCEPTED;
+        case 3: return REFUSED;
+        case 4: return CHAT_CHUNK;
+        case 5: return HTTP_HEAD;
+        case 6: return HTTP_BODY;
+        case 7: return FINISHED;
+        case 0: return EVENT_NOT_SET;
+        default: return null;
+      }
+    }
+    public int getNumber() {
+      return this.value;
+    }
+  };
+
+  public EventCase
+  getEventCase() {
+    return EventCase.forNumber(
+        eventCase_);
+  }
+
+  public static final int PART_NUMBER_FIELD_NUMBER = 1;
+  private long partNumber_ = 0L;
+  /**
+   * <pre>
+   * Counts from 0 for each order, without gaps.
+   * </pre>
+   *
+   * <code>int64 part_number = 1;</code>
+   * @return The partNumber.
+   */
+  @java.lang.Override
+  public long getPartNumber() {
+    return partNumber_;
+  }
+
+  public static final int ACCEPTED_FIELD_NUMBER = 2;
+  /**
+   * <code>.verbena.v1.Accepted accepted = 2;</code>
+   * @return Whether the accepted field is set.
+   */
+  @java.lang.Override
+  public boolean hasAccepted() {
+    return eventCase_ == 2;
+  }
+  /**
+   * <code>.verbena.v1.Accepted accepted = 2;</code>
+   * @return The accepted.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Accepted getAccepted() {
+    if (eventCase_ == 2) {
+       return (io.verbenacleat.proto.v1.Accepted) event_;
+    }
+    return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
+  }
+  /**
+   * <code>.verbena.v1.Accepted accepted = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.AcceptedOrBuilder getAcceptedOrBuilder() {
+    if (eventCase_ == 2) {
+       return (io.verbenacleat.proto.v1.Accepted) event_;
+    }
+    return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
+  }
+
+  public static final int REFUSED_FIELD_NUMBER = 3;
+  /**
+   * <code>.verbena.v1.Refused refused = 3;</code>
+   * @return Whether the refused field is set.
+   */
+  @java.lang.Override
+  public boolean hasRefused() {
+    return eventCase_ == 3;
+  }
+  /**
+   * <code>.verbena.v1.Refused refused = 3;</code>
+   * @return The refused.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Refused getRefused() {
+    if (eventCase_ == 3) {
+       return (io.verbenacleat.proto.v1.Refused) event_;
+    }
+    return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
+  }
+  /**
+   * <code>.verbena.v1.Refused refused = 3;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.RefusedOrBuilder getRefusedOrBuilder() {
+    if (eventCase_ == 3) {
+       return (io.verbenacleat.proto.v1.Refused) event_;
+    }
+    return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
+  }
+
+  public static final int CHAT_CHUNK_FIELD_NUMBER = 4;
+  /**
+   * <pre>
+   * One JSON object of a chat completion stream, without "data:".
+   * </pre>
+   *
+   * <code>bytes chat_chunk = 4;</code>
+   * @return Whether the chatChunk field is set.
+   */
+  @java.lang.Override
+  public boolean hasChatChunk() {
+    return eventCase_ == 4;
+  }
+  /**
+   * <pre>
+   * One JSON object of a chat completion stream, without "data:".
+   * </pre>
+   *
+   * <code>bytes chat_chunk = 4;</code>
+   * @return The chatChunk.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getChatChunk() {
+    if (eventCase_ == 4) {
+      return (com.google.protobuf.ByteString) event_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
+  public static final int HTTP_HEAD_FIELD_NUMBER = 5;
+  /**
+   * <code>.verbena.v1.HttpHead http_head = 5;</code>
+   * @return Whether the httpHead field is set.
+   */
+  @java.lang.Override
+  public boolean hasHttpHead() {
+    return eventCase_ == 5;
+  }
+  /**
+   * <code>.verbena.v1.HttpHead http_head = 5;</code>
+   * @return The httpHead.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
+    if (eventCase_ == 5) {
+       return (io.verbenacleat.proto.v1.HttpHead) event_;
+    }
+    return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
+  }
+  /**
+   * <code>.verbena.v1.HttpHead http_head = 5;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
+    if (eventCase_ == 5) {
+       return (io.verbenacleat.proto.v1.HttpHead) event_;
+    }
+    return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
+  }
+
+  public static final int HTTP_BODY_FIELD_NUMBER = 6;
+  /**
+   * <code>bytes http_body = 6;</code>
+   * @return Whether the httpBody field is set.
+   */
+  @java.lang.Override
+  public boolean hasHttpBody() {
+    return eventCase_ == 6;
+  }
+  /**
+   * <code>bytes http_body = 6;</code>
+   * @return The httpBody.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getHttpBody() {
+    if (eventCase_ == 6) {
+      return (com.google.protobuf.ByteString) event_;
+    }
+    return com.google.protobuf.ByteString.EMPTY;
+  }
+
+  public static final int FINISHED_FIELD_NUMBER = 7;
+  /**
+   * <code>.verbena.v1.Finished finished = 7;</code>
+   * @return Whether the finished field is set.
+   */
+  @java.lang.Override
+  public boolean hasFinished() {
+    return eventCase_ == 7;
+  }
+  /**
+   * <code>.verbena.v1.Finished finished = 7;</code>
+   * @return The finished.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Finished getFinished() {
+    if (eventCase_ == 7) {
+       return (io.verbenacleat.proto.v1.Finished) event_;
+    }
+    return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
+  }
+  /**
+   * <code>.verbena.v1.Finished finished = 7;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.FinishedOrBuilder getFinishedOrBuilder() {
+    if (eventCase_ == 7) {
+       return (io.verbenacleat.proto.v1.Finished) event_;
+    }
+    return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (partNumber_ != 0L) {
+      output.writeInt64(1, partNumber_);
+    }
+    if (eventCase_ == 2) {
+      output.writeMessage(2, (io.verbenacleat.proto.v1.Accepted) event_);
+    }
+    if (eventCase_ == 3) {
+      output.writeMessage(3, (io.verbenacleat.proto.v1.Refused) event_);
+    }
+    if (eventCase_ == 4) {
+      output.writeBytes(
+          4, (com.google.protobuf.ByteString) event_);
+    }
+    if (eventCase_ == 5) {
+      output.writeMessage(5, (io.verbenacleat.proto.v1.HttpHead) event_);
+    }
+    if (eventCase_ == 6) {
+      output.writeBytes(
+          6, (com.google.protobuf.ByteString) event_);
+    }
+    if (eventCase_ == 7) {
+      output.writeMessage(7, (io.verbenacleat.proto.v1.Finished) event_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (partNumber_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(1, partNumber_);
+    }
+    if (eventCase_ == 2) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, (io.verbenacleat.proto.v1.Accepted) event_);
+    }
+    if (eventCase_ == 3) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, (io.verbenacleat.proto.v1.Refused) event_);
+    }
+    if (eventCase_ == 4) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            4, (com.google.protobuf.ByteString) event_);
+    }
+    if (eventCase_ == 5) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, (io.verbenacleat.proto.v1.HttpHead) event_);
+    }
+    if (eventCase_ == 6) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(
+            6, (com.google.protobuf.ByteString) event_);
+    }
+    if (eventCase_ == 7) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(7, (io.verbenacleat.proto.v1.Finished) event_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ExecuteEvent)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ExecuteEvent other = (io.verbenacleat.proto.v1.ExecuteEvent) obj;
+
+    if (getPartNumber()
+        != other.getPartNumber()) return false;
+    if (!getEventCase().equals(other.getEventCase())) return false;
+    switch (eventCase_) {
+      case 2:
+        if (!getAccepted()
+            .equals(other.getAccepted())) return false;
+        break;
+      case 3:
+        if (!getRefused()
+            .equals(other.getRefused())) return false;
+        break;
+      case 4:
+        if (!getChatChunk()
+            .equals(other.getChatChunk())) return false;
+        break;
+      case 5:
+        if (!getHttpHead()
+            .equals(other.getHttpHead())) return false;
+        break;
+      case 6:
+        if (!getHttpBody()
+            .equals(other.getHttpBody())) return false;
+        break;
+      case 7:
+        if (!getFinished()
+            .equals(other.getFinished())) return false;
+        break;
+      case 0:
+      default:
+    }
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + PART_NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPartNumber());
+    switch (eventCase_) {
+      case 2:
+        hash = (37 * hash) + ACCEPTED_FIELD_NUMBER;
+        hash = (53 * hash) + getAccepted().hashCode();
+        break;
+      case 3:
+        hash = (37 * hash) + REFUSED_FIELD_NUMBER;
+        hash = (53 * hash) + getRefused().hashCode();
+        break;
+      case 4:
+        hash = (37 * hash) + CHAT_CHUNK_FIELD_NUMBER;
+        hash = (53 * hash) + getChatChunk().hashCode();
+        break;
+      case 5:
+        hash = (37 * hash) + HTTP_HEAD_FIELD_NUMBER;
+        hash = (53 * hash) + getHttpHead().hashCode();
+        break;
+      case 6:
+        hash = (37 * hash) + HTTP_BODY_FIELD_NUMBER;
+        hash = (53 * hash) + getHttpBody().hashCode();
+        break;
+      case 7:
+        hash = (37 * hash) + FINISHED_FIELD_NUMBER;
+        hash = (53 * hash) + getFinished().hashCode();
+        break;
+      case 0:
+      default:
+    }
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteEvent parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ExecuteEvent prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ExecuteEvent}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ExecuteEvent)
+      io.verbenacleat.proto.v1.ExecuteEventOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ExecuteEvent.class, io.verbenacleat.proto.v1.ExecuteEvent.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ExecuteEvent.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      partNumber_ = 0L;
+      if (acceptedBuilder_ != null) {
+        acceptedBuilder_.clear();
+      }
+      if (refusedBuilder_ != null) {
+        refusedBuilder_.clear();
+      }
+      if (httpHeadBuilder_ != null) {
+        httpHeadBuilder_.clear();
+      }
+      if (finishedBuilder_ != null) {
+        finishedBuilder_.clear();
+      }
+      eventCase_ = 0;
+      event_ = null;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteEvent_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ExecuteEvent getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ExecuteEvent.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ExecuteEvent build() {
+      io.verbenacleat.proto.v1.ExecuteEvent result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ExecuteEvent buildPartial() {
+      io.verbenacleat.proto.v1.ExecuteEvent result = new io.verbenacleat.proto.v1.ExecuteEvent(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      buildPartialOneofs(result);
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ExecuteEvent result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.partNumber_ = partNumber_;
+      }
+    }
+
+    private void buildPartialOneofs(io.verbenacleat.proto.v1.ExecuteEvent result) {
+      result.eventCase_ = eventCase_;
+      result.event_ = this.event_;
+      if (eventCase_ == 2 &&
+          acceptedBuilder_ != null) {
+        result.event_ = acceptedBuilder_.build();
+      }
+      if (eventCase_ == 3 &&
+          refusedBuilder_ != null) {
+        result.event_ = refusedBuilder_.build();
+      }
+      if (eventCase_ == 5 &&
+          httpHeadBuilder_ != null) {
+        result.event_ = httpHeadBuilder_.build();
+      }
+      if (eventCase_ == 7 &&
+          finishedBuilder_ != null) {
+        result.event_ = finishedBuilder_.build();
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ExecuteEvent) {
+        return mergeFrom((io.verbenacleat.proto.v1.ExecuteEvent)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ExecuteEvent other) {
+      if (other == io.verbenacleat.proto.v1.ExecuteEvent.getDefaultInstance()) return this;
+      if (other.getPartNumber() != 0L) {
+        setPartNumber(other.getPartNumber());
+      }
+      switch (other.getEventCase()) {
+        case ACCEPTED: {
+          mergeAccepted(other.getAccepted());
+          break;
+        }
+        case REFUSED: {
+          mergeRefused(other.getRefused());
+          break;
+        }
+        case CHAT_CHUNK: {
+          setChatChunk(other.getChatChunk());
+          break;
+        }
+        case HTTP_HEAD: {
+          mergeHttpHead(other.getHttpHead());
+          break;
+        }
+        case HTTP_BODY: {
+          setHttpBody(other.getHttpBody());
+          break;
+        }
+        case FINISHED: {
+          mergeFinished(other.getFinished());
+          break;
+        }
+        case EVENT_NOT_SET: {
+          break;
+        }
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 8: {
+              partNumber_ = input.readInt64();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 18: {
+              input.readMessage(
+                  internalGetAcceptedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              eventCase_ = 2;
+              break;
+            } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetRefusedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              eventCase_ = 3;
+              break;
+            } // case 26
+            case 34: {
+              event_ = input.readBytes();
+              eventCase_ = 4;
+              break;
+            } // case 34
+            case 42: {
+              input.readMessage(
+                  internalGetHttpHeadFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              eventCase_ = 5;
+              break;
+            } // case 42
+            case 50: {
+              event_ = input.readBytes();
+              eventCase_ = 6;
+              break;
+            } // case 50
+            case 58: {
+              input.readMessage(
+                  internalGetFinishedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              eventCase_ = 7;
+              break;
+            } // case 58
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int eventCase_ = 0;
+    private java.lang.Object event_;
+    public EventCase
+        getEventCase() {
+      return EventCase.forNumber(
+          eventCase_);
+    }
+
+    public Builder clearEvent() {
+      eventCase_ = 0;
+      event_ = null;
+      onChanged();
+      return this;
+    }
+
+    private int bitField0_;
+
+    private long partNumber_ ;
+    /**
+     * <pre>
+     * Counts from 0 for each order, without gaps.
+     * </pre>
+     *
+     * <code>int64 part_number = 1;</code>
+     * @return The partNumber.
+     */
+    @java.lang.Override
+    public long getPartNumber() {
+      return partNumber_;
+    }
+    /**
+     * <pre>
+     * Counts from 0 for each order, without gaps.
+     * </pre>
+     *
+     * <code>int64 part_number = 1;</code>
+     * @param value The partNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPartNumber(long value) {
+
+      partNumber_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Counts from 0 for each order, without gaps.
+     * </pre>
+     *
+     * <code>int64 part_number = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPartNumber() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      partNumber_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Accepted, io.verbenacleat.proto.v1.Accepted.Builder, io.verbenacleat.proto.v1.AcceptedOrBuilder> acceptedBuilder_;
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     * @return Whether the accepted field is set.
+     */
+    @java.lang.Override
+    public boolean hasAccepted() {
+      return eventCase_ == 2;
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     * @return The accepted.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Accepted getAccepted() {
+      if (acceptedBuilder_ == null) {
+        if (eventCase_ == 2) {
+          return (io.verbenacleat.proto.v1.Accepted) event_;
+        }
+        return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
+      } else {
+        if (eventCase_ == 2) {
+          return acceptedBuilder_.getMessage();
+        }
+        return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     */
+    public Builder setAccepted(io.verbenacleat.proto.v1.Accepted value) {
+      if (acceptedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        event_ = value;
+        onChanged();
+      } else {
+        acceptedBuilder_.setMessage(value);
+      }
+      eventCase_ = 2;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     */
+    public Builder setAccepted(
+        io.verbenacleat.proto.v1.Accepted.Builder builderForValue) {
+      if (acceptedBuilder_ == null) {
+        event_ = builderForValue.build();
+        onChanged();
+      } else {
+        acceptedBuilder_.setMessage(builderForValue.build());
+      }
+      eventCase_ = 2;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     */
+    public Builder mergeAccepted(io.verbenacleat.proto.v1.Accepted value) {
+      if (acceptedBuilder_ == null) {
+        if (eventCase_ == 2 &&
+            event_ != io.verbenacleat.proto.v1.Accepted.getDefaultInstance()) {
+          event_ = io.verbenacleat.proto.v1.Accepted.newBuilder((io.verbenacleat.proto.v1.Accepted) event_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          event_ = value;
+        }
+        onChanged();
+      } else {
+        if (eventCase_ == 2) {
+          acceptedBuilder_.mergeFrom(value);
+        } else {
+          acceptedBuilder_.setMessage(value);
+        }
+      }
+      eventCase_ = 2;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     */
+    public Builder clearAccepted() {
+      if (acceptedBuilder_ == null) {
+        if (eventCase_ == 2) {
+          eventCase_ = 0;
+          event_ = null;
+          onChanged();
+        }
+      } else {
+        if (eventCase_ == 2) {
+          eventCase_ = 0;
+          event_ = null;
+        }
+        acceptedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.Accepted.Builder getAcceptedBuilder() {
+      return internalGetAcceptedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.AcceptedOrBuilder getAcceptedOrBuilder() {
+      if ((eventCase_ == 2) && (acceptedBuilder_ != null)) {
+        return acceptedBuilder_.getMessageOrBuilder();
+      } else {
+        if (eventCase_ == 2) {
+          return (io.verbenacleat.proto.v1.Accepted) event_;
+        }
+        return io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.Accepted accepted = 2;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Accepted, io.verbenacleat.proto.v1.Accepted.Builder, io.verbenacleat.proto.v1.AcceptedOrBuilder> 
+        internalGetAcceptedFieldBuilder() {
+      if (acceptedBuilder_ == null) {
+        if (!(eventCase_ == 2)) {
+          event_ = io.verbenacleat.proto.v1.Accepted.getDefaultInstance();
+        }
+        acceptedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.Accepted, io.verbenacleat.proto.v1.Accepted.Builder, io.verbenacleat.proto.v1.AcceptedOrBuilder>(
+                (io.verbenacleat.proto.v1.Accepted) event_,
+                getParentForChildren(),
+                isClean());
+        event_ = null;
+      }
+      eventCase_ = 2;
+      onChanged();
+      return acceptedBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Refused, io.verbenacleat.proto.v1.Refused.Builder, io.verbenacleat.proto.v1.RefusedOrBuilder> refusedBuilder_;
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     * @return Whether the refused field is set.
+     */
+    @java.lang.Override
+    public boolean hasRefused() {
+      return eventCase_ == 3;
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     * @return The refused.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Refused getRefused() {
+      if (refusedBuilder_ == null) {
+        if (eventCase_ == 3) {
+          return (io.verbenacleat.proto.v1.Refused) event_;
+        }
+        return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
+      } else {
+        if (eventCase_ == 3) {
+          return refusedBuilder_.getMessage();
+        }
+        return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     */
+    public Builder setRefused(io.verbenacleat.proto.v1.Refused value) {
+      if (refusedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        event_ = value;
+        onChanged();
+      } else {
+        refusedBuilder_.setMessage(value);
+      }
+      eventCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     */
+    public Builder setRefused(
+        io.verbenacleat.proto.v1.Refused.Builder builderForValue) {
+      if (refusedBuilder_ == null) {
+        event_ = builderForValue.build();
+        onChanged();
+      } else {
+        refusedBuilder_.setMessage(builderForValue.build());
+      }
+      eventCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     */
+    public Builder mergeRefused(io.verbenacleat.proto.v1.Refused value) {
+      if (refusedBuilder_ == null) {
+        if (eventCase_ == 3 &&
+            event_ != io.verbenacleat.proto.v1.Refused.getDefaultInstance()) {
+          event_ = io.verbenacleat.proto.v1.Refused.newBuilder((io.verbenacleat.proto.v1.Refused) event_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          event_ = value;
+        }
+        onChanged();
+      } else {
+        if (eventCase_ == 3) {
+          refusedBuilder_.mergeFrom(value);
+        } else {
+          refusedBuilder_.setMessage(value);
+        }
+      }
+      eventCase_ = 3;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     */
+    public Builder clearRefused() {
+      if (refusedBuilder_ == null) {
+        if (eventCase_ == 3) {
+          eventCase_ = 0;
+          event_ = null;
+          onChanged();
+        }
+      } else {
+        if (eventCase_ == 3) {
+          eventCase_ = 0;
+          event_ = null;
+        }
+        refusedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     */
+    public io.verbenacleat.proto.v1.Refused.Builder getRefusedBuilder() {
+      return internalGetRefusedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.RefusedOrBuilder getRefusedOrBuilder() {
+      if ((eventCase_ == 3) && (refusedBuilder_ != null)) {
+        return refusedBuilder_.getMessageOrBuilder();
+      } else {
+        if (eventCase_ == 3) {
+          return (io.verbenacleat.proto.v1.Refused) event_;
+        }
+        return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.Refused refused = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Refused, io.verbenacleat.proto.v1.Refused.Builder, io.verbenacleat.proto.v1.RefusedOrBuilder> 
+        internalGetRefusedFieldBuilder() {
+      if (refusedBuilder_ == null) {
+        if (!(eventCase_ == 3)) {
+          event_ = io.verbenacleat.proto.v1.Refused.getDefaultInstance();
+        }
+        refusedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.Refused, io.verbenacleat.proto.v1.Refused.Builder, io.verbenacleat.proto.v1.RefusedOrBuilder>(
+                (io.verbenacleat.proto.v1.Refused) event_,
+                getParentForChildren(),
+                isClean());
+        event_ = null;
+      }
+      eventCase_ = 3;
+      onChanged();
+      return refusedBuilder_;
+    }
+
+    /**
+     * <pre>
+     * One JSON object of a chat completion stream, without "data:".
+     * </pre>
+     *
+     * <code>bytes chat_chunk = 4;</code>
+     * @return Whether the chatChunk field is set.
+     */
+    public boolean hasChatChunk() {
+      return eventCase_ == 4;
+    }
+    /**
+     * <pre>
+     * One JSON object of a chat completion stream, without "data:".
+     * </pre>
+     *
+     * <code>bytes chat_chunk = 4;</code>
+     * @return The chatChunk.
+     */
+    public com.google.protobuf.ByteString getChatChunk() {
+      if (eventCase_ == 4) {
+        return (com.google.protobuf.ByteString) event_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <pre>
+     * One JSON object of a chat completion stream, without "data:".
+     * </pre>
+     *
+     * <code>bytes chat_chunk = 4;</code>
+     * @param value The chatChunk to set.
+     * @return This builder for chaining.
+     */
+    public Builder setChatChunk(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      eventCase_ = 4;
+      event_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * One JSON object of a chat completion stream, without "data:".
+     * </pre>
+     *
+     * <code>bytes chat_chunk = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearChatChunk() {
+      if (eventCase_ == 4) {
+        eventCase_ = 0;
+        event_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> httpHeadBuilder_;
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     * @return Whether the httpHead field is set.
+     */
+    @java.lang.Override
+    public boolean hasHttpHead() {
+      return eventCase_ == 5;
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     * @return The httpHead.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
+      if (httpHeadBuilder_ == null) {
+        if (eventCase_ == 5) {
+          return (io.verbenacleat.proto.v1.HttpHead) event_;
+        }
+        return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
+      } else {
+        if (eventCase_ == 5) {
+          return httpHeadBuilder_.getMessage();
+        }
+        return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     */
+    public Builder setHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
+      if (httpHeadBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        event_ = value;
+        onChanged();
+      } else {
+        httpHeadBuilder_.setMessage(value);
+      }
+      eventCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     */
+    public Builder setHttpHead(
+        io.verbenacleat.proto.v1.HttpHead.Builder builderForValue) {
+      if (httpHeadBuilder_ == null) {
+        event_ = builderForValue.build();
+        onChanged();
+      } else {
+        httpHeadBuilder_.setMessage(builderForValue.build());
+      }
+      eventCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     */
+    public Builder mergeHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
+      if (httpHeadBuilder_ == null) {
+        if (eventCase_ == 5 &&
+            event_ != io.verbenacleat.proto.v1.HttpHead.getDefaultInstance()) {
+          event_ = io.verbenacleat.proto.v1.HttpHead.newBuilder((io.verbenacleat.proto.v1.HttpHead) event_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          event_ = value;
+        }
+        onChanged();
+      } else {
+        if (eventCase_ == 5) {
+          httpHeadBuilder_.mergeFrom(value);
+        } else {
+          httpHeadBuilder_.setMessage(value);
+        }
+      }
+      eventCase_ = 5;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     */
+    public Builder clearHttpHead() {
+      if (httpHeadBuilder_ == null) {
+        if (eventCase_ == 5) {
+          eventCase_ = 0;
+          event_ = null;
+          onChanged();
+        }
+      } else {
+        if (eventCase_ == 5) {
+          eventCase_ = 0;
+          event_ = null;
+        }
+        httpHeadBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHead.Builder getHttpHeadBuilder() {
+      return internalGetHttpHeadFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
+      if ((eventCase_ == 5) && (httpHeadBuilder_ != null)) {
+        return httpHeadBuilder_.getMessageOrBuilder();
+      } else {
+        if (eventCase_ == 5) {
+          return (io.verbenacleat.proto.v1.HttpHead) event_;
+        }
+        return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.HttpHead http_head = 5;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> 
+        internalGetHttpHeadFieldBuilder() {
+      if (httpHeadBuilder_ == null) {
+        if (!(eventCase_ == 5)) {
+          event_ = io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
+        }
+        httpHeadBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder>(
+                (io.verbenacleat.proto.v1.HttpHead) event_,
+                getParentForChildren(),
+                isClean());
+        event_ = null;
+      }
+      eventCase_ = 5;
+      onChanged();
+      return httpHeadBuilder_;
+    }
+
+    /**
+     * <code>bytes http_body = 6;</code>
+     * @return Whether the httpBody field is set.
+     */
+    public boolean hasHttpBody() {
+      return eventCase_ == 6;
+    }
+    /**
+     * <code>bytes http_body = 6;</code>
+     * @return The httpBody.
+     */
+    public com.google.protobuf.ByteString getHttpBody() {
+      if (eventCase_ == 6) {
+        return (com.google.protobuf.ByteString) event_;
+      }
+      return com.google.protobuf.ByteString.EMPTY;
+    }
+    /**
+     * <code>bytes http_body = 6;</code>
+     * @param value The httpBody to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHttpBody(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      eventCase_ = 6;
+      event_ = value;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes http_body = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHttpBody() {
+      if (eventCase_ == 6) {
+        eventCase_ = 0;
+        event_ = null;
+        onChanged();
+      }
+      return this;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Finished, io.verbenacleat.proto.v1.Finished.Builder, io.verbenacleat.proto.v1.FinishedOrBuilder> finishedBuilder_;
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     * @return Whether the finished field is set.
+     */
+    @java.lang.Override
+    public boolean hasFinished() {
+      return eventCase_ == 7;
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     * @return The finished.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Finished getFinished() {
+      if (finishedBuilder_ == null) {
+        if (eventCase_ == 7) {
+          return (io.verbenacleat.proto.v1.Finished) event_;
+        }
+        return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
+      } else {
+        if (eventCase_ == 7) {
+          return finishedBuilder_.getMessage();
+        }
+        return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     */
+    public Builder setFinished(io.verbenacleat.proto.v1.Finished value) {
+      if (finishedBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        event_ = value;
+        onChanged();
+      } else {
+        finishedBuilder_.setMessage(value);
+      }
+      eventCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     */
+    public Builder setFinished(
+        io.verbenacleat.proto.v1.Finished.Builder builderForValue) {
+      if (finishedBuilder_ == null) {
+        event_ = builderForValue.build();
+        onChanged();
+      } else {
+        finishedBuilder_.setMessage(builderForValue.build());
+      }
+      eventCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     */
+    public Builder mergeFinished(io.verbenacleat.proto.v1.Finished value) {
+      if (finishedBuilder_ == null) {
+        if (eventCase_ == 7 &&
+            event_ != io.verbenacleat.proto.v1.Finished.getDefaultInstance()) {
+          event_ = io.verbenacleat.proto.v1.Finished.newBuilder((io.verbenacleat.proto.v1.Finished) event_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          event_ = value;
+        }
+        onChanged();
+      } else {
+        if (eventCase_ == 7) {
+          finishedBuilder_.mergeFrom(value);
+        } else {
+          finishedBuilder_.setMessage(value);
+        }
+      }
+      eventCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     */
+    public Builder clearFinished() {
+      if (finishedBuilder_ == null) {
+        if (eventCase_ == 7) {
+          eventCase_ = 0;
+          event_ = null;
+          onChanged();
+        }
+      } else {
+        if (eventCase_ == 7) {
+          eventCase_ = 0;
+          event_ = null;
+        }
+        finishedBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     */
+    public io.verbenacleat.proto.v1.Finished.Builder getFinishedBuilder() {
+      return internalGetFinishedFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.FinishedOrBuilder getFinishedOrBuilder() {
+      if ((eventCase_ == 7) && (finishedBuilder_ != null)) {
+        return finishedBuilder_.getMessageOrBuilder();
+      } else {
+        if (eventCase_ == 7) {
+          return (io.verbenacleat.proto.v1.Finished) event_;
+        }
+        return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.Finished finished = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Finished, io.verbenacleat.proto.v1.Finished.Builder, io.verbenacleat.proto.v1.FinishedOrBuilder> 
+        internalGetFinishedFieldBuilder() {
+      if (finishedBuilder_ == null) {
+        if (!(eventCase_ == 7)) {
+          event_ = io.verbenacleat.proto.v1.Finished.getDefaultInstance();
+        }
+        finishedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.Finished, io.verbenacleat.proto.v1.Finished.Builder, io.verbenacleat.proto.v1.FinishedOrBuilder>(
+                (io.verbenacleat.proto.v1.Finished) event_,
+                getParentForChildren(),
+                isClean());
+        event_ = null;
+      }
+      eventCase_ = 7;
+      onChanged();
+      return finishedBuilder_;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ExecuteEvent)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ExecuteEvent)
+  private static final io.verbenacleat.proto.v1.ExecuteEvent DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ExecuteEvent();
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteEvent getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ExecuteEvent>
+      PARSER = new com.google.protobuf.AbstractParser<ExecuteEvent>() {
+    @java.lang.Override
+    public ExecuteEvent parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ExecuteEvent> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ExecuteEvent> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ExecuteEvent getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteEventOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteEventOrBuilder.java
@@ -6,119 +6,108 @@
 package io.verbenacleat.proto.v1;
 
 public interface ExecuteEventOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ExecuteEvent)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <pre>
-	 * Counts from 0 for each order, without gaps.
-	 * </pre>
-	 *
-	 * <code>int64 part_number = 1;</code>
-	 * @return The partNumber.
-	 */
-	long getPartNumber();
-
-	/**
-	 * <code>.verbena.v1.Accepted accepted = 2;</code>
-	 * @return Whether the accepted field is set.
-	 */
-	boolean hasAccepted();
-
-	/**
-	 * <code>.verbena.v1.Accepted accepted = 2;</code>
-	 * @return The accepted.
-	 */
-	io.verbenacleat.proto.v1.Accepted getAccepted();
-
-	/**
-	 * <code>.verbena.v1.Accepted accepted = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.AcceptedOrBuilder getAcceptedOrBuilder();
-
-	/**
-	 * <code>.verbena.v1.Refused refused = 3;</code>
-	 * @return Whether the refused field is set.
-	 */
-	boolean hasRefused();
-
-	/**
-	 * <code>.verbena.v1.Refused refused = 3;</code>
-	 * @return The refused.
-	 */
-	io.verbenacleat.proto.v1.Refused getRefused();
-
-	/**
-	 * <code>.verbena.v1.Refused refused = 3;</code>
-	 */
-	io.verbenacleat.proto.v1.RefusedOrBuilder getRefusedOrBuilder();
-
-	/**
-	 * <pre>
-	 * One JSON object of a chat completion stream, without "data:".
-	 * </pre>
-	 *
-	 * <code>bytes chat_chunk = 4;</code>
-	 * @return Whether the chatChunk field is set.
-	 */
-	boolean hasChatChunk();
-
-	/**
-	 * <pre>
-	 * One JSON object of a chat completion stream, without "data:".
-	 * </pre>
-	 *
-	 * <code>bytes chat_chunk = 4;</code>
-	 * @return The chatChunk.
-	 */
-	com.google.protobuf.ByteString getChatChunk();
-
-	/**
-	 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-	 * @return Whether the httpHead field is set.
-	 */
-	boolean hasHttpHead();
-
-	/**
-	 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-	 * @return The httpHead.
-	 */
-	io.verbenacleat.proto.v1.HttpHead getHttpHead();
-
-	/**
-	 * <code>.verbena.v1.HttpHead http_head = 5;</code>
-	 */
-	io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder();
-
-	/**
-	 * <code>bytes http_body = 6;</code>
-	 * @return Whether the httpBody field is set.
-	 */
-	boolean hasHttpBody();
-
-	/**
-	 * <code>bytes http_body = 6;</code>
-	 * @return The httpBody.
-	 */
-	com.google.protobuf.ByteString getHttpBody();
-
-	/**
-	 * <code>.verbena.v1.Finished finished = 7;</code>
-	 * @return Whether the finished field is set.
-	 */
-	boolean hasFinished();
-
-	/**
-	 * <code>.verbena.v1.Finished finished = 7;</code>
-	 * @return The finished.
-	 */
-	io.verbenacleat.proto.v1.Finished getFinished();
-
-	/**
-	 * <code>.verbena.v1.Finished finished = 7;</code>
-	 */
-	io.verbenacleat.proto.v1.FinishedOrBuilder getFinishedOrBuilder();
-
-	io.verbenacleat.proto.v1.ExecuteEvent.EventCase getEventCase();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ExecuteEvent)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <pre>
+   * Counts from 0 for each order, without gaps.
+   * </pre>
+   *
+   * <code>int64 part_number = 1;</code>
+   * @return The partNumber.
+   */
+  long getPartNumber();
+
+  /**
+   * <code>.verbena.v1.Accepted accepted = 2;</code>
+   * @return Whether the accepted field is set.
+   */
+  boolean hasAccepted();
+  /**
+   * <code>.verbena.v1.Accepted accepted = 2;</code>
+   * @return The accepted.
+   */
+  io.verbenacleat.proto.v1.Accepted getAccepted();
+  /**
+   * <code>.verbena.v1.Accepted accepted = 2;</code>
+   */
+  io.verbenacleat.proto.v1.AcceptedOrBuilder getAcceptedOrBuilder();
+
+  /**
+   * <code>.verbena.v1.Refused refused = 3;</code>
+   * @return Whether the refused field is set.
+   */
+  boolean hasRefused();
+  /**
+   * <code>.verbena.v1.Refused refused = 3;</code>
+   * @return The refused.
+   */
+  io.verbenacleat.proto.v1.Refused getRefused();
+  /**
+   * <code>.verbena.v1.Refused refused = 3;</code>
+   */
+  io.verbenacleat.proto.v1.RefusedOrBuilder getRefusedOrBuilder();
+
+  /**
+   * <pre>
+   * One JSON object of a chat completion stream, without "data:".
+   * </pre>
+   *
+   * <code>bytes chat_chunk = 4;</code>
+   * @return Whether the chatChunk field is set.
+   */
+  boolean hasChatChunk();
+  /**
+   * <pre>
+   * One JSON object of a chat completion stream, without "data:".
+   * </pre>
+   *
+   * <code>bytes chat_chunk = 4;</code>
+   * @return The chatChunk.
+   */
+  com.google.protobuf.ByteString getChatChunk();
+
+  /**
+   * <code>.verbena.v1.HttpHead http_head = 5;</code>
+   * @return Whether the httpHead field is set.
+   */
+  boolean hasHttpHead();
+  /**
+   * <code>.verbena.v1.HttpHead http_head = 5;</code>
+   * @return The httpHead.
+   */
+  io.verbenacleat.proto.v1.HttpHead getHttpHead();
+  /**
+   * <code>.verbena.v1.HttpHead http_head = 5;</code>
+   */
+  io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder();
+
+  /**
+   * <code>bytes http_body = 6;</code>
+   * @return Whether the httpBody field is set.
+   */
+  boolean hasHttpBody();
+  /**
+   * <code>bytes http_body = 6;</code>
+   * @return The httpBody.
+   */
+  com.google.protobuf.ByteString getHttpBody();
+
+  /**
+   * <code>.verbena.v1.Finished finished = 7;</code>
+   * @return Whether the finished field is set.
+   */
+  boolean hasFinished();
+  /**
+   * <code>.verbena.v1.Finished finished = 7;</code>
+   * @return The finished.
+   */
+  io.verbenacleat.proto.v1.Finished getFinished();
+  /**
+   * <code>.verbena.v1.Finished finished = 7;</code>
+   */
+  io.verbenacleat.proto.v1.FinishedOrBuilder getFinishedOrBuilder();
+
+  io.verbenacleat.proto.v1.ExecuteEvent.EventCase getEventCase();
 }
