--- a/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteRequest.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteRequest.java
@@ -8,2338 +8,2252 @@
 /**
  * Protobuf type {@code verbena.v1.ExecuteRequest}
  */
-public final class ExecuteRequest extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ExecuteRequest)
-		ExecuteRequestOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ExecuteRequest.class.getName());
-	}
-
-	// Use ExecuteRequest.newBuilder() to construct.
-	private ExecuteRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ExecuteRequest() {
-		requestId_ = "";
-		account_ = "";
-		callerId_ = "";
-		workspace_ = "";
-		holderIncarnation_ = "";
-		holderAddress_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ExecuteRequest.class,
-					io.verbenacleat.proto.v1.ExecuteRequest.Builder.class);
-	}
-
-	private int bitField0_;
-
-	private int workCase_ = 0;
-
-	@SuppressWarnings("serial")
-	private java.lang.Object work_;
-
-	public enum WorkCase
-			implements com.google.protobuf.Internal.EnumLite, com.google.protobuf.AbstractMessage.InternalOneOfEnum {
-
-		CHAT(13), HTTP(14), WORK_NOT_SET(0);
-
-		private final int value;
-
-		private WorkCase(int value) {
-			this.value = value;
-		}
-
-		/**
-		 * @param value The number of the enum to look for.
-		 * @return The enum associated with the given number.
-		 * @deprecated Use {@link #forNumber(int)} instead.
-		 */
-		@java.lang.Deprecated
-		public static WorkCase valueOf(int value) {
-			return forNumber(value);
-		}
-
-		public static WorkCase forNumber(int value) {
-			switch (value) {
-				case 13:
-					return CHAT;
-				case 14:
-					return HTTP;
-				case 0:
-					return WORK_NOT_SET;
-				default:
-					return null;
-			}
-		}
-
-		public int getNumber() {
-			return this.value;
-		}
-
-	};
-
-	public WorkCase getWorkCase() {
-		return WorkCase.forNumber(workCase_);
-	}
-
-	public static final int ORDER_ID_FIELD_NUMBER = 1;
-
-	private io.verbenacleat.proto.v1.OrderId orderId_;
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return Whether the orderId field is set.
-	 */
-	@java.lang.Override
-	public boolean hasOrderId() {
-		return ((bitField0_ & 0x00000001) != 0);
-	}
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return The orderId.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderId getOrderId() {
-		return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-	}
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
-		return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-	}
-
-	public static final int REQUEST_ID_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object requestId_ = "";
-
-	/**
-	 * <code>string request_id = 2;</code>
-	 * @return The requestId.
-	 */
-	@java.lang.Override
-	public java.lang.String getRequestId() {
-		java.lang.Object ref = requestId_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			requestId_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string request_id = 2;</code>
-	 * @return The bytes for requestId.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getRequestIdBytes() {
-		java.lang.Object ref = requestId_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			requestId_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int ACCOUNT_FIELD_NUMBER = 3;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object account_ = "";
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The account.
-	 */
-	@java.lang.Override
-	public java.lang.String getAccount() {
-		java.lang.Object ref = account_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			account_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The bytes for account.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getAccountBytes() {
-		java.lang.Object ref = account_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			account_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int CALLER_ID_FIELD_NUMBER = 4;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object callerId_ = "";
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The callerId.
-	 */
-	@java.lang.Override
-	public java.lang.String getCallerId() {
-		java.lang.Object ref = callerId_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			callerId_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The bytes for callerId.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getCallerIdBytes() {
-		java.lang.Object ref = callerId_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			callerId_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int WORKSPACE_FIELD_NUMBER = 5;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object workspace_ = "";
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The workspace.
-	 */
-	@java.lang.Override
-	public java.lang.String getWorkspace() {
-		java.lang.Object ref = workspace_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			workspace_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The bytes for workspace.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getWorkspaceBytes() {
-		java.lang.Object ref = workspace_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			workspace_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int HOLDER_INCARNATION_FIELD_NUMBER = 6;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object holderIncarnation_ = "";
-
-	/**
-	 * <code>string holder_incarnation = 6;</code>
-	 * @return The holderIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getHolderIncarnation() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			holderIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string holder_incarnation = 6;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			holderIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int HOLDER_ADDRESS_FIELD_NUMBER = 7;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object holderAddress_ = "";
-
-	/**
-	 * <pre>
-	 * gRPC address of the holder, host:port.
-	 * </pre>
-	 *
-	 * <code>string holder_address = 7;</code>
-	 * @return The holderAddress.
-	 */
-	@java.lang.Override
-	public java.lang.String getHolderAddress() {
-		java.lang.Object ref = holderAddress_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			holderAddress_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <pre>
-	 * gRPC address of the holder, host:port.
-	 * </pre>
-	 *
-	 * <code>string holder_address = 7;</code>
-	 * @return The bytes for holderAddress.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHolderAddressBytes() {
-		java.lang.Object ref = holderAddress_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			holderAddress_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int RESERVED_TOKENS_FIELD_NUMBER = 8;
-
-	private long reservedTokens_ = 0L;
-
-	/**
-	 * <code>int64 reserved_tokens = 8;</code>
-	 * @return The reservedTokens.
-	 */
-	@java.lang.Override
-	public long getReservedTokens() {
-		return reservedTokens_;
-	}
-
-	public static final int REPEATABLE_FIELD_NUMBER = 9;
-
-	private boolean repeatable_ = false;
-
-	/**
-	 * <code>bool repeatable = 9;</code>
-	 * @return The repeatable.
-	 */
-	@java.lang.Override
-	public boolean getRepeatable() {
-		return repeatable_;
-	}
-
-	public static final int PRIORITY_FIELD_NUMBER = 10;
-
-	private int priority_ = 0;
-
-	/**
-	 * <pre>
-	 * Lower is more urgent.
-	 * </pre>
-	 *
-	 * <code>int32 priority = 10;</code>
-	 * @return The priority.
-	 */
-	@java.lang.Override
-	public int getPriority() {
-		return priority_;
-	}
-
-	public static final int TIMEOUT_MS_FIELD_NUMBER = 11;
-
-	private long timeoutMs_ = 0L;
-
-	/**
-	 * <code>int64 timeout_ms = 11;</code>
-	 * @return The timeoutMs.
-	 */
-	@java.lang.Override
-	public long getTimeoutMs() {
-		return timeoutMs_;
-	}
-
-	public static final int RESOLVED_THROUGH_FIELD_NUMBER = 12;
-
-	private long resolvedThrough_ = 0L;
-
-	/**
-	 * <pre>
-	 * Highest sequence up to which this gateway has resolved all its orders to this agent.
-	 * </pre>
-	 *
-	 * <code>int64 resolved_through = 12;</code>
-	 * @return The resolvedThrough.
-	 */
-	@java.lang.Override
-	public long getResolvedThrough() {
-		return resolvedThrough_;
-	}
-
-	public static final int CHAT_FIELD_NUMBER = 13;
-
-	/**
-	 * <code>.verbena.v1.ChatWork chat = 13;</code>
-	 * @return Whether the chat field is set.
-	 */
-	@java.lang.Override
-	public boolean hasChat() {
-		return workCase_ == 13;
-	}
-
-	/**
-	 * <code>.verbena.v1.ChatWork chat = 13;</code>
-	 * @return The chat.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ChatWork getChat() {
-		if (workCase_ == 13) {
-			return (io.verbenacleat.proto.v1.ChatWork) work_;
-		}
-		return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
-	}
-
-	/**
-	 * <code>.verbena.v1.ChatWork chat = 13;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ChatWorkOrBuilder getChatOrBuilder() {
-		if (workCase_ == 13) {
-			return (io.verbenacleat.proto.v1.ChatWork) work_;
-		}
-		return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
-	}
-
-	public static final int HTTP_FIELD_NUMBER = 14;
-
-	/**
-	 * <code>.verbena.v1.HttpWork http = 14;</code>
-	 * @return Whether the http field is set.
-	 */
-	@java.lang.Override
-	public boolean hasHttp() {
-		return workCase_ == 14;
-	}
-
-	/**
-	 * <code>.verbena.v1.HttpWork http = 14;</code>
-	 * @return The http.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpWork getHttp() {
-		if (workCase_ == 14) {
-			return (io.verbenacleat.proto.v1.HttpWork) work_;
-		}
-		return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
-	}
-
-	/**
-	 * <code>.verbena.v1.HttpWork http = 14;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpWorkOrBuilder getHttpOrBuilder() {
-		if (workCase_ == 14) {
-			return (io.verbenacleat.proto.v1.HttpWork) work_;
-		}
-		return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (((bitField0_ & 0x00000001) != 0)) {
-			output.writeMessage(1, getOrderId());
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, requestId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 3, account_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 4, callerId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 5, workspace_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 6, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAddress_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 7, holderAddress_);
-		}
-		if (reservedTokens_ != 0L) {
-			output.writeInt64(8, reservedTokens_);
-		}
-		if (repeatable_ != false) {
-			output.writeBool(9, repeatable_);
-		}
-		if (priority_ != 0) {
-			output.writeInt32(10, priority_);
-		}
-		if (timeoutMs_ != 0L) {
-			output.writeInt64(11, timeoutMs_);
-		}
-		if (resolvedThrough_ != 0L) {
-			output.writeInt64(12, resolvedThrough_);
-		}
-		if (workCase_ == 13) {
-			output.writeMessage(13, (io.verbenacleat.proto.v1.ChatWork) work_);
-		}
-		if (workCase_ == 14) {
-			output.writeMessage(14, (io.verbenacleat.proto.v1.HttpWork) work_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (((bitField0_ & 0x00000001) != 0)) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, getOrderId());
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, requestId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(3, account_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(4, callerId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(5, workspace_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(6, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAddress_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(7, holderAddress_);
-		}
-		if (reservedTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(8, reservedTokens_);
-		}
-		if (repeatable_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(9, repeatable_);
-		}
-		if (priority_ != 0) {
-			size += com.google.protobuf.CodedOutputStream.computeInt32Size(10, priority_);
-		}
-		if (timeoutMs_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(11, timeoutMs_);
-		}
-		if (resolvedThrough_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(12, resolvedThrough_);
-		}
-		if (workCase_ == 13) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(13,
-					(io.verbenacleat.proto.v1.ChatWork) work_);
-		}
-		if (workCase_ == 14) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(14,
-					(io.verbenacleat.proto.v1.HttpWork) work_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ExecuteRequest)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ExecuteRequest other = (io.verbenacleat.proto.v1.ExecuteRequest) obj;
-
-		if (hasOrderId() != other.hasOrderId())
-			return false;
-		if (hasOrderId()) {
-			if (!getOrderId().equals(other.getOrderId()))
-				return false;
-		}
-		if (!getRequestId().equals(other.getRequestId()))
-			return false;
-		if (!getAccount().equals(other.getAccount()))
-			return false;
-		if (!getCallerId().equals(other.getCallerId()))
-			return false;
-		if (!getWorkspace().equals(other.getWorkspace()))
-			return false;
-		if (!getHolderIncarnation().equals(other.getHolderIncarnation()))
-			return false;
-		if (!getHolderAddress().equals(other.getHolderAddress()))
-			return false;
-		if (getReservedTokens() != other.getReservedTokens())
-			return false;
-		if (getRepeatable() != other.getRepeatable())
-			return false;
-		if (getPriority() != other.getPriority())
-			return false;
-		if (getTimeoutMs() != other.getTimeoutMs())
-			return false;
-		if (getResolvedThrough() != other.getResolvedThrough())
-			return false;
-		if (!getWorkCase().equals(other.getWorkCase()))
-			return false;
-		switch (workCase_) {
-			case 13:
-				if (!getChat().equals(other.getChat()))
-					return false;
-				break;
-			case 14:
-				if (!getHttp().equals(other.getHttp()))
-					return false;
-				break;
-			case 0:
-			default:
-		}
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		if (hasOrderId()) {
-			hash = (37 * hash) + ORDER_ID_FIELD_NUMBER;
-			hash = (53 * hash) + getOrderId().hashCode();
-		}
-		hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
-		hash = (53 * hash) + getRequestId().hashCode();
-		hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
-		hash = (53 * hash) + getAccount().hashCode();
-		hash = (37 * hash) + CALLER_ID_FIELD_NUMBER;
-		hash = (53 * hash) + getCallerId().hashCode();
-		hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
-		hash = (53 * hash) + getWorkspace().hashCode();
-		hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getHolderIncarnation().hashCode();
-		hash = (37 * hash) + HOLDER_ADDRESS_FIELD_NUMBER;
-		hash = (53 * hash) + getHolderAddress().hashCode();
-		hash = (37 * hash) + RESERVED_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getReservedTokens());
-		hash = (37 * hash) + REPEATABLE_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getRepeatable());
-		hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
-		hash = (53 * hash) + getPriority();
-		hash = (37 * hash) + TIMEOUT_MS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getTimeoutMs());
-		hash = (37 * hash) + RESOLVED_THROUGH_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getResolvedThrough());
-		switch (workCase_) {
-			case 13:
-				hash = (37 * hash) + CHAT_FIELD_NUMBER;
-				hash = (53 * hash) + getChat().hashCode();
-				break;
-			case 14:
-				hash = (37 * hash) + HTTP_FIELD_NUMBER;
-				hash = (53 * hash) + getHttp().hashCode();
-				break;
-			case 0:
-			default:
-		}
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ExecuteRequest prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ExecuteRequest}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ExecuteRequest)
-			io.verbenacleat.proto.v1.ExecuteRequestOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ExecuteRequest.class,
-						io.verbenacleat.proto.v1.ExecuteRequest.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ExecuteRequest.newBuilder()
-		private Builder() {
-			maybeForceBuilderInitialization();
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-			maybeForceBuilderInitialization();
-		}
-
-		private void maybeForceBuilderInitialization() {
-			if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
-				internalGetOrderIdFieldBuilder();
-			}
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			orderId_ = null;
-			if (orderIdBuilder_ != null) {
-				orderIdBuilder_.dispose();
-				orderIdBuilder_ = null;
-			}
-			requestId_ = "";
-			account_ = "";
-			callerId_ = "";
-			workspace_ = "";
-			holderIncarnation_ = "";
-			holderAddress_ = "";
-			reservedTokens_ = 0L;
-			repeatable_ = false;
-			priority_ = 0;
-			timeoutMs_ = 0L;
-			resolvedThrough_ = 0L;
-			if (chatBuilder_ != null) {
-				chatBuilder_.clear();
-			}
-			if (httpBuilder_ != null) {
-				httpBuilder_.clear();
-			}
-			workCase_ = 0;
-			work_ = null;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ExecuteRequest getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ExecuteRequest.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ExecuteRequest build() {
-			io.verbenacleat.proto.v1.ExecuteRequest result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ExecuteRequest buildPartial() {
-			io.verbenacleat.proto.v1.ExecuteRequest result = new io.verbenacleat.proto.v1.ExecuteRequest(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			buildPartialOneofs(result);
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ExecuteRequest result) {
-			int from_bitField0_ = bitField0_;
-			int to_bitField0_ = 0;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.orderId_ = orderIdBuilder_ == null ? orderId_ : orderIdBuilder_.build();
-				to_bitField0_ |= 0x00000001;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.requestId_ = requestId_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.account_ = account_;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.callerId_ = callerId_;
-			}
-			if (((from_bitField0_ & 0x00000010) != 0)) {
-				result.workspace_ = workspace_;
-			}
-			if (((from_bitField0_ & 0x00000020) != 0)) {
-				result.holderIncarnation_ = holderIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000040) != 0)) {
-				result.holderAddress_ = holderAddress_;
-			}
-			if (((from_bitField0_ & 0x00000080) != 0)) {
-				result.reservedTokens_ = reservedTokens_;
-			}
-			if (((from_bitField0_ & 0x00000100) != 0)) {
-				result.repeatable_ = repeatable_;
-			}
-			if (((from_bitField0_ & 0x00000200) != 0)) {
-				result.priority_ = priority_;
-			}
-			if (((from_bitField0_ & 0x00000400) != 0)) {
-				result.timeoutMs_ = timeoutMs_;
-			}
-			if (((from_bitField0_ & 0x00000800) != 0)) {
-				result.resolvedThrough_ = resolvedThrough_;
-			}
-			result.bitField0_ |= to_bitField0_;
-		}
-
-		private void buildPartialOneofs(io.verbenacleat.proto.v1.ExecuteRequest result) {
-			result.workCase_ = workCase_;
-			result.work_ = this.work_;
-			if (workCase_ == 13 && chatBuilder_ != null) {
-				result.work_ = chatBuilder_.build();
-			}
-			if (workCase_ == 14 && httpBuilder_ != null) {
-				result.work_ = httpBuilder_.build();
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ExecuteRequest) {
-				return mergeFrom((io.verbenacleat.proto.v1.ExecuteRequest) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ExecuteRequest other) {
-			if (other == io.verbenacleat.proto.v1.ExecuteRequest.getDefaultInstance())
-				return this;
-			if (other.hasOrderId()) {
-				mergeOrderId(other.getOrderId());
-			}
-			if (!other.getRequestId().isEmpty()) {
-				requestId_ = other.requestId_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			if (!other.getAccount().isEmpty()) {
-				account_ = other.account_;
-				bitField0_ |= 0x00000004;
-				onChanged();
-			}
-			if (!other.getCallerId().isEmpty()) {
-				callerId_ = other.callerId_;
-				bitField0_ |= 0x00000008;
-				onChanged();
-			}
-			if (!other.getWorkspace().isEmpty()) {
-				workspace_ = other.workspace_;
-				bitField0_ |= 0x00000010;
-				onChanged();
-			}
-			if (!other.getHolderIncarnation().isEmpty()) {
-				holderIncarnation_ = other.holderIncarnation_;
-				bitField0_ |= 0x00000020;
-				onChanged();
-			}
-			if (!other.getHolderAddress().isEmpty()) {
-				holderAddress_ = other.holderAddress_;
-				bitField0_ |= 0x00000040;
-				onChanged();
-			}
-			if (other.getReservedTokens() != 0L) {
-				setReservedTokens(other.getReservedTokens());
-			}
-			if (other.getRepeatable() != false) {
-				setRepeatable(other.getRepeatable());
-			}
-			if (other.getPriority() != 0) {
-				setPriority(other.getPriority());
-			}
-			if (other.getTimeoutMs() != 0L) {
-				setTimeoutMs(other.getTimeoutMs());
-			}
-			if (other.getResolvedThrough() != 0L) {
-				setResolvedThrough(other.getResolvedThrough());
-			}
-			switch (other.getWorkCase()) {
-				case CHAT: {
-					mergeChat(other.getChat());
-					break;
-				}
-				case HTTP: {
-					mergeHttp(other.getHttp());
-					break;
-				}
-				case WORK_NOT_SET: {
-					break;
-				}
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							input.readMessage(internalGetOrderIdFieldBuilder().getBuilder(), extensionRegistry);
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							requestId_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 26: {
-							account_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 26
-						case 34: {
-							callerId_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 34
-						case 42: {
-							workspace_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000010;
-							break;
-						} // case 42
-						case 50: {
-							holderIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000020;
-							break;
-						} // case 50
-						case 58: {
-							holderAddress_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000040;
-							break;
-						} // case 58
-						case 64: {
-							reservedTokens_ = input.readInt64();
-							bitField0_ |= 0x00000080;
-							break;
-						} // case 64
-						case 72: {
-							repeatable_ = input.readBool();
-							bitField0_ |= 0x00000100;
-							break;
-						} // case 72
-						case 80: {
-							priority_ = input.readInt32();
-							bitField0_ |= 0x00000200;
-							break;
-						} // case 80
-						case 88: {
-							timeoutMs_ = input.readInt64();
-							bitField0_ |= 0x00000400;
-							break;
-						} // case 88
-						case 96: {
-							resolvedThrough_ = input.readInt64();
-							bitField0_ |= 0x00000800;
-							break;
-						} // case 96
-						case 106: {
-							input.readMessage(internalGetChatFieldBuilder().getBuilder(), extensionRegistry);
-							workCase_ = 13;
-							break;
-						} // case 106
-						case 114: {
-							input.readMessage(internalGetHttpFieldBuilder().getBuilder(), extensionRegistry);
-							workCase_ = 14;
-							break;
-						} // case 114
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int workCase_ = 0;
-
-		private java.lang.Object work_;
-
-		public WorkCase getWorkCase() {
-			return WorkCase.forNumber(workCase_);
-		}
-
-		public Builder clearWork() {
-			workCase_ = 0;
-			work_ = null;
-			onChanged();
-			return this;
-		}
-
-		private int bitField0_;
-
-		private io.verbenacleat.proto.v1.OrderId orderId_;
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> orderIdBuilder_;
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 * @return Whether the orderId field is set.
-		 */
-		public boolean hasOrderId() {
-			return ((bitField0_ & 0x00000001) != 0);
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 * @return The orderId.
-		 */
-		public io.verbenacleat.proto.v1.OrderId getOrderId() {
-			if (orderIdBuilder_ == null) {
-				return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-			}
-			else {
-				return orderIdBuilder_.getMessage();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder setOrderId(io.verbenacleat.proto.v1.OrderId value) {
-			if (orderIdBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				orderId_ = value;
-			}
-			else {
-				orderIdBuilder_.setMessage(value);
-			}
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder setOrderId(io.verbenacleat.proto.v1.OrderId.Builder builderForValue) {
-			if (orderIdBuilder_ == null) {
-				orderId_ = builderForValue.build();
-			}
-			else {
-				orderIdBuilder_.setMessage(builderForValue.build());
-			}
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder mergeOrderId(io.verbenacleat.proto.v1.OrderId value) {
-			if (orderIdBuilder_ == null) {
-				if (((bitField0_ & 0x00000001) != 0) && orderId_ != null
-						&& orderId_ != io.verbenacleat.proto.v1.OrderId.getDefaultInstance()) {
-					getOrderIdBuilder().mergeFrom(value);
-				}
-				else {
-					orderId_ = value;
-				}
-			}
-			else {
-				orderIdBuilder_.mergeFrom(value);
-			}
-			if (orderId_ != null) {
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder clearOrderId() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			orderId_ = null;
-			if (orderIdBuilder_ != null) {
-				orderIdBuilder_.dispose();
-				orderIdBuilder_ = null;
-			}
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.OrderId.Builder getOrderIdBuilder() {
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return internalGetOrderIdFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
-			if (orderIdBuilder_ != null) {
-				return orderIdBuilder_.getMessageOrBuilder();
-			}
-			else {
-				return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> internalGetOrderIdFieldBuilder() {
-			if (orderIdBuilder_ == null) {
-				orderIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder>(
-						getOrderId(), getParentForChildren(), isClean());
-				orderId_ = null;
-			}
-			return orderIdBuilder_;
-		}
-
-		private java.lang.Object requestId_ = "";
-
-		/**
-		 * <code>string request_id = 2;</code>
-		 * @return The requestId.
-		 */
-		public java.lang.String getRequestId() {
-			java.lang.Object ref = requestId_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				requestId_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string request_id = 2;</code>
-		 * @return The bytes for requestId.
-		 */
-		public com.google.protobuf.ByteString getRequestIdBytes() {
-			java.lang.Object ref = requestId_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				requestId_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string request_id = 2;</code>
-		 * @param value The requestId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRequestId(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			requestId_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string request_id = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRequestId() {
-			requestId_ = getDefaultInstance().getRequestId();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string request_id = 2;</code>
-		 * @param value The bytes for requestId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRequestIdBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			requestId_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object account_ = "";
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return The account.
-		 */
-		public java.lang.String getAccount() {
-			java.lang.Object ref = account_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				account_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return The bytes for account.
-		 */
-		public com.google.protobuf.ByteString getAccountBytes() {
-			java.lang.Object ref = account_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				account_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @param value The account to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAccount(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			account_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAccount() {
-			account_ = getDefaultInstance().getAccount();
-			bitField0_ = (bitField0_ & ~0x00000004);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @param value The bytes for account to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAccountBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			account_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object callerId_ = "";
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return The callerId.
-		 */
-		public java.lang.String getCallerId() {
-			java.lang.Object ref = callerId_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				callerId_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return The bytes for callerId.
-		 */
-		public com.google.protobuf.ByteString getCallerIdBytes() {
-			java.lang.Object ref = callerId_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				callerId_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @param value The callerId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setCallerId(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			callerId_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearCallerId() {
-			callerId_ = getDefaultInstance().getCallerId();
-			bitField0_ = (bitField0_ & ~0x00000008);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @param value The bytes for callerId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setCallerIdBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			callerId_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object workspace_ = "";
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @return The workspace.
-		 */
-		public java.lang.String getWorkspace() {
-			java.lang.Object ref = workspace_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				workspace_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @return The bytes for workspace.
-		 */
-		public com.google.protobuf.ByteString getWorkspaceBytes() {
-			java.lang.Object ref = workspace_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				workspace_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @param value The workspace to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setWorkspace(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			workspace_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearWorkspace() {
-			workspace_ = getDefaultInstance().getWorkspace();
-			bitField0_ = (bitField0_ & ~0x00000010);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @param value The bytes for workspace to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setWorkspaceBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			workspace_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object holderIncarnation_ = "";
-
-		/**
-		 * <code>string holder_incarnation = 6;</code>
-		 * @return The holderIncarnation.
-		 */
-		public java.lang.String getHolderIncarnation() {
-			java.lang.Object ref = holderIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				holderIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 6;</code>
-		 * @return The bytes for holderIncarnation.
-		 */
-		public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-			java.lang.Object ref = holderIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				holderIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 6;</code>
-		 * @param value The holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 6;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHolderIncarnation() {
-			holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000020);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 6;</code>
-		 * @param value The bytes for holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object holderAddress_ = "";
-
-		/**
-		 * <pre>
-		 * gRPC address of the holder, host:port.
-		 * </pre>
-		 *
-		 * <code>string holder_address = 7;</code>
-		 * @return The holderAddress.
-		 */
-		public java.lang.String getHolderAddress() {
-			java.lang.Object ref = holderAddress_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				holderAddress_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * gRPC address of the holder, host:port.
-		 * </pre>
-		 *
-		 * <code>string holder_address = 7;</code>
-		 * @return The bytes for holderAddress.
-		 */
-		public com.google.protobuf.ByteString getHolderAddressBytes() {
-			java.lang.Object ref = holderAddress_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				holderAddress_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * gRPC address of the holder, host:port.
-		 * </pre>
-		 *
-		 * <code>string holder_address = 7;</code>
-		 * @param value The holderAddress to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderAddress(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			holderAddress_ = value;
-			bitField0_ |= 0x00000040;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * gRPC address of the holder, host:port.
-		 * </pre>
-		 *
-		 * <code>string holder_address = 7;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHolderAddress() {
-			holderAddress_ = getDefaultInstance().getHolderAddress();
-			bitField0_ = (bitField0_ & ~0x00000040);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * gRPC address of the holder, host:port.
-		 * </pre>
-		 *
-		 * <code>string holder_address = 7;</code>
-		 * @param value The bytes for holderAddress to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderAddressBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			holderAddress_ = value;
-			bitField0_ |= 0x00000040;
-			onChanged();
-			return this;
-		}
-
-		private long reservedTokens_;
-
-		/**
-		 * <code>int64 reserved_tokens = 8;</code>
-		 * @return The reservedTokens.
-		 */
-		@java.lang.Override
-		public long getReservedTokens() {
-			return reservedTokens_;
-		}
-
-		/**
-		 * <code>int64 reserved_tokens = 8;</code>
-		 * @param value The reservedTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setReservedTokens(long value) {
-
-			reservedTokens_ = value;
-			bitField0_ |= 0x00000080;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 reserved_tokens = 8;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearReservedTokens() {
-			bitField0_ = (bitField0_ & ~0x00000080);
-			reservedTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private boolean repeatable_;
-
-		/**
-		 * <code>bool repeatable = 9;</code>
-		 * @return The repeatable.
-		 */
-		@java.lang.Override
-		public boolean getRepeatable() {
-			return repeatable_;
-		}
-
-		/**
-		 * <code>bool repeatable = 9;</code>
-		 * @param value The repeatable to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRepeatable(boolean value) {
-
-			repeatable_ = value;
-			bitField0_ |= 0x00000100;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bool repeatable = 9;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRepeatable() {
-			bitField0_ = (bitField0_ & ~0x00000100);
-			repeatable_ = false;
-			onChanged();
-			return this;
-		}
-
-		private int priority_;
-
-		/**
-		 * <pre>
-		 * Lower is more urgent.
-		 * </pre>
-		 *
-		 * <code>int32 priority = 10;</code>
-		 * @return The priority.
-		 */
-		@java.lang.Override
-		public int getPriority() {
-			return priority_;
-		}
-
-		/**
-		 * <pre>
-		 * Lower is more urgent.
-		 * </pre>
-		 *
-		 * <code>int32 priority = 10;</code>
-		 * @param value The priority to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPriority(int value) {
-
-			priority_ = value;
-			bitField0_ |= 0x00000200;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Lower is more urgent.
-		 * </pre>
-		 *
-		 * <code>int32 priority = 10;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPriority() {
-			bitField0_ = (bitField0_ & ~0x00000200);
-			priority_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private long timeoutMs_;
-
-		/**
-		 * <code>int64 timeout_ms = 11;</code>
-		 * @return The timeoutMs.
-		 */
-		@java.lang.Override
-		public long getTimeoutMs() {
-			return timeoutMs_;
-		}
-
-		/**
-		 * <code>int64 timeout_ms = 11;</code>
-		 * @param value The timeoutMs to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setTimeoutMs(long value) {
-
-			timeoutMs_ = value;
-			bitField0_ |= 0x00000400;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 timeout_ms = 11;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearTimeoutMs() {
-			bitField0_ = (bitField0_ & ~0x00000400);
-			timeoutMs_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private long resolvedThrough_;
-
-		/**
-		 * <pre>
-		 * Highest sequence up to which this gateway has resolved all its orders to this agent.
-		 * </pre>
-		 *
-		 * <code>int64 resolved_through = 12;</code>
-		 * @return The resolvedThrough.
-		 */
-		@java.lang.Override
-		public long getResolvedThrough() {
-			return resolvedThrough_;
-		}
-
-		/**
-		 * <pre>
-		 * Highest sequence up to which this gateway has resolved all its orders to this agent.
-		 * </pre>
-		 *
-		 * <code>int64 resolved_through = 12;</code>
-		 * @param value The resolvedThrough to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setResolvedThrough(long value) {
-
-			resolvedThrough_ = value;
-			bitField0_ |= 0x00000800;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Highest sequence up to which this gateway has resolved all its orders to this agent.
-		 * </pre>
-		 *
-		 * <code>int64 resolved_through = 12;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearResolvedThrough() {
-			bitField0_ = (bitField0_ & ~0x00000800);
-			resolvedThrough_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.ChatWork, io.verbenacleat.proto.v1.ChatWork.Builder, io.verbenacleat.proto.v1.ChatWorkOrBuilder> chatBuilder_;
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 * @return Whether the chat field is set.
-		 */
-		@java.lang.Override
-		public boolean hasChat() {
-			return workCase_ == 13;
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 * @return The chat.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ChatWork getChat() {
-			if (chatBuilder_ == null) {
-				if (workCase_ == 13) {
-					return (io.verbenacleat.proto.v1.ChatWork) work_;
-				}
-				return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
-			}
-			else {
-				if (workCase_ == 13) {
-					return chatBuilder_.getMessage();
-				}
-				return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 */
-		public Builder setChat(io.verbenacleat.proto.v1.ChatWork value) {
-			if (chatBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				work_ = value;
-				onChanged();
-			}
-			else {
-				chatBuilder_.setMessage(value);
-			}
-			workCase_ = 13;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 */
-		public Builder setChat(io.verbenacleat.proto.v1.ChatWork.Builder builderForValue) {
-			if (chatBuilder_ == null) {
-				work_ = builderForValue.build();
-				onChanged();
-			}
-			else {
-				chatBuilder_.setMessage(builderForValue.build());
-			}
-			workCase_ = 13;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 */
-		public Builder mergeChat(io.verbenacleat.proto.v1.ChatWork value) {
-			if (chatBuilder_ == null) {
-				if (workCase_ == 13 && work_ != io.verbenacleat.proto.v1.ChatWork.getDefaultInstance()) {
-					work_ = io.verbenacleat.proto.v1.ChatWork.newBuilder((io.verbenacleat.proto.v1.ChatWork) work_)
-						.mergeFrom(value)
-						.buildPartial();
-				}
-				else {
-					work_ = value;
-				}
-				onChanged();
-			}
-			else {
-				if (workCase_ == 13) {
-					chatBuilder_.mergeFrom(value);
-				}
-				else {
-					chatBuilder_.setMessage(value);
-				}
-			}
-			workCase_ = 13;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 */
-		public Builder clearChat() {
-			if (chatBuilder_ == null) {
-				if (workCase_ == 13) {
-					workCase_ = 0;
-					work_ = null;
-					onChanged();
-				}
-			}
-			else {
-				if (workCase_ == 13) {
-					workCase_ = 0;
-					work_ = null;
-				}
-				chatBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 */
-		public io.verbenacleat.proto.v1.ChatWork.Builder getChatBuilder() {
-			return internalGetChatFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ChatWorkOrBuilder getChatOrBuilder() {
-			if ((workCase_ == 13) && (chatBuilder_ != null)) {
-				return chatBuilder_.getMessageOrBuilder();
-			}
-			else {
-				if (workCase_ == 13) {
-					return (io.verbenacleat.proto.v1.ChatWork) work_;
-				}
-				return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.ChatWork chat = 13;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.ChatWork, io.verbenacleat.proto.v1.ChatWork.Builder, io.verbenacleat.proto.v1.ChatWorkOrBuilder> internalGetChatFieldBuilder() {
-			if (chatBuilder_ == null) {
-				if (!(workCase_ == 13)) {
-					work_ = io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
-				}
-				chatBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.ChatWork, io.verbenacleat.proto.v1.ChatWork.Builder, io.verbenacleat.proto.v1.ChatWorkOrBuilder>(
-						(io.verbenacleat.proto.v1.ChatWork) work_, getParentForChildren(), isClean());
-				work_ = null;
-			}
-			workCase_ = 13;
-			onChanged();
-			return chatBuilder_;
-		}
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpWork, io.verbenacleat.proto.v1.HttpWork.Builder, io.verbenacleat.proto.v1.HttpWorkOrBuilder> httpBuilder_;
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 * @return Whether the http field is set.
-		 */
-		@java.lang.Override
-		public boolean hasHttp() {
-			return workCase_ == 14;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 * @return The http.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpWork getHttp() {
-			if (httpBuilder_ == null) {
-				if (workCase_ == 14) {
-					return (io.verbenacleat.proto.v1.HttpWork) work_;
-				}
-				return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
-			}
-			else {
-				if (workCase_ == 14) {
-					return httpBuilder_.getMessage();
-				}
-				return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 */
-		public Builder setHttp(io.verbenacleat.proto.v1.HttpWork value) {
-			if (httpBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				work_ = value;
-				onChanged();
-			}
-			else {
-				httpBuilder_.setMessage(value);
-			}
-			workCase_ = 14;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 */
-		public Builder setHttp(io.verbenacleat.proto.v1.HttpWork.Builder builderForValue) {
-			if (httpBuilder_ == null) {
-				work_ = builderForValue.build();
-				onChanged();
-			}
-			else {
-				httpBuilder_.setMessage(builderForValue.build());
-			}
-			workCase_ = 14;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 */
-		public Builder mergeHttp(io.verbenacleat.proto.v1.HttpWork value) {
-			if (httpBuilder_ == null) {
-				if (workCase_ == 14 && work_ != io.verbenacleat.proto.v1.HttpWork.getDefaultInstance()) {
-					work_ = io.verbenacleat.proto.v1.HttpWork.newBuilder((io.verbenacleat.proto.v1.HttpWork) work_)
-						.mergeFrom(value)
-						.buildPartial();
-				}
-				else {
-					work_ = value;
-				}
-				onChanged();
-			}
-			else {
-				if (workCase_ == 14) {
-					httpBuilder_.mergeFrom(value);
-				}
-				else {
-					httpBuilder_.setMessage(value);
-				}
-			}
-			workCase_ = 14;
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 */
-		public Builder clearHttp() {
-			if (httpBuilder_ == null) {
-				if (workCase_ == 14) {
-					workCase_ = 0;
-					work_ = null;
-					onChanged();
-				}
-			}
-			else {
-				if (workCase_ == 14) {
-					workCase_ = 0;
-					work_ = null;
-				}
-				httpBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpWork.Builder getHttpBuilder() {
-			return internalGetHttpFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpWorkOrBuilder getHttpOrBuilder() {
-			if ((workCase_ == 14) && (httpBuilder_ != null)) {
-				return httpBuilder_.getMessageOrBuilder();
-			}
-			else {
-				if (workCase_ == 14) {
-					return (io.verbenacleat.proto.v1.HttpWork) work_;
-				}
-				return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.HttpWork http = 14;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpWork, io.verbenacleat.proto.v1.HttpWork.Builder, io.verbenacleat.proto.v1.HttpWorkOrBuilder> internalGetHttpFieldBuilder() {
-			if (httpBuilder_ == null) {
-				if (!(workCase_ == 14)) {
-					work_ = io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
-				}
-				httpBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpWork, io.verbenacleat.proto.v1.HttpWork.Builder, io.verbenacleat.proto.v1.HttpWorkOrBuilder>(
-						(io.verbenacleat.proto.v1.HttpWork) work_, getParentForChildren(), isClean());
-				work_ = null;
-			}
-			workCase_ = 14;
-			onChanged();
-			return httpBuilder_;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ExecuteRequest)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ExecuteRequest)
-	private static final io.verbenacleat.proto.v1.ExecuteRequest DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ExecuteRequest();
-	}
-
-	public static io.verbenacleat.proto.v1.ExecuteRequest getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ExecuteRequest> PARSER = new com.google.protobuf.AbstractParser<ExecuteRequest>() {
-		@java.lang.Override
-		public ExecuteRequest parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ExecuteRequest> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ExecuteRequest> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ExecuteRequest getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ExecuteRequest extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ExecuteRequest)
+    ExecuteRequestOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ExecuteRequest.class.getName());
+  }
+  // Use ExecuteRequest.newBuilder() to construct.
+  private ExecuteRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ExecuteRequest() {
+    requestId_ = "";
+    account_ = "";
+    callerId_ = "";
+    workspace_ = "";
+    holderIncarnation_ = "";
+    holderAddress_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ExecuteRequest.class, io.verbenacleat.proto.v1.ExecuteRequest.Builder.class);
+  }
+
+  private int bitField0_;
+  private int workCase_ = 0;
+  @SuppressWarnings("serial")
+  private java.lang.Object work_;
+  public enum WorkCase
+      implements com.google.protobuf.Internal.EnumLite,
+          com.google.protobuf.AbstractMessage.InternalOneOfEnum {
+    CHAT(13),
+    HTTP(14),
+    WORK_NOT_SET(0);
+    private final int value;
+    private WorkCase(int value) {
+      this.value = value;
+    }
+    /**
+     * @param value The number of the enum to look for.
+     * @return The enum associated with the given number.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static WorkCase valueOf(int value) {
+      return forNumber(value);
+    }
+
+    public static WorkCase forNumber(int value) {
+      switch (value) {
+        case 13: return CHAT;
+        case 14: return HTTP;
+        case 0: return WORK_NOT_SET;
+        default: return null;
+      }
+    }
+    public int getNumber() {
+      return this.value;
+    }
+  };
+
+  public WorkCase
+  getWorkCase() {
+    return WorkCase.forNumber(
+        workCase_);
+  }
+
+  public static final int ORDER_ID_FIELD_NUMBER = 1;
+  private io.verbenacleat.proto.v1.OrderId orderId_;
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return Whether the orderId field is set.
+   */
+  @java.lang.Override
+  public boolean hasOrderId() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return The orderId.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.OrderId getOrderId() {
+    return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+  }
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
+    return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+  }
+
+  public static final int REQUEST_ID_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object requestId_ = "";
+  /**
+   * <code>string request_id = 2;</code>
+   * @return The requestId.
+   */
+  @java.lang.Override
+  public java.lang.String getRequestId() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      requestId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string request_id = 2;</code>
+   * @return The bytes for requestId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestIdBytes() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      requestId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ACCOUNT_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object account_ = "";
+  /**
+   * <code>string account = 3;</code>
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      account_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string account = 3;</code>
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAccountBytes() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      account_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int CALLER_ID_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object callerId_ = "";
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The callerId.
+   */
+  @java.lang.Override
+  public java.lang.String getCallerId() {
+    java.lang.Object ref = callerId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      callerId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The bytes for callerId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCallerIdBytes() {
+    java.lang.Object ref = callerId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      callerId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int WORKSPACE_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workspace_ = "";
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workspace_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workspace_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int HOLDER_INCARNATION_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object holderIncarnation_ = "";
+  /**
+   * <code>string holder_incarnation = 6;</code>
+   * @return The holderIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getHolderIncarnation() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      holderIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string holder_incarnation = 6;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHolderIncarnationBytes() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      holderIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int HOLDER_ADDRESS_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object holderAddress_ = "";
+  /**
+   * <pre>
+   * gRPC address of the holder, host:port.
+   * </pre>
+   *
+   * <code>string holder_address = 7;</code>
+   * @return The holderAddress.
+   */
+  @java.lang.Override
+  public java.lang.String getHolderAddress() {
+    java.lang.Object ref = holderAddress_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      holderAddress_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * gRPC address of the holder, host:port.
+   * </pre>
+   *
+   * <code>string holder_address = 7;</code>
+   * @return The bytes for holderAddress.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHolderAddressBytes() {
+    java.lang.Object ref = holderAddress_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      holderAddress_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int RESERVED_TOKENS_FIELD_NUMBER = 8;
+  private long reservedTokens_ = 0L;
+  /**
+   * <code>int64 reserved_tokens = 8;</code>
+   * @return The reservedTokens.
+   */
+  @java.lang.Override
+  public long getReservedTokens() {
+    return reservedTokens_;
+  }
+
+  public static final int REPEATABLE_FIELD_NUMBER = 9;
+  private boolean repeatable_ = false;
+  /**
+   * <code>bool repeatable = 9;</code>
+   * @return The repeatable.
+   */
+  @java.lang.Override
+  public boolean getRepeatable() {
+    return repeatable_;
+  }
+
+  public static final int PRIORITY_FIELD_NUMBER = 10;
+  private int priority_ = 0;
+  /**
+   * <pre>
+   * Lower is more urgent.
+   * </pre>
+   *
+   * <code>int32 priority = 10;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+
+  public static final int TIMEOUT_MS_FIELD_NUMBER = 11;
+  private long timeoutMs_ = 0L;
+  /**
+   * <code>int64 timeout_ms = 11;</code>
+   * @return The timeoutMs.
+   */
+  @java.lang.Override
+  public long getTimeoutMs() {
+    return timeoutMs_;
+  }
+
+  public static final int RESOLVED_THROUGH_FIELD_NUMBER = 12;
+  private long resolvedThrough_ = 0L;
+  /**
+   * <pre>
+   * Highest sequence up to which this gateway has resolved all its orders to this agent.
+   * </pre>
+   *
+   * <code>int64 resolved_through = 12;</code>
+   * @return The resolvedThrough.
+   */
+  @java.lang.Override
+  public long getResolvedThrough() {
+    return resolvedThrough_;
+  }
+
+  public static final int CHAT_FIELD_NUMBER = 13;
+  /**
+   * <code>.verbena.v1.ChatWork chat = 13;</code>
+   * @return Whether the chat field is set.
+   */
+  @java.lang.Override
+  public boolean hasChat() {
+    return workCase_ == 13;
+  }
+  /**
+   * <code>.verbena.v1.ChatWork chat = 13;</code>
+   * @return The chat.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ChatWork getChat() {
+    if (workCase_ == 13) {
+       return (io.verbenacleat.proto.v1.ChatWork) work_;
+    }
+    return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
+  }
+  /**
+   * <code>.verbena.v1.ChatWork chat = 13;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ChatWorkOrBuilder getChatOrBuilder() {
+    if (workCase_ == 13) {
+       return (io.verbenacleat.proto.v1.ChatWork) work_;
+    }
+    return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
+  }
+
+  public static final int HTTP_FIELD_NUMBER = 14;
+  /**
+   * <code>.verbena.v1.HttpWork http = 14;</code>
+   * @return Whether the http field is set.
+   */
+  @java.lang.Override
+  public boolean hasHttp() {
+    return workCase_ == 14;
+  }
+  /**
+   * <code>.verbena.v1.HttpWork http = 14;</code>
+   * @return The http.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpWork getHttp() {
+    if (workCase_ == 14) {
+       return (io.verbenacleat.proto.v1.HttpWork) work_;
+    }
+    return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
+  }
+  /**
+   * <code>.verbena.v1.HttpWork http = 14;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpWorkOrBuilder getHttpOrBuilder() {
+    if (workCase_ == 14) {
+       return (io.verbenacleat.proto.v1.HttpWork) work_;
+    }
+    return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(1, getOrderId());
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, requestId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, account_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, callerId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, workspace_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAddress_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, holderAddress_);
+    }
+    if (reservedTokens_ != 0L) {
+      output.writeInt64(8, reservedTokens_);
+    }
+    if (repeatable_ != false) {
+      output.writeBool(9, repeatable_);
+    }
+    if (priority_ != 0) {
+      output.writeInt32(10, priority_);
+    }
+    if (timeoutMs_ != 0L) {
+      output.writeInt64(11, timeoutMs_);
+    }
+    if (resolvedThrough_ != 0L) {
+      output.writeInt64(12, resolvedThrough_);
+    }
+    if (workCase_ == 13) {
+      output.writeMessage(13, (io.verbenacleat.proto.v1.ChatWork) work_);
+    }
+    if (workCase_ == 14) {
+      output.writeMessage(14, (io.verbenacleat.proto.v1.HttpWork) work_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(1, getOrderId());
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, requestId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, account_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, callerId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, workspace_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAddress_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, holderAddress_);
+    }
+    if (reservedTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, reservedTokens_);
+    }
+    if (repeatable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(9, repeatable_);
+    }
+    if (priority_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(10, priority_);
+    }
+    if (timeoutMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, timeoutMs_);
+    }
+    if (resolvedThrough_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(12, resolvedThrough_);
+    }
+    if (workCase_ == 13) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(13, (io.verbenacleat.proto.v1.ChatWork) work_);
+    }
+    if (workCase_ == 14) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(14, (io.verbenacleat.proto.v1.HttpWork) work_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ExecuteRequest)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ExecuteRequest other = (io.verbenacleat.proto.v1.ExecuteRequest) obj;
+
+    if (hasOrderId() != other.hasOrderId()) return false;
+    if (hasOrderId()) {
+      if (!getOrderId()
+          .equals(other.getOrderId())) return false;
+    }
+    if (!getRequestId()
+        .equals(other.getRequestId())) return false;
+    if (!getAccount()
+        .equals(other.getAccount())) return false;
+    if (!getCallerId()
+        .equals(other.getCallerId())) return false;
+    if (!getWorkspace()
+        .equals(other.getWorkspace())) return false;
+    if (!getHolderIncarnation()
+        .equals(other.getHolderIncarnation())) return false;
+    if (!getHolderAddress()
+        .equals(other.getHolderAddress())) return false;
+    if (getReservedTokens()
+        != other.getReservedTokens()) return false;
+    if (getRepeatable()
+        != other.getRepeatable()) return false;
+    if (getPriority()
+        != other.getPriority()) return false;
+    if (getTimeoutMs()
+        != other.getTimeoutMs()) return false;
+    if (getResolvedThrough()
+        != other.getResolvedThrough()) return false;
+    if (!getWorkCase().equals(other.getWorkCase())) return false;
+    switch (workCase_) {
+      case 13:
+        if (!getChat()
+            .equals(other.getChat())) return false;
+        break;
+      case 14:
+        if (!getHttp()
+            .equals(other.getHttp())) return false;
+        break;
+      case 0:
+      default:
+    }
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    if (hasOrderId()) {
+      hash = (37 * hash) + ORDER_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getOrderId().hashCode();
+    }
+    hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestId().hashCode();
+    hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+    hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + CALLER_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getCallerId().hashCode();
+    hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkspace().hashCode();
+    hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getHolderIncarnation().hashCode();
+    hash = (37 * hash) + HOLDER_ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getHolderAddress().hashCode();
+    hash = (37 * hash) + RESERVED_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getReservedTokens());
+    hash = (37 * hash) + REPEATABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRepeatable());
+    hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+    hash = (53 * hash) + getPriority();
+    hash = (37 * hash) + TIMEOUT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTimeoutMs());
+    hash = (37 * hash) + RESOLVED_THROUGH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getResolvedThrough());
+    switch (workCase_) {
+      case 13:
+        hash = (37 * hash) + CHAT_FIELD_NUMBER;
+        hash = (53 * hash) + getChat().hashCode();
+        break;
+      case 14:
+        hash = (37 * hash) + HTTP_FIELD_NUMBER;
+        hash = (53 * hash) + getHttp().hashCode();
+        break;
+      case 0:
+      default:
+    }
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ExecuteRequest parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ExecuteRequest prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ExecuteRequest}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ExecuteRequest)
+      io.verbenacleat.proto.v1.ExecuteRequestOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ExecuteRequest.class, io.verbenacleat.proto.v1.ExecuteRequest.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ExecuteRequest.newBuilder()
+    private Builder() {
+      maybeForceBuilderInitialization();
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetOrderIdFieldBuilder();
+      }
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      orderId_ = null;
+      if (orderIdBuilder_ != null) {
+        orderIdBuilder_.dispose();
+        orderIdBuilder_ = null;
+      }
+      requestId_ = "";
+      account_ = "";
+      callerId_ = "";
+      workspace_ = "";
+      holderIncarnation_ = "";
+      holderAddress_ = "";
+      reservedTokens_ = 0L;
+      repeatable_ = false;
+      priority_ = 0;
+      timeoutMs_ = 0L;
+      resolvedThrough_ = 0L;
+      if (chatBuilder_ != null) {
+        chatBuilder_.clear();
+      }
+      if (httpBuilder_ != null) {
+        httpBuilder_.clear();
+      }
+      workCase_ = 0;
+      work_ = null;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ExecuteRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ExecuteRequest getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ExecuteRequest.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ExecuteRequest build() {
+      io.verbenacleat.proto.v1.ExecuteRequest result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ExecuteRequest buildPartial() {
+      io.verbenacleat.proto.v1.ExecuteRequest result = new io.verbenacleat.proto.v1.ExecuteRequest(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      buildPartialOneofs(result);
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ExecuteRequest result) {
+      int from_bitField0_ = bitField0_;
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.orderId_ = orderIdBuilder_ == null
+            ? orderId_
+            : orderIdBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.requestId_ = requestId_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.account_ = account_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.callerId_ = callerId_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.workspace_ = workspace_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.holderIncarnation_ = holderIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.holderAddress_ = holderAddress_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.reservedTokens_ = reservedTokens_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.repeatable_ = repeatable_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.priority_ = priority_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.timeoutMs_ = timeoutMs_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.resolvedThrough_ = resolvedThrough_;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
+    private void buildPartialOneofs(io.verbenacleat.proto.v1.ExecuteRequest result) {
+      result.workCase_ = workCase_;
+      result.work_ = this.work_;
+      if (workCase_ == 13 &&
+          chatBuilder_ != null) {
+        result.work_ = chatBuilder_.build();
+      }
+      if (workCase_ == 14 &&
+          httpBuilder_ != null) {
+        result.work_ = httpBuilder_.build();
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ExecuteRequest) {
+        return mergeFrom((io.verbenacleat.proto.v1.ExecuteRequest)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ExecuteRequest other) {
+      if (other == io.verbenacleat.proto.v1.ExecuteRequest.getDefaultInstance()) return this;
+      if (other.hasOrderId()) {
+        mergeOrderId(other.getOrderId());
+      }
+      if (!other.getRequestId().isEmpty()) {
+        requestId_ = other.requestId_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (!other.getAccount().isEmpty()) {
+        account_ = other.account_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (!other.getCallerId().isEmpty()) {
+        callerId_ = other.callerId_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      if (!other.getWorkspace().isEmpty()) {
+        workspace_ = other.workspace_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getHolderIncarnation().isEmpty()) {
+        holderIncarnation_ = other.holderIncarnation_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (!other.getHolderAddress().isEmpty()) {
+        holderAddress_ = other.holderAddress_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      if (other.getReservedTokens() != 0L) {
+        setReservedTokens(other.getReservedTokens());
+      }
+      if (other.getRepeatable() != false) {
+        setRepeatable(other.getRepeatable());
+      }
+      if (other.getPriority() != 0) {
+        setPriority(other.getPriority());
+      }
+      if (other.getTimeoutMs() != 0L) {
+        setTimeoutMs(other.getTimeoutMs());
+      }
+      if (other.getResolvedThrough() != 0L) {
+        setResolvedThrough(other.getResolvedThrough());
+      }
+      switch (other.getWorkCase()) {
+        case CHAT: {
+          mergeChat(other.getChat());
+          break;
+        }
+        case HTTP: {
+          mergeHttp(other.getHttp());
+          break;
+        }
+        case WORK_NOT_SET: {
+          break;
+        }
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              input.readMessage(
+                  internalGetOrderIdFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              requestId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 26: {
+              account_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              callerId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 42: {
+              workspace_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
+              holderIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 58: {
+              holderAddress_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 64: {
+              reservedTokens_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              repeatable_ = input.readBool();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              priority_ = input.readInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              timeoutMs_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              resolvedThrough_ = input.readInt64();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 106: {
+              input.readMessage(
+                  internalGetChatFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              workCase_ = 13;
+              break;
+            } // case 106
+            case 114: {
+              input.readMessage(
+                  internalGetHttpFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              workCase_ = 14;
+              break;
+            } // case 114
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int workCase_ = 0;
+    private java.lang.Object work_;
+    public WorkCase
+        getWorkCase() {
+      return WorkCase.forNumber(
+          workCase_);
+    }
+
+    public Builder clearWork() {
+      workCase_ = 0;
+      work_ = null;
+      onChanged();
+      return this;
+    }
+
+    private int bitField0_;
+
+    private io.verbenacleat.proto.v1.OrderId orderId_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> orderIdBuilder_;
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     * @return Whether the orderId field is set.
+     */
+    public boolean hasOrderId() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     * @return The orderId.
+     */
+    public io.verbenacleat.proto.v1.OrderId getOrderId() {
+      if (orderIdBuilder_ == null) {
+        return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+      } else {
+        return orderIdBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder setOrderId(io.verbenacleat.proto.v1.OrderId value) {
+      if (orderIdBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        orderId_ = value;
+      } else {
+        orderIdBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder setOrderId(
+        io.verbenacleat.proto.v1.OrderId.Builder builderForValue) {
+      if (orderIdBuilder_ == null) {
+        orderId_ = builderForValue.build();
+      } else {
+        orderIdBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder mergeOrderId(io.verbenacleat.proto.v1.OrderId value) {
+      if (orderIdBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0) &&
+          orderId_ != null &&
+          orderId_ != io.verbenacleat.proto.v1.OrderId.getDefaultInstance()) {
+          getOrderIdBuilder().mergeFrom(value);
+        } else {
+          orderId_ = value;
+        }
+      } else {
+        orderIdBuilder_.mergeFrom(value);
+      }
+      if (orderId_ != null) {
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder clearOrderId() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      orderId_ = null;
+      if (orderIdBuilder_ != null) {
+        orderIdBuilder_.dispose();
+        orderIdBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.OrderId.Builder getOrderIdBuilder() {
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return internalGetOrderIdFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
+      if (orderIdBuilder_ != null) {
+        return orderIdBuilder_.getMessageOrBuilder();
+      } else {
+        return orderId_ == null ?
+            io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+      }
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> 
+        internalGetOrderIdFieldBuilder() {
+      if (orderIdBuilder_ == null) {
+        orderIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder>(
+                getOrderId(),
+                getParentForChildren(),
+                isClean());
+        orderId_ = null;
+      }
+      return orderIdBuilder_;
+    }
+
+    private java.lang.Object requestId_ = "";
+    /**
+     * <code>string request_id = 2;</code>
+     * @return The requestId.
+     */
+    public java.lang.String getRequestId() {
+      java.lang.Object ref = requestId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        requestId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string request_id = 2;</code>
+     * @return The bytes for requestId.
+     */
+    public com.google.protobuf.ByteString
+        getRequestIdBytes() {
+      java.lang.Object ref = requestId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        requestId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string request_id = 2;</code>
+     * @param value The requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      requestId_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string request_id = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestId() {
+      requestId_ = getDefaultInstance().getRequestId();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string request_id = 2;</code>
+     * @param value The bytes for requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      requestId_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object account_ = "";
+    /**
+     * <code>string account = 3;</code>
+     * @return The account.
+     */
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @return The bytes for account.
+     */
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      account_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      account_ = getDefaultInstance().getAccount();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      account_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object callerId_ = "";
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return The callerId.
+     */
+    public java.lang.String getCallerId() {
+      java.lang.Object ref = callerId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        callerId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return The bytes for callerId.
+     */
+    public com.google.protobuf.ByteString
+        getCallerIdBytes() {
+      java.lang.Object ref = callerId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        callerId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @param value The callerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      callerId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallerId() {
+      callerId_ = getDefaultInstance().getCallerId();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @param value The bytes for callerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      callerId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object workspace_ = "";
+    /**
+     * <code>string workspace = 5;</code>
+     * @return The workspace.
+     */
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @return The bytes for workspace.
+     */
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workspace_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      workspace_ = getDefaultInstance().getWorkspace();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workspace_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object holderIncarnation_ = "";
+    /**
+     * <code>string holder_incarnation = 6;</code>
+     * @return The holderIncarnation.
+     */
+    public java.lang.String getHolderIncarnation() {
+      java.lang.Object ref = holderIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holderIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 6;</code>
+     * @return The bytes for holderIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getHolderIncarnationBytes() {
+      java.lang.Object ref = holderIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holderIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 6;</code>
+     * @param value The holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolderIncarnation() {
+      holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 6;</code>
+     * @param value The bytes for holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object holderAddress_ = "";
+    /**
+     * <pre>
+     * gRPC address of the holder, host:port.
+     * </pre>
+     *
+     * <code>string holder_address = 7;</code>
+     * @return The holderAddress.
+     */
+    public java.lang.String getHolderAddress() {
+      java.lang.Object ref = holderAddress_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holderAddress_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * gRPC address of the holder, host:port.
+     * </pre>
+     *
+     * <code>string holder_address = 7;</code>
+     * @return The bytes for holderAddress.
+     */
+    public com.google.protobuf.ByteString
+        getHolderAddressBytes() {
+      java.lang.Object ref = holderAddress_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holderAddress_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * gRPC address of the holder, host:port.
+     * </pre>
+     *
+     * <code>string holder_address = 7;</code>
+     * @param value The holderAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderAddress(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      holderAddress_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * gRPC address of the holder, host:port.
+     * </pre>
+     *
+     * <code>string holder_address = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolderAddress() {
+      holderAddress_ = getDefaultInstance().getHolderAddress();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * gRPC address of the holder, host:port.
+     * </pre>
+     *
+     * <code>string holder_address = 7;</code>
+     * @param value The bytes for holderAddress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderAddressBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      holderAddress_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private long reservedTokens_ ;
+    /**
+     * <code>int64 reserved_tokens = 8;</code>
+     * @return The reservedTokens.
+     */
+    @java.lang.Override
+    public long getReservedTokens() {
+      return reservedTokens_;
+    }
+    /**
+     * <code>int64 reserved_tokens = 8;</code>
+     * @param value The reservedTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReservedTokens(long value) {
+
+      reservedTokens_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 reserved_tokens = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReservedTokens() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      reservedTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean repeatable_ ;
+    /**
+     * <code>bool repeatable = 9;</code>
+     * @return The repeatable.
+     */
+    @java.lang.Override
+    public boolean getRepeatable() {
+      return repeatable_;
+    }
+    /**
+     * <code>bool repeatable = 9;</code>
+     * @param value The repeatable to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRepeatable(boolean value) {
+
+      repeatable_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool repeatable = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRepeatable() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      repeatable_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int priority_ ;
+    /**
+     * <pre>
+     * Lower is more urgent.
+     * </pre>
+     *
+     * <code>int32 priority = 10;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+    /**
+     * <pre>
+     * Lower is more urgent.
+     * </pre>
+     *
+     * <code>int32 priority = 10;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+
+      priority_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Lower is more urgent.
+     * </pre>
+     *
+     * <code>int32 priority = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      priority_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long timeoutMs_ ;
+    /**
+     * <code>int64 timeout_ms = 11;</code>
+     * @return The timeoutMs.
+     */
+    @java.lang.Override
+    public long getTimeoutMs() {
+      return timeoutMs_;
+    }
+    /**
+     * <code>int64 timeout_ms = 11;</code>
+     * @param value The timeoutMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTimeoutMs(long value) {
+
+      timeoutMs_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 timeout_ms = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTimeoutMs() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      timeoutMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long resolvedThrough_ ;
+    /**
+     * <pre>
+     * Highest sequence up to which this gateway has resolved all its orders to this agent.
+     * </pre>
+     *
+     * <code>int64 resolved_through = 12;</code>
+     * @return The resolvedThrough.
+     */
+    @java.lang.Override
+    public long getResolvedThrough() {
+      return resolvedThrough_;
+    }
+    /**
+     * <pre>
+     * Highest sequence up to which this gateway has resolved all its orders to this agent.
+     * </pre>
+     *
+     * <code>int64 resolved_through = 12;</code>
+     * @param value The resolvedThrough to set.
+     * @return This builder for chaining.
+     */
+    public Builder setResolvedThrough(long value) {
+
+      resolvedThrough_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Highest sequence up to which this gateway has resolved all its orders to this agent.
+     * </pre>
+     *
+     * <code>int64 resolved_through = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearResolvedThrough() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      resolvedThrough_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.ChatWork, io.verbenacleat.proto.v1.ChatWork.Builder, io.verbenacleat.proto.v1.ChatWorkOrBuilder> chatBuilder_;
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     * @return Whether the chat field is set.
+     */
+    @java.lang.Override
+    public boolean hasChat() {
+      return workCase_ == 13;
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     * @return The chat.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ChatWork getChat() {
+      if (chatBuilder_ == null) {
+        if (workCase_ == 13) {
+          return (io.verbenacleat.proto.v1.ChatWork) work_;
+        }
+        return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
+      } else {
+        if (workCase_ == 13) {
+          return chatBuilder_.getMessage();
+        }
+        return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     */
+    public Builder setChat(io.verbenacleat.proto.v1.ChatWork value) {
+      if (chatBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        work_ = value;
+        onChanged();
+      } else {
+        chatBuilder_.setMessage(value);
+      }
+      workCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     */
+    public Builder setChat(
+        io.verbenacleat.proto.v1.ChatWork.Builder builderForValue) {
+      if (chatBuilder_ == null) {
+        work_ = builderForValue.build();
+        onChanged();
+      } else {
+        chatBuilder_.setMessage(builderForValue.build());
+      }
+      workCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     */
+    public Builder mergeChat(io.verbenacleat.proto.v1.ChatWork value) {
+      if (chatBuilder_ == null) {
+        if (workCase_ == 13 &&
+            work_ != io.verbenacleat.proto.v1.ChatWork.getDefaultInstance()) {
+          work_ = io.verbenacleat.proto.v1.ChatWork.newBuilder((io.verbenacleat.proto.v1.ChatWork) work_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          work_ = value;
+        }
+        onChanged();
+      } else {
+        if (workCase_ == 13) {
+          chatBuilder_.mergeFrom(value);
+        } else {
+          chatBuilder_.setMessage(value);
+        }
+      }
+      workCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     */
+    public Builder clearChat() {
+      if (chatBuilder_ == null) {
+        if (workCase_ == 13) {
+          workCase_ = 0;
+          work_ = null;
+          onChanged();
+        }
+      } else {
+        if (workCase_ == 13) {
+          workCase_ = 0;
+          work_ = null;
+        }
+        chatBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     */
+    public io.verbenacleat.proto.v1.ChatWork.Builder getChatBuilder() {
+      return internalGetChatFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ChatWorkOrBuilder getChatOrBuilder() {
+      if ((workCase_ == 13) && (chatBuilder_ != null)) {
+        return chatBuilder_.getMessageOrBuilder();
+      } else {
+        if (workCase_ == 13) {
+          return (io.verbenacleat.proto.v1.ChatWork) work_;
+        }
+        return io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.ChatWork chat = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.ChatWork, io.verbenacleat.proto.v1.ChatWork.Builder, io.verbenacleat.proto.v1.ChatWorkOrBuilder> 
+        internalGetChatFieldBuilder() {
+      if (chatBuilder_ == null) {
+        if (!(workCase_ == 13)) {
+          work_ = io.verbenacleat.proto.v1.ChatWork.getDefaultInstance();
+        }
+        chatBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.ChatWork, io.verbenacleat.proto.v1.ChatWork.Builder, io.verbenacleat.proto.v1.ChatWorkOrBuilder>(
+                (io.verbenacleat.proto.v1.ChatWork) work_,
+                getParentForChildren(),
+                isClean());
+        work_ = null;
+      }
+      workCase_ = 13;
+      onChanged();
+      return chatBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.HttpWork, io.verbenacleat.proto.v1.HttpWork.Builder, io.verbenacleat.proto.v1.HttpWorkOrBuilder> httpBuilder_;
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     * @return Whether the http field is set.
+     */
+    @java.lang.Override
+    public boolean hasHttp() {
+      return workCase_ == 14;
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     * @return The http.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpWork getHttp() {
+      if (httpBuilder_ == null) {
+        if (workCase_ == 14) {
+          return (io.verbenacleat.proto.v1.HttpWork) work_;
+        }
+        return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
+      } else {
+        if (workCase_ == 14) {
+          return httpBuilder_.getMessage();
+        }
+        return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     */
+    public Builder setHttp(io.verbenacleat.proto.v1.HttpWork value) {
+      if (httpBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        work_ = value;
+        onChanged();
+      } else {
+        httpBuilder_.setMessage(value);
+      }
+      workCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     */
+    public Builder setHttp(
+        io.verbenacleat.proto.v1.HttpWork.Builder builderForValue) {
+      if (httpBuilder_ == null) {
+        work_ = builderForValue.build();
+        onChanged();
+      } else {
+        httpBuilder_.setMessage(builderForValue.build());
+      }
+      workCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     */
+    public Builder mergeHttp(io.verbenacleat.proto.v1.HttpWork value) {
+      if (httpBuilder_ == null) {
+        if (workCase_ == 14 &&
+            work_ != io.verbenacleat.proto.v1.HttpWork.getDefaultInstance()) {
+          work_ = io.verbenacleat.proto.v1.HttpWork.newBuilder((io.verbenacleat.proto.v1.HttpWork) work_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          work_ = value;
+        }
+        onChanged();
+      } else {
+        if (workCase_ == 14) {
+          httpBuilder_.mergeFrom(value);
+        } else {
+          httpBuilder_.setMessage(value);
+        }
+      }
+      workCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     */
+    public Builder clearHttp() {
+      if (httpBuilder_ == null) {
+        if (workCase_ == 14) {
+          workCase_ = 0;
+          work_ = null;
+          onChanged();
+        }
+      } else {
+        if (workCase_ == 14) {
+          workCase_ = 0;
+          work_ = null;
+        }
+        httpBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpWork.Builder getHttpBuilder() {
+      return internalGetHttpFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpWorkOrBuilder getHttpOrBuilder() {
+      if ((workCase_ == 14) && (httpBuilder_ != null)) {
+        return httpBuilder_.getMessageOrBuilder();
+      } else {
+        if (workCase_ == 14) {
+          return (io.verbenacleat.proto.v1.HttpWork) work_;
+        }
+        return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.verbena.v1.HttpWork http = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.HttpWork, io.verbenacleat.proto.v1.HttpWork.Builder, io.verbenacleat.proto.v1.HttpWorkOrBuilder> 
+        internalGetHttpFieldBuilder() {
+      if (httpBuilder_ == null) {
+        if (!(workCase_ == 14)) {
+          work_ = io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
+        }
+        httpBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.HttpWork, io.verbenacleat.proto.v1.HttpWork.Builder, io.verbenacleat.proto.v1.HttpWorkOrBuilder>(
+                (io.verbenacleat.proto.v1.HttpWork) work_,
+                getParentForChildren(),
+                isClean());
+        work_ = null;
+      }
+      workCase_ = 14;
+      onChanged();
+      return httpBuilder_;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ExecuteRequest)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ExecuteRequest)
+  private static final io.verbenacleat.proto.v1.ExecuteRequest DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ExecuteRequest();
+  }
+
+  public static io.verbenacleat.proto.v1.ExecuteRequest getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ExecuteRequest>
+      PARSER = new com.google.protobuf.AbstractParser<ExecuteRequest>() {
+    @java.lang.Override
+    public ExecuteRequest parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ExecuteRequest> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ExecuteRequest> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ExecuteRequest getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ExecuteRequestOrBuilder.java
@@ -6,178 +6,171 @@
 package io.verbenacleat.proto.v1;
 
 public interface ExecuteRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ExecuteRequest)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return Whether the orderId field is set.
-	 */
-	boolean hasOrderId();
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return The orderId.
-	 */
-	io.verbenacleat.proto.v1.OrderId getOrderId();
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 */
-	io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder();
-
-	/**
-	 * <code>string request_id = 2;</code>
-	 * @return The requestId.
-	 */
-	java.lang.String getRequestId();
-
-	/**
-	 * <code>string request_id = 2;</code>
-	 * @return The bytes for requestId.
-	 */
-	com.google.protobuf.ByteString getRequestIdBytes();
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The account.
-	 */
-	java.lang.String getAccount();
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The bytes for account.
-	 */
-	com.google.protobuf.ByteString getAccountBytes();
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The callerId.
-	 */
-	java.lang.String getCallerId();
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The bytes for callerId.
-	 */
-	com.google.protobuf.ByteString getCallerIdBytes();
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The workspace.
-	 */
-	java.lang.String getWorkspace();
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The bytes for workspace.
-	 */
-	com.google.protobuf.ByteString getWorkspaceBytes();
-
-	/**
-	 * <code>string holder_incarnation = 6;</code>
-	 * @return The holderIncarnation.
-	 */
-	java.lang.String getHolderIncarnation();
-
-	/**
-	 * <code>string holder_incarnation = 6;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	com.google.protobuf.ByteString getHolderIncarnationBytes();
-
-	/**
-	 * <pre>
-	 * gRPC address of the holder, host:port.
-	 * </pre>
-	 *
-	 * <code>string holder_address = 7;</code>
-	 * @return The holderAddress.
-	 */
-	java.lang.String getHolderAddress();
-
-	/**
-	 * <pre>
-	 * gRPC address of the holder, host:port.
-	 * </pre>
-	 *
-	 * <code>string holder_address = 7;</code>
-	 * @return The bytes for holderAddress.
-	 */
-	com.google.protobuf.ByteString getHolderAddressBytes();
-
-	/**
-	 * <code>int64 reserved_tokens = 8;</code>
-	 * @return The reservedTokens.
-	 */
-	long getReservedTokens();
-
-	/**
-	 * <code>bool repeatable = 9;</code>
-	 * @return The repeatable.
-	 */
-	boolean getRepeatable();
-
-	/**
-	 * <pre>
-	 * Lower is more urgent.
-	 * </pre>
-	 *
-	 * <code>int32 priority = 10;</code>
-	 * @return The priority.
-	 */
-	int getPriority();
-
-	/**
-	 * <code>int64 timeout_ms = 11;</code>
-	 * @return The timeoutMs.
-	 */
-	long getTimeoutMs();
-
-	/**
-	 * <pre>
-	 * Highest sequence up to which this gateway has resolved all its orders to this agent.
-	 * </pre>
-	 *
-	 * <code>int64 resolved_through = 12;</code>
-	 * @return The resolvedThrough.
-	 */
-	long getResolvedThrough();
-
-	/**
-	 * <code>.verbena.v1.ChatWork chat = 13;</code>
-	 * @return Whether the chat field is set.
-	 */
-	boolean hasChat();
-
-	/**
-	 * <code>.verbena.v1.ChatWork chat = 13;</code>
-	 * @return The chat.
-	 */
-	io.verbenacleat.proto.v1.ChatWork getChat();
-
-	/**
-	 * <code>.verbena.v1.ChatWork chat = 13;</code>
-	 */
-	io.verbenacleat.proto.v1.ChatWorkOrBuilder getChatOrBuilder();
-
-	/**
-	 * <code>.verbena.v1.HttpWork http = 14;</code>
-	 * @return Whether the http field is set.
-	 */
-	boolean hasHttp();
-
-	/**
-	 * <code>.verbena.v1.HttpWork http = 14;</code>
-	 * @return The http.
-	 */
-	io.verbenacleat.proto.v1.HttpWork getHttp();
-
-	/**
-	 * <code>.verbena.v1.HttpWork http = 14;</code>
-	 */
-	io.verbenacleat.proto.v1.HttpWorkOrBuilder getHttpOrBuilder();
-
-	io.verbenacleat.proto.v1.ExecuteRequest.WorkCase getWorkCase();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ExecuteRequest)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return Whether the orderId field is set.
+   */
+  boolean hasOrderId();
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return The orderId.
+   */
+  io.verbenacleat.proto.v1.OrderId getOrderId();
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   */
+  io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder();
+
+  /**
+   * <code>string request_id = 2;</code>
+   * @return The requestId.
+   */
+  java.lang.String getRequestId();
+  /**
+   * <code>string request_id = 2;</code>
+   * @return The bytes for requestId.
+   */
+  com.google.protobuf.ByteString
+      getRequestIdBytes();
+
+  /**
+   * <code>string account = 3;</code>
+   * @return The account.
+   */
+  java.lang.String getAccount();
+  /**
+   * <code>string account = 3;</code>
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString
+      getAccountBytes();
+
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The callerId.
+   */
+  java.lang.String getCallerId();
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The bytes for callerId.
+   */
+  com.google.protobuf.ByteString
+      getCallerIdBytes();
+
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
+
+  /**
+   * <code>string holder_incarnation = 6;</code>
+   * @return The holderIncarnation.
+   */
+  java.lang.String getHolderIncarnation();
+  /**
+   * <code>string holder_incarnation = 6;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getHolderIncarnationBytes();
+
+  /**
+   * <pre>
+   * gRPC address of the holder, host:port.
+   * </pre>
+   *
+   * <code>string holder_address = 7;</code>
+   * @return The holderAddress.
+   */
+  java.lang.String getHolderAddress();
+  /**
+   * <pre>
+   * gRPC address of the holder, host:port.
+   * </pre>
+   *
+   * <code>string holder_address = 7;</code>
+   * @return The bytes for holderAddress.
+   */
+  com.google.protobuf.ByteString
+      getHolderAddressBytes();
+
+  /**
+   * <code>int64 reserved_tokens = 8;</code>
+   * @return The reservedTokens.
+   */
+  long getReservedTokens();
+
+  /**
+   * <code>bool repeatable = 9;</code>
+   * @return The repeatable.
+   */
+  boolean getRepeatable();
+
+  /**
+   * <pre>
+   * Lower is more urgent.
+   * </pre>
+   *
+   * <code>int32 priority = 10;</code>
+   * @return The priority.
+   */
+  int getPriority();
+
+  /**
+   * <code>int64 timeout_ms = 11;</code>
+   * @return The timeoutMs.
+   */
+  long getTimeoutMs();
+
+  /**
+   * <pre>
+   * Highest sequence up to which this gateway has resolved all its orders to this agent.
+   * </pre>
+   *
+   * <code>int64 resolved_through = 12;</code>
+   * @return The resolvedThrough.
+   */
+  long getResolvedThrough();
+
+  /**
+   * <code>.verbena.v1.ChatWork chat = 13;</code>
+   * @return Whether the chat field is set.
+   */
+  boolean hasChat();
+  /**
+   * <code>.verbena.v1.ChatWork chat = 13;</code>
+   * @return The chat.
+   */
+  io.verbenacleat.proto.v1.ChatWork getChat();
+  /**
+   * <code>.verbena.v1.ChatWork chat = 13;</code>
+   */
+  io.verbenacleat.proto.v1.ChatWorkOrBuilder getChatOrBuilder();
+
+  /**
+   * <code>.verbena.v1.HttpWork http = 14;</code>
+   * @return Whether the http field is set.
+   */
+  boolean hasHttp();
+  /**
+   * <code>.verbena.v1.HttpWork http = 14;</code>
+   * @return The http.
+   */
+  io.verbenacleat.proto.v1.HttpWork getHttp();
+  /**
+   * <code>.verbena.v1.HttpWork http = 14;</code>
+   */
+  io.verbenacleat.proto.v1.HttpWorkOrBuilder getHttpOrBuilder();
+
+  io.verbenacleat.proto.v1.ExecuteRequest.WorkCase getWorkCase();
 }
