--- a/proto/src/main/java/io/verbenacleat/proto/v1/Finished.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/Finished.java
@@ -8,954 +8,934 @@
 /**
  * Protobuf type {@code verbena.v1.Finished}
  */
-public final class Finished extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.Finished)
-		FinishedOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", Finished.class.getName());
-	}
-
-	// Use Finished.newBuilder() to construct.
-	private Finished(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private Finished() {
-		failureCode_ = "";
-		failureDetail_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Finished.class,
-					io.verbenacleat.proto.v1.Finished.Builder.class);
-	}
-
-	private int bitField0_;
-
-	public static final int PART_COUNT_FIELD_NUMBER = 1;
-
-	private long partCount_ = 0L;
-
-	/**
-	 * <pre>
-	 * Number of parts that came before this message, Accepted included.
-	 * </pre>
-	 *
-	 * <code>int64 part_count = 1;</code>
-	 * @return The partCount.
-	 */
-	@java.lang.Override
-	public long getPartCount() {
-		return partCount_;
-	}
-
-	public static final int RECEIPT_FIELD_NUMBER = 2;
-
-	private io.verbenacleat.proto.v1.Receipt receipt_;
-
-	/**
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return Whether the receipt field is set.
-	 */
-	@java.lang.Override
-	public boolean hasReceipt() {
-		return ((bitField0_ & 0x00000001) != 0);
-	}
-
-	/**
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return The receipt.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Receipt getReceipt() {
-		return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-	}
-
-	/**
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
-		return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-	}
-
-	public static final int FAILURE_CODE_FIELD_NUMBER = 3;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object failureCode_ = "";
-
-	/**
-	 * <pre>
-	 * Set when the status of the receipt is FAILED.
-	 * </pre>
-	 *
-	 * <code>string failure_code = 3;</code>
-	 * @return The failureCode.
-	 */
-	@java.lang.Override
-	public java.lang.String getFailureCode() {
-		java.lang.Object ref = failureCode_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			failureCode_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <pre>
-	 * Set when the status of the receipt is FAILED.
-	 * </pre>
-	 *
-	 * <code>string failure_code = 3;</code>
-	 * @return The bytes for failureCode.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getFailureCodeBytes() {
-		java.lang.Object ref = failureCode_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			failureCode_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int FAILURE_DETAIL_FIELD_NUMBER = 4;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object failureDetail_ = "";
-
-	/**
-	 * <code>string failure_detail = 4;</code>
-	 * @return The failureDetail.
-	 */
-	@java.lang.Override
-	public java.lang.String getFailureDetail() {
-		java.lang.Object ref = failureDetail_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			failureDetail_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string failure_detail = 4;</code>
-	 * @return The bytes for failureDetail.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getFailureDetailBytes() {
-		java.lang.Object ref = failureDetail_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			failureDetail_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (partCount_ != 0L) {
-			output.writeInt64(1, partCount_);
-		}
-		if (((bitField0_ & 0x00000001) != 0)) {
-			output.writeMessage(2, getReceipt());
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureCode_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 3, failureCode_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDetail_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 4, failureDetail_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (partCount_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(1, partCount_);
-		}
-		if (((bitField0_ & 0x00000001) != 0)) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, getReceipt());
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureCode_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(3, failureCode_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDetail_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(4, failureDetail_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.Finished)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.Finished other = (io.verbenacleat.proto.v1.Finished) obj;
-
-		if (getPartCount() != other.getPartCount())
-			return false;
-		if (hasReceipt() != other.hasReceipt())
-			return false;
-		if (hasReceipt()) {
-			if (!getReceipt().equals(other.getReceipt()))
-				return false;
-		}
-		if (!getFailureCode().equals(other.getFailureCode()))
-			return false;
-		if (!getFailureDetail().equals(other.getFailureDetail()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + PART_COUNT_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getPartCount());
-		if (hasReceipt()) {
-			hash = (37 * hash) + RECEIPT_FIELD_NUMBER;
-			hash = (53 * hash) + getReceipt().hashCode();
-		}
-		hash = (37 * hash) + FAILURE_CODE_FIELD_NUMBER;
-		hash = (53 * hash) + getFailureCode().hashCode();
-		hash = (37 * hash) + FAILURE_DETAIL_FIELD_NUMBER;
-		hash = (53 * hash) + getFailureDetail().hashCode();
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Finished parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.Finished prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.Finished}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.Finished)
-			io.verbenacleat.proto.v1.FinishedOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Finished.class,
-						io.verbenacleat.proto.v1.Finished.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.Finished.newBuilder()
-		private Builder() {
-			maybeForceBuilderInitialization();
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-			maybeForceBuilderInitialization();
-		}
-
-		private void maybeForceBuilderInitialization() {
-			if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
-				internalGetReceiptFieldBuilder();
-			}
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			partCount_ = 0L;
-			receipt_ = null;
-			if (receiptBuilder_ != null) {
-				receiptBuilder_.dispose();
-				receiptBuilder_ = null;
-			}
-			failureCode_ = "";
-			failureDetail_ = "";
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Finished getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Finished build() {
-			io.verbenacleat.proto.v1.Finished result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Finished buildPartial() {
-			io.verbenacleat.proto.v1.Finished result = new io.verbenacleat.proto.v1.Finished(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.Finished result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.partCount_ = partCount_;
-			}
-			int to_bitField0_ = 0;
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.receipt_ = receiptBuilder_ == null ? receipt_ : receiptBuilder_.build();
-				to_bitField0_ |= 0x00000001;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.failureCode_ = failureCode_;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.failureDetail_ = failureDetail_;
-			}
-			result.bitField0_ |= to_bitField0_;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.Finished) {
-				return mergeFrom((io.verbenacleat.proto.v1.Finished) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.Finished other) {
-			if (other == io.verbenacleat.proto.v1.Finished.getDefaultInstance())
-				return this;
-			if (other.getPartCount() != 0L) {
-				setPartCount(other.getPartCount());
-			}
-			if (other.hasReceipt()) {
-				mergeReceipt(other.getReceipt());
-			}
-			if (!other.getFailureCode().isEmpty()) {
-				failureCode_ = other.failureCode_;
-				bitField0_ |= 0x00000004;
-				onChanged();
-			}
-			if (!other.getFailureDetail().isEmpty()) {
-				failureDetail_ = other.failureDetail_;
-				bitField0_ |= 0x00000008;
-				onChanged();
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 8: {
-							partCount_ = input.readInt64();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 8
-						case 18: {
-							input.readMessage(internalGetReceiptFieldBuilder().getBuilder(), extensionRegistry);
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 26: {
-							failureCode_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 26
-						case 34: {
-							failureDetail_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 34
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private long partCount_;
-
-		/**
-		 * <pre>
-		 * Number of parts that came before this message, Accepted included.
-		 * </pre>
-		 *
-		 * <code>int64 part_count = 1;</code>
-		 * @return The partCount.
-		 */
-		@java.lang.Override
-		public long getPartCount() {
-			return partCount_;
-		}
-
-		/**
-		 * <pre>
-		 * Number of parts that came before this message, Accepted included.
-		 * </pre>
-		 *
-		 * <code>int64 part_count = 1;</code>
-		 * @param value The partCount to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPartCount(long value) {
-
-			partCount_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Number of parts that came before this message, Accepted included.
-		 * </pre>
-		 *
-		 * <code>int64 part_count = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPartCount() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			partCount_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private io.verbenacleat.proto.v1.Receipt receipt_;
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptBuilder_;
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 * @return Whether the receipt field is set.
-		 */
-		public boolean hasReceipt() {
-			return ((bitField0_ & 0x00000002) != 0);
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 * @return The receipt.
-		 */
-		public io.verbenacleat.proto.v1.Receipt getReceipt() {
-			if (receiptBuilder_ == null) {
-				return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-			}
-			else {
-				return receiptBuilder_.getMessage();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder setReceipt(io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				receipt_ = value;
-			}
-			else {
-				receiptBuilder_.setMessage(value);
-			}
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder setReceipt(io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptBuilder_ == null) {
-				receipt_ = builderForValue.build();
-			}
-			else {
-				receiptBuilder_.setMessage(builderForValue.build());
-			}
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder mergeReceipt(io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptBuilder_ == null) {
-				if (((bitField0_ & 0x00000002) != 0) && receipt_ != null
-						&& receipt_ != io.verbenacleat.proto.v1.Receipt.getDefaultInstance()) {
-					getReceiptBuilder().mergeFrom(value);
-				}
-				else {
-					receipt_ = value;
-				}
-			}
-			else {
-				receiptBuilder_.mergeFrom(value);
-			}
-			if (receipt_ != null) {
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder clearReceipt() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			receipt_ = null;
-			if (receiptBuilder_ != null) {
-				receiptBuilder_.dispose();
-				receiptBuilder_ = null;
-			}
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder getReceiptBuilder() {
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return internalGetReceiptFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
-			if (receiptBuilder_ != null) {
-				return receiptBuilder_.getMessageOrBuilder();
-			}
-			else {
-				return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> internalGetReceiptFieldBuilder() {
-			if (receiptBuilder_ == null) {
-				receiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
-						getReceipt(), getParentForChildren(), isClean());
-				receipt_ = null;
-			}
-			return receiptBuilder_;
-		}
-
-		private java.lang.Object failureCode_ = "";
-
-		/**
-		 * <pre>
-		 * Set when the status of the receipt is FAILED.
-		 * </pre>
-		 *
-		 * <code>string failure_code = 3;</code>
-		 * @return The failureCode.
-		 */
-		public java.lang.String getFailureCode() {
-			java.lang.Object ref = failureCode_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				failureCode_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Set when the status of the receipt is FAILED.
-		 * </pre>
-		 *
-		 * <code>string failure_code = 3;</code>
-		 * @return The bytes for failureCode.
-		 */
-		public com.google.protobuf.ByteString getFailureCodeBytes() {
-			java.lang.Object ref = failureCode_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				failureCode_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Set when the status of the receipt is FAILED.
-		 * </pre>
-		 *
-		 * <code>string failure_code = 3;</code>
-		 * @param value The failureCode to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setFailureCode(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			failureCode_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Set when the status of the receipt is FAILED.
-		 * </pre>
-		 *
-		 * <code>string failure_code = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearFailureCode() {
-			failureCode_ = getDefaultInstance().getFailureCode();
-			bitField0_ = (bitField0_ & ~0x00000004);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Set when the status of the receipt is FAILED.
-		 * </pre>
-		 *
-		 * <code>string failure_code = 3;</code>
-		 * @param value The bytes for failureCode to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setFailureCodeBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			failureCode_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object failureDetail_ = "";
-
-		/**
-		 * <code>string failure_detail = 4;</code>
-		 * @return The failureDetail.
-		 */
-		public java.lang.String getFailureDetail() {
-			java.lang.Object ref = failureDetail_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				failureDetail_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string failure_detail = 4;</code>
-		 * @return The bytes for failureDetail.
-		 */
-		public com.google.protobuf.ByteString getFailureDetailBytes() {
-			java.lang.Object ref = failureDetail_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				failureDetail_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string failure_detail = 4;</code>
-		 * @param value The failureDetail to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setFailureDetail(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			failureDetail_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string failure_detail = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearFailureDetail() {
-			failureDetail_ = getDefaultInstance().getFailureDetail();
-			bitField0_ = (bitField0_ & ~0x00000008);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string failure_detail = 4;</code>
-		 * @param value The bytes for failureDetail to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setFailureDetailBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			failureDetail_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.Finished)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.Finished)
-	private static final io.verbenacleat.proto.v1.Finished DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Finished();
-	}
-
-	public static io.verbenacleat.proto.v1.Finished getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<Finished> PARSER = new com.google.protobuf.AbstractParser<Finished>() {
-		@java.lang.Override
-		public Finished parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<Finished> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<Finished> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Finished getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class Finished extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.Finished)
+    FinishedOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      Finished.class.getName());
+  }
+  // Use Finished.newBuilder() to construct.
+  private Finished(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private Finished() {
+    failureCode_ = "";
+    failureDetail_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.Finished.class, io.verbenacleat.proto.v1.Finished.Builder.class);
+  }
+
+  private int bitField0_;
+  public static final int PART_COUNT_FIELD_NUMBER = 1;
+  private long partCount_ = 0L;
+  /**
+   * <pre>
+   * Number of parts that came before this message, Accepted included.
+   * </pre>
+   *
+   * <code>int64 part_count = 1;</code>
+   * @return The partCount.
+   */
+  @java.lang.Override
+  public long getPartCount() {
+    return partCount_;
+  }
+
+  public static final int RECEIPT_FIELD_NUMBER = 2;
+  private io.verbenacleat.proto.v1.Receipt receipt_;
+  /**
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return Whether the receipt field is set.
+   */
+  @java.lang.Override
+  public boolean hasReceipt() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return The receipt.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Receipt getReceipt() {
+    return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+  }
+  /**
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
+    return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+  }
+
+  public static final int FAILURE_CODE_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object failureCode_ = "";
+  /**
+   * <pre>
+   * Set when the status of the receipt is FAILED.
+   * </pre>
+   *
+   * <code>string failure_code = 3;</code>
+   * @return The failureCode.
+   */
+  @java.lang.Override
+  public java.lang.String getFailureCode() {
+    java.lang.Object ref = failureCode_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      failureCode_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Set when the status of the receipt is FAILED.
+   * </pre>
+   *
+   * <code>string failure_code = 3;</code>
+   * @return The bytes for failureCode.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getFailureCodeBytes() {
+    java.lang.Object ref = failureCode_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      failureCode_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int FAILURE_DETAIL_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object failureDetail_ = "";
+  /**
+   * <code>string failure_detail = 4;</code>
+   * @return The failureDetail.
+   */
+  @java.lang.Override
+  public java.lang.String getFailureDetail() {
+    java.lang.Object ref = failureDetail_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      failureDetail_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string failure_detail = 4;</code>
+   * @return The bytes for failureDetail.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getFailureDetailBytes() {
+    java.lang.Object ref = failureDetail_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      failureDetail_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (partCount_ != 0L) {
+      output.writeInt64(1, partCount_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(2, getReceipt());
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureCode_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, failureCode_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDetail_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, failureDetail_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (partCount_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(1, partCount_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, getReceipt());
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureCode_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, failureCode_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(failureDetail_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, failureDetail_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.Finished)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.Finished other = (io.verbenacleat.proto.v1.Finished) obj;
+
+    if (getPartCount()
+        != other.getPartCount()) return false;
+    if (hasReceipt() != other.hasReceipt()) return false;
+    if (hasReceipt()) {
+      if (!getReceipt()
+          .equals(other.getReceipt())) return false;
+    }
+    if (!getFailureCode()
+        .equals(other.getFailureCode())) return false;
+    if (!getFailureDetail()
+        .equals(other.getFailureDetail())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + PART_COUNT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPartCount());
+    if (hasReceipt()) {
+      hash = (37 * hash) + RECEIPT_FIELD_NUMBER;
+      hash = (53 * hash) + getReceipt().hashCode();
+    }
+    hash = (37 * hash) + FAILURE_CODE_FIELD_NUMBER;
+    hash = (53 * hash) + getFailureCode().hashCode();
+    hash = (37 * hash) + FAILURE_DETAIL_FIELD_NUMBER;
+    hash = (53 * hash) + getFailureDetail().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.Finished parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.Finished parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Finished parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.Finished prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.Finished}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.Finished)
+      io.verbenacleat.proto.v1.FinishedOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.Finished.class, io.verbenacleat.proto.v1.Finished.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.Finished.newBuilder()
+    private Builder() {
+      maybeForceBuilderInitialization();
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetReceiptFieldBuilder();
+      }
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      partCount_ = 0L;
+      receipt_ = null;
+      if (receiptBuilder_ != null) {
+        receiptBuilder_.dispose();
+        receiptBuilder_ = null;
+      }
+      failureCode_ = "";
+      failureDetail_ = "";
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Finished_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Finished getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.Finished.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Finished build() {
+      io.verbenacleat.proto.v1.Finished result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Finished buildPartial() {
+      io.verbenacleat.proto.v1.Finished result = new io.verbenacleat.proto.v1.Finished(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.Finished result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.partCount_ = partCount_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.receipt_ = receiptBuilder_ == null
+            ? receipt_
+            : receiptBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.failureCode_ = failureCode_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.failureDetail_ = failureDetail_;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.Finished) {
+        return mergeFrom((io.verbenacleat.proto.v1.Finished)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.Finished other) {
+      if (other == io.verbenacleat.proto.v1.Finished.getDefaultInstance()) return this;
+      if (other.getPartCount() != 0L) {
+        setPartCount(other.getPartCount());
+      }
+      if (other.hasReceipt()) {
+        mergeReceipt(other.getReceipt());
+      }
+      if (!other.getFailureCode().isEmpty()) {
+        failureCode_ = other.failureCode_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (!other.getFailureDetail().isEmpty()) {
+        failureDetail_ = other.failureDetail_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 8: {
+              partCount_ = input.readInt64();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 18: {
+              input.readMessage(
+                  internalGetReceiptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 26: {
+              failureCode_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              failureDetail_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private long partCount_ ;
+    /**
+     * <pre>
+     * Number of parts that came before this message, Accepted included.
+     * </pre>
+     *
+     * <code>int64 part_count = 1;</code>
+     * @return The partCount.
+     */
+    @java.lang.Override
+    public long getPartCount() {
+      return partCount_;
+    }
+    /**
+     * <pre>
+     * Number of parts that came before this message, Accepted included.
+     * </pre>
+     *
+     * <code>int64 part_count = 1;</code>
+     * @param value The partCount to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPartCount(long value) {
+
+      partCount_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of parts that came before this message, Accepted included.
+     * </pre>
+     *
+     * <code>int64 part_count = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPartCount() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      partCount_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private io.verbenacleat.proto.v1.Receipt receipt_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptBuilder_;
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     * @return Whether the receipt field is set.
+     */
+    public boolean hasReceipt() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     * @return The receipt.
+     */
+    public io.verbenacleat.proto.v1.Receipt getReceipt() {
+      if (receiptBuilder_ == null) {
+        return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+      } else {
+        return receiptBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder setReceipt(io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        receipt_ = value;
+      } else {
+        receiptBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder setReceipt(
+        io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptBuilder_ == null) {
+        receipt_ = builderForValue.build();
+      } else {
+        receiptBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder mergeReceipt(io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0) &&
+          receipt_ != null &&
+          receipt_ != io.verbenacleat.proto.v1.Receipt.getDefaultInstance()) {
+          getReceiptBuilder().mergeFrom(value);
+        } else {
+          receipt_ = value;
+        }
+      } else {
+        receiptBuilder_.mergeFrom(value);
+      }
+      if (receipt_ != null) {
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder clearReceipt() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      receipt_ = null;
+      if (receiptBuilder_ != null) {
+        receiptBuilder_.dispose();
+        receiptBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder getReceiptBuilder() {
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return internalGetReceiptFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
+      if (receiptBuilder_ != null) {
+        return receiptBuilder_.getMessageOrBuilder();
+      } else {
+        return receipt_ == null ?
+            io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+      }
+    }
+    /**
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+        internalGetReceiptFieldBuilder() {
+      if (receiptBuilder_ == null) {
+        receiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
+                getReceipt(),
+                getParentForChildren(),
+                isClean());
+        receipt_ = null;
+      }
+      return receiptBuilder_;
+    }
+
+    private java.lang.Object failureCode_ = "";
+    /**
+     * <pre>
+     * Set when the status of the receipt is FAILED.
+     * </pre>
+     *
+     * <code>string failure_code = 3;</code>
+     * @return The failureCode.
+     */
+    public java.lang.String getFailureCode() {
+      java.lang.Object ref = failureCode_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        failureCode_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Set when the status of the receipt is FAILED.
+     * </pre>
+     *
+     * <code>string failure_code = 3;</code>
+     * @return The bytes for failureCode.
+     */
+    public com.google.protobuf.ByteString
+        getFailureCodeBytes() {
+      java.lang.Object ref = failureCode_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        failureCode_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Set when the status of the receipt is FAILED.
+     * </pre>
+     *
+     * <code>string failure_code = 3;</code>
+     * @param value The failureCode to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureCode(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      failureCode_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when the status of the receipt is FAILED.
+     * </pre>
+     *
+     * <code>string failure_code = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailureCode() {
+      failureCode_ = getDefaultInstance().getFailureCode();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when the status of the receipt is FAILED.
+     * </pre>
+     *
+     * <code>string failure_code = 3;</code>
+     * @param value The bytes for failureCode to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureCodeBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      failureCode_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object failureDetail_ = "";
+    /**
+     * <code>string failure_detail = 4;</code>
+     * @return The failureDetail.
+     */
+    public java.lang.String getFailureDetail() {
+      java.lang.Object ref = failureDetail_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        failureDetail_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string failure_detail = 4;</code>
+     * @return The bytes for failureDetail.
+     */
+    public com.google.protobuf.ByteString
+        getFailureDetailBytes() {
+      java.lang.Object ref = failureDetail_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        failureDetail_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string failure_detail = 4;</code>
+     * @param value The failureDetail to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureDetail(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      failureDetail_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string failure_detail = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailureDetail() {
+      failureDetail_ = getDefaultInstance().getFailureDetail();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string failure_detail = 4;</code>
+     * @param value The bytes for failureDetail to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailureDetailBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      failureDetail_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.Finished)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.Finished)
+  private static final io.verbenacleat.proto.v1.Finished DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Finished();
+  }
+
+  public static io.verbenacleat.proto.v1.Finished getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<Finished>
+      PARSER = new com.google.protobuf.AbstractParser<Finished>() {
+    @java.lang.Override
+    public Finished parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<Finished> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<Finished> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Finished getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/FinishedOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/FinishedOrBuilder.java
@@ -6,66 +6,63 @@
 package io.verbenacleat.proto.v1;
 
 public interface FinishedOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.Finished)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.Finished)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <pre>
-	 * Number of parts that came before this message, Accepted included.
-	 * </pre>
-	 *
-	 * <code>int64 part_count = 1;</code>
-	 * @return The partCount.
-	 */
-	long getPartCount();
+  /**
+   * <pre>
+   * Number of parts that came before this message, Accepted included.
+   * </pre>
+   *
+   * <code>int64 part_count = 1;</code>
+   * @return The partCount.
+   */
+  long getPartCount();
 
-	/**
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return Whether the receipt field is set.
-	 */
-	boolean hasReceipt();
+  /**
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return Whether the receipt field is set.
+   */
+  boolean hasReceipt();
+  /**
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return The receipt.
+   */
+  io.verbenacleat.proto.v1.Receipt getReceipt();
+  /**
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   */
+  io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder();
 
-	/**
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return The receipt.
-	 */
-	io.verbenacleat.proto.v1.Receipt getReceipt();
-
-	/**
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder();
-
-	/**
-	 * <pre>
-	 * Set when the status of the receipt is FAILED.
-	 * </pre>
-	 *
-	 * <code>string failure_code = 3;</code>
-	 * @return The failureCode.
-	 */
-	java.lang.String getFailureCode();
-
-	/**
-	 * <pre>
-	 * Set when the status of the receipt is FAILED.
-	 * </pre>
-	 *
-	 * <code>string failure_code = 3;</code>
-	 * @return The bytes for failureCode.
-	 */
-	com.google.protobuf.ByteString getFailureCodeBytes();
-
-	/**
-	 * <code>string failure_detail = 4;</code>
-	 * @return The failureDetail.
-	 */
-	java.lang.String getFailureDetail();
-
-	/**
-	 * <code>string failure_detail = 4;</code>
-	 * @return The bytes for failureDetail.
-	 */
-	com.google.protobuf.ByteString getFailureDetailBytes();
+  /**
+   * <pre>
+   * Set when the status of the receipt is FAILED.
+   * </pre>
+   *
+   * <code>string failure_code = 3;</code>
+   * @return The failureCode.
+   */
+  java.lang.String getFailureCode();
+  /**
+   * <pre>
+   * Set when the status of the receipt is FAILED.
+   * </pre>
+   *
+   * <code>string failure_code = 3;</code>
+   * @return The bytes for failureCode.
+   */
+  com.google.protobuf.ByteString
+      getFailureCodeBytes();
 
+  /**
+   * <code>string failure_detail = 4;</code>
+   * @return The failureDetail.
+   */
+  java.lang.String getFailureDetail();
+  /**
+   * <code>string failure_detail = 4;</code>
+   * @return The bytes for failureDetail.
+   */
+  com.google.protobuf.ByteString
+      getFailureDetailBytes();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/GetStatusRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/GetStatusRequestOrBuilder.java
@@ -6,7 +6,6 @@
 package io.verbenacleat.proto.v1;
 
 public interface GetStatusRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.GetStatusRequest)
-		com.google.protobuf.MessageOrBuilder {
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.GetStatusRequest)
+    com.google.protobuf.MessageOrBuilder {
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/GetStatusResponse.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/GetStatusResponse.java
@@ -8,920 +8,897 @@
 /**
  * Protobuf type {@code verbena.v1.GetStatusResponse}
  */
-public final class GetStatusResponse extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.GetStatusResponse)
-		GetStatusResponseOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", GetStatusResponse.class.getName());
-	}
-
-	// Use GetStatusResponse.newBuilder() to construct.
-	private GetStatusResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private GetStatusResponse() {
-		incarnation_ = "";
-		backendServer_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.GetStatusResponse.class,
-					io.verbenacleat.proto.v1.GetStatusResponse.Builder.class);
-	}
-
-	public static final int INCARNATION_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object incarnation_ = "";
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getIncarnation() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			incarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getIncarnationBytes() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			incarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int BACKEND_SERVER_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object backendServer_ = "";
-
-	/**
-	 * <code>string backend_server = 2;</code>
-	 * @return The backendServer.
-	 */
-	@java.lang.Override
-	public java.lang.String getBackendServer() {
-		java.lang.Object ref = backendServer_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			backendServer_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string backend_server = 2;</code>
-	 * @return The bytes for backendServer.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getBackendServerBytes() {
-		java.lang.Object ref = backendServer_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			backendServer_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int DRAINING_FIELD_NUMBER = 3;
-
-	private boolean draining_ = false;
-
-	/**
-	 * <code>bool draining = 3;</code>
-	 * @return The draining.
-	 */
-	@java.lang.Override
-	public boolean getDraining() {
-		return draining_;
-	}
-
-	public static final int IN_PROGRESS_FIELD_NUMBER = 4;
-
-	private int inProgress_ = 0;
-
-	/**
-	 * <code>int32 in_progress = 4;</code>
-	 * @return The inProgress.
-	 */
-	@java.lang.Override
-	public int getInProgress() {
-		return inProgress_;
-	}
-
-	public static final int CONFIG_VERSION_FIELD_NUMBER = 5;
-
-	private long configVersion_ = 0L;
-
-	/**
-	 * <code>int64 config_version = 5;</code>
-	 * @return The configVersion.
-	 */
-	@java.lang.Override
-	public long getConfigVersion() {
-		return configVersion_;
-	}
-
-	public static final int BACKEND_REACHABLE_FIELD_NUMBER = 6;
-
-	private boolean backendReachable_ = false;
-
-	/**
-	 * <code>bool backend_reachable = 6;</code>
-	 * @return The backendReachable.
-	 */
-	@java.lang.Override
-	public boolean getBackendReachable() {
-		return backendReachable_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, backendServer_);
-		}
-		if (draining_ != false) {
-			output.writeBool(3, draining_);
-		}
-		if (inProgress_ != 0) {
-			output.writeInt32(4, inProgress_);
-		}
-		if (configVersion_ != 0L) {
-			output.writeInt64(5, configVersion_);
-		}
-		if (backendReachable_ != false) {
-			output.writeBool(6, backendReachable_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, backendServer_);
-		}
-		if (draining_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(3, draining_);
-		}
-		if (inProgress_ != 0) {
-			size += com.google.protobuf.CodedOutputStream.computeInt32Size(4, inProgress_);
-		}
-		if (configVersion_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(5, configVersion_);
-		}
-		if (backendReachable_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(6, backendReachable_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.GetStatusResponse)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.GetStatusResponse other = (io.verbenacleat.proto.v1.GetStatusResponse) obj;
-
-		if (!getIncarnation().equals(other.getIncarnation()))
-			return false;
-		if (!getBackendServer().equals(other.getBackendServer()))
-			return false;
-		if (getDraining() != other.getDraining())
-			return false;
-		if (getInProgress() != other.getInProgress())
-			return false;
-		if (getConfigVersion() != other.getConfigVersion())
-			return false;
-		if (getBackendReachable() != other.getBackendReachable())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getIncarnation().hashCode();
-		hash = (37 * hash) + BACKEND_SERVER_FIELD_NUMBER;
-		hash = (53 * hash) + getBackendServer().hashCode();
-		hash = (37 * hash) + DRAINING_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getDraining());
-		hash = (37 * hash) + IN_PROGRESS_FIELD_NUMBER;
-		hash = (53 * hash) + getInProgress();
-		hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getConfigVersion());
-		hash = (37 * hash) + BACKEND_REACHABLE_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getBackendReachable());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.GetStatusResponse prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.GetStatusResponse}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.GetStatusResponse)
-			io.verbenacleat.proto.v1.GetStatusResponseOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.GetStatusResponse.class,
-						io.verbenacleat.proto.v1.GetStatusResponse.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.GetStatusResponse.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			incarnation_ = "";
-			backendServer_ = "";
-			draining_ = false;
-			inProgress_ = 0;
-			configVersion_ = 0L;
-			backendReachable_ = false;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.GetStatusResponse getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.GetStatusResponse.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.GetStatusResponse build() {
-			io.verbenacleat.proto.v1.GetStatusResponse result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.GetStatusResponse buildPartial() {
-			io.verbenacleat.proto.v1.GetStatusResponse result = new io.verbenacleat.proto.v1.GetStatusResponse(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.GetStatusResponse result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.incarnation_ = incarnation_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.backendServer_ = backendServer_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.draining_ = draining_;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.inProgress_ = inProgress_;
-			}
-			if (((from_bitField0_ & 0x00000010) != 0)) {
-				result.configVersion_ = configVersion_;
-			}
-			if (((from_bitField0_ & 0x00000020) != 0)) {
-				result.backendReachable_ = backendReachable_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.GetStatusResponse) {
-				return mergeFrom((io.verbenacleat.proto.v1.GetStatusResponse) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.GetStatusResponse other) {
-			if (other == io.verbenacleat.proto.v1.GetStatusResponse.getDefaultInstance())
-				return this;
-			if (!other.getIncarnation().isEmpty()) {
-				incarnation_ = other.incarnation_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getBackendServer().isEmpty()) {
-				backendServer_ = other.backendServer_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			if (other.getDraining() != false) {
-				setDraining(other.getDraining());
-			}
-			if (other.getInProgress() != 0) {
-				setInProgress(other.getInProgress());
-			}
-			if (other.getConfigVersion() != 0L) {
-				setConfigVersion(other.getConfigVersion());
-			}
-			if (other.getBackendReachable() != false) {
-				setBackendReachable(other.getBackendReachable());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							incarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							backendServer_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 24: {
-							draining_ = input.readBool();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 24
-						case 32: {
-							inProgress_ = input.readInt32();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 32
-						case 40: {
-							configVersion_ = input.readInt64();
-							bitField0_ |= 0x00000010;
-							break;
-						} // case 40
-						case 48: {
-							backendReachable_ = input.readBool();
-							bitField0_ |= 0x00000020;
-							break;
-						} // case 48
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object incarnation_ = "";
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The incarnation.
-		 */
-		public java.lang.String getIncarnation() {
-			java.lang.Object ref = incarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				incarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The bytes for incarnation.
-		 */
-		public com.google.protobuf.ByteString getIncarnationBytes() {
-			java.lang.Object ref = incarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				incarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearIncarnation() {
-			incarnation_ = getDefaultInstance().getIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The bytes for incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object backendServer_ = "";
-
-		/**
-		 * <code>string backend_server = 2;</code>
-		 * @return The backendServer.
-		 */
-		public java.lang.String getBackendServer() {
-			java.lang.Object ref = backendServer_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				backendServer_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string backend_server = 2;</code>
-		 * @return The bytes for backendServer.
-		 */
-		public com.google.protobuf.ByteString getBackendServerBytes() {
-			java.lang.Object ref = backendServer_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				backendServer_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string backend_server = 2;</code>
-		 * @param value The backendServer to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBackendServer(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			backendServer_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string backend_server = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearBackendServer() {
-			backendServer_ = getDefaultInstance().getBackendServer();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string backend_server = 2;</code>
-		 * @param value The bytes for backendServer to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBackendServerBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			backendServer_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		private boolean draining_;
-
-		/**
-		 * <code>bool draining = 3;</code>
-		 * @return The draining.
-		 */
-		@java.lang.Override
-		public boolean getDraining() {
-			return draining_;
-		}
-
-		/**
-		 * <code>bool draining = 3;</code>
-		 * @param value The draining to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setDraining(boolean value) {
-
-			draining_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bool draining = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearDraining() {
-			bitField0_ = (bitField0_ & ~0x00000004);
-			draining_ = false;
-			onChanged();
-			return this;
-		}
-
-		private int inProgress_;
-
-		/**
-		 * <code>int32 in_progress = 4;</code>
-		 * @return The inProgress.
-		 */
-		@java.lang.Override
-		public int getInProgress() {
-			return inProgress_;
-		}
-
-		/**
-		 * <code>int32 in_progress = 4;</code>
-		 * @param value The inProgress to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setInProgress(int value) {
-
-			inProgress_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int32 in_progress = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearInProgress() {
-			bitField0_ = (bitField0_ & ~0x00000008);
-			inProgress_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private long configVersion_;
-
-		/**
-		 * <code>int64 config_version = 5;</code>
-		 * @return The configVersion.
-		 */
-		@java.lang.Override
-		public long getConfigVersion() {
-			return configVersion_;
-		}
-
-		/**
-		 * <code>int64 config_version = 5;</code>
-		 * @param value The configVersion to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setConfigVersion(long value) {
-
-			configVersion_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 config_version = 5;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearConfigVersion() {
-			bitField0_ = (bitField0_ & ~0x00000010);
-			configVersion_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private boolean backendReachable_;
-
-		/**
-		 * <code>bool backend_reachable = 6;</code>
-		 * @return The backendReachable.
-		 */
-		@java.lang.Override
-		public boolean getBackendReachable() {
-			return backendReachable_;
-		}
-
-		/**
-		 * <code>bool backend_reachable = 6;</code>
-		 * @param value The backendReachable to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBackendReachable(boolean value) {
-
-			backendReachable_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bool backend_reachable = 6;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearBackendReachable() {
-			bitField0_ = (bitField0_ & ~0x00000020);
-			backendReachable_ = false;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.GetStatusResponse)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.GetStatusResponse)
-	private static final io.verbenacleat.proto.v1.GetStatusResponse DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.GetStatusResponse();
-	}
-
-	public static io.verbenacleat.proto.v1.GetStatusResponse getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<GetStatusResponse> PARSER = new com.google.protobuf.AbstractParser<GetStatusResponse>() {
-		@java.lang.Override
-		public GetStatusResponse parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<GetStatusResponse> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<GetStatusResponse> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.GetStatusResponse getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class GetStatusResponse extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.GetStatusResponse)
+    GetStatusResponseOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      GetStatusResponse.class.getName());
+  }
+  // Use GetStatusResponse.newBuilder() to construct.
+  private GetStatusResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private GetStatusResponse() {
+    incarnation_ = "";
+    backendServer_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.GetStatusResponse.class, io.verbenacleat.proto.v1.GetStatusResponse.Builder.class);
+  }
+
+  public static final int INCARNATION_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object incarnation_ = "";
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getIncarnation() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      incarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIncarnationBytes() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      incarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int BACKEND_SERVER_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object backendServer_ = "";
+  /**
+   * <code>string backend_server = 2;</code>
+   * @return The backendServer.
+   */
+  @java.lang.Override
+  public java.lang.String getBackendServer() {
+    java.lang.Object ref = backendServer_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      backendServer_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string backend_server = 2;</code>
+   * @return The bytes for backendServer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBackendServerBytes() {
+    java.lang.Object ref = backendServer_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      backendServer_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int DRAINING_FIELD_NUMBER = 3;
+  private boolean draining_ = false;
+  /**
+   * <code>bool draining = 3;</code>
+   * @return The draining.
+   */
+  @java.lang.Override
+  public boolean getDraining() {
+    return draining_;
+  }
+
+  public static final int IN_PROGRESS_FIELD_NUMBER = 4;
+  private int inProgress_ = 0;
+  /**
+   * <code>int32 in_progress = 4;</code>
+   * @return The inProgress.
+   */
+  @java.lang.Override
+  public int getInProgress() {
+    return inProgress_;
+  }
+
+  public static final int CONFIG_VERSION_FIELD_NUMBER = 5;
+  private long configVersion_ = 0L;
+  /**
+   * <code>int64 config_version = 5;</code>
+   * @return The configVersion.
+   */
+  @java.lang.Override
+  public long getConfigVersion() {
+    return configVersion_;
+  }
+
+  public static final int BACKEND_REACHABLE_FIELD_NUMBER = 6;
+  private boolean backendReachable_ = false;
+  /**
+   * <code>bool backend_reachable = 6;</code>
+   * @return The backendReachable.
+   */
+  @java.lang.Override
+  public boolean getBackendReachable() {
+    return backendReachable_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, backendServer_);
+    }
+    if (draining_ != false) {
+      output.writeBool(3, draining_);
+    }
+    if (inProgress_ != 0) {
+      output.writeInt32(4, inProgress_);
+    }
+    if (configVersion_ != 0L) {
+      output.writeInt64(5, configVersion_);
+    }
+    if (backendReachable_ != false) {
+      output.writeBool(6, backendReachable_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, backendServer_);
+    }
+    if (draining_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, draining_);
+    }
+    if (inProgress_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(4, inProgress_);
+    }
+    if (configVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, configVersion_);
+    }
+    if (backendReachable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, backendReachable_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.GetStatusResponse)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.GetStatusResponse other = (io.verbenacleat.proto.v1.GetStatusResponse) obj;
+
+    if (!getIncarnation()
+        .equals(other.getIncarnation())) return false;
+    if (!getBackendServer()
+        .equals(other.getBackendServer())) return false;
+    if (getDraining()
+        != other.getDraining()) return false;
+    if (getInProgress()
+        != other.getInProgress()) return false;
+    if (getConfigVersion()
+        != other.getConfigVersion()) return false;
+    if (getBackendReachable()
+        != other.getBackendReachable()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getIncarnation().hashCode();
+    hash = (37 * hash) + BACKEND_SERVER_FIELD_NUMBER;
+    hash = (53 * hash) + getBackendServer().hashCode();
+    hash = (37 * hash) + DRAINING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDraining());
+    hash = (37 * hash) + IN_PROGRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getInProgress();
+    hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigVersion());
+    hash = (37 * hash) + BACKEND_REACHABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getBackendReachable());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.GetStatusResponse parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.GetStatusResponse prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.GetStatusResponse}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.GetStatusResponse)
+      io.verbenacleat.proto.v1.GetStatusResponseOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.GetStatusResponse.class, io.verbenacleat.proto.v1.GetStatusResponse.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.GetStatusResponse.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      incarnation_ = "";
+      backendServer_ = "";
+      draining_ = false;
+      inProgress_ = 0;
+      configVersion_ = 0L;
+      backendReachable_ = false;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_GetStatusResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.GetStatusResponse getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.GetStatusResponse.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.GetStatusResponse build() {
+      io.verbenacleat.proto.v1.GetStatusResponse result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.GetStatusResponse buildPartial() {
+      io.verbenacleat.proto.v1.GetStatusResponse result = new io.verbenacleat.proto.v1.GetStatusResponse(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.GetStatusResponse result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.backendServer_ = backendServer_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.draining_ = draining_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.inProgress_ = inProgress_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.configVersion_ = configVersion_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.backendReachable_ = backendReachable_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.GetStatusResponse) {
+        return mergeFrom((io.verbenacleat.proto.v1.GetStatusResponse)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.GetStatusResponse other) {
+      if (other == io.verbenacleat.proto.v1.GetStatusResponse.getDefaultInstance()) return this;
+      if (!other.getIncarnation().isEmpty()) {
+        incarnation_ = other.incarnation_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getBackendServer().isEmpty()) {
+        backendServer_ = other.backendServer_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (other.getDraining() != false) {
+        setDraining(other.getDraining());
+      }
+      if (other.getInProgress() != 0) {
+        setInProgress(other.getInProgress());
+      }
+      if (other.getConfigVersion() != 0L) {
+        setConfigVersion(other.getConfigVersion());
+      }
+      if (other.getBackendReachable() != false) {
+        setBackendReachable(other.getBackendReachable());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              incarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              backendServer_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 24: {
+              draining_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              inProgress_ = input.readInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              configVersion_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              backendReachable_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object incarnation_ = "";
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The incarnation.
+     */
+    public java.lang.String getIncarnation() {
+      java.lang.Object ref = incarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        incarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The bytes for incarnation.
+     */
+    public com.google.protobuf.ByteString
+        getIncarnationBytes() {
+      java.lang.Object ref = incarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        incarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      incarnation_ = getDefaultInstance().getIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The bytes for incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object backendServer_ = "";
+    /**
+     * <code>string backend_server = 2;</code>
+     * @return The backendServer.
+     */
+    public java.lang.String getBackendServer() {
+      java.lang.Object ref = backendServer_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        backendServer_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string backend_server = 2;</code>
+     * @return The bytes for backendServer.
+     */
+    public com.google.protobuf.ByteString
+        getBackendServerBytes() {
+      java.lang.Object ref = backendServer_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        backendServer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string backend_server = 2;</code>
+     * @param value The backendServer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendServer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      backendServer_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string backend_server = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackendServer() {
+      backendServer_ = getDefaultInstance().getBackendServer();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string backend_server = 2;</code>
+     * @param value The bytes for backendServer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendServerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      backendServer_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private boolean draining_ ;
+    /**
+     * <code>bool draining = 3;</code>
+     * @return The draining.
+     */
+    @java.lang.Override
+    public boolean getDraining() {
+      return draining_;
+    }
+    /**
+     * <code>bool draining = 3;</code>
+     * @param value The draining to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDraining(boolean value) {
+
+      draining_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool draining = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDraining() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      draining_ = false;
+      onChanged();
+      return this;
+    }
+
+    private int inProgress_ ;
+    /**
+     * <code>int32 in_progress = 4;</code>
+     * @return The inProgress.
+     */
+    @java.lang.Override
+    public int getInProgress() {
+      return inProgress_;
+    }
+    /**
+     * <code>int32 in_progress = 4;</code>
+     * @param value The inProgress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInProgress(int value) {
+
+      inProgress_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 in_progress = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInProgress() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      inProgress_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long configVersion_ ;
+    /**
+     * <code>int64 config_version = 5;</code>
+     * @return The configVersion.
+     */
+    @java.lang.Override
+    public long getConfigVersion() {
+      return configVersion_;
+    }
+    /**
+     * <code>int64 config_version = 5;</code>
+     * @param value The configVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigVersion(long value) {
+
+      configVersion_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 config_version = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigVersion() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      configVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean backendReachable_ ;
+    /**
+     * <code>bool backend_reachable = 6;</code>
+     * @return The backendReachable.
+     */
+    @java.lang.Override
+    public boolean getBackendReachable() {
+      return backendReachable_;
+    }
+    /**
+     * <code>bool backend_reachable = 6;</code>
+     * @param value The backendReachable to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendReachable(boolean value) {
+
+      backendReachable_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool backend_reachable = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackendReachable() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      backendReachable_ = false;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.GetStatusResponse)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.GetStatusResponse)
+  private static final io.verbenacleat.proto.v1.GetStatusResponse DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.GetStatusResponse();
+  }
+
+  public static io.verbenacleat.proto.v1.GetStatusResponse getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<GetStatusResponse>
+      PARSER = new com.google.protobuf.AbstractParser<GetStatusResponse>() {
+    @java.lang.Override
+    public GetStatusResponse parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<GetStatusResponse> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<GetStatusResponse> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.GetStatusResponse getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/GetStatusResponseOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/GetStatusResponseOrBuilder.java
@@ -6,55 +6,54 @@
 package io.verbenacleat.proto.v1;
 
 public interface GetStatusResponseOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.GetStatusResponse)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	java.lang.String getIncarnation();
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	com.google.protobuf.ByteString getIncarnationBytes();
-
-	/**
-	 * <code>string backend_server = 2;</code>
-	 * @return The backendServer.
-	 */
-	java.lang.String getBackendServer();
-
-	/**
-	 * <code>string backend_server = 2;</code>
-	 * @return The bytes for backendServer.
-	 */
-	com.google.protobuf.ByteString getBackendServerBytes();
-
-	/**
-	 * <code>bool draining = 3;</code>
-	 * @return The draining.
-	 */
-	boolean getDraining();
-
-	/**
-	 * <code>int32 in_progress = 4;</code>
-	 * @return The inProgress.
-	 */
-	int getInProgress();
-
-	/**
-	 * <code>int64 config_version = 5;</code>
-	 * @return The configVersion.
-	 */
-	long getConfigVersion();
-
-	/**
-	 * <code>bool backend_reachable = 6;</code>
-	 * @return The backendReachable.
-	 */
-	boolean getBackendReachable();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.GetStatusResponse)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  java.lang.String getIncarnation();
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  com.google.protobuf.ByteString
+      getIncarnationBytes();
+
+  /**
+   * <code>string backend_server = 2;</code>
+   * @return The backendServer.
+   */
+  java.lang.String getBackendServer();
+  /**
+   * <code>string backend_server = 2;</code>
+   * @return The bytes for backendServer.
+   */
+  com.google.protobuf.ByteString
+      getBackendServerBytes();
+
+  /**
+   * <code>bool draining = 3;</code>
+   * @return The draining.
+   */
+  boolean getDraining();
+
+  /**
+   * <code>int32 in_progress = 4;</code>
+   * @return The inProgress.
+   */
+  int getInProgress();
+
+  /**
+   * <code>int64 config_version = 5;</code>
+   * @return The configVersion.
+   */
+  long getConfigVersion();
+
+  /**
+   * <code>bool backend_reachable = 6;</code>
+   * @return The backendReachable.
+   */
+  boolean getBackendReachable();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/HolderGrant.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HolderGrant.java
@@ -8,725 +8,713 @@
 /**
  * Protobuf type {@code verbena.v1.HolderGrant}
  */
-public final class HolderGrant extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.HolderGrant)
-		HolderGrantOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", HolderGrant.class.getName());
-	}
-
-	// Use HolderGrant.newBuilder() to construct.
-	private HolderGrant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private HolderGrant() {
-		holderIncarnation_ = "";
-		address_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HolderGrant.class,
-					io.verbenacleat.proto.v1.HolderGrant.Builder.class);
-	}
-
-	public static final int HOLDER_INCARNATION_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object holderIncarnation_ = "";
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The holderIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getHolderIncarnation() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			holderIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			holderIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int ADDRESS_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object address_ = "";
-
-	/**
-	 * <code>string address = 2;</code>
-	 * @return The address.
-	 */
-	@java.lang.Override
-	public java.lang.String getAddress() {
-		java.lang.Object ref = address_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			address_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string address = 2;</code>
-	 * @return The bytes for address.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getAddressBytes() {
-		java.lang.Object ref = address_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			address_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int REST_TOKENS_FIELD_NUMBER = 3;
-
-	private long restTokens_ = 0L;
-
-	/**
-	 * <pre>
-	 * Granted minus spent, as of the last read.
-	 * </pre>
-	 *
-	 * <code>int64 rest_tokens = 3;</code>
-	 * @return The restTokens.
-	 */
-	@java.lang.Override
-	public long getRestTokens() {
-		return restTokens_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, address_);
-		}
-		if (restTokens_ != 0L) {
-			output.writeInt64(3, restTokens_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, address_);
-		}
-		if (restTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, restTokens_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.HolderGrant)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.HolderGrant other = (io.verbenacleat.proto.v1.HolderGrant) obj;
-
-		if (!getHolderIncarnation().equals(other.getHolderIncarnation()))
-			return false;
-		if (!getAddress().equals(other.getAddress()))
-			return false;
-		if (getRestTokens() != other.getRestTokens())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getHolderIncarnation().hashCode();
-		hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
-		hash = (53 * hash) + getAddress().hashCode();
-		hash = (37 * hash) + REST_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getRestTokens());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.HolderGrant prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.HolderGrant}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.HolderGrant)
-			io.verbenacleat.proto.v1.HolderGrantOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HolderGrant.class,
-						io.verbenacleat.proto.v1.HolderGrant.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.HolderGrant.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			holderIncarnation_ = "";
-			address_ = "";
-			restTokens_ = 0L;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HolderGrant getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HolderGrant build() {
-			io.verbenacleat.proto.v1.HolderGrant result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HolderGrant buildPartial() {
-			io.verbenacleat.proto.v1.HolderGrant result = new io.verbenacleat.proto.v1.HolderGrant(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.HolderGrant result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.holderIncarnation_ = holderIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.address_ = address_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.restTokens_ = restTokens_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.HolderGrant) {
-				return mergeFrom((io.verbenacleat.proto.v1.HolderGrant) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.HolderGrant other) {
-			if (other == io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance())
-				return this;
-			if (!other.getHolderIncarnation().isEmpty()) {
-				holderIncarnation_ = other.holderIncarnation_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getAddress().isEmpty()) {
-				address_ = other.address_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			if (other.getRestTokens() != 0L) {
-				setRestTokens(other.getRestTokens());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							holderIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							address_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 24: {
-							restTokens_ = input.readInt64();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 24
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object holderIncarnation_ = "";
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @return The holderIncarnation.
-		 */
-		public java.lang.String getHolderIncarnation() {
-			java.lang.Object ref = holderIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				holderIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @return The bytes for holderIncarnation.
-		 */
-		public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-			java.lang.Object ref = holderIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				holderIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @param value The holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHolderIncarnation() {
-			holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @param value The bytes for holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object address_ = "";
-
-		/**
-		 * <code>string address = 2;</code>
-		 * @return The address.
-		 */
-		public java.lang.String getAddress() {
-			java.lang.Object ref = address_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				address_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string address = 2;</code>
-		 * @return The bytes for address.
-		 */
-		public com.google.protobuf.ByteString getAddressBytes() {
-			java.lang.Object ref = address_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				address_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string address = 2;</code>
-		 * @param value The address to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAddress(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			address_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string address = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAddress() {
-			address_ = getDefaultInstance().getAddress();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string address = 2;</code>
-		 * @param value The bytes for address to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAddressBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			address_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		private long restTokens_;
-
-		/**
-		 * <pre>
-		 * Granted minus spent, as of the last read.
-		 * </pre>
-		 *
-		 * <code>int64 rest_tokens = 3;</code>
-		 * @return The restTokens.
-		 */
-		@java.lang.Override
-		public long getRestTokens() {
-			return restTokens_;
-		}
-
-		/**
-		 * <pre>
-		 * Granted minus spent, as of the last read.
-		 * </pre>
-		 *
-		 * <code>int64 rest_tokens = 3;</code>
-		 * @param value The restTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRestTokens(long value) {
-
-			restTokens_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Granted minus spent, as of the last read.
-		 * </pre>
-		 *
-		 * <code>int64 rest_tokens = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRestTokens() {
-			bitField0_ = (bitField0_ & ~0x00000004);
-			restTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.HolderGrant)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.HolderGrant)
-	private static final io.verbenacleat.proto.v1.HolderGrant DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HolderGrant();
-	}
-
-	public static io.verbenacleat.proto.v1.HolderGrant getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<HolderGrant> PARSER = new com.google.protobuf.AbstractParser<HolderGrant>() {
-		@java.lang.Override
-		public HolderGrant parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<HolderGrant> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<HolderGrant> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HolderGrant getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class HolderGrant extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.HolderGrant)
+    HolderGrantOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      HolderGrant.class.getName());
+  }
+  // Use HolderGrant.newBuilder() to construct.
+  private HolderGrant(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private HolderGrant() {
+    holderIncarnation_ = "";
+    address_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.HolderGrant.class, io.verbenacleat.proto.v1.HolderGrant.Builder.class);
+  }
+
+  public static final int HOLDER_INCARNATION_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object holderIncarnation_ = "";
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The holderIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getHolderIncarnation() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      holderIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHolderIncarnationBytes() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      holderIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ADDRESS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object address_ = "";
+  /**
+   * <code>string address = 2;</code>
+   * @return The address.
+   */
+  @java.lang.Override
+  public java.lang.String getAddress() {
+    java.lang.Object ref = address_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      address_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string address = 2;</code>
+   * @return The bytes for address.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAddressBytes() {
+    java.lang.Object ref = address_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      address_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int REST_TOKENS_FIELD_NUMBER = 3;
+  private long restTokens_ = 0L;
+  /**
+   * <pre>
+   * Granted minus spent, as of the last read.
+   * </pre>
+   *
+   * <code>int64 rest_tokens = 3;</code>
+   * @return The restTokens.
+   */
+  @java.lang.Override
+  public long getRestTokens() {
+    return restTokens_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, address_);
+    }
+    if (restTokens_ != 0L) {
+      output.writeInt64(3, restTokens_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(address_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, address_);
+    }
+    if (restTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, restTokens_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.HolderGrant)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.HolderGrant other = (io.verbenacleat.proto.v1.HolderGrant) obj;
+
+    if (!getHolderIncarnation()
+        .equals(other.getHolderIncarnation())) return false;
+    if (!getAddress()
+        .equals(other.getAddress())) return false;
+    if (getRestTokens()
+        != other.getRestTokens()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getHolderIncarnation().hashCode();
+    hash = (37 * hash) + ADDRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getAddress().hashCode();
+    hash = (37 * hash) + REST_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRestTokens());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.HolderGrant parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.HolderGrant parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HolderGrant parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.HolderGrant prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.HolderGrant}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.HolderGrant)
+      io.verbenacleat.proto.v1.HolderGrantOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.HolderGrant.class, io.verbenacleat.proto.v1.HolderGrant.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.HolderGrant.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      holderIncarnation_ = "";
+      address_ = "";
+      restTokens_ = 0L;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HolderGrant_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HolderGrant getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HolderGrant build() {
+      io.verbenacleat.proto.v1.HolderGrant result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HolderGrant buildPartial() {
+      io.verbenacleat.proto.v1.HolderGrant result = new io.verbenacleat.proto.v1.HolderGrant(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.HolderGrant result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.holderIncarnation_ = holderIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.address_ = address_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.restTokens_ = restTokens_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.HolderGrant) {
+        return mergeFrom((io.verbenacleat.proto.v1.HolderGrant)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.HolderGrant other) {
+      if (other == io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance()) return this;
+      if (!other.getHolderIncarnation().isEmpty()) {
+        holderIncarnation_ = other.holderIncarnation_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getAddress().isEmpty()) {
+        address_ = other.address_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (other.getRestTokens() != 0L) {
+        setRestTokens(other.getRestTokens());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              holderIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              address_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 24: {
+              restTokens_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object holderIncarnation_ = "";
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @return The holderIncarnation.
+     */
+    public java.lang.String getHolderIncarnation() {
+      java.lang.Object ref = holderIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holderIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @return The bytes for holderIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getHolderIncarnationBytes() {
+      java.lang.Object ref = holderIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holderIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @param value The holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolderIncarnation() {
+      holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @param value The bytes for holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object address_ = "";
+    /**
+     * <code>string address = 2;</code>
+     * @return The address.
+     */
+    public java.lang.String getAddress() {
+      java.lang.Object ref = address_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        address_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string address = 2;</code>
+     * @return The bytes for address.
+     */
+    public com.google.protobuf.ByteString
+        getAddressBytes() {
+      java.lang.Object ref = address_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        address_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string address = 2;</code>
+     * @param value The address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddress(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      address_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string address = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAddress() {
+      address_ = getDefaultInstance().getAddress();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string address = 2;</code>
+     * @param value The bytes for address to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAddressBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      address_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private long restTokens_ ;
+    /**
+     * <pre>
+     * Granted minus spent, as of the last read.
+     * </pre>
+     *
+     * <code>int64 rest_tokens = 3;</code>
+     * @return The restTokens.
+     */
+    @java.lang.Override
+    public long getRestTokens() {
+      return restTokens_;
+    }
+    /**
+     * <pre>
+     * Granted minus spent, as of the last read.
+     * </pre>
+     *
+     * <code>int64 rest_tokens = 3;</code>
+     * @param value The restTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRestTokens(long value) {
+
+      restTokens_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Granted minus spent, as of the last read.
+     * </pre>
+     *
+     * <code>int64 rest_tokens = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRestTokens() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      restTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.HolderGrant)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.HolderGrant)
+  private static final io.verbenacleat.proto.v1.HolderGrant DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HolderGrant();
+  }
+
+  public static io.verbenacleat.proto.v1.HolderGrant getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<HolderGrant>
+      PARSER = new com.google.protobuf.AbstractParser<HolderGrant>() {
+    @java.lang.Override
+    public HolderGrant parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<HolderGrant> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<HolderGrant> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HolderGrant getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/HolderGrantOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HolderGrantOrBuilder.java
@@ -6,41 +6,40 @@
 package io.verbenacleat.proto.v1;
 
 public interface HolderGrantOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.HolderGrant)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The holderIncarnation.
-	 */
-	java.lang.String getHolderIncarnation();
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	com.google.protobuf.ByteString getHolderIncarnationBytes();
-
-	/**
-	 * <code>string address = 2;</code>
-	 * @return The address.
-	 */
-	java.lang.String getAddress();
-
-	/**
-	 * <code>string address = 2;</code>
-	 * @return The bytes for address.
-	 */
-	com.google.protobuf.ByteString getAddressBytes();
-
-	/**
-	 * <pre>
-	 * Granted minus spent, as of the last read.
-	 * </pre>
-	 *
-	 * <code>int64 rest_tokens = 3;</code>
-	 * @return The restTokens.
-	 */
-	long getRestTokens();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.HolderGrant)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The holderIncarnation.
+   */
+  java.lang.String getHolderIncarnation();
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getHolderIncarnationBytes();
+
+  /**
+   * <code>string address = 2;</code>
+   * @return The address.
+   */
+  java.lang.String getAddress();
+  /**
+   * <code>string address = 2;</code>
+   * @return The bytes for address.
+   */
+  com.google.protobuf.ByteString
+      getAddressBytes();
+
+  /**
+   * <pre>
+   * Granted minus spent, as of the last read.
+   * </pre>
+   *
+   * <code>int64 rest_tokens = 3;</code>
+   * @return The restTokens.
+   */
+  long getRestTokens();
 }
