--- a/proto/src/main/java/io/verbenacleat/proto/v1/HttpHead.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HttpHead.java
@@ -8,799 +8,778 @@
 /**
  * Protobuf type {@code verbena.v1.HttpHead}
  */
-public final class HttpHead extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.HttpHead)
-		HttpHeadOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", HttpHead.class.getName());
-	}
-
-	// Use HttpHead.newBuilder() to construct.
-	private HttpHead(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private HttpHead() {
-		headers_ = java.util.Collections.emptyList();
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HttpHead.class,
-					io.verbenacleat.proto.v1.HttpHead.Builder.class);
-	}
-
-	public static final int STATUS_FIELD_NUMBER = 1;
-
-	private int status_ = 0;
-
-	/**
-	 * <code>int32 status = 1;</code>
-	 * @return The status.
-	 */
-	@java.lang.Override
-	public int getStatus() {
-		return status_;
-	}
-
-	public static final int HEADERS_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_;
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
-		return headers_;
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> getHeadersOrBuilderList() {
-		return headers_;
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	@java.lang.Override
-	public int getHeadersCount() {
-		return headers_.size();
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
-		return headers_.get(index);
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(int index) {
-		return headers_.get(index);
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (status_ != 0) {
-			output.writeInt32(1, status_);
-		}
-		for (int i = 0; i < headers_.size(); i++) {
-			output.writeMessage(2, headers_.get(i));
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (status_ != 0) {
-			size += com.google.protobuf.CodedOutputStream.computeInt32Size(1, status_);
-		}
-		for (int i = 0; i < headers_.size(); i++) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, headers_.get(i));
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.HttpHead)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.HttpHead other = (io.verbenacleat.proto.v1.HttpHead) obj;
-
-		if (getStatus() != other.getStatus())
-			return false;
-		if (!getHeadersList().equals(other.getHeadersList()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + STATUS_FIELD_NUMBER;
-		hash = (53 * hash) + getStatus();
-		if (getHeadersCount() > 0) {
-			hash = (37 * hash) + HEADERS_FIELD_NUMBER;
-			hash = (53 * hash) + getHeadersList().hashCode();
-		}
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.HttpHead prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.HttpHead}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.HttpHead)
-			io.verbenacleat.proto.v1.HttpHeadOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HttpHead.class,
-						io.verbenacleat.proto.v1.HttpHead.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.HttpHead.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			status_ = 0;
-			if (headersBuilder_ == null) {
-				headers_ = java.util.Collections.emptyList();
-			}
-			else {
-				headers_ = null;
-				headersBuilder_.clear();
-			}
-			bitField0_ = (bitField0_ & ~0x00000002);
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHead getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHead build() {
-			io.verbenacleat.proto.v1.HttpHead result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHead buildPartial() {
-			io.verbenacleat.proto.v1.HttpHead result = new io.verbenacleat.proto.v1.HttpHead(this);
-			buildPartialRepeatedFields(result);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.HttpHead result) {
-			if (headersBuilder_ == null) {
-				if (((bitField0_ & 0x00000002) != 0)) {
-					headers_ = java.util.Collections.unmodifiableList(headers_);
-					bitField0_ = (bitField0_ & ~0x00000002);
-				}
-				result.headers_ = headers_;
-			}
-			else {
-				result.headers_ = headersBuilder_.build();
-			}
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.HttpHead result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.status_ = status_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.HttpHead) {
-				return mergeFrom((io.verbenacleat.proto.v1.HttpHead) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.HttpHead other) {
-			if (other == io.verbenacleat.proto.v1.HttpHead.getDefaultInstance())
-				return this;
-			if (other.getStatus() != 0) {
-				setStatus(other.getStatus());
-			}
-			if (headersBuilder_ == null) {
-				if (!other.headers_.isEmpty()) {
-					if (headers_.isEmpty()) {
-						headers_ = other.headers_;
-						bitField0_ = (bitField0_ & ~0x00000002);
-					}
-					else {
-						ensureHeadersIsMutable();
-						headers_.addAll(other.headers_);
-					}
-					onChanged();
-				}
-			}
-			else {
-				if (!other.headers_.isEmpty()) {
-					if (headersBuilder_.isEmpty()) {
-						headersBuilder_.dispose();
-						headersBuilder_ = null;
-						headers_ = other.headers_;
-						bitField0_ = (bitField0_ & ~0x00000002);
-						headersBuilder_ = com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
-								? internalGetHeadersFieldBuilder() : null;
-					}
-					else {
-						headersBuilder_.addAllMessages(other.headers_);
-					}
-				}
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 8: {
-							status_ = input.readInt32();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 8
-						case 18: {
-							io.verbenacleat.proto.v1.HttpHeader m = input
-								.readMessage(io.verbenacleat.proto.v1.HttpHeader.parser(), extensionRegistry);
-							if (headersBuilder_ == null) {
-								ensureHeadersIsMutable();
-								headers_.add(m);
-							}
-							else {
-								headersBuilder_.addMessage(m);
-							}
-							break;
-						} // case 18
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private int status_;
-
-		/**
-		 * <code>int32 status = 1;</code>
-		 * @return The status.
-		 */
-		@java.lang.Override
-		public int getStatus() {
-			return status_;
-		}
-
-		/**
-		 * <code>int32 status = 1;</code>
-		 * @param value The status to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setStatus(int value) {
-
-			status_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int32 status = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearStatus() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			status_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_ = java.util.Collections.emptyList();
-
-		private void ensureHeadersIsMutable() {
-			if (!((bitField0_ & 0x00000002) != 0)) {
-				headers_ = new java.util.ArrayList<io.verbenacleat.proto.v1.HttpHeader>(headers_);
-				bitField0_ |= 0x00000002;
-			}
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> headersBuilder_;
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
-			if (headersBuilder_ == null) {
-				return java.util.Collections.unmodifiableList(headers_);
-			}
-			else {
-				return headersBuilder_.getMessageList();
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public int getHeadersCount() {
-			if (headersBuilder_ == null) {
-				return headers_.size();
-			}
-			else {
-				return headersBuilder_.getCount();
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
-			if (headersBuilder_ == null) {
-				return headers_.get(index);
-			}
-			else {
-				return headersBuilder_.getMessage(index);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder setHeaders(int index, io.verbenacleat.proto.v1.HttpHeader value) {
-			if (headersBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureHeadersIsMutable();
-				headers_.set(index, value);
-				onChanged();
-			}
-			else {
-				headersBuilder_.setMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder setHeaders(int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.set(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				headersBuilder_.setMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder addHeaders(io.verbenacleat.proto.v1.HttpHeader value) {
-			if (headersBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureHeadersIsMutable();
-				headers_.add(value);
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder addHeaders(int index, io.verbenacleat.proto.v1.HttpHeader value) {
-			if (headersBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureHeadersIsMutable();
-				headers_.add(index, value);
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder addHeaders(io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.add(builderForValue.build());
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder addHeaders(int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.add(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder addAllHeaders(java.lang.Iterable<? extends io.verbenacleat.proto.v1.HttpHeader> values) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				com.google.protobuf.AbstractMessageLite.Builder.addAll(values, headers_);
-				onChanged();
-			}
-			else {
-				headersBuilder_.addAllMessages(values);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder clearHeaders() {
-			if (headersBuilder_ == null) {
-				headers_ = java.util.Collections.emptyList();
-				bitField0_ = (bitField0_ & ~0x00000002);
-				onChanged();
-			}
-			else {
-				headersBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public Builder removeHeaders(int index) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.remove(index);
-				onChanged();
-			}
-			else {
-				headersBuilder_.remove(index);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader.Builder getHeadersBuilder(int index) {
-			return internalGetHeadersFieldBuilder().getBuilder(index);
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(int index) {
-			if (headersBuilder_ == null) {
-				return headers_.get(index);
-			}
-			else {
-				return headersBuilder_.getMessageOrBuilder(index);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> getHeadersOrBuilderList() {
-			if (headersBuilder_ != null) {
-				return headersBuilder_.getMessageOrBuilderList();
-			}
-			else {
-				return java.util.Collections.unmodifiableList(headers_);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder() {
-			return internalGetHeadersFieldBuilder()
-				.addBuilder(io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder(int index) {
-			return internalGetHeadersFieldBuilder().addBuilder(index,
-					io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.HttpHeader.Builder> getHeadersBuilderList() {
-			return internalGetHeadersFieldBuilder().getBuilderList();
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> internalGetHeadersFieldBuilder() {
-			if (headersBuilder_ == null) {
-				headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder>(
-						headers_, ((bitField0_ & 0x00000002) != 0), getParentForChildren(), isClean());
-				headers_ = null;
-			}
-			return headersBuilder_;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.HttpHead)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.HttpHead)
-	private static final io.verbenacleat.proto.v1.HttpHead DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HttpHead();
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHead getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<HttpHead> PARSER = new com.google.protobuf.AbstractParser<HttpHead>() {
-		@java.lang.Override
-		public HttpHead parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<HttpHead> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<HttpHead> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHead getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class HttpHead extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.HttpHead)
+    HttpHeadOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      HttpHead.class.getName());
+  }
+  // Use HttpHead.newBuilder() to construct.
+  private HttpHead(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private HttpHead() {
+    headers_ = java.util.Collections.emptyList();
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.HttpHead.class, io.verbenacleat.proto.v1.HttpHead.Builder.class);
+  }
+
+  public static final int STATUS_FIELD_NUMBER = 1;
+  private int status_ = 0;
+  /**
+   * <code>int32 status = 1;</code>
+   * @return The status.
+   */
+  @java.lang.Override
+  public int getStatus() {
+    return status_;
+  }
+
+  public static final int HEADERS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_;
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
+    return headers_;
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+      getHeadersOrBuilderList() {
+    return headers_;
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  @java.lang.Override
+  public int getHeadersCount() {
+    return headers_.size();
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
+    return headers_.get(index);
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(
+      int index) {
+    return headers_.get(index);
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (status_ != 0) {
+      output.writeInt32(1, status_);
+    }
+    for (int i = 0; i < headers_.size(); i++) {
+      output.writeMessage(2, headers_.get(i));
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (status_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(1, status_);
+    }
+    for (int i = 0; i < headers_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, headers_.get(i));
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.HttpHead)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.HttpHead other = (io.verbenacleat.proto.v1.HttpHead) obj;
+
+    if (getStatus()
+        != other.getStatus()) return false;
+    if (!getHeadersList()
+        .equals(other.getHeadersList())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + STATUS_FIELD_NUMBER;
+    hash = (53 * hash) + getStatus();
+    if (getHeadersCount() > 0) {
+      hash = (37 * hash) + HEADERS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeadersList().hashCode();
+    }
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHead parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHead parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HttpHead parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.HttpHead prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.HttpHead}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.HttpHead)
+      io.verbenacleat.proto.v1.HttpHeadOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.HttpHead.class, io.verbenacleat.proto.v1.HttpHead.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.HttpHead.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      status_ = 0;
+      if (headersBuilder_ == null) {
+        headers_ = java.util.Collections.emptyList();
+      } else {
+        headers_ = null;
+        headersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHead_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHead getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.HttpHead.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHead build() {
+      io.verbenacleat.proto.v1.HttpHead result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHead buildPartial() {
+      io.verbenacleat.proto.v1.HttpHead result = new io.verbenacleat.proto.v1.HttpHead(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.HttpHead result) {
+      if (headersBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          headers_ = java.util.Collections.unmodifiableList(headers_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.headers_ = headers_;
+      } else {
+        result.headers_ = headersBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.HttpHead result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.status_ = status_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.HttpHead) {
+        return mergeFrom((io.verbenacleat.proto.v1.HttpHead)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.HttpHead other) {
+      if (other == io.verbenacleat.proto.v1.HttpHead.getDefaultInstance()) return this;
+      if (other.getStatus() != 0) {
+        setStatus(other.getStatus());
+      }
+      if (headersBuilder_ == null) {
+        if (!other.headers_.isEmpty()) {
+          if (headers_.isEmpty()) {
+            headers_ = other.headers_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureHeadersIsMutable();
+            headers_.addAll(other.headers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.headers_.isEmpty()) {
+          if (headersBuilder_.isEmpty()) {
+            headersBuilder_.dispose();
+            headersBuilder_ = null;
+            headers_ = other.headers_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            headersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetHeadersFieldBuilder() : null;
+          } else {
+            headersBuilder_.addAllMessages(other.headers_);
+          }
+        }
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 8: {
+              status_ = input.readInt32();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 18: {
+              io.verbenacleat.proto.v1.HttpHeader m =
+                  input.readMessage(
+                      io.verbenacleat.proto.v1.HttpHeader.parser(),
+                      extensionRegistry);
+              if (headersBuilder_ == null) {
+                ensureHeadersIsMutable();
+                headers_.add(m);
+              } else {
+                headersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private int status_ ;
+    /**
+     * <code>int32 status = 1;</code>
+     * @return The status.
+     */
+    @java.lang.Override
+    public int getStatus() {
+      return status_;
+    }
+    /**
+     * <code>int32 status = 1;</code>
+     * @param value The status to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatus(int value) {
+
+      status_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 status = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStatus() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      status_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_ =
+      java.util.Collections.emptyList();
+    private void ensureHeadersIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        headers_ = new java.util.ArrayList<io.verbenacleat.proto.v1.HttpHeader>(headers_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> headersBuilder_;
+
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
+      if (headersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(headers_);
+      } else {
+        return headersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public int getHeadersCount() {
+      if (headersBuilder_ == null) {
+        return headers_.size();
+      } else {
+        return headersBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
+      if (headersBuilder_ == null) {
+        return headers_.get(index);
+      } else {
+        return headersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder setHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader value) {
+      if (headersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeadersIsMutable();
+        headers_.set(index, value);
+        onChanged();
+      } else {
+        headersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder setHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        headersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder addHeaders(io.verbenacleat.proto.v1.HttpHeader value) {
+      if (headersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeadersIsMutable();
+        headers_.add(value);
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder addHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader value) {
+      if (headersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeadersIsMutable();
+        headers_.add(index, value);
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder addHeaders(
+        io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder addHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder addAllHeaders(
+        java.lang.Iterable<? extends io.verbenacleat.proto.v1.HttpHeader> values) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, headers_);
+        onChanged();
+      } else {
+        headersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder clearHeaders() {
+      if (headersBuilder_ == null) {
+        headers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        headersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public Builder removeHeaders(int index) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.remove(index);
+        onChanged();
+      } else {
+        headersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader.Builder getHeadersBuilder(
+        int index) {
+      return internalGetHeadersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(
+        int index) {
+      if (headersBuilder_ == null) {
+        return headers_.get(index);  } else {
+        return headersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+         getHeadersOrBuilderList() {
+      if (headersBuilder_ != null) {
+        return headersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(headers_);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder() {
+      return internalGetHeadersFieldBuilder().addBuilder(
+          io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder(
+        int index) {
+      return internalGetHeadersFieldBuilder().addBuilder(
+          index, io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.HttpHeader.Builder> 
+         getHeadersBuilderList() {
+      return internalGetHeadersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+        internalGetHeadersFieldBuilder() {
+      if (headersBuilder_ == null) {
+        headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder>(
+                headers_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        headers_ = null;
+      }
+      return headersBuilder_;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.HttpHead)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.HttpHead)
+  private static final io.verbenacleat.proto.v1.HttpHead DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HttpHead();
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHead getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<HttpHead>
+      PARSER = new com.google.protobuf.AbstractParser<HttpHead>() {
+    @java.lang.Override
+    public HttpHead parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<HttpHead> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<HttpHead> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHead getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/HttpHeadOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HttpHeadOrBuilder.java
@@ -6,38 +6,36 @@
 package io.verbenacleat.proto.v1;
 
 public interface HttpHeadOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.HttpHead)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>int32 status = 1;</code>
-	 * @return The status.
-	 */
-	int getStatus();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.HttpHeader getHeaders(int index);
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	int getHeadersCount();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> getHeadersOrBuilderList();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(int index);
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.HttpHead)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>int32 status = 1;</code>
+   * @return The status.
+   */
+  int getStatus();
+
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  java.util.List<io.verbenacleat.proto.v1.HttpHeader> 
+      getHeadersList();
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  io.verbenacleat.proto.v1.HttpHeader getHeaders(int index);
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  int getHeadersCount();
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+      getHeadersOrBuilderList();
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 2;</code>
+   */
+  io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(
+      int index);
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/HttpHeader.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HttpHeader.java
@@ -8,639 +8,630 @@
 /**
  * Protobuf type {@code verbena.v1.HttpHeader}
  */
-public final class HttpHeader extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.HttpHeader)
-		HttpHeaderOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", HttpHeader.class.getName());
-	}
-
-	// Use HttpHeader.newBuilder() to construct.
-	private HttpHeader(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private HttpHeader() {
-		name_ = "";
-		value_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HttpHeader.class,
-					io.verbenacleat.proto.v1.HttpHeader.Builder.class);
-	}
-
-	public static final int NAME_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object name_ = "";
-
-	/**
-	 * <code>string name = 1;</code>
-	 * @return The name.
-	 */
-	@java.lang.Override
-	public java.lang.String getName() {
-		java.lang.Object ref = name_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			name_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string name = 1;</code>
-	 * @return The bytes for name.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getNameBytes() {
-		java.lang.Object ref = name_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			name_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int VALUE_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object value_ = "";
-
-	/**
-	 * <code>string value = 2;</code>
-	 * @return The value.
-	 */
-	@java.lang.Override
-	public java.lang.String getValue() {
-		java.lang.Object ref = value_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			value_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string value = 2;</code>
-	 * @return The bytes for value.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getValueBytes() {
-		java.lang.Object ref = value_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			value_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, value_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, value_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.HttpHeader)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.HttpHeader other = (io.verbenacleat.proto.v1.HttpHeader) obj;
-
-		if (!getName().equals(other.getName()))
-			return false;
-		if (!getValue().equals(other.getValue()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + NAME_FIELD_NUMBER;
-		hash = (53 * hash) + getName().hashCode();
-		hash = (37 * hash) + VALUE_FIELD_NUMBER;
-		hash = (53 * hash) + getValue().hashCode();
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.HttpHeader prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.HttpHeader}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.HttpHeader)
-			io.verbenacleat.proto.v1.HttpHeaderOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HttpHeader.class,
-						io.verbenacleat.proto.v1.HttpHeader.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.HttpHeader.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			name_ = "";
-			value_ = "";
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHeader getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHeader build() {
-			io.verbenacleat.proto.v1.HttpHeader result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpHeader buildPartial() {
-			io.verbenacleat.proto.v1.HttpHeader result = new io.verbenacleat.proto.v1.HttpHeader(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.HttpHeader result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.name_ = name_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.value_ = value_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.HttpHeader) {
-				return mergeFrom((io.verbenacleat.proto.v1.HttpHeader) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.HttpHeader other) {
-			if (other == io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance())
-				return this;
-			if (!other.getName().isEmpty()) {
-				name_ = other.name_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getValue().isEmpty()) {
-				value_ = other.value_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							name_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							value_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object name_ = "";
-
-		/**
-		 * <code>string name = 1;</code>
-		 * @return The name.
-		 */
-		public java.lang.String getName() {
-			java.lang.Object ref = name_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				name_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string name = 1;</code>
-		 * @return The bytes for name.
-		 */
-		public com.google.protobuf.ByteString getNameBytes() {
-			java.lang.Object ref = name_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				name_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string name = 1;</code>
-		 * @param value The name to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setName(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			name_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string name = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearName() {
-			name_ = getDefaultInstance().getName();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string name = 1;</code>
-		 * @param value The bytes for name to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setNameBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			name_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object value_ = "";
-
-		/**
-		 * <code>string value = 2;</code>
-		 * @return The value.
-		 */
-		public java.lang.String getValue() {
-			java.lang.Object ref = value_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				value_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string value = 2;</code>
-		 * @return The bytes for value.
-		 */
-		public com.google.protobuf.ByteString getValueBytes() {
-			java.lang.Object ref = value_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				value_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string value = 2;</code>
-		 * @param value The value to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setValue(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			value_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string value = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearValue() {
-			value_ = getDefaultInstance().getValue();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string value = 2;</code>
-		 * @param value The bytes for value to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setValueBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			value_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.HttpHeader)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.HttpHeader)
-	private static final io.verbenacleat.proto.v1.HttpHeader DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HttpHeader();
-	}
-
-	public static io.verbenacleat.proto.v1.HttpHeader getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<HttpHeader> PARSER = new com.google.protobuf.AbstractParser<HttpHeader>() {
-		@java.lang.Override
-		public HttpHeader parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<HttpHeader> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<HttpHeader> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHeader getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class HttpHeader extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.HttpHeader)
+    HttpHeaderOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      HttpHeader.class.getName());
+  }
+  // Use HttpHeader.newBuilder() to construct.
+  private HttpHeader(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private HttpHeader() {
+    name_ = "";
+    value_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.HttpHeader.class, io.verbenacleat.proto.v1.HttpHeader.Builder.class);
+  }
+
+  public static final int NAME_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object name_ = "";
+  /**
+   * <code>string name = 1;</code>
+   * @return The name.
+   */
+  @java.lang.Override
+  public java.lang.String getName() {
+    java.lang.Object ref = name_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      name_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string name = 1;</code>
+   * @return The bytes for name.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getNameBytes() {
+    java.lang.Object ref = name_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      name_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int VALUE_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object value_ = "";
+  /**
+   * <code>string value = 2;</code>
+   * @return The value.
+   */
+  @java.lang.Override
+  public java.lang.String getValue() {
+    java.lang.Object ref = value_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      value_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string value = 2;</code>
+   * @return The bytes for value.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getValueBytes() {
+    java.lang.Object ref = value_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      value_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, value_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(value_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, value_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.HttpHeader)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.HttpHeader other = (io.verbenacleat.proto.v1.HttpHeader) obj;
+
+    if (!getName()
+        .equals(other.getName())) return false;
+    if (!getValue()
+        .equals(other.getValue())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + NAME_FIELD_NUMBER;
+    hash = (53 * hash) + getName().hashCode();
+    hash = (37 * hash) + VALUE_FIELD_NUMBER;
+    hash = (53 * hash) + getValue().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHeader parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHeader parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HttpHeader parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.HttpHeader prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.HttpHeader}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.HttpHeader)
+      io.verbenacleat.proto.v1.HttpHeaderOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.HttpHeader.class, io.verbenacleat.proto.v1.HttpHeader.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.HttpHeader.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      name_ = "";
+      value_ = "";
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpHeader_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHeader getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHeader build() {
+      io.verbenacleat.proto.v1.HttpHeader result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpHeader buildPartial() {
+      io.verbenacleat.proto.v1.HttpHeader result = new io.verbenacleat.proto.v1.HttpHeader(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.HttpHeader result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.name_ = name_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.value_ = value_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.HttpHeader) {
+        return mergeFrom((io.verbenacleat.proto.v1.HttpHeader)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.HttpHeader other) {
+      if (other == io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance()) return this;
+      if (!other.getName().isEmpty()) {
+        name_ = other.name_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getValue().isEmpty()) {
+        value_ = other.value_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              name_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              value_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object name_ = "";
+    /**
+     * <code>string name = 1;</code>
+     * @return The name.
+     */
+    public java.lang.String getName() {
+      java.lang.Object ref = name_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        name_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @return The bytes for name.
+     */
+    public com.google.protobuf.ByteString
+        getNameBytes() {
+      java.lang.Object ref = name_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        name_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @param value The name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setName(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      name_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearName() {
+      name_ = getDefaultInstance().getName();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string name = 1;</code>
+     * @param value The bytes for name to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNameBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      name_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object value_ = "";
+    /**
+     * <code>string value = 2;</code>
+     * @return The value.
+     */
+    public java.lang.String getValue() {
+      java.lang.Object ref = value_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        value_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string value = 2;</code>
+     * @return The bytes for value.
+     */
+    public com.google.protobuf.ByteString
+        getValueBytes() {
+      java.lang.Object ref = value_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        value_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string value = 2;</code>
+     * @param value The value to set.
+     * @return This builder for chaining.
+     */
+    public Builder setValue(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      value_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string value = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearValue() {
+      value_ = getDefaultInstance().getValue();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string value = 2;</code>
+     * @param value The bytes for value to set.
+     * @return This builder for chaining.
+     */
+    public Builder setValueBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      value_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.HttpHeader)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.HttpHeader)
+  private static final io.verbenacleat.proto.v1.HttpHeader DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HttpHeader();
+  }
+
+  public static io.verbenacleat.proto.v1.HttpHeader getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<HttpHeader>
+      PARSER = new com.google.protobuf.AbstractParser<HttpHeader>() {
+    @java.lang.Override
+    public HttpHeader parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<HttpHeader> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<HttpHeader> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHeader getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/HttpHeaderOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HttpHeaderOrBuilder.java
@@ -6,31 +6,30 @@
 package io.verbenacleat.proto.v1;
 
 public interface HttpHeaderOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.HttpHeader)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.HttpHeader)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <code>string name = 1;</code>
-	 * @return The name.
-	 */
-	java.lang.String getName();
-
-	/**
-	 * <code>string name = 1;</code>
-	 * @return The bytes for name.
-	 */
-	com.google.protobuf.ByteString getNameBytes();
-
-	/**
-	 * <code>string value = 2;</code>
-	 * @return The value.
-	 */
-	java.lang.String getValue();
-
-	/**
-	 * <code>string value = 2;</code>
-	 * @return The bytes for value.
-	 */
-	com.google.protobuf.ByteString getValueBytes();
+  /**
+   * <code>string name = 1;</code>
+   * @return The name.
+   */
+  java.lang.String getName();
+  /**
+   * <code>string name = 1;</code>
+   * @return The bytes for name.
+   */
+  com.google.protobuf.ByteString
+      getNameBytes();
 
+  /**
+   * <code>string value = 2;</code>
+   * @return The value.
+   */
+  java.lang.String getValue();
+  /**
+   * <code>string value = 2;</code>
+   * @return The bytes for value.
+   */
+  com.google.protobuf.ByteString
+      getValueBytes();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/HttpWork.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HttpWork.java
@@ -8,1298 +8,1254 @@
 /**
  * Protobuf type {@code verbena.v1.HttpWork}
  */
-public final class HttpWork extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.HttpWork)
-		HttpWorkOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", HttpWork.class.getName());
-	}
-
-	// Use HttpWork.newBuilder() to construct.
-	private HttpWork(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private HttpWork() {
-		service_ = "";
-		method_ = "";
-		pathAndQuery_ = "";
-		headers_ = java.util.Collections.emptyList();
-		body_ = com.google.protobuf.ByteString.EMPTY;
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HttpWork.class,
-					io.verbenacleat.proto.v1.HttpWork.Builder.class);
-	}
-
-	public static final int SERVICE_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object service_ = "";
-
-	/**
-	 * <code>string service = 1;</code>
-	 * @return The service.
-	 */
-	@java.lang.Override
-	public java.lang.String getService() {
-		java.lang.Object ref = service_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			service_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string service = 1;</code>
-	 * @return The bytes for service.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getServiceBytes() {
-		java.lang.Object ref = service_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			service_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int METHOD_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object method_ = "";
-
-	/**
-	 * <code>string method = 2;</code>
-	 * @return The method.
-	 */
-	@java.lang.Override
-	public java.lang.String getMethod() {
-		java.lang.Object ref = method_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			method_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string method = 2;</code>
-	 * @return The bytes for method.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getMethodBytes() {
-		java.lang.Object ref = method_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			method_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int PATH_AND_QUERY_FIELD_NUMBER = 3;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object pathAndQuery_ = "";
-
-	/**
-	 * <code>string path_and_query = 3;</code>
-	 * @return The pathAndQuery.
-	 */
-	@java.lang.Override
-	public java.lang.String getPathAndQuery() {
-		java.lang.Object ref = pathAndQuery_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			pathAndQuery_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string path_and_query = 3;</code>
-	 * @return The bytes for pathAndQuery.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getPathAndQueryBytes() {
-		java.lang.Object ref = pathAndQuery_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			pathAndQuery_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int HEADERS_FIELD_NUMBER = 4;
-
-	@SuppressWarnings("serial")
-	private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_;
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
-		return headers_;
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> getHeadersOrBuilderList() {
-		return headers_;
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	@java.lang.Override
-	public int getHeadersCount() {
-		return headers_.size();
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
-		return headers_.get(index);
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(int index) {
-		return headers_.get(index);
-	}
-
-	public static final int BODY_FIELD_NUMBER = 5;
-
-	private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
-
-	/**
-	 * <code>bytes body = 5;</code>
-	 * @return The body.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getBody() {
-		return body_;
-	}
-
-	public static final int PRICE_TOKENS_FIELD_NUMBER = 6;
-
-	private long priceTokens_ = 0L;
-
-	/**
-	 * <code>int64 price_tokens = 6;</code>
-	 * @return The priceTokens.
-	 */
-	@java.lang.Override
-	public long getPriceTokens() {
-		return priceTokens_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(method_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, method_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathAndQuery_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 3, pathAndQuery_);
-		}
-		for (int i = 0; i < headers_.size(); i++) {
-			output.writeMessage(4, headers_.get(i));
-		}
-		if (!body_.isEmpty()) {
-			output.writeBytes(5, body_);
-		}
-		if (priceTokens_ != 0L) {
-			output.writeInt64(6, priceTokens_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(method_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, method_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathAndQuery_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(3, pathAndQuery_);
-		}
-		for (int i = 0; i < headers_.size(); i++) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(4, headers_.get(i));
-		}
-		if (!body_.isEmpty()) {
-			size += com.google.protobuf.CodedOutputStream.computeBytesSize(5, body_);
-		}
-		if (priceTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(6, priceTokens_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.HttpWork)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.HttpWork other = (io.verbenacleat.proto.v1.HttpWork) obj;
-
-		if (!getService().equals(other.getService()))
-			return false;
-		if (!getMethod().equals(other.getMethod()))
-			return false;
-		if (!getPathAndQuery().equals(other.getPathAndQuery()))
-			return false;
-		if (!getHeadersList().equals(other.getHeadersList()))
-			return false;
-		if (!getBody().equals(other.getBody()))
-			return false;
-		if (getPriceTokens() != other.getPriceTokens())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + SERVICE_FIELD_NUMBER;
-		hash = (53 * hash) + getService().hashCode();
-		hash = (37 * hash) + METHOD_FIELD_NUMBER;
-		hash = (53 * hash) + getMethod().hashCode();
-		hash = (37 * hash) + PATH_AND_QUERY_FIELD_NUMBER;
-		hash = (53 * hash) + getPathAndQuery().hashCode();
-		if (getHeadersCount() > 0) {
-			hash = (37 * hash) + HEADERS_FIELD_NUMBER;
-			hash = (53 * hash) + getHeadersList().hashCode();
-		}
-		hash = (37 * hash) + BODY_FIELD_NUMBER;
-		hash = (53 * hash) + getBody().hashCode();
-		hash = (37 * hash) + PRICE_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getPriceTokens());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.HttpWork prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.HttpWork}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.HttpWork)
-			io.verbenacleat.proto.v1.HttpWorkOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.HttpWork.class,
-						io.verbenacleat.proto.v1.HttpWork.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.HttpWork.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			service_ = "";
-			method_ = "";
-			pathAndQuery_ = "";
-			if (headersBuilder_ == null) {
-				headers_ = java.util.Collections.emptyList();
-			}
-			else {
-				headers_ = null;
-				headersBuilder_.clear();
-			}
-			bitField0_ = (bitField0_ & ~0x00000008);
-			body_ = com.google.protobuf.ByteString.EMPTY;
-			priceTokens_ = 0L;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpWork getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpWork build() {
-			io.verbenacleat.proto.v1.HttpWork result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.HttpWork buildPartial() {
-			io.verbenacleat.proto.v1.HttpWork result = new io.verbenacleat.proto.v1.HttpWork(this);
-			buildPartialRepeatedFields(result);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.HttpWork result) {
-			if (headersBuilder_ == null) {
-				if (((bitField0_ & 0x00000008) != 0)) {
-					headers_ = java.util.Collections.unmodifiableList(headers_);
-					bitField0_ = (bitField0_ & ~0x00000008);
-				}
-				result.headers_ = headers_;
-			}
-			else {
-				result.headers_ = headersBuilder_.build();
-			}
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.HttpWork result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.service_ = service_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.method_ = method_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.pathAndQuery_ = pathAndQuery_;
-			}
-			if (((from_bitField0_ & 0x00000010) != 0)) {
-				result.body_ = body_;
-			}
-			if (((from_bitField0_ & 0x00000020) != 0)) {
-				result.priceTokens_ = priceTokens_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.HttpWork) {
-				return mergeFrom((io.verbenacleat.proto.v1.HttpWork) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.HttpWork other) {
-			if (other == io.verbenacleat.proto.v1.HttpWork.getDefaultInstance())
-				return this;
-			if (!other.getService().isEmpty()) {
-				service_ = other.service_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getMethod().isEmpty()) {
-				method_ = other.method_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			if (!other.getPathAndQuery().isEmpty()) {
-				pathAndQuery_ = other.pathAndQuery_;
-				bitField0_ |= 0x00000004;
-				onChanged();
-			}
-			if (headersBuilder_ == null) {
-				if (!other.headers_.isEmpty()) {
-					if (headers_.isEmpty()) {
-						headers_ = other.headers_;
-						bitField0_ = (bitField0_ & ~0x00000008);
-					}
-					else {
-						ensureHeadersIsMutable();
-						headers_.addAll(other.headers_);
-					}
-					onChanged();
-				}
-			}
-			else {
-				if (!other.headers_.isEmpty()) {
-					if (headersBuilder_.isEmpty()) {
-						headersBuilder_.dispose();
-						headersBuilder_ = null;
-						headers_ = other.headers_;
-						bitField0_ = (bitField0_ & ~0x00000008);
-						headersBuilder_ = com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
-								? internalGetHeadersFieldBuilder() : null;
-					}
-					else {
-						headersBuilder_.addAllMessages(other.headers_);
-					}
-				}
-			}
-			if (!other.getBody().isEmpty()) {
-				setBody(other.getBody());
-			}
-			if (other.getPriceTokens() != 0L) {
-				setPriceTokens(other.getPriceTokens());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							service_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							method_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 26: {
-							pathAndQuery_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 26
-						case 34: {
-							io.verbenacleat.proto.v1.HttpHeader m = input
-								.readMessage(io.verbenacleat.proto.v1.HttpHeader.parser(), extensionRegistry);
-							if (headersBuilder_ == null) {
-								ensureHeadersIsMutable();
-								headers_.add(m);
-							}
-							else {
-								headersBuilder_.addMessage(m);
-							}
-							break;
-						} // case 34
-						case 42: {
-							body_ = input.readBytes();
-							bitField0_ |= 0x00000010;
-							break;
-						} // case 42
-						case 48: {
-							priceTokens_ = input.readInt64();
-							bitField0_ |= 0x00000020;
-							break;
-						} // case 48
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object service_ = "";
-
-		/**
-		 * <code>string service = 1;</code>
-		 * @return The service.
-		 */
-		public java.lang.String getService() {
-			java.lang.Object ref = service_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				service_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string service = 1;</code>
-		 * @return The bytes for service.
-		 */
-		public com.google.protobuf.ByteString getServiceBytes() {
-			java.lang.Object ref = service_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				service_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string service = 1;</code>
-		 * @param value The service to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setService(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			service_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string service = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearService() {
-			service_ = getDefaultInstance().getService();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string service = 1;</code>
-		 * @param value The bytes for service to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setServiceBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			service_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object method_ = "";
-
-		/**
-		 * <code>string method = 2;</code>
-		 * @return The method.
-		 */
-		public java.lang.String getMethod() {
-			java.lang.Object ref = method_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				method_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string method = 2;</code>
-		 * @return The bytes for method.
-		 */
-		public com.google.protobuf.ByteString getMethodBytes() {
-			java.lang.Object ref = method_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				method_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string method = 2;</code>
-		 * @param value The method to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setMethod(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			method_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string method = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearMethod() {
-			method_ = getDefaultInstance().getMethod();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string method = 2;</code>
-		 * @param value The bytes for method to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setMethodBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			method_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object pathAndQuery_ = "";
-
-		/**
-		 * <code>string path_and_query = 3;</code>
-		 * @return The pathAndQuery.
-		 */
-		public java.lang.String getPathAndQuery() {
-			java.lang.Object ref = pathAndQuery_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				pathAndQuery_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string path_and_query = 3;</code>
-		 * @return The bytes for pathAndQuery.
-		 */
-		public com.google.protobuf.ByteString getPathAndQueryBytes() {
-			java.lang.Object ref = pathAndQuery_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				pathAndQuery_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string path_and_query = 3;</code>
-		 * @param value The pathAndQuery to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPathAndQuery(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			pathAndQuery_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string path_and_query = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPathAndQuery() {
-			pathAndQuery_ = getDefaultInstance().getPathAndQuery();
-			bitField0_ = (bitField0_ & ~0x00000004);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string path_and_query = 3;</code>
-		 * @param value The bytes for pathAndQuery to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPathAndQueryBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			pathAndQuery_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_ = java.util.Collections.emptyList();
-
-		private void ensureHeadersIsMutable() {
-			if (!((bitField0_ & 0x00000008) != 0)) {
-				headers_ = new java.util.ArrayList<io.verbenacleat.proto.v1.HttpHeader>(headers_);
-				bitField0_ |= 0x00000008;
-			}
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> headersBuilder_;
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
-			if (headersBuilder_ == null) {
-				return java.util.Collections.unmodifiableList(headers_);
-			}
-			else {
-				return headersBuilder_.getMessageList();
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public int getHeadersCount() {
-			if (headersBuilder_ == null) {
-				return headers_.size();
-			}
-			else {
-				return headersBuilder_.getCount();
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
-			if (headersBuilder_ == null) {
-				return headers_.get(index);
-			}
-			else {
-				return headersBuilder_.getMessage(index);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder setHeaders(int index, io.verbenacleat.proto.v1.HttpHeader value) {
-			if (headersBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureHeadersIsMutable();
-				headers_.set(index, value);
-				onChanged();
-			}
-			else {
-				headersBuilder_.setMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder setHeaders(int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.set(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				headersBuilder_.setMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder addHeaders(io.verbenacleat.proto.v1.HttpHeader value) {
-			if (headersBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureHeadersIsMutable();
-				headers_.add(value);
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder addHeaders(int index, io.verbenacleat.proto.v1.HttpHeader value) {
-			if (headersBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureHeadersIsMutable();
-				headers_.add(index, value);
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder addHeaders(io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.add(builderForValue.build());
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder addHeaders(int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.add(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				headersBuilder_.addMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder addAllHeaders(java.lang.Iterable<? extends io.verbenacleat.proto.v1.HttpHeader> values) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				com.google.protobuf.AbstractMessageLite.Builder.addAll(values, headers_);
-				onChanged();
-			}
-			else {
-				headersBuilder_.addAllMessages(values);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder clearHeaders() {
-			if (headersBuilder_ == null) {
-				headers_ = java.util.Collections.emptyList();
-				bitField0_ = (bitField0_ & ~0x00000008);
-				onChanged();
-			}
-			else {
-				headersBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public Builder removeHeaders(int index) {
-			if (headersBuilder_ == null) {
-				ensureHeadersIsMutable();
-				headers_.remove(index);
-				onChanged();
-			}
-			else {
-				headersBuilder_.remove(index);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader.Builder getHeadersBuilder(int index) {
-			return internalGetHeadersFieldBuilder().getBuilder(index);
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(int index) {
-			if (headersBuilder_ == null) {
-				return headers_.get(index);
-			}
-			else {
-				return headersBuilder_.getMessageOrBuilder(index);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> getHeadersOrBuilderList() {
-			if (headersBuilder_ != null) {
-				return headersBuilder_.getMessageOrBuilderList();
-			}
-			else {
-				return java.util.Collections.unmodifiableList(headers_);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder() {
-			return internalGetHeadersFieldBuilder()
-				.addBuilder(io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder(int index) {
-			return internalGetHeadersFieldBuilder().addBuilder(index,
-					io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.HttpHeader.Builder> getHeadersBuilderList() {
-			return internalGetHeadersFieldBuilder().getBuilderList();
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> internalGetHeadersFieldBuilder() {
-			if (headersBuilder_ == null) {
-				headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder>(
-						headers_, ((bitField0_ & 0x00000008) != 0), getParentForChildren(), isClean());
-				headers_ = null;
-			}
-			return headersBuilder_;
-		}
-
-		private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
-
-		/**
-		 * <code>bytes body = 5;</code>
-		 * @return The body.
-		 */
-		@java.lang.Override
-		public com.google.protobuf.ByteString getBody() {
-			return body_;
-		}
-
-		/**
-		 * <code>bytes body = 5;</code>
-		 * @param value The body to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBody(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			body_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bytes body = 5;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearBody() {
-			bitField0_ = (bitField0_ & ~0x00000010);
-			body_ = getDefaultInstance().getBody();
-			onChanged();
-			return this;
-		}
-
-		private long priceTokens_;
-
-		/**
-		 * <code>int64 price_tokens = 6;</code>
-		 * @return The priceTokens.
-		 */
-		@java.lang.Override
-		public long getPriceTokens() {
-			return priceTokens_;
-		}
-
-		/**
-		 * <code>int64 price_tokens = 6;</code>
-		 * @param value The priceTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPriceTokens(long value) {
-
-			priceTokens_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 price_tokens = 6;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPriceTokens() {
-			bitField0_ = (bitField0_ & ~0x00000020);
-			priceTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.HttpWork)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.HttpWork)
-	private static final io.verbenacleat.proto.v1.HttpWork DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HttpWork();
-	}
-
-	public static io.verbenacleat.proto.v1.HttpWork getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<HttpWork> PARSER = new com.google.protobuf.AbstractParser<HttpWork>() {
-		@java.lang.Override
-		public HttpWork parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<HttpWork> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<HttpWork> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpWork getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class HttpWork extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.HttpWork)
+    HttpWorkOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      HttpWork.class.getName());
+  }
+  // Use HttpWork.newBuilder() to construct.
+  private HttpWork(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private HttpWork() {
+    service_ = "";
+    method_ = "";
+    pathAndQuery_ = "";
+    headers_ = java.util.Collections.emptyList();
+    body_ = com.google.protobuf.ByteString.EMPTY;
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.HttpWork.class, io.verbenacleat.proto.v1.HttpWork.Builder.class);
+  }
+
+  public static final int SERVICE_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object service_ = "";
+  /**
+   * <code>string service = 1;</code>
+   * @return The service.
+   */
+  @java.lang.Override
+  public java.lang.String getService() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      service_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string service = 1;</code>
+   * @return The bytes for service.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getServiceBytes() {
+    java.lang.Object ref = service_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      service_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int METHOD_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object method_ = "";
+  /**
+   * <code>string method = 2;</code>
+   * @return The method.
+   */
+  @java.lang.Override
+  public java.lang.String getMethod() {
+    java.lang.Object ref = method_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      method_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string method = 2;</code>
+   * @return The bytes for method.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getMethodBytes() {
+    java.lang.Object ref = method_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      method_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PATH_AND_QUERY_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object pathAndQuery_ = "";
+  /**
+   * <code>string path_and_query = 3;</code>
+   * @return The pathAndQuery.
+   */
+  @java.lang.Override
+  public java.lang.String getPathAndQuery() {
+    java.lang.Object ref = pathAndQuery_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      pathAndQuery_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string path_and_query = 3;</code>
+   * @return The bytes for pathAndQuery.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getPathAndQueryBytes() {
+    java.lang.Object ref = pathAndQuery_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      pathAndQuery_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int HEADERS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_;
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
+    return headers_;
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+      getHeadersOrBuilderList() {
+    return headers_;
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  @java.lang.Override
+  public int getHeadersCount() {
+    return headers_.size();
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
+    return headers_.get(index);
+  }
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(
+      int index) {
+    return headers_.get(index);
+  }
+
+  public static final int BODY_FIELD_NUMBER = 5;
+  private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes body = 5;</code>
+   * @return The body.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getBody() {
+    return body_;
+  }
+
+  public static final int PRICE_TOKENS_FIELD_NUMBER = 6;
+  private long priceTokens_ = 0L;
+  /**
+   * <code>int64 price_tokens = 6;</code>
+   * @return The priceTokens.
+   */
+  @java.lang.Override
+  public long getPriceTokens() {
+    return priceTokens_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, service_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(method_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, method_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathAndQuery_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, pathAndQuery_);
+    }
+    for (int i = 0; i < headers_.size(); i++) {
+      output.writeMessage(4, headers_.get(i));
+    }
+    if (!body_.isEmpty()) {
+      output.writeBytes(5, body_);
+    }
+    if (priceTokens_ != 0L) {
+      output.writeInt64(6, priceTokens_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(service_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, service_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(method_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, method_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(pathAndQuery_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, pathAndQuery_);
+    }
+    for (int i = 0; i < headers_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, headers_.get(i));
+    }
+    if (!body_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(5, body_);
+    }
+    if (priceTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, priceTokens_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.HttpWork)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.HttpWork other = (io.verbenacleat.proto.v1.HttpWork) obj;
+
+    if (!getService()
+        .equals(other.getService())) return false;
+    if (!getMethod()
+        .equals(other.getMethod())) return false;
+    if (!getPathAndQuery()
+        .equals(other.getPathAndQuery())) return false;
+    if (!getHeadersList()
+        .equals(other.getHeadersList())) return false;
+    if (!getBody()
+        .equals(other.getBody())) return false;
+    if (getPriceTokens()
+        != other.getPriceTokens()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + SERVICE_FIELD_NUMBER;
+    hash = (53 * hash) + getService().hashCode();
+    hash = (37 * hash) + METHOD_FIELD_NUMBER;
+    hash = (53 * hash) + getMethod().hashCode();
+    hash = (37 * hash) + PATH_AND_QUERY_FIELD_NUMBER;
+    hash = (53 * hash) + getPathAndQuery().hashCode();
+    if (getHeadersCount() > 0) {
+      hash = (37 * hash) + HEADERS_FIELD_NUMBER;
+      hash = (53 * hash) + getHeadersList().hashCode();
+    }
+    hash = (37 * hash) + BODY_FIELD_NUMBER;
+    hash = (53 * hash) + getBody().hashCode();
+    hash = (37 * hash) + PRICE_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPriceTokens());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.HttpWork parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.HttpWork parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.HttpWork parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.HttpWork prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.HttpWork}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.HttpWork)
+      io.verbenacleat.proto.v1.HttpWorkOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.HttpWork.class, io.verbenacleat.proto.v1.HttpWork.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.HttpWork.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      service_ = "";
+      method_ = "";
+      pathAndQuery_ = "";
+      if (headersBuilder_ == null) {
+        headers_ = java.util.Collections.emptyList();
+      } else {
+        headers_ = null;
+        headersBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
+      body_ = com.google.protobuf.ByteString.EMPTY;
+      priceTokens_ = 0L;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_HttpWork_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpWork getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.HttpWork.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpWork build() {
+      io.verbenacleat.proto.v1.HttpWork result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.HttpWork buildPartial() {
+      io.verbenacleat.proto.v1.HttpWork result = new io.verbenacleat.proto.v1.HttpWork(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.HttpWork result) {
+      if (headersBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          headers_ = java.util.Collections.unmodifiableList(headers_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.headers_ = headers_;
+      } else {
+        result.headers_ = headersBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.HttpWork result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.service_ = service_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.method_ = method_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.pathAndQuery_ = pathAndQuery_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.body_ = body_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.priceTokens_ = priceTokens_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.HttpWork) {
+        return mergeFrom((io.verbenacleat.proto.v1.HttpWork)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.HttpWork other) {
+      if (other == io.verbenacleat.proto.v1.HttpWork.getDefaultInstance()) return this;
+      if (!other.getService().isEmpty()) {
+        service_ = other.service_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getMethod().isEmpty()) {
+        method_ = other.method_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (!other.getPathAndQuery().isEmpty()) {
+        pathAndQuery_ = other.pathAndQuery_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (headersBuilder_ == null) {
+        if (!other.headers_.isEmpty()) {
+          if (headers_.isEmpty()) {
+            headers_ = other.headers_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureHeadersIsMutable();
+            headers_.addAll(other.headers_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.headers_.isEmpty()) {
+          if (headersBuilder_.isEmpty()) {
+            headersBuilder_.dispose();
+            headersBuilder_ = null;
+            headers_ = other.headers_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            headersBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetHeadersFieldBuilder() : null;
+          } else {
+            headersBuilder_.addAllMessages(other.headers_);
+          }
+        }
+      }
+      if (!other.getBody().isEmpty()) {
+        setBody(other.getBody());
+      }
+      if (other.getPriceTokens() != 0L) {
+        setPriceTokens(other.getPriceTokens());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              service_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              method_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 26: {
+              pathAndQuery_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              io.verbenacleat.proto.v1.HttpHeader m =
+                  input.readMessage(
+                      io.verbenacleat.proto.v1.HttpHeader.parser(),
+                      extensionRegistry);
+              if (headersBuilder_ == null) {
+                ensureHeadersIsMutable();
+                headers_.add(m);
+              } else {
+                headersBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
+            case 42: {
+              body_ = input.readBytes();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 48: {
+              priceTokens_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object service_ = "";
+    /**
+     * <code>string service = 1;</code>
+     * @return The service.
+     */
+    public java.lang.String getService() {
+      java.lang.Object ref = service_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        service_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return The bytes for service.
+     */
+    public com.google.protobuf.ByteString
+        getServiceBytes() {
+      java.lang.Object ref = service_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        service_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @param value The service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setService(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      service_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearService() {
+      service_ = getDefaultInstance().getService();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string service = 1;</code>
+     * @param value The bytes for service to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServiceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      service_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object method_ = "";
+    /**
+     * <code>string method = 2;</code>
+     * @return The method.
+     */
+    public java.lang.String getMethod() {
+      java.lang.Object ref = method_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        method_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string method = 2;</code>
+     * @return The bytes for method.
+     */
+    public com.google.protobuf.ByteString
+        getMethodBytes() {
+      java.lang.Object ref = method_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        method_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string method = 2;</code>
+     * @param value The method to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMethod(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      method_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string method = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMethod() {
+      method_ = getDefaultInstance().getMethod();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string method = 2;</code>
+     * @param value The bytes for method to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMethodBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      method_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object pathAndQuery_ = "";
+    /**
+     * <code>string path_and_query = 3;</code>
+     * @return The pathAndQuery.
+     */
+    public java.lang.String getPathAndQuery() {
+      java.lang.Object ref = pathAndQuery_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        pathAndQuery_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string path_and_query = 3;</code>
+     * @return The bytes for pathAndQuery.
+     */
+    public com.google.protobuf.ByteString
+        getPathAndQueryBytes() {
+      java.lang.Object ref = pathAndQuery_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        pathAndQuery_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string path_and_query = 3;</code>
+     * @param value The pathAndQuery to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPathAndQuery(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      pathAndQuery_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string path_and_query = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPathAndQuery() {
+      pathAndQuery_ = getDefaultInstance().getPathAndQuery();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string path_and_query = 3;</code>
+     * @param value The bytes for pathAndQuery to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPathAndQueryBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      pathAndQuery_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.verbenacleat.proto.v1.HttpHeader> headers_ =
+      java.util.Collections.emptyList();
+    private void ensureHeadersIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        headers_ = new java.util.ArrayList<io.verbenacleat.proto.v1.HttpHeader>(headers_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> headersBuilder_;
+
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList() {
+      if (headersBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(headers_);
+      } else {
+        return headersBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public int getHeadersCount() {
+      if (headersBuilder_ == null) {
+        return headers_.size();
+      } else {
+        return headersBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader getHeaders(int index) {
+      if (headersBuilder_ == null) {
+        return headers_.get(index);
+      } else {
+        return headersBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder setHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader value) {
+      if (headersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeadersIsMutable();
+        headers_.set(index, value);
+        onChanged();
+      } else {
+        headersBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder setHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        headersBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder addHeaders(io.verbenacleat.proto.v1.HttpHeader value) {
+      if (headersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeadersIsMutable();
+        headers_.add(value);
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder addHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader value) {
+      if (headersBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeadersIsMutable();
+        headers_.add(index, value);
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder addHeaders(
+        io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.add(builderForValue.build());
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder addHeaders(
+        int index, io.verbenacleat.proto.v1.HttpHeader.Builder builderForValue) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        headersBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder addAllHeaders(
+        java.lang.Iterable<? extends io.verbenacleat.proto.v1.HttpHeader> values) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, headers_);
+        onChanged();
+      } else {
+        headersBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder clearHeaders() {
+      if (headersBuilder_ == null) {
+        headers_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        headersBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public Builder removeHeaders(int index) {
+      if (headersBuilder_ == null) {
+        ensureHeadersIsMutable();
+        headers_.remove(index);
+        onChanged();
+      } else {
+        headersBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader.Builder getHeadersBuilder(
+        int index) {
+      return internalGetHeadersFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(
+        int index) {
+      if (headersBuilder_ == null) {
+        return headers_.get(index);  } else {
+        return headersBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+         getHeadersOrBuilderList() {
+      if (headersBuilder_ != null) {
+        return headersBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(headers_);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder() {
+      return internalGetHeadersFieldBuilder().addBuilder(
+          io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeader.Builder addHeadersBuilder(
+        int index) {
+      return internalGetHeadersFieldBuilder().addBuilder(
+          index, io.verbenacleat.proto.v1.HttpHeader.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.HttpHeader.Builder> 
+         getHeadersBuilderList() {
+      return internalGetHeadersFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+        internalGetHeadersFieldBuilder() {
+      if (headersBuilder_ == null) {
+        headersBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.verbenacleat.proto.v1.HttpHeader, io.verbenacleat.proto.v1.HttpHeader.Builder, io.verbenacleat.proto.v1.HttpHeaderOrBuilder>(
+                headers_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        headers_ = null;
+      }
+      return headersBuilder_;
+    }
+
+    private com.google.protobuf.ByteString body_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes body = 5;</code>
+     * @return The body.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getBody() {
+      return body_;
+    }
+    /**
+     * <code>bytes body = 5;</code>
+     * @param value The body to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBody(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      body_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes body = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBody() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      body_ = getDefaultInstance().getBody();
+      onChanged();
+      return this;
+    }
+
+    private long priceTokens_ ;
+    /**
+     * <code>int64 price_tokens = 6;</code>
+     * @return The priceTokens.
+     */
+    @java.lang.Override
+    public long getPriceTokens() {
+      return priceTokens_;
+    }
+    /**
+     * <code>int64 price_tokens = 6;</code>
+     * @param value The priceTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriceTokens(long value) {
+
+      priceTokens_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 price_tokens = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriceTokens() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      priceTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.HttpWork)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.HttpWork)
+  private static final io.verbenacleat.proto.v1.HttpWork DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.HttpWork();
+  }
+
+  public static io.verbenacleat.proto.v1.HttpWork getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<HttpWork>
+      PARSER = new com.google.protobuf.AbstractParser<HttpWork>() {
+    @java.lang.Override
+    public HttpWork parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<HttpWork> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<HttpWork> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpWork getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/HttpWorkOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/HttpWorkOrBuilder.java
@@ -6,80 +6,78 @@
 package io.verbenacleat.proto.v1;
 
 public interface HttpWorkOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.HttpWork)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string service = 1;</code>
-	 * @return The service.
-	 */
-	java.lang.String getService();
-
-	/**
-	 * <code>string service = 1;</code>
-	 * @return The bytes for service.
-	 */
-	com.google.protobuf.ByteString getServiceBytes();
-
-	/**
-	 * <code>string method = 2;</code>
-	 * @return The method.
-	 */
-	java.lang.String getMethod();
-
-	/**
-	 * <code>string method = 2;</code>
-	 * @return The bytes for method.
-	 */
-	com.google.protobuf.ByteString getMethodBytes();
-
-	/**
-	 * <code>string path_and_query = 3;</code>
-	 * @return The pathAndQuery.
-	 */
-	java.lang.String getPathAndQuery();
-
-	/**
-	 * <code>string path_and_query = 3;</code>
-	 * @return The bytes for pathAndQuery.
-	 */
-	com.google.protobuf.ByteString getPathAndQueryBytes();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	java.util.List<io.verbenacleat.proto.v1.HttpHeader> getHeadersList();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	io.verbenacleat.proto.v1.HttpHeader getHeaders(int index);
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	int getHeadersCount();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> getHeadersOrBuilderList();
-
-	/**
-	 * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
-	 */
-	io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(int index);
-
-	/**
-	 * <code>bytes body = 5;</code>
-	 * @return The body.
-	 */
-	com.google.protobuf.ByteString getBody();
-
-	/**
-	 * <code>int64 price_tokens = 6;</code>
-	 * @return The priceTokens.
-	 */
-	long getPriceTokens();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.HttpWork)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string service = 1;</code>
+   * @return The service.
+   */
+  java.lang.String getService();
+  /**
+   * <code>string service = 1;</code>
+   * @return The bytes for service.
+   */
+  com.google.protobuf.ByteString
+      getServiceBytes();
+
+  /**
+   * <code>string method = 2;</code>
+   * @return The method.
+   */
+  java.lang.String getMethod();
+  /**
+   * <code>string method = 2;</code>
+   * @return The bytes for method.
+   */
+  com.google.protobuf.ByteString
+      getMethodBytes();
+
+  /**
+   * <code>string path_and_query = 3;</code>
+   * @return The pathAndQuery.
+   */
+  java.lang.String getPathAndQuery();
+  /**
+   * <code>string path_and_query = 3;</code>
+   * @return The bytes for pathAndQuery.
+   */
+  com.google.protobuf.ByteString
+      getPathAndQueryBytes();
+
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  java.util.List<io.verbenacleat.proto.v1.HttpHeader> 
+      getHeadersList();
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  io.verbenacleat.proto.v1.HttpHeader getHeaders(int index);
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  int getHeadersCount();
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  java.util.List<? extends io.verbenacleat.proto.v1.HttpHeaderOrBuilder> 
+      getHeadersOrBuilderList();
+  /**
+   * <code>repeated .verbena.v1.HttpHeader headers = 4;</code>
+   */
+  io.verbenacleat.proto.v1.HttpHeaderOrBuilder getHeadersOrBuilder(
+      int index);
+
+  /**
+   * <code>bytes body = 5;</code>
+   * @return The body.
+   */
+  com.google.protobuf.ByteString getBody();
+
+  /**
+   * <code>int64 price_tokens = 6;</code>
+   * @return The priceTokens.
+   */
+  long getPriceTokens();
 }
