--- a/proto/src/main/java/io/verbenacleat/proto/v1/OrderId.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/OrderId.java
@@ -8,725 +8,713 @@
 /**
  * Protobuf type {@code verbena.v1.OrderId}
  */
-public final class OrderId extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.OrderId)
-		OrderIdOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", OrderId.class.getName());
-	}
-
-	// Use OrderId.newBuilder() to construct.
-	private OrderId(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private OrderId() {
-		gatewayIncarnation_ = "";
-		agentIncarnation_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.OrderId.class,
-					io.verbenacleat.proto.v1.OrderId.Builder.class);
-	}
-
-	public static final int GATEWAY_INCARNATION_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object gatewayIncarnation_ = "";
-
-	/**
-	 * <code>string gateway_incarnation = 1;</code>
-	 * @return The gatewayIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getGatewayIncarnation() {
-		java.lang.Object ref = gatewayIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			gatewayIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string gateway_incarnation = 1;</code>
-	 * @return The bytes for gatewayIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getGatewayIncarnationBytes() {
-		java.lang.Object ref = gatewayIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			gatewayIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int AGENT_INCARNATION_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object agentIncarnation_ = "";
-
-	/**
-	 * <code>string agent_incarnation = 2;</code>
-	 * @return The agentIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getAgentIncarnation() {
-		java.lang.Object ref = agentIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			agentIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string agent_incarnation = 2;</code>
-	 * @return The bytes for agentIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getAgentIncarnationBytes() {
-		java.lang.Object ref = agentIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			agentIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int SEQUENCE_FIELD_NUMBER = 3;
-
-	private long sequence_ = 0L;
-
-	/**
-	 * <pre>
-	 * Counts from 1 for each pair of gateway and agent incarnation.
-	 * </pre>
-	 *
-	 * <code>int64 sequence = 3;</code>
-	 * @return The sequence.
-	 */
-	@java.lang.Override
-	public long getSequence() {
-		return sequence_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, gatewayIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(agentIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, agentIncarnation_);
-		}
-		if (sequence_ != 0L) {
-			output.writeInt64(3, sequence_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, gatewayIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(agentIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, agentIncarnation_);
-		}
-		if (sequence_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, sequence_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.OrderId)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.OrderId other = (io.verbenacleat.proto.v1.OrderId) obj;
-
-		if (!getGatewayIncarnation().equals(other.getGatewayIncarnation()))
-			return false;
-		if (!getAgentIncarnation().equals(other.getAgentIncarnation()))
-			return false;
-		if (getSequence() != other.getSequence())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + GATEWAY_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getGatewayIncarnation().hashCode();
-		hash = (37 * hash) + AGENT_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getAgentIncarnation().hashCode();
-		hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getSequence());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.OrderId prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.OrderId}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.OrderId)
-			io.verbenacleat.proto.v1.OrderIdOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.OrderId.class,
-						io.verbenacleat.proto.v1.OrderId.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.OrderId.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			gatewayIncarnation_ = "";
-			agentIncarnation_ = "";
-			sequence_ = 0L;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.OrderId getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.OrderId.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.OrderId build() {
-			io.verbenacleat.proto.v1.OrderId result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.OrderId buildPartial() {
-			io.verbenacleat.proto.v1.OrderId result = new io.verbenacleat.proto.v1.OrderId(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.OrderId result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.gatewayIncarnation_ = gatewayIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.agentIncarnation_ = agentIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.sequence_ = sequence_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.OrderId) {
-				return mergeFrom((io.verbenacleat.proto.v1.OrderId) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.OrderId other) {
-			if (other == io.verbenacleat.proto.v1.OrderId.getDefaultInstance())
-				return this;
-			if (!other.getGatewayIncarnation().isEmpty()) {
-				gatewayIncarnation_ = other.gatewayIncarnation_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getAgentIncarnation().isEmpty()) {
-				agentIncarnation_ = other.agentIncarnation_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			if (other.getSequence() != 0L) {
-				setSequence(other.getSequence());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							gatewayIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							agentIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 24: {
-							sequence_ = input.readInt64();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 24
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object gatewayIncarnation_ = "";
-
-		/**
-		 * <code>string gateway_incarnation = 1;</code>
-		 * @return The gatewayIncarnation.
-		 */
-		public java.lang.String getGatewayIncarnation() {
-			java.lang.Object ref = gatewayIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				gatewayIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 1;</code>
-		 * @return The bytes for gatewayIncarnation.
-		 */
-		public com.google.protobuf.ByteString getGatewayIncarnationBytes() {
-			java.lang.Object ref = gatewayIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				gatewayIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 1;</code>
-		 * @param value The gatewayIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setGatewayIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			gatewayIncarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearGatewayIncarnation() {
-			gatewayIncarnation_ = getDefaultInstance().getGatewayIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 1;</code>
-		 * @param value The bytes for gatewayIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setGatewayIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			gatewayIncarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object agentIncarnation_ = "";
-
-		/**
-		 * <code>string agent_incarnation = 2;</code>
-		 * @return The agentIncarnation.
-		 */
-		public java.lang.String getAgentIncarnation() {
-			java.lang.Object ref = agentIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				agentIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string agent_incarnation = 2;</code>
-		 * @return The bytes for agentIncarnation.
-		 */
-		public com.google.protobuf.ByteString getAgentIncarnationBytes() {
-			java.lang.Object ref = agentIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				agentIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string agent_incarnation = 2;</code>
-		 * @param value The agentIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAgentIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			agentIncarnation_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string agent_incarnation = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAgentIncarnation() {
-			agentIncarnation_ = getDefaultInstance().getAgentIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string agent_incarnation = 2;</code>
-		 * @param value The bytes for agentIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAgentIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			agentIncarnation_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		private long sequence_;
-
-		/**
-		 * <pre>
-		 * Counts from 1 for each pair of gateway and agent incarnation.
-		 * </pre>
-		 *
-		 * <code>int64 sequence = 3;</code>
-		 * @return The sequence.
-		 */
-		@java.lang.Override
-		public long getSequence() {
-			return sequence_;
-		}
-
-		/**
-		 * <pre>
-		 * Counts from 1 for each pair of gateway and agent incarnation.
-		 * </pre>
-		 *
-		 * <code>int64 sequence = 3;</code>
-		 * @param value The sequence to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setSequence(long value) {
-
-			sequence_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Counts from 1 for each pair of gateway and agent incarnation.
-		 * </pre>
-		 *
-		 * <code>int64 sequence = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearSequence() {
-			bitField0_ = (bitField0_ & ~0x00000004);
-			sequence_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.OrderId)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.OrderId)
-	private static final io.verbenacleat.proto.v1.OrderId DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.OrderId();
-	}
-
-	public static io.verbenacleat.proto.v1.OrderId getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<OrderId> PARSER = new com.google.protobuf.AbstractParser<OrderId>() {
-		@java.lang.Override
-		public OrderId parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<OrderId> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<OrderId> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderId getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class OrderId extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.OrderId)
+    OrderIdOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      OrderId.class.getName());
+  }
+  // Use OrderId.newBuilder() to construct.
+  private OrderId(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private OrderId() {
+    gatewayIncarnation_ = "";
+    agentIncarnation_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.OrderId.class, io.verbenacleat.proto.v1.OrderId.Builder.class);
+  }
+
+  public static final int GATEWAY_INCARNATION_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object gatewayIncarnation_ = "";
+  /**
+   * <code>string gateway_incarnation = 1;</code>
+   * @return The gatewayIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getGatewayIncarnation() {
+    java.lang.Object ref = gatewayIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      gatewayIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string gateway_incarnation = 1;</code>
+   * @return The bytes for gatewayIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getGatewayIncarnationBytes() {
+    java.lang.Object ref = gatewayIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      gatewayIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int AGENT_INCARNATION_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object agentIncarnation_ = "";
+  /**
+   * <code>string agent_incarnation = 2;</code>
+   * @return The agentIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getAgentIncarnation() {
+    java.lang.Object ref = agentIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      agentIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string agent_incarnation = 2;</code>
+   * @return The bytes for agentIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAgentIncarnationBytes() {
+    java.lang.Object ref = agentIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      agentIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int SEQUENCE_FIELD_NUMBER = 3;
+  private long sequence_ = 0L;
+  /**
+   * <pre>
+   * Counts from 1 for each pair of gateway and agent incarnation.
+   * </pre>
+   *
+   * <code>int64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  @java.lang.Override
+  public long getSequence() {
+    return sequence_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, gatewayIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(agentIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, agentIncarnation_);
+    }
+    if (sequence_ != 0L) {
+      output.writeInt64(3, sequence_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, gatewayIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(agentIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, agentIncarnation_);
+    }
+    if (sequence_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, sequence_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.OrderId)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.OrderId other = (io.verbenacleat.proto.v1.OrderId) obj;
+
+    if (!getGatewayIncarnation()
+        .equals(other.getGatewayIncarnation())) return false;
+    if (!getAgentIncarnation()
+        .equals(other.getAgentIncarnation())) return false;
+    if (getSequence()
+        != other.getSequence()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + GATEWAY_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getGatewayIncarnation().hashCode();
+    hash = (37 * hash) + AGENT_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getAgentIncarnation().hashCode();
+    hash = (37 * hash) + SEQUENCE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getSequence());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.OrderId parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.OrderId parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.OrderId parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.OrderId prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.OrderId}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.OrderId)
+      io.verbenacleat.proto.v1.OrderIdOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.OrderId.class, io.verbenacleat.proto.v1.OrderId.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.OrderId.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      gatewayIncarnation_ = "";
+      agentIncarnation_ = "";
+      sequence_ = 0L;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_OrderId_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.OrderId getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.OrderId.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.OrderId build() {
+      io.verbenacleat.proto.v1.OrderId result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.OrderId buildPartial() {
+      io.verbenacleat.proto.v1.OrderId result = new io.verbenacleat.proto.v1.OrderId(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.OrderId result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.gatewayIncarnation_ = gatewayIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.agentIncarnation_ = agentIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.sequence_ = sequence_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.OrderId) {
+        return mergeFrom((io.verbenacleat.proto.v1.OrderId)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.OrderId other) {
+      if (other == io.verbenacleat.proto.v1.OrderId.getDefaultInstance()) return this;
+      if (!other.getGatewayIncarnation().isEmpty()) {
+        gatewayIncarnation_ = other.gatewayIncarnation_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getAgentIncarnation().isEmpty()) {
+        agentIncarnation_ = other.agentIncarnation_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (other.getSequence() != 0L) {
+        setSequence(other.getSequence());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              gatewayIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              agentIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 24: {
+              sequence_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object gatewayIncarnation_ = "";
+    /**
+     * <code>string gateway_incarnation = 1;</code>
+     * @return The gatewayIncarnation.
+     */
+    public java.lang.String getGatewayIncarnation() {
+      java.lang.Object ref = gatewayIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        gatewayIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string gateway_incarnation = 1;</code>
+     * @return The bytes for gatewayIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getGatewayIncarnationBytes() {
+      java.lang.Object ref = gatewayIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        gatewayIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string gateway_incarnation = 1;</code>
+     * @param value The gatewayIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGatewayIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      gatewayIncarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string gateway_incarnation = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGatewayIncarnation() {
+      gatewayIncarnation_ = getDefaultInstance().getGatewayIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string gateway_incarnation = 1;</code>
+     * @param value The bytes for gatewayIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGatewayIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      gatewayIncarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object agentIncarnation_ = "";
+    /**
+     * <code>string agent_incarnation = 2;</code>
+     * @return The agentIncarnation.
+     */
+    public java.lang.String getAgentIncarnation() {
+      java.lang.Object ref = agentIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        agentIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string agent_incarnation = 2;</code>
+     * @return The bytes for agentIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getAgentIncarnationBytes() {
+      java.lang.Object ref = agentIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        agentIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string agent_incarnation = 2;</code>
+     * @param value The agentIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgentIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      agentIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string agent_incarnation = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAgentIncarnation() {
+      agentIncarnation_ = getDefaultInstance().getAgentIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string agent_incarnation = 2;</code>
+     * @param value The bytes for agentIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAgentIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      agentIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private long sequence_ ;
+    /**
+     * <pre>
+     * Counts from 1 for each pair of gateway and agent incarnation.
+     * </pre>
+     *
+     * <code>int64 sequence = 3;</code>
+     * @return The sequence.
+     */
+    @java.lang.Override
+    public long getSequence() {
+      return sequence_;
+    }
+    /**
+     * <pre>
+     * Counts from 1 for each pair of gateway and agent incarnation.
+     * </pre>
+     *
+     * <code>int64 sequence = 3;</code>
+     * @param value The sequence to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSequence(long value) {
+
+      sequence_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Counts from 1 for each pair of gateway and agent incarnation.
+     * </pre>
+     *
+     * <code>int64 sequence = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSequence() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      sequence_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.OrderId)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.OrderId)
+  private static final io.verbenacleat.proto.v1.OrderId DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.OrderId();
+  }
+
+  public static io.verbenacleat.proto.v1.OrderId getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<OrderId>
+      PARSER = new com.google.protobuf.AbstractParser<OrderId>() {
+    @java.lang.Override
+    public OrderId parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<OrderId> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<OrderId> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.OrderId getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/OrderIdOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/OrderIdOrBuilder.java
@@ -6,41 +6,40 @@
 package io.verbenacleat.proto.v1;
 
 public interface OrderIdOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.OrderId)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string gateway_incarnation = 1;</code>
-	 * @return The gatewayIncarnation.
-	 */
-	java.lang.String getGatewayIncarnation();
-
-	/**
-	 * <code>string gateway_incarnation = 1;</code>
-	 * @return The bytes for gatewayIncarnation.
-	 */
-	com.google.protobuf.ByteString getGatewayIncarnationBytes();
-
-	/**
-	 * <code>string agent_incarnation = 2;</code>
-	 * @return The agentIncarnation.
-	 */
-	java.lang.String getAgentIncarnation();
-
-	/**
-	 * <code>string agent_incarnation = 2;</code>
-	 * @return The bytes for agentIncarnation.
-	 */
-	com.google.protobuf.ByteString getAgentIncarnationBytes();
-
-	/**
-	 * <pre>
-	 * Counts from 1 for each pair of gateway and agent incarnation.
-	 * </pre>
-	 *
-	 * <code>int64 sequence = 3;</code>
-	 * @return The sequence.
-	 */
-	long getSequence();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.OrderId)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string gateway_incarnation = 1;</code>
+   * @return The gatewayIncarnation.
+   */
+  java.lang.String getGatewayIncarnation();
+  /**
+   * <code>string gateway_incarnation = 1;</code>
+   * @return The bytes for gatewayIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getGatewayIncarnationBytes();
+
+  /**
+   * <code>string agent_incarnation = 2;</code>
+   * @return The agentIncarnation.
+   */
+  java.lang.String getAgentIncarnation();
+  /**
+   * <code>string agent_incarnation = 2;</code>
+   * @return The bytes for agentIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getAgentIncarnationBytes();
+
+  /**
+   * <pre>
+   * Counts from 1 for each pair of gateway and agent incarnation.
+   * </pre>
+   *
+   * <code>int64 sequence = 3;</code>
+   * @return The sequence.
+   */
+  long getSequence();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/OrderState.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/OrderState.java
@@ -8,156 +8,160 @@
 /**
  * Protobuf enum {@code verbena.v1.OrderState}
  */
-public enum OrderState implements com.google.protobuf.ProtocolMessageEnum {
-
-	/**
-	 * <code>ORDER_STATE_UNSPECIFIED = 0;</code>
-	 */
-	ORDER_STATE_UNSPECIFIED(0),
-	/**
-	 * <pre>
-	 * Tombstoned: it did not start and never will.
-	 * </pre>
-	 *
-	 * <code>NEVER_STARTED = 1;</code>
-	 */
-	NEVER_STARTED(1),
-	/**
-	 * <code>RUNNING = 2;</code>
-	 */
-	RUNNING(2),
-	/**
-	 * <code>FINISHED = 3;</code>
-	 */
-	FINISHED(3),
-	/**
-	 * <pre>
-	 * The sequence is at or under the mark of resolved orders; the outcome is no longer kept.
-	 * </pre>
-	 *
-	 * <code>FORGOTTEN = 4;</code>
-	 */
-	FORGOTTEN(4), UNRECOGNIZED(-1),;
-
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", OrderState.class.getName());
-	}
-	/**
-	 * <code>ORDER_STATE_UNSPECIFIED = 0;</code>
-	 */
-	public static final int ORDER_STATE_UNSPECIFIED_VALUE = 0;
-
-	/**
-	 * <pre>
-	 * Tombstoned: it did not start and never will.
-	 * </pre>
-	 *
-	 * <code>NEVER_STARTED = 1;</code>
-	 */
-	public static final int NEVER_STARTED_VALUE = 1;
-
-	/**
-	 * <code>RUNNING = 2;</code>
-	 */
-	public static final int RUNNING_VALUE = 2;
-
-	/**
-	 * <code>FINISHED = 3;</code>
-	 */
-	public static final int FINISHED_VALUE = 3;
-
-	/**
-	 * <pre>
-	 * The sequence is at or under the mark of resolved orders; the outcome is no longer kept.
-	 * </pre>
-	 *
-	 * <code>FORGOTTEN = 4;</code>
-	 */
-	public static final int FORGOTTEN_VALUE = 4;
-
-	public final int getNumber() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalArgumentException("Can't get the number of an unknown enum value.");
-		}
-		return value;
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 * @deprecated Use {@link #forNumber(int)} instead.
-	 */
-	@java.lang.Deprecated
-	public static OrderState valueOf(int value) {
-		return forNumber(value);
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 */
-	public static OrderState forNumber(int value) {
-		switch (value) {
-			case 0:
-				return ORDER_STATE_UNSPECIFIED;
-			case 1:
-				return NEVER_STARTED;
-			case 2:
-				return RUNNING;
-			case 3:
-				return FINISHED;
-			case 4:
-				return FORGOTTEN;
-			default:
-				return null;
-		}
-	}
-
-	public static com.google.protobuf.Internal.EnumLiteMap<OrderState> internalGetValueMap() {
-		return internalValueMap;
-	}
-
-	private static final com.google.protobuf.Internal.EnumLiteMap<OrderState> internalValueMap = new com.google.protobuf.Internal.EnumLiteMap<OrderState>() {
-		public OrderState findValueByNumber(int number) {
-			return OrderState.forNumber(number);
-		}
-	};
-
-	public final com.google.protobuf.Descriptors.EnumValueDescriptor getValueDescriptor() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalStateException("Can't get the descriptor of an unrecognized enum value.");
-		}
-		return getDescriptor().getValues().get(ordinal());
-	}
-
-	public final com.google.protobuf.Descriptors.EnumDescriptor getDescriptorForType() {
-		return getDescriptor();
-	}
-
-	public static final com.google.protobuf.Descriptors.EnumDescriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(2);
-	}
-
-	private static final OrderState[] VALUES = values();
-
-	public static OrderState valueOf(com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
-		if (desc.getType() != getDescriptor()) {
-			throw new java.lang.IllegalArgumentException("EnumValueDescriptor is not for this type.");
-		}
-		if (desc.getIndex() == -1) {
-			return UNRECOGNIZED;
-		}
-		return VALUES[desc.getIndex()];
-	}
-
-	private final int value;
-
-	private OrderState(int value) {
-		this.value = value;
-	}
-
-	// @@protoc_insertion_point(enum_scope:verbena.v1.OrderState)
-
+public enum OrderState
+    implements com.google.protobuf.ProtocolMessageEnum {
+  /**
+   * <code>ORDER_STATE_UNSPECIFIED = 0;</code>
+   */
+  ORDER_STATE_UNSPECIFIED(0),
+  /**
+   * <pre>
+   * Tombstoned: it did not start and never will.
+   * </pre>
+   *
+   * <code>NEVER_STARTED = 1;</code>
+   */
+  NEVER_STARTED(1),
+  /**
+   * <code>RUNNING = 2;</code>
+   */
+  RUNNING(2),
+  /**
+   * <code>FINISHED = 3;</code>
+   */
+  FINISHED(3),
+  /**
+   * <pre>
+   * The sequence is at or under the mark of resolved orders; the outcome is no longer kept.
+   * </pre>
+   *
+   * <code>FORGOTTEN = 4;</code>
+   */
+  FORGOTTEN(4),
+  UNRECOGNIZED(-1),
+  ;
+
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      OrderState.class.getName());
+  }
+  /**
+   * <code>ORDER_STATE_UNSPECIFIED = 0;</code>
+   */
+  public static final int ORDER_STATE_UNSPECIFIED_VALUE = 0;
+  /**
+   * <pre>
+   * Tombstoned: it did not start and never will.
+   * </pre>
+   *
+   * <code>NEVER_STARTED = 1;</code>
+   */
+  public static final int NEVER_STARTED_VALUE = 1;
+  /**
+   * <code>RUNNING = 2;</code>
+   */
+  public static final int RUNNING_VALUE = 2;
+  /**
+   * <code>FINISHED = 3;</code>
+   */
+  public static final int FINISHED_VALUE = 3;
+  /**
+   * <pre>
+   * The sequence is at or under the mark of resolved orders; the outcome is no longer kept.
+   * </pre>
+   *
+   * <code>FORGOTTEN = 4;</code>
+   */
+  public static final int FORGOTTEN_VALUE = 4;
+
+
+  public final int getNumber() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalArgumentException(
+          "Can't get the number of an unknown enum value.");
+    }
+    return value;
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   * @deprecated Use {@link #forNumber(int)} instead.
+   */
+  @java.lang.Deprecated
+  public static OrderState valueOf(int value) {
+    return forNumber(value);
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   */
+  public static OrderState forNumber(int value) {
+    switch (value) {
+      case 0: return ORDER_STATE_UNSPECIFIED;
+      case 1: return NEVER_STARTED;
+      case 2: return RUNNING;
+      case 3: return FINISHED;
+      case 4: return FORGOTTEN;
+      default: return null;
+    }
+  }
+
+  public static com.google.protobuf.Internal.EnumLiteMap<OrderState>
+      internalGetValueMap() {
+    return internalValueMap;
+  }
+  private static final com.google.protobuf.Internal.EnumLiteMap<
+      OrderState> internalValueMap =
+        new com.google.protobuf.Internal.EnumLiteMap<OrderState>() {
+          public OrderState findValueByNumber(int number) {
+            return OrderState.forNumber(number);
+          }
+        };
+
+  public final com.google.protobuf.Descriptors.EnumValueDescriptor
+      getValueDescriptor() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalStateException(
+          "Can't get the descriptor of an unrecognized enum value.");
+    }
+    return getDescriptor().getValues().get(ordinal());
+  }
+  public final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptorForType() {
+    return getDescriptor();
+  }
+  public static final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(2);
+  }
+
+  private static final OrderState[] VALUES = values();
+
+  public static OrderState valueOf(
+      com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+    if (desc.getType() != getDescriptor()) {
+      throw new java.lang.IllegalArgumentException(
+        "EnumValueDescriptor is not for this type.");
+    }
+    if (desc.getIndex() == -1) {
+      return UNRECOGNIZED;
+    }
+    return VALUES[desc.getIndex()];
+  }
+
+  private final int value;
+
+  private OrderState(int value) {
+    this.value = value;
+  }
+
+  // @@protoc_insertion_point(enum_scope:verbena.v1.OrderState)
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ProbeRequest.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ProbeRequest.java
@@ -8,498 +8,494 @@
 /**
  * Protobuf type {@code verbena.v1.ProbeRequest}
  */
-public final class ProbeRequest extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ProbeRequest)
-		ProbeRequestOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ProbeRequest.class.getName());
-	}
-
-	// Use ProbeRequest.newBuilder() to construct.
-	private ProbeRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ProbeRequest() {
-		incarnation_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ProbeRequest.class,
-					io.verbenacleat.proto.v1.ProbeRequest.Builder.class);
-	}
-
-	public static final int INCARNATION_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object incarnation_ = "";
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getIncarnation() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			incarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getIncarnationBytes() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			incarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ProbeRequest)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ProbeRequest other = (io.verbenacleat.proto.v1.ProbeRequest) obj;
-
-		if (!getIncarnation().equals(other.getIncarnation()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getIncarnation().hashCode();
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ProbeRequest prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ProbeRequest}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ProbeRequest)
-			io.verbenacleat.proto.v1.ProbeRequestOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ProbeRequest.class,
-						io.verbenacleat.proto.v1.ProbeRequest.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ProbeRequest.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			incarnation_ = "";
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ProbeRequest getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ProbeRequest.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ProbeRequest build() {
-			io.verbenacleat.proto.v1.ProbeRequest result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ProbeRequest buildPartial() {
-			io.verbenacleat.proto.v1.ProbeRequest result = new io.verbenacleat.proto.v1.ProbeRequest(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ProbeRequest result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.incarnation_ = incarnation_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ProbeRequest) {
-				return mergeFrom((io.verbenacleat.proto.v1.ProbeRequest) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ProbeRequest other) {
-			if (other == io.verbenacleat.proto.v1.ProbeRequest.getDefaultInstance())
-				return this;
-			if (!other.getIncarnation().isEmpty()) {
-				incarnation_ = other.incarnation_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							incarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object incarnation_ = "";
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The incarnation.
-		 */
-		public java.lang.String getIncarnation() {
-			java.lang.Object ref = incarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				incarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The bytes for incarnation.
-		 */
-		public com.google.protobuf.ByteString getIncarnationBytes() {
-			java.lang.Object ref = incarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				incarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearIncarnation() {
-			incarnation_ = getDefaultInstance().getIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The bytes for incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ProbeRequest)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ProbeRequest)
-	private static final io.verbenacleat.proto.v1.ProbeRequest DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ProbeRequest();
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeRequest getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ProbeRequest> PARSER = new com.google.protobuf.AbstractParser<ProbeRequest>() {
-		@java.lang.Override
-		public ProbeRequest parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ProbeRequest> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ProbeRequest> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ProbeRequest getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ProbeRequest extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ProbeRequest)
+    ProbeRequestOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ProbeRequest.class.getName());
+  }
+  // Use ProbeRequest.newBuilder() to construct.
+  private ProbeRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ProbeRequest() {
+    incarnation_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ProbeRequest.class, io.verbenacleat.proto.v1.ProbeRequest.Builder.class);
+  }
+
+  public static final int INCARNATION_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object incarnation_ = "";
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getIncarnation() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      incarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIncarnationBytes() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      incarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ProbeRequest)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ProbeRequest other = (io.verbenacleat.proto.v1.ProbeRequest) obj;
+
+    if (!getIncarnation()
+        .equals(other.getIncarnation())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getIncarnation().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeRequest parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeRequest parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ProbeRequest parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ProbeRequest prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ProbeRequest}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ProbeRequest)
+      io.verbenacleat.proto.v1.ProbeRequestOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ProbeRequest.class, io.verbenacleat.proto.v1.ProbeRequest.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ProbeRequest.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      incarnation_ = "";
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ProbeRequest getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ProbeRequest.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ProbeRequest build() {
+      io.verbenacleat.proto.v1.ProbeRequest result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ProbeRequest buildPartial() {
+      io.verbenacleat.proto.v1.ProbeRequest result = new io.verbenacleat.proto.v1.ProbeRequest(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ProbeRequest result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ProbeRequest) {
+        return mergeFrom((io.verbenacleat.proto.v1.ProbeRequest)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ProbeRequest other) {
+      if (other == io.verbenacleat.proto.v1.ProbeRequest.getDefaultInstance()) return this;
+      if (!other.getIncarnation().isEmpty()) {
+        incarnation_ = other.incarnation_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              incarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object incarnation_ = "";
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The incarnation.
+     */
+    public java.lang.String getIncarnation() {
+      java.lang.Object ref = incarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        incarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The bytes for incarnation.
+     */
+    public com.google.protobuf.ByteString
+        getIncarnationBytes() {
+      java.lang.Object ref = incarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        incarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      incarnation_ = getDefaultInstance().getIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The bytes for incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ProbeRequest)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ProbeRequest)
+  private static final io.verbenacleat.proto.v1.ProbeRequest DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ProbeRequest();
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeRequest getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ProbeRequest>
+      PARSER = new com.google.protobuf.AbstractParser<ProbeRequest>() {
+    @java.lang.Override
+    public ProbeRequest parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ProbeRequest> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ProbeRequest> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ProbeRequest getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ProbeRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ProbeRequestOrBuilder.java
@@ -6,19 +6,18 @@
 package io.verbenacleat.proto.v1;
 
 public interface ProbeRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ProbeRequest)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	java.lang.String getIncarnation();
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	com.google.protobuf.ByteString getIncarnationBytes();
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ProbeRequest)
+    com.google.protobuf.MessageOrBuilder {
 
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  java.lang.String getIncarnation();
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  com.google.protobuf.ByteString
+      getIncarnationBytes();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ProbeResponse.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ProbeResponse.java
@@ -8,638 +8,628 @@
 /**
  * Protobuf type {@code verbena.v1.ProbeResponse}
  */
-public final class ProbeResponse extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ProbeResponse)
-		ProbeResponseOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ProbeResponse.class.getName());
-	}
-
-	// Use ProbeResponse.newBuilder() to construct.
-	private ProbeResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ProbeResponse() {
-		incarnation_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ProbeResponse.class,
-					io.verbenacleat.proto.v1.ProbeResponse.Builder.class);
-	}
-
-	public static final int INCARNATION_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object incarnation_ = "";
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getIncarnation() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			incarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getIncarnationBytes() {
-		java.lang.Object ref = incarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			incarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int DRAINING_FIELD_NUMBER = 2;
-
-	private boolean draining_ = false;
-
-	/**
-	 * <code>bool draining = 2;</code>
-	 * @return The draining.
-	 */
-	@java.lang.Override
-	public boolean getDraining() {
-		return draining_;
-	}
-
-	public static final int CONFIG_VERSION_FIELD_NUMBER = 3;
-
-	private long configVersion_ = 0L;
-
-	/**
-	 * <code>int64 config_version = 3;</code>
-	 * @return The configVersion.
-	 */
-	@java.lang.Override
-	public long getConfigVersion() {
-		return configVersion_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
-		}
-		if (draining_ != false) {
-			output.writeBool(2, draining_);
-		}
-		if (configVersion_ != 0L) {
-			output.writeInt64(3, configVersion_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
-		}
-		if (draining_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(2, draining_);
-		}
-		if (configVersion_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, configVersion_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ProbeResponse)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ProbeResponse other = (io.verbenacleat.proto.v1.ProbeResponse) obj;
-
-		if (!getIncarnation().equals(other.getIncarnation()))
-			return false;
-		if (getDraining() != other.getDraining())
-			return false;
-		if (getConfigVersion() != other.getConfigVersion())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getIncarnation().hashCode();
-		hash = (37 * hash) + DRAINING_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getDraining());
-		hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getConfigVersion());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ProbeResponse prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ProbeResponse}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ProbeResponse)
-			io.verbenacleat.proto.v1.ProbeResponseOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ProbeResponse.class,
-						io.verbenacleat.proto.v1.ProbeResponse.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ProbeResponse.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			incarnation_ = "";
-			draining_ = false;
-			configVersion_ = 0L;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ProbeResponse getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ProbeResponse.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ProbeResponse build() {
-			io.verbenacleat.proto.v1.ProbeResponse result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ProbeResponse buildPartial() {
-			io.verbenacleat.proto.v1.ProbeResponse result = new io.verbenacleat.proto.v1.ProbeResponse(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ProbeResponse result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.incarnation_ = incarnation_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.draining_ = draining_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.configVersion_ = configVersion_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ProbeResponse) {
-				return mergeFrom((io.verbenacleat.proto.v1.ProbeResponse) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ProbeResponse other) {
-			if (other == io.verbenacleat.proto.v1.ProbeResponse.getDefaultInstance())
-				return this;
-			if (!other.getIncarnation().isEmpty()) {
-				incarnation_ = other.incarnation_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (other.getDraining() != false) {
-				setDraining(other.getDraining());
-			}
-			if (other.getConfigVersion() != 0L) {
-				setConfigVersion(other.getConfigVersion());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							incarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 16: {
-							draining_ = input.readBool();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 16
-						case 24: {
-							configVersion_ = input.readInt64();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 24
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object incarnation_ = "";
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The incarnation.
-		 */
-		public java.lang.String getIncarnation() {
-			java.lang.Object ref = incarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				incarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return The bytes for incarnation.
-		 */
-		public com.google.protobuf.ByteString getIncarnationBytes() {
-			java.lang.Object ref = incarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				incarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearIncarnation() {
-			incarnation_ = getDefaultInstance().getIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string incarnation = 1;</code>
-		 * @param value The bytes for incarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			incarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private boolean draining_;
-
-		/**
-		 * <code>bool draining = 2;</code>
-		 * @return The draining.
-		 */
-		@java.lang.Override
-		public boolean getDraining() {
-			return draining_;
-		}
-
-		/**
-		 * <code>bool draining = 2;</code>
-		 * @param value The draining to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setDraining(boolean value) {
-
-			draining_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bool draining = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearDraining() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			draining_ = false;
-			onChanged();
-			return this;
-		}
-
-		private long configVersion_;
-
-		/**
-		 * <code>int64 config_version = 3;</code>
-		 * @return The configVersion.
-		 */
-		@java.lang.Override
-		public long getConfigVersion() {
-			return configVersion_;
-		}
-
-		/**
-		 * <code>int64 config_version = 3;</code>
-		 * @param value The configVersion to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setConfigVersion(long value) {
-
-			configVersion_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 config_version = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearConfigVersion() {
-			bitField0_ = (bitField0_ & ~0x00000004);
-			configVersion_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ProbeResponse)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ProbeResponse)
-	private static final io.verbenacleat.proto.v1.ProbeResponse DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ProbeResponse();
-	}
-
-	public static io.verbenacleat.proto.v1.ProbeResponse getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ProbeResponse> PARSER = new com.google.protobuf.AbstractParser<ProbeResponse>() {
-		@java.lang.Override
-		public ProbeResponse parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ProbeResponse> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ProbeResponse> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ProbeResponse getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ProbeResponse extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ProbeResponse)
+    ProbeResponseOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ProbeResponse.class.getName());
+  }
+  // Use ProbeResponse.newBuilder() to construct.
+  private ProbeResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ProbeResponse() {
+    incarnation_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ProbeResponse.class, io.verbenacleat.proto.v1.ProbeResponse.Builder.class);
+  }
+
+  public static final int INCARNATION_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object incarnation_ = "";
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getIncarnation() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      incarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIncarnationBytes() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      incarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int DRAINING_FIELD_NUMBER = 2;
+  private boolean draining_ = false;
+  /**
+   * <code>bool draining = 2;</code>
+   * @return The draining.
+   */
+  @java.lang.Override
+  public boolean getDraining() {
+    return draining_;
+  }
+
+  public static final int CONFIG_VERSION_FIELD_NUMBER = 3;
+  private long configVersion_ = 0L;
+  /**
+   * <code>int64 config_version = 3;</code>
+   * @return The configVersion.
+   */
+  @java.lang.Override
+  public long getConfigVersion() {
+    return configVersion_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, incarnation_);
+    }
+    if (draining_ != false) {
+      output.writeBool(2, draining_);
+    }
+    if (configVersion_ != 0L) {
+      output.writeInt64(3, configVersion_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, incarnation_);
+    }
+    if (draining_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, draining_);
+    }
+    if (configVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, configVersion_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ProbeResponse)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ProbeResponse other = (io.verbenacleat.proto.v1.ProbeResponse) obj;
+
+    if (!getIncarnation()
+        .equals(other.getIncarnation())) return false;
+    if (getDraining()
+        != other.getDraining()) return false;
+    if (getConfigVersion()
+        != other.getConfigVersion()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getIncarnation().hashCode();
+    hash = (37 * hash) + DRAINING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDraining());
+    hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getConfigVersion());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeResponse parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeResponse parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ProbeResponse parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ProbeResponse prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ProbeResponse}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ProbeResponse)
+      io.verbenacleat.proto.v1.ProbeResponseOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ProbeResponse.class, io.verbenacleat.proto.v1.ProbeResponse.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ProbeResponse.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      incarnation_ = "";
+      draining_ = false;
+      configVersion_ = 0L;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ProbeResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ProbeResponse getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ProbeResponse.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ProbeResponse build() {
+      io.verbenacleat.proto.v1.ProbeResponse result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ProbeResponse buildPartial() {
+      io.verbenacleat.proto.v1.ProbeResponse result = new io.verbenacleat.proto.v1.ProbeResponse(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ProbeResponse result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.draining_ = draining_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.configVersion_ = configVersion_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ProbeResponse) {
+        return mergeFrom((io.verbenacleat.proto.v1.ProbeResponse)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ProbeResponse other) {
+      if (other == io.verbenacleat.proto.v1.ProbeResponse.getDefaultInstance()) return this;
+      if (!other.getIncarnation().isEmpty()) {
+        incarnation_ = other.incarnation_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (other.getDraining() != false) {
+        setDraining(other.getDraining());
+      }
+      if (other.getConfigVersion() != 0L) {
+        setConfigVersion(other.getConfigVersion());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              incarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 16: {
+              draining_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 24: {
+              configVersion_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object incarnation_ = "";
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The incarnation.
+     */
+    public java.lang.String getIncarnation() {
+      java.lang.Object ref = incarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        incarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return The bytes for incarnation.
+     */
+    public com.google.protobuf.ByteString
+        getIncarnationBytes() {
+      java.lang.Object ref = incarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        incarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      incarnation_ = getDefaultInstance().getIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 1;</code>
+     * @param value The bytes for incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      incarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private boolean draining_ ;
+    /**
+     * <code>bool draining = 2;</code>
+     * @return The draining.
+     */
+    @java.lang.Override
+    public boolean getDraining() {
+      return draining_;
+    }
+    /**
+     * <code>bool draining = 2;</code>
+     * @param value The draining to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDraining(boolean value) {
+
+      draining_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool draining = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDraining() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      draining_ = false;
+      onChanged();
+      return this;
+    }
+
+    private long configVersion_ ;
+    /**
+     * <code>int64 config_version = 3;</code>
+     * @return The configVersion.
+     */
+    @java.lang.Override
+    public long getConfigVersion() {
+      return configVersion_;
+    }
+    /**
+     * <code>int64 config_version = 3;</code>
+     * @param value The configVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfigVersion(long value) {
+
+      configVersion_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 config_version = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfigVersion() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      configVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ProbeResponse)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ProbeResponse)
+  private static final io.verbenacleat.proto.v1.ProbeResponse DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ProbeResponse();
+  }
+
+  public static io.verbenacleat.proto.v1.ProbeResponse getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ProbeResponse>
+      PARSER = new com.google.protobuf.AbstractParser<ProbeResponse>() {
+    @java.lang.Override
+    public ProbeResponse parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ProbeResponse> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ProbeResponse> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ProbeResponse getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ProbeResponseOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ProbeResponseOrBuilder.java
@@ -6,31 +6,30 @@
 package io.verbenacleat.proto.v1;
 
 public interface ProbeResponseOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ProbeResponse)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ProbeResponse)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The incarnation.
-	 */
-	java.lang.String getIncarnation();
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The incarnation.
+   */
+  java.lang.String getIncarnation();
+  /**
+   * <code>string incarnation = 1;</code>
+   * @return The bytes for incarnation.
+   */
+  com.google.protobuf.ByteString
+      getIncarnationBytes();
 
-	/**
-	 * <code>string incarnation = 1;</code>
-	 * @return The bytes for incarnation.
-	 */
-	com.google.protobuf.ByteString getIncarnationBytes();
-
-	/**
-	 * <code>bool draining = 2;</code>
-	 * @return The draining.
-	 */
-	boolean getDraining();
-
-	/**
-	 * <code>int64 config_version = 3;</code>
-	 * @return The configVersion.
-	 */
-	long getConfigVersion();
+  /**
+   * <code>bool draining = 2;</code>
+   * @return The draining.
+   */
+  boolean getDraining();
 
+  /**
+   * <code>int64 config_version = 3;</code>
+   * @return The configVersion.
+   */
+  long getConfigVersion();
 }
