--- a/proto/src/main/java/io/verbenacleat/proto/v1/Receipt.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/Receipt.java
@@ -8,1977 +8,1907 @@
 /**
  * Protobuf type {@code verbena.v1.Receipt}
  */
-public final class Receipt extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.Receipt)
-		ReceiptOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", Receipt.class.getName());
-	}
-
-	// Use Receipt.newBuilder() to construct.
-	private Receipt(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private Receipt() {
-		requestId_ = "";
-		account_ = "";
-		callerId_ = "";
-		holderIncarnation_ = "";
-		backendServer_ = "";
-		target_ = "";
-		status_ = 0;
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Receipt.class,
-					io.verbenacleat.proto.v1.Receipt.Builder.class);
-	}
-
-	private int bitField0_;
-
-	public static final int REQUEST_ID_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object requestId_ = "";
-
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The requestId.
-	 */
-	@java.lang.Override
-	public java.lang.String getRequestId() {
-		java.lang.Object ref = requestId_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			requestId_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The bytes for requestId.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getRequestIdBytes() {
-		java.lang.Object ref = requestId_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			requestId_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int ORDER_ID_FIELD_NUMBER = 2;
-
-	private io.verbenacleat.proto.v1.OrderId orderId_;
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 2;</code>
-	 * @return Whether the orderId field is set.
-	 */
-	@java.lang.Override
-	public boolean hasOrderId() {
-		return ((bitField0_ & 0x00000001) != 0);
-	}
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 2;</code>
-	 * @return The orderId.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderId getOrderId() {
-		return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-	}
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
-		return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-	}
-
-	public static final int ACCOUNT_FIELD_NUMBER = 3;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object account_ = "";
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The account.
-	 */
-	@java.lang.Override
-	public java.lang.String getAccount() {
-		java.lang.Object ref = account_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			account_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The bytes for account.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getAccountBytes() {
-		java.lang.Object ref = account_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			account_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int CALLER_ID_FIELD_NUMBER = 4;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object callerId_ = "";
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The callerId.
-	 */
-	@java.lang.Override
-	public java.lang.String getCallerId() {
-		java.lang.Object ref = callerId_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			callerId_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The bytes for callerId.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getCallerIdBytes() {
-		java.lang.Object ref = callerId_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			callerId_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int HOLDER_INCARNATION_FIELD_NUMBER = 5;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object holderIncarnation_ = "";
-
-	/**
-	 * <code>string holder_incarnation = 5;</code>
-	 * @return The holderIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getHolderIncarnation() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			holderIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string holder_incarnation = 5;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			holderIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int BACKEND_SERVER_FIELD_NUMBER = 6;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object backendServer_ = "";
-
-	/**
-	 * <code>string backend_server = 6;</code>
-	 * @return The backendServer.
-	 */
-	@java.lang.Override
-	public java.lang.String getBackendServer() {
-		java.lang.Object ref = backendServer_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			backendServer_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string backend_server = 6;</code>
-	 * @return The bytes for backendServer.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getBackendServerBytes() {
-		java.lang.Object ref = backendServer_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			backendServer_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int TARGET_FIELD_NUMBER = 7;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object target_ = "";
-
-	/**
-	 * <pre>
-	 * Model name or service name.
-	 * </pre>
-	 *
-	 * <code>string target = 7;</code>
-	 * @return The target.
-	 */
-	@java.lang.Override
-	public java.lang.String getTarget() {
-		java.lang.Object ref = target_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			target_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <pre>
-	 * Model name or service name.
-	 * </pre>
-	 *
-	 * <code>string target = 7;</code>
-	 * @return The bytes for target.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getTargetBytes() {
-		java.lang.Object ref = target_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			target_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int PROMPT_TOKENS_FIELD_NUMBER = 8;
-
-	private long promptTokens_ = 0L;
-
-	/**
-	 * <code>int64 prompt_tokens = 8;</code>
-	 * @return The promptTokens.
-	 */
-	@java.lang.Override
-	public long getPromptTokens() {
-		return promptTokens_;
-	}
-
-	public static final int ANSWER_TOKENS_FIELD_NUMBER = 9;
-
-	private long answerTokens_ = 0L;
-
-	/**
-	 * <code>int64 answer_tokens = 9;</code>
-	 * @return The answerTokens.
-	 */
-	@java.lang.Override
-	public long getAnswerTokens() {
-		return answerTokens_;
-	}
-
-	public static final int BILLED_TOKENS_FIELD_NUMBER = 10;
-
-	private long billedTokens_ = 0L;
-
-	/**
-	 * <code>int64 billed_tokens = 10;</code>
-	 * @return The billedTokens.
-	 */
-	@java.lang.Override
-	public long getBilledTokens() {
-		return billedTokens_;
-	}
-
-	public static final int HELD_TOKENS_FIELD_NUMBER = 11;
-
-	private long heldTokens_ = 0L;
-
-	/**
-	 * <pre>
-	 * Tokens of unknown fate, kept out of reach until an operator settles them.
-	 * </pre>
-	 *
-	 * <code>int64 held_tokens = 11;</code>
-	 * @return The heldTokens.
-	 */
-	@java.lang.Override
-	public long getHeldTokens() {
-		return heldTokens_;
-	}
-
-	public static final int STATUS_FIELD_NUMBER = 12;
-
-	private int status_ = 0;
-
-	/**
-	 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-	 * @return The enum numeric value on the wire for status.
-	 */
-	@java.lang.Override
-	public int getStatusValue() {
-		return status_;
-	}
-
-	/**
-	 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-	 * @return The status.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReceiptStatus getStatus() {
-		io.verbenacleat.proto.v1.ReceiptStatus result = io.verbenacleat.proto.v1.ReceiptStatus.forNumber(status_);
-		return result == null ? io.verbenacleat.proto.v1.ReceiptStatus.UNRECOGNIZED : result;
-	}
-
-	public static final int STARTED_AT_MS_FIELD_NUMBER = 13;
-
-	private long startedAtMs_ = 0L;
-
-	/**
-	 * <code>int64 started_at_ms = 13;</code>
-	 * @return The startedAtMs.
-	 */
-	@java.lang.Override
-	public long getStartedAtMs() {
-		return startedAtMs_;
-	}
-
-	public static final int FINISHED_AT_MS_FIELD_NUMBER = 14;
-
-	private long finishedAtMs_ = 0L;
-
-	/**
-	 * <code>int64 finished_at_ms = 14;</code>
-	 * @return The finishedAtMs.
-	 */
-	@java.lang.Override
-	public long getFinishedAtMs() {
-		return finishedAtMs_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, requestId_);
-		}
-		if (((bitField0_ & 0x00000001) != 0)) {
-			output.writeMessage(2, getOrderId());
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 3, account_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 4, callerId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 5, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 6, backendServer_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 7, target_);
-		}
-		if (promptTokens_ != 0L) {
-			output.writeInt64(8, promptTokens_);
-		}
-		if (answerTokens_ != 0L) {
-			output.writeInt64(9, answerTokens_);
-		}
-		if (billedTokens_ != 0L) {
-			output.writeInt64(10, billedTokens_);
-		}
-		if (heldTokens_ != 0L) {
-			output.writeInt64(11, heldTokens_);
-		}
-		if (status_ != io.verbenacleat.proto.v1.ReceiptStatus.RECEIPT_STATUS_UNSPECIFIED.getNumber()) {
-			output.writeEnum(12, status_);
-		}
-		if (startedAtMs_ != 0L) {
-			output.writeInt64(13, startedAtMs_);
-		}
-		if (finishedAtMs_ != 0L) {
-			output.writeInt64(14, finishedAtMs_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, requestId_);
-		}
-		if (((bitField0_ & 0x00000001) != 0)) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, getOrderId());
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(3, account_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(4, callerId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(5, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(6, backendServer_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(7, target_);
-		}
-		if (promptTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(8, promptTokens_);
-		}
-		if (answerTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(9, answerTokens_);
-		}
-		if (billedTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(10, billedTokens_);
-		}
-		if (heldTokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(11, heldTokens_);
-		}
-		if (status_ != io.verbenacleat.proto.v1.ReceiptStatus.RECEIPT_STATUS_UNSPECIFIED.getNumber()) {
-			size += com.google.protobuf.CodedOutputStream.computeEnumSize(12, status_);
-		}
-		if (startedAtMs_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(13, startedAtMs_);
-		}
-		if (finishedAtMs_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(14, finishedAtMs_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.Receipt)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.Receipt other = (io.verbenacleat.proto.v1.Receipt) obj;
-
-		if (!getRequestId().equals(other.getRequestId()))
-			return false;
-		if (hasOrderId() != other.hasOrderId())
-			return false;
-		if (hasOrderId()) {
-			if (!getOrderId().equals(other.getOrderId()))
-				return false;
-		}
-		if (!getAccount().equals(other.getAccount()))
-			return false;
-		if (!getCallerId().equals(other.getCallerId()))
-			return false;
-		if (!getHolderIncarnation().equals(other.getHolderIncarnation()))
-			return false;
-		if (!getBackendServer().equals(other.getBackendServer()))
-			return false;
-		if (!getTarget().equals(other.getTarget()))
-			return false;
-		if (getPromptTokens() != other.getPromptTokens())
-			return false;
-		if (getAnswerTokens() != other.getAnswerTokens())
-			return false;
-		if (getBilledTokens() != other.getBilledTokens())
-			return false;
-		if (getHeldTokens() != other.getHeldTokens())
-			return false;
-		if (status_ != other.status_)
-			return false;
-		if (getStartedAtMs() != other.getStartedAtMs())
-			return false;
-		if (getFinishedAtMs() != other.getFinishedAtMs())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
-		hash = (53 * hash) + getRequestId().hashCode();
-		if (hasOrderId()) {
-			hash = (37 * hash) + ORDER_ID_FIELD_NUMBER;
-			hash = (53 * hash) + getOrderId().hashCode();
-		}
-		hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
-		hash = (53 * hash) + getAccount().hashCode();
-		hash = (37 * hash) + CALLER_ID_FIELD_NUMBER;
-		hash = (53 * hash) + getCallerId().hashCode();
-		hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getHolderIncarnation().hashCode();
-		hash = (37 * hash) + BACKEND_SERVER_FIELD_NUMBER;
-		hash = (53 * hash) + getBackendServer().hashCode();
-		hash = (37 * hash) + TARGET_FIELD_NUMBER;
-		hash = (53 * hash) + getTarget().hashCode();
-		hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getPromptTokens());
-		hash = (37 * hash) + ANSWER_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getAnswerTokens());
-		hash = (37 * hash) + BILLED_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getBilledTokens());
-		hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getHeldTokens());
-		hash = (37 * hash) + STATUS_FIELD_NUMBER;
-		hash = (53 * hash) + status_;
-		hash = (37 * hash) + STARTED_AT_MS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getStartedAtMs());
-		hash = (37 * hash) + FINISHED_AT_MS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getFinishedAtMs());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.Receipt prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.Receipt}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.Receipt)
-			io.verbenacleat.proto.v1.ReceiptOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Receipt.class,
-						io.verbenacleat.proto.v1.Receipt.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.Receipt.newBuilder()
-		private Builder() {
-			maybeForceBuilderInitialization();
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-			maybeForceBuilderInitialization();
-		}
-
-		private void maybeForceBuilderInitialization() {
-			if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
-				internalGetOrderIdFieldBuilder();
-			}
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			requestId_ = "";
-			orderId_ = null;
-			if (orderIdBuilder_ != null) {
-				orderIdBuilder_.dispose();
-				orderIdBuilder_ = null;
-			}
-			account_ = "";
-			callerId_ = "";
-			holderIncarnation_ = "";
-			backendServer_ = "";
-			target_ = "";
-			promptTokens_ = 0L;
-			answerTokens_ = 0L;
-			billedTokens_ = 0L;
-			heldTokens_ = 0L;
-			status_ = 0;
-			startedAtMs_ = 0L;
-			finishedAtMs_ = 0L;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Receipt getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.Receipt.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Receipt build() {
-			io.verbenacleat.proto.v1.Receipt result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Receipt buildPartial() {
-			io.verbenacleat.proto.v1.Receipt result = new io.verbenacleat.proto.v1.Receipt(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.Receipt result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.requestId_ = requestId_;
-			}
-			int to_bitField0_ = 0;
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.orderId_ = orderIdBuilder_ == null ? orderId_ : orderIdBuilder_.build();
-				to_bitField0_ |= 0x00000001;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.account_ = account_;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.callerId_ = callerId_;
-			}
-			if (((from_bitField0_ & 0x00000010) != 0)) {
-				result.holderIncarnation_ = holderIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000020) != 0)) {
-				result.backendServer_ = backendServer_;
-			}
-			if (((from_bitField0_ & 0x00000040) != 0)) {
-				result.target_ = target_;
-			}
-			if (((from_bitField0_ & 0x00000080) != 0)) {
-				result.promptTokens_ = promptTokens_;
-			}
-			if (((from_bitField0_ & 0x00000100) != 0)) {
-				result.answerTokens_ = answerTokens_;
-			}
-			if (((from_bitField0_ & 0x00000200) != 0)) {
-				result.billedTokens_ = billedTokens_;
-			}
-			if (((from_bitField0_ & 0x00000400) != 0)) {
-				result.heldTokens_ = heldTokens_;
-			}
-			if (((from_bitField0_ & 0x00000800) != 0)) {
-				result.status_ = status_;
-			}
-			if (((from_bitField0_ & 0x00001000) != 0)) {
-				result.startedAtMs_ = startedAtMs_;
-			}
-			if (((from_bitField0_ & 0x00002000) != 0)) {
-				result.finishedAtMs_ = finishedAtMs_;
-			}
-			result.bitField0_ |= to_bitField0_;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.Receipt) {
-				return mergeFrom((io.verbenacleat.proto.v1.Receipt) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.Receipt other) {
-			if (other == io.verbenacleat.proto.v1.Receipt.getDefaultInstance())
-				return this;
-			if (!other.getRequestId().isEmpty()) {
-				requestId_ = other.requestId_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (other.hasOrderId()) {
-				mergeOrderId(other.getOrderId());
-			}
-			if (!other.getAccount().isEmpty()) {
-				account_ = other.account_;
-				bitField0_ |= 0x00000004;
-				onChanged();
-			}
-			if (!other.getCallerId().isEmpty()) {
-				callerId_ = other.callerId_;
-				bitField0_ |= 0x00000008;
-				onChanged();
-			}
-			if (!other.getHolderIncarnation().isEmpty()) {
-				holderIncarnation_ = other.holderIncarnation_;
-				bitField0_ |= 0x00000010;
-				onChanged();
-			}
-			if (!other.getBackendServer().isEmpty()) {
-				backendServer_ = other.backendServer_;
-				bitField0_ |= 0x00000020;
-				onChanged();
-			}
-			if (!other.getTarget().isEmpty()) {
-				target_ = other.target_;
-				bitField0_ |= 0x00000040;
-				onChanged();
-			}
-			if (other.getPromptTokens() != 0L) {
-				setPromptTokens(other.getPromptTokens());
-			}
-			if (other.getAnswerTokens() != 0L) {
-				setAnswerTokens(other.getAnswerTokens());
-			}
-			if (other.getBilledTokens() != 0L) {
-				setBilledTokens(other.getBilledTokens());
-			}
-			if (other.getHeldTokens() != 0L) {
-				setHeldTokens(other.getHeldTokens());
-			}
-			if (other.status_ != 0) {
-				setStatusValue(other.getStatusValue());
-			}
-			if (other.getStartedAtMs() != 0L) {
-				setStartedAtMs(other.getStartedAtMs());
-			}
-			if (other.getFinishedAtMs() != 0L) {
-				setFinishedAtMs(other.getFinishedAtMs());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							requestId_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							input.readMessage(internalGetOrderIdFieldBuilder().getBuilder(), extensionRegistry);
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 26: {
-							account_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 26
-						case 34: {
-							callerId_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 34
-						case 42: {
-							holderIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000010;
-							break;
-						} // case 42
-						case 50: {
-							backendServer_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000020;
-							break;
-						} // case 50
-						case 58: {
-							target_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000040;
-							break;
-						} // case 58
-						case 64: {
-							promptTokens_ = input.readInt64();
-							bitField0_ |= 0x00000080;
-							break;
-						} // case 64
-						case 72: {
-							answerTokens_ = input.readInt64();
-							bitField0_ |= 0x00000100;
-							break;
-						} // case 72
-						case 80: {
-							billedTokens_ = input.readInt64();
-							bitField0_ |= 0x00000200;
-							break;
-						} // case 80
-						case 88: {
-							heldTokens_ = input.readInt64();
-							bitField0_ |= 0x00000400;
-							break;
-						} // case 88
-						case 96: {
-							status_ = input.readEnum();
-							bitField0_ |= 0x00000800;
-							break;
-						} // case 96
-						case 104: {
-							startedAtMs_ = input.readInt64();
-							bitField0_ |= 0x00001000;
-							break;
-						} // case 104
-						case 112: {
-							finishedAtMs_ = input.readInt64();
-							bitField0_ |= 0x00002000;
-							break;
-						} // case 112
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object requestId_ = "";
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @return The requestId.
-		 */
-		public java.lang.String getRequestId() {
-			java.lang.Object ref = requestId_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				requestId_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @return The bytes for requestId.
-		 */
-		public com.google.protobuf.ByteString getRequestIdBytes() {
-			java.lang.Object ref = requestId_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				requestId_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @param value The requestId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRequestId(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			requestId_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRequestId() {
-			requestId_ = getDefaultInstance().getRequestId();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @param value The bytes for requestId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRequestIdBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			requestId_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private io.verbenacleat.proto.v1.OrderId orderId_;
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> orderIdBuilder_;
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 * @return Whether the orderId field is set.
-		 */
-		public boolean hasOrderId() {
-			return ((bitField0_ & 0x00000002) != 0);
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 * @return The orderId.
-		 */
-		public io.verbenacleat.proto.v1.OrderId getOrderId() {
-			if (orderIdBuilder_ == null) {
-				return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-			}
-			else {
-				return orderIdBuilder_.getMessage();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 */
-		public Builder setOrderId(io.verbenacleat.proto.v1.OrderId value) {
-			if (orderIdBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				orderId_ = value;
-			}
-			else {
-				orderIdBuilder_.setMessage(value);
-			}
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 */
-		public Builder setOrderId(io.verbenacleat.proto.v1.OrderId.Builder builderForValue) {
-			if (orderIdBuilder_ == null) {
-				orderId_ = builderForValue.build();
-			}
-			else {
-				orderIdBuilder_.setMessage(builderForValue.build());
-			}
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 */
-		public Builder mergeOrderId(io.verbenacleat.proto.v1.OrderId value) {
-			if (orderIdBuilder_ == null) {
-				if (((bitField0_ & 0x00000002) != 0) && orderId_ != null
-						&& orderId_ != io.verbenacleat.proto.v1.OrderId.getDefaultInstance()) {
-					getOrderIdBuilder().mergeFrom(value);
-				}
-				else {
-					orderId_ = value;
-				}
-			}
-			else {
-				orderIdBuilder_.mergeFrom(value);
-			}
-			if (orderId_ != null) {
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 */
-		public Builder clearOrderId() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			orderId_ = null;
-			if (orderIdBuilder_ != null) {
-				orderIdBuilder_.dispose();
-				orderIdBuilder_ = null;
-			}
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.OrderId.Builder getOrderIdBuilder() {
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return internalGetOrderIdFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
-			if (orderIdBuilder_ != null) {
-				return orderIdBuilder_.getMessageOrBuilder();
-			}
-			else {
-				return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 2;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> internalGetOrderIdFieldBuilder() {
-			if (orderIdBuilder_ == null) {
-				orderIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder>(
-						getOrderId(), getParentForChildren(), isClean());
-				orderId_ = null;
-			}
-			return orderIdBuilder_;
-		}
-
-		private java.lang.Object account_ = "";
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return The account.
-		 */
-		public java.lang.String getAccount() {
-			java.lang.Object ref = account_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				account_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return The bytes for account.
-		 */
-		public com.google.protobuf.ByteString getAccountBytes() {
-			java.lang.Object ref = account_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				account_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @param value The account to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAccount(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			account_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAccount() {
-			account_ = getDefaultInstance().getAccount();
-			bitField0_ = (bitField0_ & ~0x00000004);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @param value The bytes for account to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAccountBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			account_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object callerId_ = "";
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return The callerId.
-		 */
-		public java.lang.String getCallerId() {
-			java.lang.Object ref = callerId_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				callerId_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return The bytes for callerId.
-		 */
-		public com.google.protobuf.ByteString getCallerIdBytes() {
-			java.lang.Object ref = callerId_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				callerId_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @param value The callerId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setCallerId(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			callerId_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearCallerId() {
-			callerId_ = getDefaultInstance().getCallerId();
-			bitField0_ = (bitField0_ & ~0x00000008);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @param value The bytes for callerId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setCallerIdBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			callerId_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object holderIncarnation_ = "";
-
-		/**
-		 * <code>string holder_incarnation = 5;</code>
-		 * @return The holderIncarnation.
-		 */
-		public java.lang.String getHolderIncarnation() {
-			java.lang.Object ref = holderIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				holderIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 5;</code>
-		 * @return The bytes for holderIncarnation.
-		 */
-		public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-			java.lang.Object ref = holderIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				holderIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 5;</code>
-		 * @param value The holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 5;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHolderIncarnation() {
-			holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000010);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 5;</code>
-		 * @param value The bytes for holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object backendServer_ = "";
-
-		/**
-		 * <code>string backend_server = 6;</code>
-		 * @return The backendServer.
-		 */
-		public java.lang.String getBackendServer() {
-			java.lang.Object ref = backendServer_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				backendServer_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string backend_server = 6;</code>
-		 * @return The bytes for backendServer.
-		 */
-		public com.google.protobuf.ByteString getBackendServerBytes() {
-			java.lang.Object ref = backendServer_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				backendServer_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string backend_server = 6;</code>
-		 * @param value The backendServer to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBackendServer(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			backendServer_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string backend_server = 6;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearBackendServer() {
-			backendServer_ = getDefaultInstance().getBackendServer();
-			bitField0_ = (bitField0_ & ~0x00000020);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string backend_server = 6;</code>
-		 * @param value The bytes for backendServer to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBackendServerBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			backendServer_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object target_ = "";
-
-		/**
-		 * <pre>
-		 * Model name or service name.
-		 * </pre>
-		 *
-		 * <code>string target = 7;</code>
-		 * @return The target.
-		 */
-		public java.lang.String getTarget() {
-			java.lang.Object ref = target_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				target_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Model name or service name.
-		 * </pre>
-		 *
-		 * <code>string target = 7;</code>
-		 * @return The bytes for target.
-		 */
-		public com.google.protobuf.ByteString getTargetBytes() {
-			java.lang.Object ref = target_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				target_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Model name or service name.
-		 * </pre>
-		 *
-		 * <code>string target = 7;</code>
-		 * @param value The target to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setTarget(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			target_ = value;
-			bitField0_ |= 0x00000040;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Model name or service name.
-		 * </pre>
-		 *
-		 * <code>string target = 7;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearTarget() {
-			target_ = getDefaultInstance().getTarget();
-			bitField0_ = (bitField0_ & ~0x00000040);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Model name or service name.
-		 * </pre>
-		 *
-		 * <code>string target = 7;</code>
-		 * @param value The bytes for target to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setTargetBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			target_ = value;
-			bitField0_ |= 0x00000040;
-			onChanged();
-			return this;
-		}
-
-		private long promptTokens_;
-
-		/**
-		 * <code>int64 prompt_tokens = 8;</code>
-		 * @return The promptTokens.
-		 */
-		@java.lang.Override
-		public long getPromptTokens() {
-			return promptTokens_;
-		}
-
-		/**
-		 * <code>int64 prompt_tokens = 8;</code>
-		 * @param value The promptTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPromptTokens(long value) {
-
-			promptTokens_ = value;
-			bitField0_ |= 0x00000080;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 prompt_tokens = 8;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPromptTokens() {
-			bitField0_ = (bitField0_ & ~0x00000080);
-			promptTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private long answerTokens_;
-
-		/**
-		 * <code>int64 answer_tokens = 9;</code>
-		 * @return The answerTokens.
-		 */
-		@java.lang.Override
-		public long getAnswerTokens() {
-			return answerTokens_;
-		}
-
-		/**
-		 * <code>int64 answer_tokens = 9;</code>
-		 * @param value The answerTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAnswerTokens(long value) {
-
-			answerTokens_ = value;
-			bitField0_ |= 0x00000100;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 answer_tokens = 9;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAnswerTokens() {
-			bitField0_ = (bitField0_ & ~0x00000100);
-			answerTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private long billedTokens_;
-
-		/**
-		 * <code>int64 billed_tokens = 10;</code>
-		 * @return The billedTokens.
-		 */
-		@java.lang.Override
-		public long getBilledTokens() {
-			return billedTokens_;
-		}
-
-		/**
-		 * <code>int64 billed_tokens = 10;</code>
-		 * @param value The billedTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setBilledTokens(long value) {
-
-			billedTokens_ = value;
-			bitField0_ |= 0x00000200;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 billed_tokens = 10;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearBilledTokens() {
-			bitField0_ = (bitField0_ & ~0x00000200);
-			billedTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private long heldTokens_;
-
-		/**
-		 * <pre>
-		 * Tokens of unknown fate, kept out of reach until an operator settles them.
-		 * </pre>
-		 *
-		 * <code>int64 held_tokens = 11;</code>
-		 * @return The heldTokens.
-		 */
-		@java.lang.Override
-		public long getHeldTokens() {
-			return heldTokens_;
-		}
-
-		/**
-		 * <pre>
-		 * Tokens of unknown fate, kept out of reach until an operator settles them.
-		 * </pre>
-		 *
-		 * <code>int64 held_tokens = 11;</code>
-		 * @param value The heldTokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHeldTokens(long value) {
-
-			heldTokens_ = value;
-			bitField0_ |= 0x00000400;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Tokens of unknown fate, kept out of reach until an operator settles them.
-		 * </pre>
-		 *
-		 * <code>int64 held_tokens = 11;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHeldTokens() {
-			bitField0_ = (bitField0_ & ~0x00000400);
-			heldTokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private int status_ = 0;
-
-		/**
-		 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-		 * @return The enum numeric value on the wire for status.
-		 */
-		@java.lang.Override
-		public int getStatusValue() {
-			return status_;
-		}
-
-		/**
-		 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-		 * @param value The enum numeric value on the wire for status to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setStatusValue(int value) {
-			status_ = value;
-			bitField0_ |= 0x00000800;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-		 * @return The status.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReceiptStatus getStatus() {
-			io.verbenacleat.proto.v1.ReceiptStatus result = io.verbenacleat.proto.v1.ReceiptStatus.forNumber(status_);
-			return result == null ? io.verbenacleat.proto.v1.ReceiptStatus.UNRECOGNIZED : result;
-		}
-
-		/**
-		 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-		 * @param value The status to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setStatus(io.verbenacleat.proto.v1.ReceiptStatus value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			bitField0_ |= 0x00000800;
-			status_ = value.getNumber();
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearStatus() {
-			bitField0_ = (bitField0_ & ~0x00000800);
-			status_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private long startedAtMs_;
-
-		/**
-		 * <code>int64 started_at_ms = 13;</code>
-		 * @return The startedAtMs.
-		 */
-		@java.lang.Override
-		public long getStartedAtMs() {
-			return startedAtMs_;
-		}
-
-		/**
-		 * <code>int64 started_at_ms = 13;</code>
-		 * @param value The startedAtMs to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setStartedAtMs(long value) {
-
-			startedAtMs_ = value;
-			bitField0_ |= 0x00001000;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 started_at_ms = 13;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearStartedAtMs() {
-			bitField0_ = (bitField0_ & ~0x00001000);
-			startedAtMs_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private long finishedAtMs_;
-
-		/**
-		 * <code>int64 finished_at_ms = 14;</code>
-		 * @return The finishedAtMs.
-		 */
-		@java.lang.Override
-		public long getFinishedAtMs() {
-			return finishedAtMs_;
-		}
-
-		/**
-		 * <code>int64 finished_at_ms = 14;</code>
-		 * @param value The finishedAtMs to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setFinishedAtMs(long value) {
-
-			finishedAtMs_ = value;
-			bitField0_ |= 0x00002000;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 finished_at_ms = 14;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearFinishedAtMs() {
-			bitField0_ = (bitField0_ & ~0x00002000);
-			finishedAtMs_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.Receipt)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.Receipt)
-	private static final io.verbenacleat.proto.v1.Receipt DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Receipt();
-	}
-
-	public static io.verbenacleat.proto.v1.Receipt getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<Receipt> PARSER = new com.google.protobuf.AbstractParser<Receipt>() {
-		@java.lang.Override
-		public Receipt parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<Receipt> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<Receipt> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Receipt getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class Receipt extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.Receipt)
+    ReceiptOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      Receipt.class.getName());
+  }
+  // Use Receipt.newBuilder() to construct.
+  private Receipt(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private Receipt() {
+    requestId_ = "";
+    account_ = "";
+    callerId_ = "";
+    holderIncarnation_ = "";
+    backendServer_ = "";
+    target_ = "";
+    status_ = 0;
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.Receipt.class, io.verbenacleat.proto.v1.Receipt.Builder.class);
+  }
+
+  private int bitField0_;
+  public static final int REQUEST_ID_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object requestId_ = "";
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The requestId.
+   */
+  @java.lang.Override
+  public java.lang.String getRequestId() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      requestId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The bytes for requestId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestIdBytes() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      requestId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ORDER_ID_FIELD_NUMBER = 2;
+  private io.verbenacleat.proto.v1.OrderId orderId_;
+  /**
+   * <code>.verbena.v1.OrderId order_id = 2;</code>
+   * @return Whether the orderId field is set.
+   */
+  @java.lang.Override
+  public boolean hasOrderId() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.verbena.v1.OrderId order_id = 2;</code>
+   * @return The orderId.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.OrderId getOrderId() {
+    return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+  }
+  /**
+   * <code>.verbena.v1.OrderId order_id = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
+    return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+  }
+
+  public static final int ACCOUNT_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object account_ = "";
+  /**
+   * <code>string account = 3;</code>
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      account_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string account = 3;</code>
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAccountBytes() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      account_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int CALLER_ID_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object callerId_ = "";
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The callerId.
+   */
+  @java.lang.Override
+  public java.lang.String getCallerId() {
+    java.lang.Object ref = callerId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      callerId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The bytes for callerId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCallerIdBytes() {
+    java.lang.Object ref = callerId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      callerId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int HOLDER_INCARNATION_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object holderIncarnation_ = "";
+  /**
+   * <code>string holder_incarnation = 5;</code>
+   * @return The holderIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getHolderIncarnation() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      holderIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string holder_incarnation = 5;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHolderIncarnationBytes() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      holderIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int BACKEND_SERVER_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object backendServer_ = "";
+  /**
+   * <code>string backend_server = 6;</code>
+   * @return The backendServer.
+   */
+  @java.lang.Override
+  public java.lang.String getBackendServer() {
+    java.lang.Object ref = backendServer_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      backendServer_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string backend_server = 6;</code>
+   * @return The bytes for backendServer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBackendServerBytes() {
+    java.lang.Object ref = backendServer_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      backendServer_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int TARGET_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object target_ = "";
+  /**
+   * <pre>
+   * Model name or service name.
+   * </pre>
+   *
+   * <code>string target = 7;</code>
+   * @return The target.
+   */
+  @java.lang.Override
+  public java.lang.String getTarget() {
+    java.lang.Object ref = target_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      target_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Model name or service name.
+   * </pre>
+   *
+   * <code>string target = 7;</code>
+   * @return The bytes for target.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getTargetBytes() {
+    java.lang.Object ref = target_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      target_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PROMPT_TOKENS_FIELD_NUMBER = 8;
+  private long promptTokens_ = 0L;
+  /**
+   * <code>int64 prompt_tokens = 8;</code>
+   * @return The promptTokens.
+   */
+  @java.lang.Override
+  public long getPromptTokens() {
+    return promptTokens_;
+  }
+
+  public static final int ANSWER_TOKENS_FIELD_NUMBER = 9;
+  private long answerTokens_ = 0L;
+  /**
+   * <code>int64 answer_tokens = 9;</code>
+   * @return The answerTokens.
+   */
+  @java.lang.Override
+  public long getAnswerTokens() {
+    return answerTokens_;
+  }
+
+  public static final int BILLED_TOKENS_FIELD_NUMBER = 10;
+  private long billedTokens_ = 0L;
+  /**
+   * <code>int64 billed_tokens = 10;</code>
+   * @return The billedTokens.
+   */
+  @java.lang.Override
+  public long getBilledTokens() {
+    return billedTokens_;
+  }
+
+  public static final int HELD_TOKENS_FIELD_NUMBER = 11;
+  private long heldTokens_ = 0L;
+  /**
+   * <pre>
+   * Tokens of unknown fate, kept out of reach until an operator settles them.
+   * </pre>
+   *
+   * <code>int64 held_tokens = 11;</code>
+   * @return The heldTokens.
+   */
+  @java.lang.Override
+  public long getHeldTokens() {
+    return heldTokens_;
+  }
+
+  public static final int STATUS_FIELD_NUMBER = 12;
+  private int status_ = 0;
+  /**
+   * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+   * @return The enum numeric value on the wire for status.
+   */
+  @java.lang.Override public int getStatusValue() {
+    return status_;
+  }
+  /**
+   * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+   * @return The status.
+   */
+  @java.lang.Override public io.verbenacleat.proto.v1.ReceiptStatus getStatus() {
+    io.verbenacleat.proto.v1.ReceiptStatus result = io.verbenacleat.proto.v1.ReceiptStatus.forNumber(status_);
+    return result == null ? io.verbenacleat.proto.v1.ReceiptStatus.UNRECOGNIZED : result;
+  }
+
+  public static final int STARTED_AT_MS_FIELD_NUMBER = 13;
+  private long startedAtMs_ = 0L;
+  /**
+   * <code>int64 started_at_ms = 13;</code>
+   * @return The startedAtMs.
+   */
+  @java.lang.Override
+  public long getStartedAtMs() {
+    return startedAtMs_;
+  }
+
+  public static final int FINISHED_AT_MS_FIELD_NUMBER = 14;
+  private long finishedAtMs_ = 0L;
+  /**
+   * <code>int64 finished_at_ms = 14;</code>
+   * @return The finishedAtMs.
+   */
+  @java.lang.Override
+  public long getFinishedAtMs() {
+    return finishedAtMs_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, requestId_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(2, getOrderId());
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, account_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, callerId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, backendServer_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 7, target_);
+    }
+    if (promptTokens_ != 0L) {
+      output.writeInt64(8, promptTokens_);
+    }
+    if (answerTokens_ != 0L) {
+      output.writeInt64(9, answerTokens_);
+    }
+    if (billedTokens_ != 0L) {
+      output.writeInt64(10, billedTokens_);
+    }
+    if (heldTokens_ != 0L) {
+      output.writeInt64(11, heldTokens_);
+    }
+    if (status_ != io.verbenacleat.proto.v1.ReceiptStatus.RECEIPT_STATUS_UNSPECIFIED.getNumber()) {
+      output.writeEnum(12, status_);
+    }
+    if (startedAtMs_ != 0L) {
+      output.writeInt64(13, startedAtMs_);
+    }
+    if (finishedAtMs_ != 0L) {
+      output.writeInt64(14, finishedAtMs_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, requestId_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, getOrderId());
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, account_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, callerId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(backendServer_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, backendServer_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(target_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(7, target_);
+    }
+    if (promptTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(8, promptTokens_);
+    }
+    if (answerTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(9, answerTokens_);
+    }
+    if (billedTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, billedTokens_);
+    }
+    if (heldTokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(11, heldTokens_);
+    }
+    if (status_ != io.verbenacleat.proto.v1.ReceiptStatus.RECEIPT_STATUS_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(12, status_);
+    }
+    if (startedAtMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(13, startedAtMs_);
+    }
+    if (finishedAtMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(14, finishedAtMs_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.Receipt)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.Receipt other = (io.verbenacleat.proto.v1.Receipt) obj;
+
+    if (!getRequestId()
+        .equals(other.getRequestId())) return false;
+    if (hasOrderId() != other.hasOrderId()) return false;
+    if (hasOrderId()) {
+      if (!getOrderId()
+          .equals(other.getOrderId())) return false;
+    }
+    if (!getAccount()
+        .equals(other.getAccount())) return false;
+    if (!getCallerId()
+        .equals(other.getCallerId())) return false;
+    if (!getHolderIncarnation()
+        .equals(other.getHolderIncarnation())) return false;
+    if (!getBackendServer()
+        .equals(other.getBackendServer())) return false;
+    if (!getTarget()
+        .equals(other.getTarget())) return false;
+    if (getPromptTokens()
+        != other.getPromptTokens()) return false;
+    if (getAnswerTokens()
+        != other.getAnswerTokens()) return false;
+    if (getBilledTokens()
+        != other.getBilledTokens()) return false;
+    if (getHeldTokens()
+        != other.getHeldTokens()) return false;
+    if (status_ != other.status_) return false;
+    if (getStartedAtMs()
+        != other.getStartedAtMs()) return false;
+    if (getFinishedAtMs()
+        != other.getFinishedAtMs()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestId().hashCode();
+    if (hasOrderId()) {
+      hash = (37 * hash) + ORDER_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getOrderId().hashCode();
+    }
+    hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+    hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + CALLER_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getCallerId().hashCode();
+    hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getHolderIncarnation().hashCode();
+    hash = (37 * hash) + BACKEND_SERVER_FIELD_NUMBER;
+    hash = (53 * hash) + getBackendServer().hashCode();
+    hash = (37 * hash) + TARGET_FIELD_NUMBER;
+    hash = (53 * hash) + getTarget().hashCode();
+    hash = (37 * hash) + PROMPT_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getPromptTokens());
+    hash = (37 * hash) + ANSWER_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAnswerTokens());
+    hash = (37 * hash) + BILLED_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBilledTokens());
+    hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getHeldTokens());
+    hash = (37 * hash) + STATUS_FIELD_NUMBER;
+    hash = (53 * hash) + status_;
+    hash = (37 * hash) + STARTED_AT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getStartedAtMs());
+    hash = (37 * hash) + FINISHED_AT_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFinishedAtMs());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.Receipt parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.Receipt parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Receipt parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.Receipt prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.Receipt}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.Receipt)
+      io.verbenacleat.proto.v1.ReceiptOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.Receipt.class, io.verbenacleat.proto.v1.Receipt.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.Receipt.newBuilder()
+    private Builder() {
+      maybeForceBuilderInitialization();
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetOrderIdFieldBuilder();
+      }
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      requestId_ = "";
+      orderId_ = null;
+      if (orderIdBuilder_ != null) {
+        orderIdBuilder_.dispose();
+        orderIdBuilder_ = null;
+      }
+      account_ = "";
+      callerId_ = "";
+      holderIncarnation_ = "";
+      backendServer_ = "";
+      target_ = "";
+      promptTokens_ = 0L;
+      answerTokens_ = 0L;
+      billedTokens_ = 0L;
+      heldTokens_ = 0L;
+      status_ = 0;
+      startedAtMs_ = 0L;
+      finishedAtMs_ = 0L;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Receipt_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Receipt getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.Receipt.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Receipt build() {
+      io.verbenacleat.proto.v1.Receipt result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Receipt buildPartial() {
+      io.verbenacleat.proto.v1.Receipt result = new io.verbenacleat.proto.v1.Receipt(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.Receipt result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.requestId_ = requestId_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.orderId_ = orderIdBuilder_ == null
+            ? orderId_
+            : orderIdBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.account_ = account_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.callerId_ = callerId_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.holderIncarnation_ = holderIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.backendServer_ = backendServer_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.target_ = target_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.promptTokens_ = promptTokens_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.answerTokens_ = answerTokens_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.billedTokens_ = billedTokens_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.heldTokens_ = heldTokens_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.status_ = status_;
+      }
+      if (((from_bitField0_ & 0x00001000) != 0)) {
+        result.startedAtMs_ = startedAtMs_;
+      }
+      if (((from_bitField0_ & 0x00002000) != 0)) {
+        result.finishedAtMs_ = finishedAtMs_;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.Receipt) {
+        return mergeFrom((io.verbenacleat.proto.v1.Receipt)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.Receipt other) {
+      if (other == io.verbenacleat.proto.v1.Receipt.getDefaultInstance()) return this;
+      if (!other.getRequestId().isEmpty()) {
+        requestId_ = other.requestId_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (other.hasOrderId()) {
+        mergeOrderId(other.getOrderId());
+      }
+      if (!other.getAccount().isEmpty()) {
+        account_ = other.account_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (!other.getCallerId().isEmpty()) {
+        callerId_ = other.callerId_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      if (!other.getHolderIncarnation().isEmpty()) {
+        holderIncarnation_ = other.holderIncarnation_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (!other.getBackendServer().isEmpty()) {
+        backendServer_ = other.backendServer_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (!other.getTarget().isEmpty()) {
+        target_ = other.target_;
+        bitField0_ |= 0x00000040;
+        onChanged();
+      }
+      if (other.getPromptTokens() != 0L) {
+        setPromptTokens(other.getPromptTokens());
+      }
+      if (other.getAnswerTokens() != 0L) {
+        setAnswerTokens(other.getAnswerTokens());
+      }
+      if (other.getBilledTokens() != 0L) {
+        setBilledTokens(other.getBilledTokens());
+      }
+      if (other.getHeldTokens() != 0L) {
+        setHeldTokens(other.getHeldTokens());
+      }
+      if (other.status_ != 0) {
+        setStatusValue(other.getStatusValue());
+      }
+      if (other.getStartedAtMs() != 0L) {
+        setStartedAtMs(other.getStartedAtMs());
+      }
+      if (other.getFinishedAtMs() != 0L) {
+        setFinishedAtMs(other.getFinishedAtMs());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              requestId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              input.readMessage(
+                  internalGetOrderIdFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 26: {
+              account_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              callerId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 42: {
+              holderIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 50: {
+              backendServer_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 58: {
+              target_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
+            case 64: {
+              promptTokens_ = input.readInt64();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 72: {
+              answerTokens_ = input.readInt64();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              billedTokens_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              heldTokens_ = input.readInt64();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              status_ = input.readEnum();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
+            case 104: {
+              startedAtMs_ = input.readInt64();
+              bitField0_ |= 0x00001000;
+              break;
+            } // case 104
+            case 112: {
+              finishedAtMs_ = input.readInt64();
+              bitField0_ |= 0x00002000;
+              break;
+            } // case 112
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object requestId_ = "";
+    /**
+     * <code>string request_id = 1;</code>
+     * @return The requestId.
+     */
+    public java.lang.String getRequestId() {
+      java.lang.Object ref = requestId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        requestId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @return The bytes for requestId.
+     */
+    public com.google.protobuf.ByteString
+        getRequestIdBytes() {
+      java.lang.Object ref = requestId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        requestId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @param value The requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      requestId_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestId() {
+      requestId_ = getDefaultInstance().getRequestId();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @param value The bytes for requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      requestId_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private io.verbenacleat.proto.v1.OrderId orderId_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> orderIdBuilder_;
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     * @return Whether the orderId field is set.
+     */
+    public boolean hasOrderId() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     * @return The orderId.
+     */
+    public io.verbenacleat.proto.v1.OrderId getOrderId() {
+      if (orderIdBuilder_ == null) {
+        return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+      } else {
+        return orderIdBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     */
+    public Builder setOrderId(io.verbenacleat.proto.v1.OrderId value) {
+      if (orderIdBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        orderId_ = value;
+      } else {
+        orderIdBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     */
+    public Builder setOrderId(
+        io.verbenacleat.proto.v1.OrderId.Builder builderForValue) {
+      if (orderIdBuilder_ == null) {
+        orderId_ = builderForValue.build();
+      } else {
+        orderIdBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     */
+    public Builder mergeOrderId(io.verbenacleat.proto.v1.OrderId value) {
+      if (orderIdBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0) &&
+          orderId_ != null &&
+          orderId_ != io.verbenacleat.proto.v1.OrderId.getDefaultInstance()) {
+          getOrderIdBuilder().mergeFrom(value);
+        } else {
+          orderId_ = value;
+        }
+      } else {
+        orderIdBuilder_.mergeFrom(value);
+      }
+      if (orderId_ != null) {
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     */
+    public Builder clearOrderId() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      orderId_ = null;
+      if (orderIdBuilder_ != null) {
+        orderIdBuilder_.dispose();
+        orderIdBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.OrderId.Builder getOrderIdBuilder() {
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return internalGetOrderIdFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
+      if (orderIdBuilder_ != null) {
+        return orderIdBuilder_.getMessageOrBuilder();
+      } else {
+        return orderId_ == null ?
+            io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+      }
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 2;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> 
+        internalGetOrderIdFieldBuilder() {
+      if (orderIdBuilder_ == null) {
+        orderIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder>(
+                getOrderId(),
+                getParentForChildren(),
+                isClean());
+        orderId_ = null;
+      }
+      return orderIdBuilder_;
+    }
+
+    private java.lang.Object account_ = "";
+    /**
+     * <code>string account = 3;</code>
+     * @return The account.
+     */
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @return The bytes for account.
+     */
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      account_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      account_ = getDefaultInstance().getAccount();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      account_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object callerId_ = "";
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return The callerId.
+     */
+    public java.lang.String getCallerId() {
+      java.lang.Object ref = callerId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        callerId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return The bytes for callerId.
+     */
+    public com.google.protobuf.ByteString
+        getCallerIdBytes() {
+      java.lang.Object ref = callerId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        callerId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @param value The callerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      callerId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallerId() {
+      callerId_ = getDefaultInstance().getCallerId();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @param value The bytes for callerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      callerId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object holderIncarnation_ = "";
+    /**
+     * <code>string holder_incarnation = 5;</code>
+     * @return The holderIncarnation.
+     */
+    public java.lang.String getHolderIncarnation() {
+      java.lang.Object ref = holderIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holderIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 5;</code>
+     * @return The bytes for holderIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getHolderIncarnationBytes() {
+      java.lang.Object ref = holderIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holderIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 5;</code>
+     * @param value The holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolderIncarnation() {
+      holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 5;</code>
+     * @param value The bytes for holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object backendServer_ = "";
+    /**
+     * <code>string backend_server = 6;</code>
+     * @return The backendServer.
+     */
+    public java.lang.String getBackendServer() {
+      java.lang.Object ref = backendServer_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        backendServer_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string backend_server = 6;</code>
+     * @return The bytes for backendServer.
+     */
+    public com.google.protobuf.ByteString
+        getBackendServerBytes() {
+      java.lang.Object ref = backendServer_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        backendServer_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string backend_server = 6;</code>
+     * @param value The backendServer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendServer(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      backendServer_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string backend_server = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBackendServer() {
+      backendServer_ = getDefaultInstance().getBackendServer();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string backend_server = 6;</code>
+     * @param value The bytes for backendServer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBackendServerBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      backendServer_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object target_ = "";
+    /**
+     * <pre>
+     * Model name or service name.
+     * </pre>
+     *
+     * <code>string target = 7;</code>
+     * @return The target.
+     */
+    public java.lang.String getTarget() {
+      java.lang.Object ref = target_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        target_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Model name or service name.
+     * </pre>
+     *
+     * <code>string target = 7;</code>
+     * @return The bytes for target.
+     */
+    public com.google.protobuf.ByteString
+        getTargetBytes() {
+      java.lang.Object ref = target_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        target_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Model name or service name.
+     * </pre>
+     *
+     * <code>string target = 7;</code>
+     * @param value The target to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTarget(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      target_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Model name or service name.
+     * </pre>
+     *
+     * <code>string target = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTarget() {
+      target_ = getDefaultInstance().getTarget();
+      bitField0_ = (bitField0_ & ~0x00000040);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Model name or service name.
+     * </pre>
+     *
+     * <code>string target = 7;</code>
+     * @param value The bytes for target to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTargetBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      target_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+
+    private long promptTokens_ ;
+    /**
+     * <code>int64 prompt_tokens = 8;</code>
+     * @return The promptTokens.
+     */
+    @java.lang.Override
+    public long getPromptTokens() {
+      return promptTokens_;
+    }
+    /**
+     * <code>int64 prompt_tokens = 8;</code>
+     * @param value The promptTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPromptTokens(long value) {
+
+      promptTokens_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 prompt_tokens = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPromptTokens() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      promptTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long answerTokens_ ;
+    /**
+     * <code>int64 answer_tokens = 9;</code>
+     * @return The answerTokens.
+     */
+    @java.lang.Override
+    public long getAnswerTokens() {
+      return answerTokens_;
+    }
+    /**
+     * <code>int64 answer_tokens = 9;</code>
+     * @param value The answerTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAnswerTokens(long value) {
+
+      answerTokens_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 answer_tokens = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAnswerTokens() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      answerTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long billedTokens_ ;
+    /**
+     * <code>int64 billed_tokens = 10;</code>
+     * @return The billedTokens.
+     */
+    @java.lang.Override
+    public long getBilledTokens() {
+      return billedTokens_;
+    }
+    /**
+     * <code>int64 billed_tokens = 10;</code>
+     * @param value The billedTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBilledTokens(long value) {
+
+      billedTokens_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 billed_tokens = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBilledTokens() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      billedTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long heldTokens_ ;
+    /**
+     * <pre>
+     * Tokens of unknown fate, kept out of reach until an operator settles them.
+     * </pre>
+     *
+     * <code>int64 held_tokens = 11;</code>
+     * @return The heldTokens.
+     */
+    @java.lang.Override
+    public long getHeldTokens() {
+      return heldTokens_;
+    }
+    /**
+     * <pre>
+     * Tokens of unknown fate, kept out of reach until an operator settles them.
+     * </pre>
+     *
+     * <code>int64 held_tokens = 11;</code>
+     * @param value The heldTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldTokens(long value) {
+
+      heldTokens_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens of unknown fate, kept out of reach until an operator settles them.
+     * </pre>
+     *
+     * <code>int64 held_tokens = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldTokens() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      heldTokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private int status_ = 0;
+    /**
+     * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+     * @return The enum numeric value on the wire for status.
+     */
+    @java.lang.Override public int getStatusValue() {
+      return status_;
+    }
+    /**
+     * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+     * @param value The enum numeric value on the wire for status to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatusValue(int value) {
+      status_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+     * @return The status.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReceiptStatus getStatus() {
+      io.verbenacleat.proto.v1.ReceiptStatus result = io.verbenacleat.proto.v1.ReceiptStatus.forNumber(status_);
+      return result == null ? io.verbenacleat.proto.v1.ReceiptStatus.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+     * @param value The status to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStatus(io.verbenacleat.proto.v1.ReceiptStatus value) {
+      if (value == null) {
+        throw new NullPointerException();
+      }
+      bitField0_ |= 0x00000800;
+      status_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStatus() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      status_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long startedAtMs_ ;
+    /**
+     * <code>int64 started_at_ms = 13;</code>
+     * @return The startedAtMs.
+     */
+    @java.lang.Override
+    public long getStartedAtMs() {
+      return startedAtMs_;
+    }
+    /**
+     * <code>int64 started_at_ms = 13;</code>
+     * @param value The startedAtMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedAtMs(long value) {
+
+      startedAtMs_ = value;
+      bitField0_ |= 0x00001000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 started_at_ms = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedAtMs() {
+      bitField0_ = (bitField0_ & ~0x00001000);
+      startedAtMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long finishedAtMs_ ;
+    /**
+     * <code>int64 finished_at_ms = 14;</code>
+     * @return The finishedAtMs.
+     */
+    @java.lang.Override
+    public long getFinishedAtMs() {
+      return finishedAtMs_;
+    }
+    /**
+     * <code>int64 finished_at_ms = 14;</code>
+     * @param value The finishedAtMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFinishedAtMs(long value) {
+
+      finishedAtMs_ = value;
+      bitField0_ |= 0x00002000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 finished_at_ms = 14;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFinishedAtMs() {
+      bitField0_ = (bitField0_ & ~0x00002000);
+      finishedAtMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.Receipt)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.Receipt)
+  private static final io.verbenacleat.proto.v1.Receipt DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Receipt();
+  }
+
+  public static io.verbenacleat.proto.v1.Receipt getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<Receipt>
+      PARSER = new com.google.protobuf.AbstractParser<Receipt>() {
+    @java.lang.Override
+    public Receipt parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<Receipt> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<Receipt> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Receipt getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReceiptOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReceiptOrBuilder.java
@@ -6,156 +6,152 @@
 package io.verbenacleat.proto.v1;
 
 public interface ReceiptOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.Receipt)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The requestId.
-	 */
-	java.lang.String getRequestId();
-
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The bytes for requestId.
-	 */
-	com.google.protobuf.ByteString getRequestIdBytes();
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 2;</code>
-	 * @return Whether the orderId field is set.
-	 */
-	boolean hasOrderId();
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 2;</code>
-	 * @return The orderId.
-	 */
-	io.verbenacleat.proto.v1.OrderId getOrderId();
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder();
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The account.
-	 */
-	java.lang.String getAccount();
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The bytes for account.
-	 */
-	com.google.protobuf.ByteString getAccountBytes();
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The callerId.
-	 */
-	java.lang.String getCallerId();
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The bytes for callerId.
-	 */
-	com.google.protobuf.ByteString getCallerIdBytes();
-
-	/**
-	 * <code>string holder_incarnation = 5;</code>
-	 * @return The holderIncarnation.
-	 */
-	java.lang.String getHolderIncarnation();
-
-	/**
-	 * <code>string holder_incarnation = 5;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	com.google.protobuf.ByteString getHolderIncarnationBytes();
-
-	/**
-	 * <code>string backend_server = 6;</code>
-	 * @return The backendServer.
-	 */
-	java.lang.String getBackendServer();
-
-	/**
-	 * <code>string backend_server = 6;</code>
-	 * @return The bytes for backendServer.
-	 */
-	com.google.protobuf.ByteString getBackendServerBytes();
-
-	/**
-	 * <pre>
-	 * Model name or service name.
-	 * </pre>
-	 *
-	 * <code>string target = 7;</code>
-	 * @return The target.
-	 */
-	java.lang.String getTarget();
-
-	/**
-	 * <pre>
-	 * Model name or service name.
-	 * </pre>
-	 *
-	 * <code>string target = 7;</code>
-	 * @return The bytes for target.
-	 */
-	com.google.protobuf.ByteString getTargetBytes();
-
-	/**
-	 * <code>int64 prompt_tokens = 8;</code>
-	 * @return The promptTokens.
-	 */
-	long getPromptTokens();
-
-	/**
-	 * <code>int64 answer_tokens = 9;</code>
-	 * @return The answerTokens.
-	 */
-	long getAnswerTokens();
-
-	/**
-	 * <code>int64 billed_tokens = 10;</code>
-	 * @return The billedTokens.
-	 */
-	long getBilledTokens();
-
-	/**
-	 * <pre>
-	 * Tokens of unknown fate, kept out of reach until an operator settles them.
-	 * </pre>
-	 *
-	 * <code>int64 held_tokens = 11;</code>
-	 * @return The heldTokens.
-	 */
-	long getHeldTokens();
-
-	/**
-	 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-	 * @return The enum numeric value on the wire for status.
-	 */
-	int getStatusValue();
-
-	/**
-	 * <code>.verbena.v1.ReceiptStatus status = 12;</code>
-	 * @return The status.
-	 */
-	io.verbenacleat.proto.v1.ReceiptStatus getStatus();
-
-	/**
-	 * <code>int64 started_at_ms = 13;</code>
-	 * @return The startedAtMs.
-	 */
-	long getStartedAtMs();
-
-	/**
-	 * <code>int64 finished_at_ms = 14;</code>
-	 * @return The finishedAtMs.
-	 */
-	long getFinishedAtMs();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.Receipt)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The requestId.
+   */
+  java.lang.String getRequestId();
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The bytes for requestId.
+   */
+  com.google.protobuf.ByteString
+      getRequestIdBytes();
+
+  /**
+   * <code>.verbena.v1.OrderId order_id = 2;</code>
+   * @return Whether the orderId field is set.
+   */
+  boolean hasOrderId();
+  /**
+   * <code>.verbena.v1.OrderId order_id = 2;</code>
+   * @return The orderId.
+   */
+  io.verbenacleat.proto.v1.OrderId getOrderId();
+  /**
+   * <code>.verbena.v1.OrderId order_id = 2;</code>
+   */
+  io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder();
+
+  /**
+   * <code>string account = 3;</code>
+   * @return The account.
+   */
+  java.lang.String getAccount();
+  /**
+   * <code>string account = 3;</code>
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString
+      getAccountBytes();
+
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The callerId.
+   */
+  java.lang.String getCallerId();
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The bytes for callerId.
+   */
+  com.google.protobuf.ByteString
+      getCallerIdBytes();
+
+  /**
+   * <code>string holder_incarnation = 5;</code>
+   * @return The holderIncarnation.
+   */
+  java.lang.String getHolderIncarnation();
+  /**
+   * <code>string holder_incarnation = 5;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getHolderIncarnationBytes();
+
+  /**
+   * <code>string backend_server = 6;</code>
+   * @return The backendServer.
+   */
+  java.lang.String getBackendServer();
+  /**
+   * <code>string backend_server = 6;</code>
+   * @return The bytes for backendServer.
+   */
+  com.google.protobuf.ByteString
+      getBackendServerBytes();
+
+  /**
+   * <pre>
+   * Model name or service name.
+   * </pre>
+   *
+   * <code>string target = 7;</code>
+   * @return The target.
+   */
+  java.lang.String getTarget();
+  /**
+   * <pre>
+   * Model name or service name.
+   * </pre>
+   *
+   * <code>string target = 7;</code>
+   * @return The bytes for target.
+   */
+  com.google.protobuf.ByteString
+      getTargetBytes();
+
+  /**
+   * <code>int64 prompt_tokens = 8;</code>
+   * @return The promptTokens.
+   */
+  long getPromptTokens();
+
+  /**
+   * <code>int64 answer_tokens = 9;</code>
+   * @return The answerTokens.
+   */
+  long getAnswerTokens();
+
+  /**
+   * <code>int64 billed_tokens = 10;</code>
+   * @return The billedTokens.
+   */
+  long getBilledTokens();
+
+  /**
+   * <pre>
+   * Tokens of unknown fate, kept out of reach until an operator settles them.
+   * </pre>
+   *
+   * <code>int64 held_tokens = 11;</code>
+   * @return The heldTokens.
+   */
+  long getHeldTokens();
+
+  /**
+   * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+   * @return The enum numeric value on the wire for status.
+   */
+  int getStatusValue();
+  /**
+   * <code>.verbena.v1.ReceiptStatus status = 12;</code>
+   * @return The status.
+   */
+  io.verbenacleat.proto.v1.ReceiptStatus getStatus();
+
+  /**
+   * <code>int64 started_at_ms = 13;</code>
+   * @return The startedAtMs.
+   */
+  long getStartedAtMs();
+
+  /**
+   * <code>int64 finished_at_ms = 14;</code>
+   * @return The finishedAtMs.
+   */
+  long getFinishedAtMs();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReceiptStatus.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReceiptStatus.java
@@ -8,175 +8,177 @@
 /**
  * Protobuf enum {@code verbena.v1.ReceiptStatus}
  */
-public enum ReceiptStatus implements com.google.protobuf.ProtocolMessageEnum {
-
-	/**
-	 * <code>RECEIPT_STATUS_UNSPECIFIED = 0;</code>
-	 */
-	RECEIPT_STATUS_UNSPECIFIED(0),
-	/**
-	 * <code>COMPLETE = 1;</code>
-	 */
-	COMPLETE(1),
-	/**
-	 * <pre>
-	 * The agent stopped the stream because the reservation was reached.
-	 * </pre>
-	 *
-	 * <code>CUT = 2;</code>
-	 */
-	CUT(2),
-	/**
-	 * <pre>
-	 * The caller or the gateway went away.
-	 * </pre>
-	 *
-	 * <code>CANCELLED = 3;</code>
-	 */
-	CANCELLED(3),
-	/**
-	 * <code>FAILED = 4;</code>
-	 */
-	FAILED(4),
-	/**
-	 * <pre>
-	 * The agent was lost; made by the gateway or the closer from what was delivered.
-	 * </pre>
-	 *
-	 * <code>TAKEN_OVER = 5;</code>
-	 */
-	TAKEN_OVER(5), UNRECOGNIZED(-1),;
-
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ReceiptStatus.class.getName());
-	}
-	/**
-	 * <code>RECEIPT_STATUS_UNSPECIFIED = 0;</code>
-	 */
-	public static final int RECEIPT_STATUS_UNSPECIFIED_VALUE = 0;
-
-	/**
-	 * <code>COMPLETE = 1;</code>
-	 */
-	public static final int COMPLETE_VALUE = 1;
-
-	/**
-	 * <pre>
-	 * The agent stopped the stream because the reservation was reached.
-	 * </pre>
-	 *
-	 * <code>CUT = 2;</code>
-	 */
-	public static final int CUT_VALUE = 2;
-
-	/**
-	 * <pre>
-	 * The caller or the gateway went away.
-	 * </pre>
-	 *
-	 * <code>CANCELLED = 3;</code>
-	 */
-	public static final int CANCELLED_VALUE = 3;
-
-	/**
-	 * <code>FAILED = 4;</code>
-	 */
-	public static final int FAILED_VALUE = 4;
-
-	/**
-	 * <pre>
-	 * The agent was lost; made by the gateway or the closer from what was delivered.
-	 * </pre>
-	 *
-	 * <code>TAKEN_OVER = 5;</code>
-	 */
-	public static final int TAKEN_OVER_VALUE = 5;
-
-	public final int getNumber() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalArgumentException("Can't get the number of an unknown enum value.");
-		}
-		return value;
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 * @deprecated Use {@link #forNumber(int)} instead.
-	 */
-	@java.lang.Deprecated
-	public static ReceiptStatus valueOf(int value) {
-		return forNumber(value);
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 */
-	public static ReceiptStatus forNumber(int value) {
-		switch (value) {
-			case 0:
-				return RECEIPT_STATUS_UNSPECIFIED;
-			case 1:
-				return COMPLETE;
-			case 2:
-				return CUT;
-			case 3:
-				return CANCELLED;
-			case 4:
-				return FAILED;
-			case 5:
-				return TAKEN_OVER;
-			default:
-				return null;
-		}
-	}
-
-	public static com.google.protobuf.Internal.EnumLiteMap<ReceiptStatus> internalGetValueMap() {
-		return internalValueMap;
-	}
-
-	private static final com.google.protobuf.Internal.EnumLiteMap<ReceiptStatus> internalValueMap = new com.google.protobuf.Internal.EnumLiteMap<ReceiptStatus>() {
-		public ReceiptStatus findValueByNumber(int number) {
-			return ReceiptStatus.forNumber(number);
-		}
-	};
-
-	public final com.google.protobuf.Descriptors.EnumValueDescriptor getValueDescriptor() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalStateException("Can't get the descriptor of an unrecognized enum value.");
-		}
-		return getDescriptor().getValues().get(ordinal());
-	}
-
-	public final com.google.protobuf.Descriptors.EnumDescriptor getDescriptorForType() {
-		return getDescriptor();
-	}
-
-	public static final com.google.protobuf.Descriptors.EnumDescriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(1);
-	}
-
-	private static final ReceiptStatus[] VALUES = values();
-
-	public static ReceiptStatus valueOf(com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
-		if (desc.getType() != getDescriptor()) {
-			throw new java.lang.IllegalArgumentException("EnumValueDescriptor is not for this type.");
-		}
-		if (desc.getIndex() == -1) {
-			return UNRECOGNIZED;
-		}
-		return VALUES[desc.getIndex()];
-	}
-
-	private final int value;
-
-	private ReceiptStatus(int value) {
-		this.value = value;
-	}
-
-	// @@protoc_insertion_point(enum_scope:verbena.v1.ReceiptStatus)
-
+public enum ReceiptStatus
+    implements com.google.protobuf.ProtocolMessageEnum {
+  /**
+   * <code>RECEIPT_STATUS_UNSPECIFIED = 0;</code>
+   */
+  RECEIPT_STATUS_UNSPECIFIED(0),
+  /**
+   * <code>COMPLETE = 1;</code>
+   */
+  COMPLETE(1),
+  /**
+   * <pre>
+   * The agent stopped the stream because the reservation was reached.
+   * </pre>
+   *
+   * <code>CUT = 2;</code>
+   */
+  CUT(2),
+  /**
+   * <pre>
+   * The caller or the gateway went away.
+   * </pre>
+   *
+   * <code>CANCELLED = 3;</code>
+   */
+  CANCELLED(3),
+  /**
+   * <code>FAILED = 4;</code>
+   */
+  FAILED(4),
+  /**
+   * <pre>
+   * The agent was lost; made by the gateway or the closer from what was delivered.
+   * </pre>
+   *
+   * <code>TAKEN_OVER = 5;</code>
+   */
+  TAKEN_OVER(5),
+  UNRECOGNIZED(-1),
+  ;
+
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ReceiptStatus.class.getName());
+  }
+  /**
+   * <code>RECEIPT_STATUS_UNSPECIFIED = 0;</code>
+   */
+  public static final int RECEIPT_STATUS_UNSPECIFIED_VALUE = 0;
+  /**
+   * <code>COMPLETE = 1;</code>
+   */
+  public static final int COMPLETE_VALUE = 1;
+  /**
+   * <pre>
+   * The agent stopped the stream because the reservation was reached.
+   * </pre>
+   *
+   * <code>CUT = 2;</code>
+   */
+  public static final int CUT_VALUE = 2;
+  /**
+   * <pre>
+   * The caller or the gateway went away.
+   * </pre>
+   *
+   * <code>CANCELLED = 3;</code>
+   */
+  public static final int CANCELLED_VALUE = 3;
+  /**
+   * <code>FAILED = 4;</code>
+   */
+  public static final int FAILED_VALUE = 4;
+  /**
+   * <pre>
+   * The agent was lost; made by the gateway or the closer from what was delivered.
+   * </pre>
+   *
+   * <code>TAKEN_OVER = 5;</code>
+   */
+  public static final int TAKEN_OVER_VALUE = 5;
+
+
+  public final int getNumber() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalArgumentException(
+          "Can't get the number of an unknown enum value.");
+    }
+    return value;
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   * @deprecated Use {@link #forNumber(int)} instead.
+   */
+  @java.lang.Deprecated
+  public static ReceiptStatus valueOf(int value) {
+    return forNumber(value);
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   */
+  public static ReceiptStatus forNumber(int value) {
+    switch (value) {
+      case 0: return RECEIPT_STATUS_UNSPECIFIED;
+      case 1: return COMPLETE;
+      case 2: return CUT;
+      case 3: return CANCELLED;
+      case 4: return FAILED;
+      case 5: return TAKEN_OVER;
+      default: return null;
+    }
+  }
+
+  public static com.google.protobuf.Internal.EnumLiteMap<ReceiptStatus>
+      internalGetValueMap() {
+    return internalValueMap;
+  }
+  private static final com.google.protobuf.Internal.EnumLiteMap<
+      ReceiptStatus> internalValueMap =
+        new com.google.protobuf.Internal.EnumLiteMap<ReceiptStatus>() {
+          public ReceiptStatus findValueByNumber(int number) {
+            return ReceiptStatus.forNumber(number);
+          }
+        };
+
+  public final com.google.protobuf.Descriptors.EnumValueDescriptor
+      getValueDescriptor() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalStateException(
+          "Can't get the descriptor of an unrecognized enum value.");
+    }
+    return getDescriptor().getValues().get(ordinal());
+  }
+  public final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptorForType() {
+    return getDescriptor();
+  }
+  public static final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(1);
+  }
+
+  private static final ReceiptStatus[] VALUES = values();
+
+  public static ReceiptStatus valueOf(
+      com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+    if (desc.getType() != getDescriptor()) {
+      throw new java.lang.IllegalArgumentException(
+        "EnumValueDescriptor is not for this type.");
+    }
+    if (desc.getIndex() == -1) {
+      return UNRECOGNIZED;
+    }
+    return VALUES[desc.getIndex()];
+  }
+
+  private final int value;
+
+  private ReceiptStatus(int value) {
+    this.value = value;
+  }
+
+  // @@protoc_insertion_point(enum_scope:verbena.v1.ReceiptStatus)
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/RefusalReason.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/RefusalReason.java
@@ -8,206 +8,217 @@
 /**
  * Protobuf enum {@code verbena.v1.RefusalReason}
  */
-public enum RefusalReason implements com.google.protobuf.ProtocolMessageEnum {
-
-	/**
-	 * <code>REFUSAL_REASON_UNSPECIFIED = 0;</code>
-	 */
-	REFUSAL_REASON_UNSPECIFIED(0),
-	/**
-	 * <code>WRONG_INCARNATION = 1;</code>
-	 */
-	WRONG_INCARNATION(1),
-	/**
-	 * <code>GATEWAY_CLOSED = 2;</code>
-	 */
-	GATEWAY_CLOSED(2),
-	/**
-	 * <code>HOLDER_CLOSED = 3;</code>
-	 */
-	HOLDER_CLOSED(3),
-	/**
-	 * <code>TOMBSTONED = 4;</code>
-	 */
-	TOMBSTONED(4),
-	/**
-	 * <code>DRAINING = 5;</code>
-	 */
-	DRAINING(5),
-	/**
-	 * <code>OVERLOADED = 6;</code>
-	 */
-	OVERLOADED(6),
-	/**
-	 * <code>MODEL_NOT_SERVED = 7;</code>
-	 */
-	MODEL_NOT_SERVED(7),
-	/**
-	 * <code>BACKEND_UNREACHABLE = 8;</code>
-	 */
-	BACKEND_UNREACHABLE(8),
-	/**
-	 * <code>DUPLICATE_ORDER = 9;</code>
-	 */
-	DUPLICATE_ORDER(9),
-	/**
-	 * <code>INVALID_ORDER = 10;</code>
-	 */
-	INVALID_ORDER(10), UNRECOGNIZED(-1),;
-
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", RefusalReason.class.getName());
-	}
-	/**
-	 * <code>REFUSAL_REASON_UNSPECIFIED = 0;</code>
-	 */
-	public static final int REFUSAL_REASON_UNSPECIFIED_VALUE = 0;
-
-	/**
-	 * <code>WRONG_INCARNATION = 1;</code>
-	 */
-	public static final int WRONG_INCARNATION_VALUE = 1;
-
-	/**
-	 * <code>GATEWAY_CLOSED = 2;</code>
-	 */
-	public static final int GATEWAY_CLOSED_VALUE = 2;
-
-	/**
-	 * <code>HOLDER_CLOSED = 3;</code>
-	 */
-	public static final int HOLDER_CLOSED_VALUE = 3;
-
-	/**
-	 * <code>TOMBSTONED = 4;</code>
-	 */
-	public static final int TOMBSTONED_VALUE = 4;
-
-	/**
-	 * <code>DRAINING = 5;</code>
-	 */
-	public static final int DRAINING_VALUE = 5;
-
-	/**
-	 * <code>OVERLOADED = 6;</code>
-	 */
-	public static final int OVERLOADED_VALUE = 6;
-
-	/**
-	 * <code>MODEL_NOT_SERVED = 7;</code>
-	 */
-	public static final int MODEL_NOT_SERVED_VALUE = 7;
-
-	/**
-	 * <code>BACKEND_UNREACHABLE = 8;</code>
-	 */
-	public static final int BACKEND_UNREACHABLE_VALUE = 8;
-
-	/**
-	 * <code>DUPLICATE_ORDER = 9;</code>
-	 */
-	public static final int DUPLICATE_ORDER_VALUE = 9;
-
-	/**
-	 * <code>INVALID_ORDER = 10;</code>
-	 */
-	public static final int INVALID_ORDER_VALUE = 10;
-
-	public final int getNumber() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalArgumentException("Can't get the number of an unknown enum value.");
-		}
-		return value;
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 * @deprecated Use {@link #forNumber(int)} instead.
-	 */
-	@java.lang.Deprecated
-	public static RefusalReason valueOf(int value) {
-		return forNumber(value);
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 */
-	public static RefusalReason forNumber(int value) {
-		switch (value) {
-			case 0:
-				return REFUSAL_REASON_UNSPECIFIED;
-			case 1:
-				return WRONG_INCARNATION;
-			case 2:
-				return GATEWAY_CLOSED;
-			case 3:
-				return HOLDER_CLOSED;
-			case 4:
-				return TOMBSTONED;
-			case 5:
-				return DRAINING;
-			case 6:
-				return OVERLOADED;
-			case 7:
-				return MODEL_NOT_SERVED;
-			case 8:
-				return BACKEND_UNREACHABLE;
-			case 9:
-				return DUPLICATE_ORDER;
-			case 10:
-				return INVALID_ORDER;
-			default:
-				return null;
-		}
-	}
-
-	public static com.google.protobuf.Internal.EnumLiteMap<RefusalReason> internalGetValueMap() {
-		return internalValueMap;
-	}
-
-	private static final com.google.protobuf.Internal.EnumLiteMap<RefusalReason> internalValueMap = new com.google.protobuf.Internal.EnumLiteMap<RefusalReason>() {
-		public RefusalReason findValueByNumber(int number) {
-			return RefusalReason.forNumber(number);
-		}
-	};
-
-	public final com.google.protobuf.Descriptors.EnumValueDescriptor getValueDescriptor() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalStateException("Can't get the descriptor of an unrecognized enum value.");
-		}
-		return getDescriptor().getValues().get(ordinal());
-	}
-
-	public final com.google.protobuf.Descriptors.EnumDescriptor getDescriptorForType() {
-		return getDescriptor();
-	}
-
-	public static final com.google.protobuf.Descriptors.EnumDescriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(0);
-	}
-
-	private static final RefusalReason[] VALUES = values();
-
-	public static RefusalReason valueOf(com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
-		if (desc.getType() != getDescriptor()) {
-			throw new java.lang.IllegalArgumentException("EnumValueDescriptor is not for this type.");
-		}
-		if (desc.getIndex() == -1) {
-			return UNRECOGNIZED;
-		}
-		return VALUES[desc.getIndex()];
-	}
-
-	private final int value;
-
-	private RefusalReason(int value) {
-		this.value = value;
-	}
-
-	// @@protoc_insertion_point(enum_scope:verbena.v1.RefusalReason)
-
+public enum RefusalReason
+    implements com.google.protobuf.ProtocolMessageEnum {
+  /**
+   * <code>REFUSAL_REASON_UNSPECIFIED = 0;</code>
+   */
+  REFUSAL_REASON_UNSPECIFIED(0),
+  /**
+   * <code>WRONG_INCARNATION = 1;</code>
+   */
+  WRONG_INCARNATION(1),
+  /**
+   * <code>GATEWAY_CLOSED = 2;</code>
+   */
+  GATEWAY_CLOSED(2),
+  /**
+   * <code>HOLDER_CLOSED = 3;</code>
+   */
+  HOLDER_CLOSED(3),
+  /**
+   * <code>TOMBSTONED = 4;</code>
+   */
+  TOMBSTONED(4),
+  /**
+   * <code>DRAINING = 5;</code>
+   */
+  DRAINING(5),
+  /**
+   * <code>OVERLOADED = 6;</code>
+   */
+  OVERLOADED(6),
+  /**
+   * <code>MODEL_NOT_SERVED = 7;</code>
+   */
+  MODEL_NOT_SERVED(7),
+  /**
+   * <code>BACKEND_UNREACHABLE = 8;</code>
+   */
+  BACKEND_UNREACHABLE(8),
+  /**
+   * <code>DUPLICATE_ORDER = 9;</code>
+   */
+  DUPLICATE_ORDER(9),
+  /**
+   * <code>INVALID_ORDER = 10;</code>
+   */
+  INVALID_ORDER(10),
+  /**
+   * <pre>
+   * The gateway or the holder was not listed in the membership that this agent has read since it
+   * registered. It may have been closed before this agent could be told.
+   * </pre>
+   *
+   * <code>NOT_A_MEMBER = 11;</code>
+   */
+  NOT_A_MEMBER(11),
+  UNRECOGNIZED(-1),
+  ;
+
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      RefusalReason.class.getName());
+  }
+  /**
+   * <code>REFUSAL_REASON_UNSPECIFIED = 0;</code>
+   */
+  public static final int REFUSAL_REASON_UNSPECIFIED_VALUE = 0;
+  /**
+   * <code>WRONG_INCARNATION = 1;</code>
+   */
+  public static final int WRONG_INCARNATION_VALUE = 1;
+  /**
+   * <code>GATEWAY_CLOSED = 2;</code>
+   */
+  public static final int GATEWAY_CLOSED_VALUE = 2;
+  /**
+   * <code>HOLDER_CLOSED = 3;</code>
+   */
+  public static final int HOLDER_CLOSED_VALUE = 3;
+  /**
+   * <code>TOMBSTONED = 4;</code>
+   */
+  public static final int TOMBSTONED_VALUE = 4;
+  /**
+   * <code>DRAINING = 5;</code>
+   */
+  public static final int DRAINING_VALUE = 5;
+  /**
+   * <code>OVERLOADED = 6;</code>
+   */
+  public static final int OVERLOADED_VALUE = 6;
+  /**
+   * <code>MODEL_NOT_SERVED = 7;</code>
+   */
+  public static final int MODEL_NOT_SERVED_VALUE = 7;
+  /**
+   * <code>BACKEND_UNREACHABLE = 8;</code>
+   */
+  public static final int BACKEND_UNREACHABLE_VALUE = 8;
+  /**
+   * <code>DUPLICATE_ORDER = 9;</code>
+   */
+  public static final int DUPLICATE_ORDER_VALUE = 9;
+  /**
+   * <code>INVALID_ORDER = 10;</code>
+   */
+  public static final int INVALID_ORDER_VALUE = 10;
+  /**
+   * <pre>
+   * The gateway or the holder was not listed in the membership that this agent has read since it
+   * registered. It may have been closed before this agent could be told.
+   * </pre>
+   *
+   * <code>NOT_A_MEMBER = 11;</code>
+   */
+  public static final int NOT_A_MEMBER_VALUE = 11;
+
+
+  public final int getNumber() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalArgumentException(
+          "Can't get the number of an unknown enum value.");
+    }
+    return value;
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   * @deprecated Use {@link #forNumber(int)} instead.
+   */
+  @java.lang.Deprecated
+  public static RefusalReason valueOf(int value) {
+    return forNumber(value);
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   */
+  public static RefusalReason forNumber(int value) {
+    switch (value) {
+      case 0: return REFUSAL_REASON_UNSPECIFIED;
+      case 1: return WRONG_INCARNATION;
+      case 2: return GATEWAY_CLOSED;
+      case 3: return HOLDER_CLOSED;
+      case 4: return TOMBSTONED;
+      case 5: return DRAINING;
+      case 6: return OVERLOADED;
+      case 7: return MODEL_NOT_SERVED;
+      case 8: return BACKEND_UNREACHABLE;
+      case 9: return DUPLICATE_ORDER;
+      case 10: return INVALID_ORDER;
+      case 11: return NOT_A_MEMBER;
+      default: return null;
+    }
+  }
+
+  public static com.google.protobuf.Internal.EnumLiteMap<RefusalReason>
+      internalGetValueMap() {
+    return internalValueMap;
+  }
+  private static final com.google.protobuf.Internal.EnumLiteMap<
+      RefusalReason> internalValueMap =
+        new com.google.protobuf.Internal.EnumLiteMap<RefusalReason>() {
+          public RefusalReason findValueByNumber(int number) {
+            return RefusalReason.forNumber(number);
+          }
+        };
+
+  public final com.google.protobuf.Descriptors.EnumValueDescriptor
+      getValueDescriptor() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalStateException(
+          "Can't get the descriptor of an unrecognized enum value.");
+    }
+    return getDescriptor().getValues().get(ordinal());
+  }
+  public final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptorForType() {
+    return getDescriptor();
+  }
+  public static final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(0);
+  }
+
+  private static final RefusalReason[] VALUES = values();
+
+  public static RefusalReason valueOf(
+      com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+    if (desc.getType() != getDescriptor()) {
+      throw new java.lang.IllegalArgumentException(
+        "EnumValueDescriptor is not for this type.");
+    }
+    if (desc.getIndex() == -1) {
+      return UNRECOGNIZED;
+    }
+    return VALUES[desc.getIndex()];
+  }
+
+  private final int value;
+
+  private RefusalReason(int value) {
+    this.value = value;
+  }
+
+  // @@protoc_insertion_point(enum_scope:verbena.v1.RefusalReason)
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/Refused.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/Refused.java
@@ -12,676 +12,659 @@
  *
  * Protobuf type {@code verbena.v1.Refused}
  */
-public final class Refused extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.Refused)
-		RefusedOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", Refused.class.getName());
-	}
-
-	// Use Refused.newBuilder() to construct.
-	private Refused(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private Refused() {
-		reason_ = 0;
-		detail_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Refused.class,
-					io.verbenacleat.proto.v1.Refused.Builder.class);
-	}
-
-	public static final int REASON_FIELD_NUMBER = 1;
-
-	private int reason_ = 0;
-
-	/**
-	 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-	 * @return The enum numeric value on the wire for reason.
-	 */
-	@java.lang.Override
-	public int getReasonValue() {
-		return reason_;
-	}
-
-	/**
-	 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-	 * @return The reason.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.RefusalReason getReason() {
-		io.verbenacleat.proto.v1.RefusalReason result = io.verbenacleat.proto.v1.RefusalReason.forNumber(reason_);
-		return result == null ? io.verbenacleat.proto.v1.RefusalReason.UNRECOGNIZED : result;
-	}
-
-	public static final int DETAIL_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object detail_ = "";
-
-	/**
-	 * <code>string detail = 2;</code>
-	 * @return The detail.
-	 */
-	@java.lang.Override
-	public java.lang.String getDetail() {
-		java.lang.Object ref = detail_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			detail_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string detail = 2;</code>
-	 * @return The bytes for detail.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getDetailBytes() {
-		java.lang.Object ref = detail_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			detail_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int RETRY_AFTER_MS_FIELD_NUMBER = 3;
-
-	private long retryAfterMs_ = 0L;
-
-	/**
-	 * <code>int64 retry_after_ms = 3;</code>
-	 * @return The retryAfterMs.
-	 */
-	@java.lang.Override
-	public long getRetryAfterMs() {
-		return retryAfterMs_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (reason_ != io.verbenacleat.proto.v1.RefusalReason.REFUSAL_REASON_UNSPECIFIED.getNumber()) {
-			output.writeEnum(1, reason_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, detail_);
-		}
-		if (retryAfterMs_ != 0L) {
-			output.writeInt64(3, retryAfterMs_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (reason_ != io.verbenacleat.proto.v1.RefusalReason.REFUSAL_REASON_UNSPECIFIED.getNumber()) {
-			size += com.google.protobuf.CodedOutputStream.computeEnumSize(1, reason_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, detail_);
-		}
-		if (retryAfterMs_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(3, retryAfterMs_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.Refused)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.Refused other = (io.verbenacleat.proto.v1.Refused) obj;
-
-		if (reason_ != other.reason_)
-			return false;
-		if (!getDetail().equals(other.getDetail()))
-			return false;
-		if (getRetryAfterMs() != other.getRetryAfterMs())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + REASON_FIELD_NUMBER;
-		hash = (53 * hash) + reason_;
-		hash = (37 * hash) + DETAIL_FIELD_NUMBER;
-		hash = (53 * hash) + getDetail().hashCode();
-		hash = (37 * hash) + RETRY_AFTER_MS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getRetryAfterMs());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(java.io.InputStream input) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.Refused parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.Refused prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * <pre>
-	 * The order was not run and never will be.
-	 * </pre>
-	 *
-	 * Protobuf type {@code verbena.v1.Refused}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.Refused)
-			io.verbenacleat.proto.v1.RefusedOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.Refused.class,
-						io.verbenacleat.proto.v1.Refused.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.Refused.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			reason_ = 0;
-			detail_ = "";
-			retryAfterMs_ = 0L;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Refused getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Refused build() {
-			io.verbenacleat.proto.v1.Refused result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.Refused buildPartial() {
-			io.verbenacleat.proto.v1.Refused result = new io.verbenacleat.proto.v1.Refused(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.Refused result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.reason_ = reason_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.detail_ = detail_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.retryAfterMs_ = retryAfterMs_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.Refused) {
-				return mergeFrom((io.verbenacleat.proto.v1.Refused) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.Refused other) {
-			if (other == io.verbenacleat.proto.v1.Refused.getDefaultInstance())
-				return this;
-			if (other.reason_ != 0) {
-				setReasonValue(other.getReasonValue());
-			}
-			if (!other.getDetail().isEmpty()) {
-				detail_ = other.detail_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			if (other.getRetryAfterMs() != 0L) {
-				setRetryAfterMs(other.getRetryAfterMs());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 8: {
-							reason_ = input.readEnum();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 8
-						case 18: {
-							detail_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 24: {
-							retryAfterMs_ = input.readInt64();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 24
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private int reason_ = 0;
-
-		/**
-		 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-		 * @return The enum numeric value on the wire for reason.
-		 */
-		@java.lang.Override
-		public int getReasonValue() {
-			return reason_;
-		}
-
-		/**
-		 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-		 * @param value The enum numeric value on the wire for reason to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setReasonValue(int value) {
-			reason_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-		 * @return The reason.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.RefusalReason getReason() {
-			io.verbenacleat.proto.v1.RefusalReason result = io.verbenacleat.proto.v1.RefusalReason.forNumber(reason_);
-			return result == null ? io.verbenacleat.proto.v1.RefusalReason.UNRECOGNIZED : result;
-		}
-
-		/**
-		 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-		 * @param value The reason to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setReason(io.verbenacleat.proto.v1.RefusalReason value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			bitField0_ |= 0x00000001;
-			reason_ = value.getNumber();
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearReason() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			reason_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object detail_ = "";
-
-		/**
-		 * <code>string detail = 2;</code>
-		 * @return The detail.
-		 */
-		public java.lang.String getDetail() {
-			java.lang.Object ref = detail_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				detail_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string detail = 2;</code>
-		 * @return The bytes for detail.
-		 */
-		public com.google.protobuf.ByteString getDetailBytes() {
-			java.lang.Object ref = detail_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				detail_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string detail = 2;</code>
-		 * @param value The detail to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setDetail(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			detail_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string detail = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearDetail() {
-			detail_ = getDefaultInstance().getDetail();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string detail = 2;</code>
-		 * @param value The bytes for detail to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setDetailBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			detail_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		private long retryAfterMs_;
-
-		/**
-		 * <code>int64 retry_after_ms = 3;</code>
-		 * @return The retryAfterMs.
-		 */
-		@java.lang.Override
-		public long getRetryAfterMs() {
-			return retryAfterMs_;
-		}
-
-		/**
-		 * <code>int64 retry_after_ms = 3;</code>
-		 * @param value The retryAfterMs to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRetryAfterMs(long value) {
-
-			retryAfterMs_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 retry_after_ms = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRetryAfterMs() {
-			bitField0_ = (bitField0_ & ~0x00000004);
-			retryAfterMs_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.Refused)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.Refused)
-	private static final io.verbenacleat.proto.v1.Refused DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Refused();
-	}
-
-	public static io.verbenacleat.proto.v1.Refused getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<Refused> PARSER = new com.google.protobuf.AbstractParser<Refused>() {
-		@java.lang.Override
-		public Refused parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<Refused> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<Refused> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Refused getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class Refused extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.Refused)
+    RefusedOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      Refused.class.getName());
+  }
+  // Use Refused.newBuilder() to construct.
+  private Refused(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private Refused() {
+    reason_ = 0;
+    detail_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.Refused.class, io.verbenacleat.proto.v1.Refused.Builder.class);
+  }
+
+  public static final int REASON_FIELD_NUMBER = 1;
+  private int reason_ = 0;
+  /**
+   * <code>.verbena.v1.RefusalReason reason = 1;</code>
+   * @return The enum numeric value on the wire for reason.
+   */
+  @java.lang.Override public int getReasonValue() {
+    return reason_;
+  }
+  /**
+   * <code>.verbena.v1.RefusalReason reason = 1;</code>
+   * @return The reason.
+   */
+  @java.lang.Override public io.verbenacleat.proto.v1.RefusalReason getReason() {
+    io.verbenacleat.proto.v1.RefusalReason result = io.verbenacleat.proto.v1.RefusalReason.forNumber(reason_);
+    return result == null ? io.verbenacleat.proto.v1.RefusalReason.UNRECOGNIZED : result;
+  }
+
+  public static final int DETAIL_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object detail_ = "";
+  /**
+   * <code>string detail = 2;</code>
+   * @return The detail.
+   */
+  @java.lang.Override
+  public java.lang.String getDetail() {
+    java.lang.Object ref = detail_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      detail_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string detail = 2;</code>
+   * @return The bytes for detail.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDetailBytes() {
+    java.lang.Object ref = detail_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      detail_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int RETRY_AFTER_MS_FIELD_NUMBER = 3;
+  private long retryAfterMs_ = 0L;
+  /**
+   * <code>int64 retry_after_ms = 3;</code>
+   * @return The retryAfterMs.
+   */
+  @java.lang.Override
+  public long getRetryAfterMs() {
+    return retryAfterMs_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (reason_ != io.verbenacleat.proto.v1.RefusalReason.REFUSAL_REASON_UNSPECIFIED.getNumber()) {
+      output.writeEnum(1, reason_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, detail_);
+    }
+    if (retryAfterMs_ != 0L) {
+      output.writeInt64(3, retryAfterMs_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (reason_ != io.verbenacleat.proto.v1.RefusalReason.REFUSAL_REASON_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(1, reason_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(detail_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, detail_);
+    }
+    if (retryAfterMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(3, retryAfterMs_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.Refused)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.Refused other = (io.verbenacleat.proto.v1.Refused) obj;
+
+    if (reason_ != other.reason_) return false;
+    if (!getDetail()
+        .equals(other.getDetail())) return false;
+    if (getRetryAfterMs()
+        != other.getRetryAfterMs()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + REASON_FIELD_NUMBER;
+    hash = (53 * hash) + reason_;
+    hash = (37 * hash) + DETAIL_FIELD_NUMBER;
+    hash = (53 * hash) + getDetail().hashCode();
+    hash = (37 * hash) + RETRY_AFTER_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetryAfterMs());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.Refused parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.Refused parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.Refused parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.Refused prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * <pre>
+   * The order was not run and never will be.
+   * </pre>
+   *
+   * Protobuf type {@code verbena.v1.Refused}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.Refused)
+      io.verbenacleat.proto.v1.RefusedOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.Refused.class, io.verbenacleat.proto.v1.Refused.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.Refused.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      reason_ = 0;
+      detail_ = "";
+      retryAfterMs_ = 0L;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_Refused_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Refused getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.Refused.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Refused build() {
+      io.verbenacleat.proto.v1.Refused result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.Refused buildPartial() {
+      io.verbenacleat.proto.v1.Refused result = new io.verbenacleat.proto.v1.Refused(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.Refused result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.reason_ = reason_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.detail_ = detail_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.retryAfterMs_ = retryAfterMs_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.Refused) {
+        return mergeFrom((io.verbenacleat.proto.v1.Refused)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.Refused other) {
+      if (other == io.verbenacleat.proto.v1.Refused.getDefaultInstance()) return this;
+      if (other.reason_ != 0) {
+        setReasonValue(other.getReasonValue());
+      }
+      if (!other.getDetail().isEmpty()) {
+        detail_ = other.detail_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (other.getRetryAfterMs() != 0L) {
+        setRetryAfterMs(other.getRetryAfterMs());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 8: {
+              reason_ = input.readEnum();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 18: {
+              detail_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 24: {
+              retryAfterMs_ = input.readInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private int reason_ = 0;
+    /**
+     * <code>.verbena.v1.RefusalReason reason = 1;</code>
+     * @return The enum numeric value on the wire for reason.
+     */
+    @java.lang.Override public int getReasonValue() {
+      return reason_;
+    }
+    /**
+     * <code>.verbena.v1.RefusalReason reason = 1;</code>
+     * @param value The enum numeric value on the wire for reason to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReasonValue(int value) {
+      reason_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.RefusalReason reason = 1;</code>
+     * @return The reason.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.RefusalReason getReason() {
+      io.verbenacleat.proto.v1.RefusalReason result = io.verbenacleat.proto.v1.RefusalReason.forNumber(reason_);
+      return result == null ? io.verbenacleat.proto.v1.RefusalReason.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.verbena.v1.RefusalReason reason = 1;</code>
+     * @param value The reason to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReason(io.verbenacleat.proto.v1.RefusalReason value) {
+      if (value == null) {
+        throw new NullPointerException();
+      }
+      bitField0_ |= 0x00000001;
+      reason_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.RefusalReason reason = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReason() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      reason_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object detail_ = "";
+    /**
+     * <code>string detail = 2;</code>
+     * @return The detail.
+     */
+    public java.lang.String getDetail() {
+      java.lang.Object ref = detail_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        detail_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string detail = 2;</code>
+     * @return The bytes for detail.
+     */
+    public com.google.protobuf.ByteString
+        getDetailBytes() {
+      java.lang.Object ref = detail_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        detail_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string detail = 2;</code>
+     * @param value The detail to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDetail(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      detail_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string detail = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDetail() {
+      detail_ = getDefaultInstance().getDetail();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string detail = 2;</code>
+     * @param value The bytes for detail to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDetailBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      detail_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private long retryAfterMs_ ;
+    /**
+     * <code>int64 retry_after_ms = 3;</code>
+     * @return The retryAfterMs.
+     */
+    @java.lang.Override
+    public long getRetryAfterMs() {
+      return retryAfterMs_;
+    }
+    /**
+     * <code>int64 retry_after_ms = 3;</code>
+     * @param value The retryAfterMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterMs(long value) {
+
+      retryAfterMs_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 retry_after_ms = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterMs() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      retryAfterMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.Refused)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.Refused)
+  private static final io.verbenacleat.proto.v1.Refused DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.Refused();
+  }
+
+  public static io.verbenacleat.proto.v1.Refused getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<Refused>
+      PARSER = new com.google.protobuf.AbstractParser<Refused>() {
+    @java.lang.Override
+    public Refused parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<Refused> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<Refused> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Refused getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/RefusedOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/RefusedOrBuilder.java
@@ -6,37 +6,35 @@
 package io.verbenacleat.proto.v1;
 
 public interface RefusedOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.Refused)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-	 * @return The enum numeric value on the wire for reason.
-	 */
-	int getReasonValue();
-
-	/**
-	 * <code>.verbena.v1.RefusalReason reason = 1;</code>
-	 * @return The reason.
-	 */
-	io.verbenacleat.proto.v1.RefusalReason getReason();
-
-	/**
-	 * <code>string detail = 2;</code>
-	 * @return The detail.
-	 */
-	java.lang.String getDetail();
-
-	/**
-	 * <code>string detail = 2;</code>
-	 * @return The bytes for detail.
-	 */
-	com.google.protobuf.ByteString getDetailBytes();
-
-	/**
-	 * <code>int64 retry_after_ms = 3;</code>
-	 * @return The retryAfterMs.
-	 */
-	long getRetryAfterMs();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.Refused)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>.verbena.v1.RefusalReason reason = 1;</code>
+   * @return The enum numeric value on the wire for reason.
+   */
+  int getReasonValue();
+  /**
+   * <code>.verbena.v1.RefusalReason reason = 1;</code>
+   * @return The reason.
+   */
+  io.verbenacleat.proto.v1.RefusalReason getReason();
+
+  /**
+   * <code>string detail = 2;</code>
+   * @return The detail.
+   */
+  java.lang.String getDetail();
+  /**
+   * <code>string detail = 2;</code>
+   * @return The bytes for detail.
+   */
+  com.google.protobuf.ByteString
+      getDetailBytes();
+
+  /**
+   * <code>int64 retry_after_ms = 3;</code>
+   * @return The retryAfterMs.
+   */
+  long getRetryAfterMs();
 }
