--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseRequest.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseRequest.java
@@ -8,697 +8,683 @@
 /**
  * Protobuf type {@code verbena.v1.ReleaseRequest}
  */
-public final class ReleaseRequest extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ReleaseRequest)
-		ReleaseRequestOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ReleaseRequest.class.getName());
-	}
-
-	// Use ReleaseRequest.newBuilder() to construct.
-	private ReleaseRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ReleaseRequest() {
-		holderIncarnation_ = "";
-		requestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReleaseRequest.class,
-					io.verbenacleat.proto.v1.ReleaseRequest.Builder.class);
-	}
-
-	public static final int HOLDER_INCARNATION_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object holderIncarnation_ = "";
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The holderIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getHolderIncarnation() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			holderIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			holderIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int REQUEST_IDS_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private com.google.protobuf.LazyStringArrayList requestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @return A list containing the requestIds.
-	 */
-	public com.google.protobuf.ProtocolStringList getRequestIdsList() {
-		return requestIds_;
-	}
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @return The count of requestIds.
-	 */
-	public int getRequestIdsCount() {
-		return requestIds_.size();
-	}
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @param index The index of the element to return.
-	 * @return The requestIds at the given index.
-	 */
-	public java.lang.String getRequestIds(int index) {
-		return requestIds_.get(index);
-	}
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @param index The index of the value to return.
-	 * @return The bytes of the requestIds at the given index.
-	 */
-	public com.google.protobuf.ByteString getRequestIdsBytes(int index) {
-		return requestIds_.getByteString(index);
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, holderIncarnation_);
-		}
-		for (int i = 0; i < requestIds_.size(); i++) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, requestIds_.getRaw(i));
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, holderIncarnation_);
-		}
-		{
-			int dataSize = 0;
-			for (int i = 0; i < requestIds_.size(); i++) {
-				dataSize += computeStringSizeNoTag(requestIds_.getRaw(i));
-			}
-			size += dataSize;
-			size += 1 * getRequestIdsList().size();
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ReleaseRequest)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ReleaseRequest other = (io.verbenacleat.proto.v1.ReleaseRequest) obj;
-
-		if (!getHolderIncarnation().equals(other.getHolderIncarnation()))
-			return false;
-		if (!getRequestIdsList().equals(other.getRequestIdsList()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getHolderIncarnation().hashCode();
-		if (getRequestIdsCount() > 0) {
-			hash = (37 * hash) + REQUEST_IDS_FIELD_NUMBER;
-			hash = (53 * hash) + getRequestIdsList().hashCode();
-		}
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ReleaseRequest prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ReleaseRequest}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ReleaseRequest)
-			io.verbenacleat.proto.v1.ReleaseRequestOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReleaseRequest.class,
-						io.verbenacleat.proto.v1.ReleaseRequest.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ReleaseRequest.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			holderIncarnation_ = "";
-			requestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReleaseRequest getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ReleaseRequest.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReleaseRequest build() {
-			io.verbenacleat.proto.v1.ReleaseRequest result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReleaseRequest buildPartial() {
-			io.verbenacleat.proto.v1.ReleaseRequest result = new io.verbenacleat.proto.v1.ReleaseRequest(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ReleaseRequest result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.holderIncarnation_ = holderIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				requestIds_.makeImmutable();
-				result.requestIds_ = requestIds_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ReleaseRequest) {
-				return mergeFrom((io.verbenacleat.proto.v1.ReleaseRequest) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ReleaseRequest other) {
-			if (other == io.verbenacleat.proto.v1.ReleaseRequest.getDefaultInstance())
-				return this;
-			if (!other.getHolderIncarnation().isEmpty()) {
-				holderIncarnation_ = other.holderIncarnation_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.requestIds_.isEmpty()) {
-				if (requestIds_.isEmpty()) {
-					requestIds_ = other.requestIds_;
-					bitField0_ |= 0x00000002;
-				}
-				else {
-					ensureRequestIdsIsMutable();
-					requestIds_.addAll(other.requestIds_);
-				}
-				onChanged();
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							holderIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							java.lang.String s = input.readStringRequireUtf8();
-							ensureRequestIdsIsMutable();
-							requestIds_.add(s);
-							break;
-						} // case 18
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object holderIncarnation_ = "";
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @return The holderIncarnation.
-		 */
-		public java.lang.String getHolderIncarnation() {
-			java.lang.Object ref = holderIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				holderIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @return The bytes for holderIncarnation.
-		 */
-		public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-			java.lang.Object ref = holderIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				holderIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @param value The holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHolderIncarnation() {
-			holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 1;</code>
-		 * @param value The bytes for holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private com.google.protobuf.LazyStringArrayList requestIds_ = com.google.protobuf.LazyStringArrayList
-			.emptyList();
-
-		private void ensureRequestIdsIsMutable() {
-			if (!requestIds_.isModifiable()) {
-				requestIds_ = new com.google.protobuf.LazyStringArrayList(requestIds_);
-			}
-			bitField0_ |= 0x00000002;
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @return A list containing the requestIds.
-		 */
-		public com.google.protobuf.ProtocolStringList getRequestIdsList() {
-			requestIds_.makeImmutable();
-			return requestIds_;
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @return The count of requestIds.
-		 */
-		public int getRequestIdsCount() {
-			return requestIds_.size();
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @param index The index of the element to return.
-		 * @return The requestIds at the given index.
-		 */
-		public java.lang.String getRequestIds(int index) {
-			return requestIds_.get(index);
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @param index The index of the value to return.
-		 * @return The bytes of the requestIds at the given index.
-		 */
-		public com.google.protobuf.ByteString getRequestIdsBytes(int index) {
-			return requestIds_.getByteString(index);
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @param index The index to set the value at.
-		 * @param value The requestIds to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRequestIds(int index, java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			ensureRequestIdsIsMutable();
-			requestIds_.set(index, value);
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @param value The requestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addRequestIds(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			ensureRequestIdsIsMutable();
-			requestIds_.add(value);
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @param values The requestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addAllRequestIds(java.lang.Iterable<java.lang.String> values) {
-			ensureRequestIdsIsMutable();
-			com.google.protobuf.AbstractMessageLite.Builder.addAll(values, requestIds_);
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRequestIds() {
-			requestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>repeated string request_ids = 2;</code>
-		 * @param value The bytes of the requestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addRequestIdsBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			ensureRequestIdsIsMutable();
-			requestIds_.add(value);
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ReleaseRequest)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ReleaseRequest)
-	private static final io.verbenacleat.proto.v1.ReleaseRequest DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReleaseRequest();
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseRequest getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ReleaseRequest> PARSER = new com.google.protobuf.AbstractParser<ReleaseRequest>() {
-		@java.lang.Override
-		public ReleaseRequest parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ReleaseRequest> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ReleaseRequest> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReleaseRequest getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ReleaseRequest extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ReleaseRequest)
+    ReleaseRequestOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ReleaseRequest.class.getName());
+  }
+  // Use ReleaseRequest.newBuilder() to construct.
+  private ReleaseRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ReleaseRequest() {
+    holderIncarnation_ = "";
+    requestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ReleaseRequest.class, io.verbenacleat.proto.v1.ReleaseRequest.Builder.class);
+  }
+
+  public static final int HOLDER_INCARNATION_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object holderIncarnation_ = "";
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The holderIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getHolderIncarnation() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      holderIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHolderIncarnationBytes() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      holderIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int REQUEST_IDS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList requestIds_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @return A list containing the requestIds.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getRequestIdsList() {
+    return requestIds_;
+  }
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @return The count of requestIds.
+   */
+  public int getRequestIdsCount() {
+    return requestIds_.size();
+  }
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @param index The index of the element to return.
+   * @return The requestIds at the given index.
+   */
+  public java.lang.String getRequestIds(int index) {
+    return requestIds_.get(index);
+  }
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the requestIds at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getRequestIdsBytes(int index) {
+    return requestIds_.getByteString(index);
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, holderIncarnation_);
+    }
+    for (int i = 0; i < requestIds_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, requestIds_.getRaw(i));
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, holderIncarnation_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < requestIds_.size(); i++) {
+        dataSize += computeStringSizeNoTag(requestIds_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getRequestIdsList().size();
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ReleaseRequest)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ReleaseRequest other = (io.verbenacleat.proto.v1.ReleaseRequest) obj;
+
+    if (!getHolderIncarnation()
+        .equals(other.getHolderIncarnation())) return false;
+    if (!getRequestIdsList()
+        .equals(other.getRequestIdsList())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getHolderIncarnation().hashCode();
+    if (getRequestIdsCount() > 0) {
+      hash = (37 * hash) + REQUEST_IDS_FIELD_NUMBER;
+      hash = (53 * hash) + getRequestIdsList().hashCode();
+    }
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseRequest parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ReleaseRequest prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ReleaseRequest}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ReleaseRequest)
+      io.verbenacleat.proto.v1.ReleaseRequestOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ReleaseRequest.class, io.verbenacleat.proto.v1.ReleaseRequest.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ReleaseRequest.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      holderIncarnation_ = "";
+      requestIds_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReleaseRequest getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ReleaseRequest.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReleaseRequest build() {
+      io.verbenacleat.proto.v1.ReleaseRequest result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReleaseRequest buildPartial() {
+      io.verbenacleat.proto.v1.ReleaseRequest result = new io.verbenacleat.proto.v1.ReleaseRequest(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ReleaseRequest result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.holderIncarnation_ = holderIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        requestIds_.makeImmutable();
+        result.requestIds_ = requestIds_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ReleaseRequest) {
+        return mergeFrom((io.verbenacleat.proto.v1.ReleaseRequest)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ReleaseRequest other) {
+      if (other == io.verbenacleat.proto.v1.ReleaseRequest.getDefaultInstance()) return this;
+      if (!other.getHolderIncarnation().isEmpty()) {
+        holderIncarnation_ = other.holderIncarnation_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.requestIds_.isEmpty()) {
+        if (requestIds_.isEmpty()) {
+          requestIds_ = other.requestIds_;
+          bitField0_ |= 0x00000002;
+        } else {
+          ensureRequestIdsIsMutable();
+          requestIds_.addAll(other.requestIds_);
+        }
+        onChanged();
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              holderIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureRequestIdsIsMutable();
+              requestIds_.add(s);
+              break;
+            } // case 18
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object holderIncarnation_ = "";
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @return The holderIncarnation.
+     */
+    public java.lang.String getHolderIncarnation() {
+      java.lang.Object ref = holderIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holderIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @return The bytes for holderIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getHolderIncarnationBytes() {
+      java.lang.Object ref = holderIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holderIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @param value The holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolderIncarnation() {
+      holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 1;</code>
+     * @param value The bytes for holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList requestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureRequestIdsIsMutable() {
+      if (!requestIds_.isModifiable()) {
+        requestIds_ = new com.google.protobuf.LazyStringArrayList(requestIds_);
+      }
+      bitField0_ |= 0x00000002;
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @return A list containing the requestIds.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getRequestIdsList() {
+      requestIds_.makeImmutable();
+      return requestIds_;
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @return The count of requestIds.
+     */
+    public int getRequestIdsCount() {
+      return requestIds_.size();
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @param index The index of the element to return.
+     * @return The requestIds at the given index.
+     */
+    public java.lang.String getRequestIds(int index) {
+      return requestIds_.get(index);
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the requestIds at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getRequestIdsBytes(int index) {
+      return requestIds_.getByteString(index);
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @param index The index to set the value at.
+     * @param value The requestIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestIds(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRequestIdsIsMutable();
+      requestIds_.set(index, value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @param value The requestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRequestIds(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureRequestIdsIsMutable();
+      requestIds_.add(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @param values The requestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllRequestIds(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureRequestIdsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, requestIds_);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestIds() {
+      requestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000002);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>repeated string request_ids = 2;</code>
+     * @param value The bytes of the requestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addRequestIdsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureRequestIdsIsMutable();
+      requestIds_.add(value);
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ReleaseRequest)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ReleaseRequest)
+  private static final io.verbenacleat.proto.v1.ReleaseRequest DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReleaseRequest();
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseRequest getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ReleaseRequest>
+      PARSER = new com.google.protobuf.AbstractParser<ReleaseRequest>() {
+    @java.lang.Override
+    public ReleaseRequest parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ReleaseRequest> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ReleaseRequest> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReleaseRequest getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseRequestOrBuilder.java
@@ -6,45 +6,43 @@
 package io.verbenacleat.proto.v1;
 
 public interface ReleaseRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ReleaseRequest)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The holderIncarnation.
-	 */
-	java.lang.String getHolderIncarnation();
-
-	/**
-	 * <code>string holder_incarnation = 1;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	com.google.protobuf.ByteString getHolderIncarnationBytes();
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @return A list containing the requestIds.
-	 */
-	java.util.List<java.lang.String> getRequestIdsList();
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @return The count of requestIds.
-	 */
-	int getRequestIdsCount();
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @param index The index of the element to return.
-	 * @return The requestIds at the given index.
-	 */
-	java.lang.String getRequestIds(int index);
-
-	/**
-	 * <code>repeated string request_ids = 2;</code>
-	 * @param index The index of the value to return.
-	 * @return The bytes of the requestIds at the given index.
-	 */
-	com.google.protobuf.ByteString getRequestIdsBytes(int index);
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ReleaseRequest)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The holderIncarnation.
+   */
+  java.lang.String getHolderIncarnation();
+  /**
+   * <code>string holder_incarnation = 1;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getHolderIncarnationBytes();
+
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @return A list containing the requestIds.
+   */
+  java.util.List<java.lang.String>
+      getRequestIdsList();
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @return The count of requestIds.
+   */
+  int getRequestIdsCount();
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @param index The index of the element to return.
+   * @return The requestIds at the given index.
+   */
+  java.lang.String getRequestIds(int index);
+  /**
+   * <code>repeated string request_ids = 2;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the requestIds at the given index.
+   */
+  com.google.protobuf.ByteString
+      getRequestIdsBytes(int index);
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseResponse.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseResponse.java
@@ -8,346 +8,351 @@
 /**
  * Protobuf type {@code verbena.v1.ReleaseResponse}
  */
-public final class ReleaseResponse extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ReleaseResponse)
-		ReleaseResponseOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ReleaseResponse.class.getName());
-	}
-
-	// Use ReleaseResponse.newBuilder() to construct.
-	private ReleaseResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ReleaseResponse() {
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReleaseResponse.class,
-					io.verbenacleat.proto.v1.ReleaseResponse.Builder.class);
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ReleaseResponse)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ReleaseResponse other = (io.verbenacleat.proto.v1.ReleaseResponse) obj;
-
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ReleaseResponse prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ReleaseResponse}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ReleaseResponse)
-			io.verbenacleat.proto.v1.ReleaseResponseOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReleaseResponse.class,
-						io.verbenacleat.proto.v1.ReleaseResponse.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ReleaseResponse.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReleaseResponse getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ReleaseResponse.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReleaseResponse build() {
-			io.verbenacleat.proto.v1.ReleaseResponse result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReleaseResponse buildPartial() {
-			io.verbenacleat.proto.v1.ReleaseResponse result = new io.verbenacleat.proto.v1.ReleaseResponse(this);
-			onBuilt();
-			return result;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ReleaseResponse) {
-				return mergeFrom((io.verbenacleat.proto.v1.ReleaseResponse) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ReleaseResponse other) {
-			if (other == io.verbenacleat.proto.v1.ReleaseResponse.getDefaultInstance())
-				return this;
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ReleaseResponse)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ReleaseResponse)
-	private static final io.verbenacleat.proto.v1.ReleaseResponse DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReleaseResponse();
-	}
-
-	public static io.verbenacleat.proto.v1.ReleaseResponse getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ReleaseResponse> PARSER = new com.google.protobuf.AbstractParser<ReleaseResponse>() {
-		@java.lang.Override
-		public ReleaseResponse parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ReleaseResponse> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ReleaseResponse> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReleaseResponse getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ReleaseResponse extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ReleaseResponse)
+    ReleaseResponseOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ReleaseResponse.class.getName());
+  }
+  // Use ReleaseResponse.newBuilder() to construct.
+  private ReleaseResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ReleaseResponse() {
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ReleaseResponse.class, io.verbenacleat.proto.v1.ReleaseResponse.Builder.class);
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ReleaseResponse)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ReleaseResponse other = (io.verbenacleat.proto.v1.ReleaseResponse) obj;
+
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReleaseResponse parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ReleaseResponse prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ReleaseResponse}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ReleaseResponse)
+      io.verbenacleat.proto.v1.ReleaseResponseOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ReleaseResponse.class, io.verbenacleat.proto.v1.ReleaseResponse.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ReleaseResponse.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReleaseResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReleaseResponse getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ReleaseResponse.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReleaseResponse build() {
+      io.verbenacleat.proto.v1.ReleaseResponse result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReleaseResponse buildPartial() {
+      io.verbenacleat.proto.v1.ReleaseResponse result = new io.verbenacleat.proto.v1.ReleaseResponse(this);
+      onBuilt();
+      return result;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ReleaseResponse) {
+        return mergeFrom((io.verbenacleat.proto.v1.ReleaseResponse)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ReleaseResponse other) {
+      if (other == io.verbenacleat.proto.v1.ReleaseResponse.getDefaultInstance()) return this;
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ReleaseResponse)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ReleaseResponse)
+  private static final io.verbenacleat.proto.v1.ReleaseResponse DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReleaseResponse();
+  }
+
+  public static io.verbenacleat.proto.v1.ReleaseResponse getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ReleaseResponse>
+      PARSER = new com.google.protobuf.AbstractParser<ReleaseResponse>() {
+    @java.lang.Override
+    public ReleaseResponse parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ReleaseResponse> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ReleaseResponse> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReleaseResponse getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseResponseOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReleaseResponseOrBuilder.java
@@ -6,7 +6,6 @@
 package io.verbenacleat.proto.v1;
 
 public interface ReleaseResponseOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ReleaseResponse)
-		com.google.protobuf.MessageOrBuilder {
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ReleaseResponse)
+    com.google.protobuf.MessageOrBuilder {
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReserveRefusal.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReserveRefusal.java
@@ -8,224 +8,220 @@
 /**
  * Protobuf enum {@code verbena.v1.ReserveRefusal}
  */
-public enum ReserveRefusal implements com.google.protobuf.ProtocolMessageEnum {
-
-	/**
-	 * <code>RESERVE_REFUSAL_UNSPECIFIED = 0;</code>
-	 */
-	RESERVE_REFUSAL_UNSPECIFIED(0),
-	/**
-	 * <code>UNKNOWN_ACCOUNT = 1;</code>
-	 */
-	UNKNOWN_ACCOUNT(1),
-	/**
-	 * <code>UNKNOWN_KEY = 2;</code>
-	 */
-	UNKNOWN_KEY(2),
-	/**
-	 * <code>REVOKED_KEY = 3;</code>
-	 */
-	REVOKED_KEY(3),
-	/**
-	 * <pre>
-	 * The budget cannot cover the request, even with all reservations freed.
-	 * </pre>
-	 *
-	 * <code>QUOTA_EXHAUSTED = 4;</code>
-	 */
-	QUOTA_EXHAUSTED(4),
-	/**
-	 * <pre>
-	 * Other requests in progress reserve what this one would need.
-	 * </pre>
-	 *
-	 * <code>BUDGET_RESERVED = 5;</code>
-	 */
-	BUDGET_RESERVED(5),
-	/**
-	 * <pre>
-	 * The table service cannot be reached and the grant is short.
-	 * </pre>
-	 *
-	 * <code>TABLE_UNREACHABLE = 6;</code>
-	 */
-	TABLE_UNREACHABLE(6),
-	/**
-	 * <pre>
-	 * This holder was closed or is stopping.
-	 * </pre>
-	 *
-	 * <code>HOLDER_NOT_OPEN = 7;</code>
-	 */
-	HOLDER_NOT_OPEN(7),
-	/**
-	 * <pre>
-	 * Too many receipts wait for the table service.
-	 * </pre>
-	 *
-	 * <code>JOURNAL_FULL = 8;</code>
-	 */
-	JOURNAL_FULL(8), UNRECOGNIZED(-1),;
-
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ReserveRefusal.class.getName());
-	}
-	/**
-	 * <code>RESERVE_REFUSAL_UNSPECIFIED = 0;</code>
-	 */
-	public static final int RESERVE_REFUSAL_UNSPECIFIED_VALUE = 0;
-
-	/**
-	 * <code>UNKNOWN_ACCOUNT = 1;</code>
-	 */
-	public static final int UNKNOWN_ACCOUNT_VALUE = 1;
-
-	/**
-	 * <code>UNKNOWN_KEY = 2;</code>
-	 */
-	public static final int UNKNOWN_KEY_VALUE = 2;
-
-	/**
-	 * <code>REVOKED_KEY = 3;</code>
-	 */
-	public static final int REVOKED_KEY_VALUE = 3;
-
-	/**
-	 * <pre>
-	 * The budget cannot cover the request, even with all reservations freed.
-	 * </pre>
-	 *
-	 * <code>QUOTA_EXHAUSTED = 4;</code>
-	 */
-	public static final int QUOTA_EXHAUSTED_VALUE = 4;
-
-	/**
-	 * <pre>
-	 * Other requests in progress reserve what this one would need.
-	 * </pre>
-	 *
-	 * <code>BUDGET_RESERVED = 5;</code>
-	 */
-	public static final int BUDGET_RESERVED_VALUE = 5;
-
-	/**
-	 * <pre>
-	 * The table service cannot be reached and the grant is short.
-	 * </pre>
-	 *
-	 * <code>TABLE_UNREACHABLE = 6;</code>
-	 */
-	public static final int TABLE_UNREACHABLE_VALUE = 6;
-
-	/**
-	 * <pre>
-	 * This holder was closed or is stopping.
-	 * </pre>
-	 *
-	 * <code>HOLDER_NOT_OPEN = 7;</code>
-	 */
-	public static final int HOLDER_NOT_OPEN_VALUE = 7;
-
-	/**
-	 * <pre>
-	 * Too many receipts wait for the table service.
-	 * </pre>
-	 *
-	 * <code>JOURNAL_FULL = 8;</code>
-	 */
-	public static final int JOURNAL_FULL_VALUE = 8;
-
-	public final int getNumber() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalArgumentException("Can't get the number of an unknown enum value.");
-		}
-		return value;
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 * @deprecated Use {@link #forNumber(int)} instead.
-	 */
-	@java.lang.Deprecated
-	public static ReserveRefusal valueOf(int value) {
-		return forNumber(value);
-	}
-
-	/**
-	 * @param value The numeric wire value of the corresponding enum entry.
-	 * @return The enum associated with the given numeric wire value.
-	 */
-	public static ReserveRefusal forNumber(int value) {
-		switch (value) {
-			case 0:
-				return RESERVE_REFUSAL_UNSPECIFIED;
-			case 1:
-				return UNKNOWN_ACCOUNT;
-			case 2:
-				return UNKNOWN_KEY;
-			case 3:
-				return REVOKED_KEY;
-			case 4:
-				return QUOTA_EXHAUSTED;
-			case 5:
-				return BUDGET_RESERVED;
-			case 6:
-				return TABLE_UNREACHABLE;
-			case 7:
-				return HOLDER_NOT_OPEN;
-			case 8:
-				return JOURNAL_FULL;
-			default:
-				return null;
-		}
-	}
-
-	public static com.google.protobuf.Internal.EnumLiteMap<ReserveRefusal> internalGetValueMap() {
-		return internalValueMap;
-	}
-
-	private static final com.google.protobuf.Internal.EnumLiteMap<ReserveRefusal> internalValueMap = new com.google.protobuf.Internal.EnumLiteMap<ReserveRefusal>() {
-		public ReserveRefusal findValueByNumber(int number) {
-			return ReserveRefusal.forNumber(number);
-		}
-	};
-
-	public final com.google.protobuf.Descriptors.EnumValueDescriptor getValueDescriptor() {
-		if (this == UNRECOGNIZED) {
-			throw new java.lang.IllegalStateException("Can't get the descriptor of an unrecognized enum value.");
-		}
-		return getDescriptor().getValues().get(ordinal());
-	}
-
-	public final com.google.protobuf.Descriptors.EnumDescriptor getDescriptorForType() {
-		return getDescriptor();
-	}
-
-	public static final com.google.protobuf.Descriptors.EnumDescriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(3);
-	}
-
-	private static final ReserveRefusal[] VALUES = values();
-
-	public static ReserveRefusal valueOf(com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
-		if (desc.getType() != getDescriptor()) {
-			throw new java.lang.IllegalArgumentException("EnumValueDescriptor is not for this type.");
-		}
-		if (desc.getIndex() == -1) {
-			return UNRECOGNIZED;
-		}
-		return VALUES[desc.getIndex()];
-	}
-
-	private final int value;
-
-	private ReserveRefusal(int value) {
-		this.value = value;
-	}
-
-	// @@protoc_insertion_point(enum_scope:verbena.v1.ReserveRefusal)
-
+public enum ReserveRefusal
+    implements com.google.protobuf.ProtocolMessageEnum {
+  /**
+   * <code>RESERVE_REFUSAL_UNSPECIFIED = 0;</code>
+   */
+  RESERVE_REFUSAL_UNSPECIFIED(0),
+  /**
+   * <code>UNKNOWN_ACCOUNT = 1;</code>
+   */
+  UNKNOWN_ACCOUNT(1),
+  /**
+   * <code>UNKNOWN_KEY = 2;</code>
+   */
+  UNKNOWN_KEY(2),
+  /**
+   * <code>REVOKED_KEY = 3;</code>
+   */
+  REVOKED_KEY(3),
+  /**
+   * <pre>
+   * The budget cannot cover the request, even with all reservations freed.
+   * </pre>
+   *
+   * <code>QUOTA_EXHAUSTED = 4;</code>
+   */
+  QUOTA_EXHAUSTED(4),
+  /**
+   * <pre>
+   * Other requests in progress reserve what this one would need.
+   * </pre>
+   *
+   * <code>BUDGET_RESERVED = 5;</code>
+   */
+  BUDGET_RESERVED(5),
+  /**
+   * <pre>
+   * The table service cannot be reached and the grant is short.
+   * </pre>
+   *
+   * <code>TABLE_UNREACHABLE = 6;</code>
+   */
+  TABLE_UNREACHABLE(6),
+  /**
+   * <pre>
+   * This holder was closed or is stopping.
+   * </pre>
+   *
+   * <code>HOLDER_NOT_OPEN = 7;</code>
+   */
+  HOLDER_NOT_OPEN(7),
+  /**
+   * <pre>
+   * Too many receipts wait for the table service.
+   * </pre>
+   *
+   * <code>JOURNAL_FULL = 8;</code>
+   */
+  JOURNAL_FULL(8),
+  UNRECOGNIZED(-1),
+  ;
+
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ReserveRefusal.class.getName());
+  }
+  /**
+   * <code>RESERVE_REFUSAL_UNSPECIFIED = 0;</code>
+   */
+  public static final int RESERVE_REFUSAL_UNSPECIFIED_VALUE = 0;
+  /**
+   * <code>UNKNOWN_ACCOUNT = 1;</code>
+   */
+  public static final int UNKNOWN_ACCOUNT_VALUE = 1;
+  /**
+   * <code>UNKNOWN_KEY = 2;</code>
+   */
+  public static final int UNKNOWN_KEY_VALUE = 2;
+  /**
+   * <code>REVOKED_KEY = 3;</code>
+   */
+  public static final int REVOKED_KEY_VALUE = 3;
+  /**
+   * <pre>
+   * The budget cannot cover the request, even with all reservations freed.
+   * </pre>
+   *
+   * <code>QUOTA_EXHAUSTED = 4;</code>
+   */
+  public static final int QUOTA_EXHAUSTED_VALUE = 4;
+  /**
+   * <pre>
+   * Other requests in progress reserve what this one would need.
+   * </pre>
+   *
+   * <code>BUDGET_RESERVED = 5;</code>
+   */
+  public static final int BUDGET_RESERVED_VALUE = 5;
+  /**
+   * <pre>
+   * The table service cannot be reached and the grant is short.
+   * </pre>
+   *
+   * <code>TABLE_UNREACHABLE = 6;</code>
+   */
+  public static final int TABLE_UNREACHABLE_VALUE = 6;
+  /**
+   * <pre>
+   * This holder was closed or is stopping.
+   * </pre>
+   *
+   * <code>HOLDER_NOT_OPEN = 7;</code>
+   */
+  public static final int HOLDER_NOT_OPEN_VALUE = 7;
+  /**
+   * <pre>
+   * Too many receipts wait for the table service.
+   * </pre>
+   *
+   * <code>JOURNAL_FULL = 8;</code>
+   */
+  public static final int JOURNAL_FULL_VALUE = 8;
+
+
+  public final int getNumber() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalArgumentException(
+          "Can't get the number of an unknown enum value.");
+    }
+    return value;
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   * @deprecated Use {@link #forNumber(int)} instead.
+   */
+  @java.lang.Deprecated
+  public static ReserveRefusal valueOf(int value) {
+    return forNumber(value);
+  }
+
+  /**
+   * @param value The numeric wire value of the corresponding enum entry.
+   * @return The enum associated with the given numeric wire value.
+   */
+  public static ReserveRefusal forNumber(int value) {
+    switch (value) {
+      case 0: return RESERVE_REFUSAL_UNSPECIFIED;
+      case 1: return UNKNOWN_ACCOUNT;
+      case 2: return UNKNOWN_KEY;
+      case 3: return REVOKED_KEY;
+      case 4: return QUOTA_EXHAUSTED;
+      case 5: return BUDGET_RESERVED;
+      case 6: return TABLE_UNREACHABLE;
+      case 7: return HOLDER_NOT_OPEN;
+      case 8: return JOURNAL_FULL;
+      default: return null;
+    }
+  }
+
+  public static com.google.protobuf.Internal.EnumLiteMap<ReserveRefusal>
+      internalGetValueMap() {
+    return internalValueMap;
+  }
+  private static final com.google.protobuf.Internal.EnumLiteMap<
+      ReserveRefusal> internalValueMap =
+        new com.google.protobuf.Internal.EnumLiteMap<ReserveRefusal>() {
+          public ReserveRefusal findValueByNumber(int number) {
+            return ReserveRefusal.forNumber(number);
+          }
+        };
+
+  public final com.google.protobuf.Descriptors.EnumValueDescriptor
+      getValueDescriptor() {
+    if (this == UNRECOGNIZED) {
+      throw new java.lang.IllegalStateException(
+          "Can't get the descriptor of an unrecognized enum value.");
+    }
+    return getDescriptor().getValues().get(ordinal());
+  }
+  public final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptorForType() {
+    return getDescriptor();
+  }
+  public static final com.google.protobuf.Descriptors.EnumDescriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.getDescriptor().getEnumTypes().get(3);
+  }
+
+  private static final ReserveRefusal[] VALUES = values();
+
+  public static ReserveRefusal valueOf(
+      com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+    if (desc.getType() != getDescriptor()) {
+      throw new java.lang.IllegalArgumentException(
+        "EnumValueDescriptor is not for this type.");
+    }
+    if (desc.getIndex() == -1) {
+      return UNRECOGNIZED;
+    }
+    return VALUES[desc.getIndex()];
+  }
+
+  private final int value;
+
+  private ReserveRefusal(int value) {
+    this.value = value;
+  }
+
+  // @@protoc_insertion_point(enum_scope:verbena.v1.ReserveRefusal)
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReserveRequest.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReserveRequest.java
@@ -8,1108 +8,1080 @@
 /**
  * Protobuf type {@code verbena.v1.ReserveRequest}
  */
-public final class ReserveRequest extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ReserveRequest)
-		ReserveRequestOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ReserveRequest.class.getName());
-	}
-
-	// Use ReserveRequest.newBuilder() to construct.
-	private ReserveRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ReserveRequest() {
-		requestId_ = "";
-		gatewayIncarnation_ = "";
-		account_ = "";
-		keySha256_ = "";
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReserveRequest.class,
-					io.verbenacleat.proto.v1.ReserveRequest.Builder.class);
-	}
-
-	public static final int REQUEST_ID_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object requestId_ = "";
-
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The requestId.
-	 */
-	@java.lang.Override
-	public java.lang.String getRequestId() {
-		java.lang.Object ref = requestId_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			requestId_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The bytes for requestId.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getRequestIdBytes() {
-		java.lang.Object ref = requestId_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			requestId_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int GATEWAY_INCARNATION_FIELD_NUMBER = 2;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object gatewayIncarnation_ = "";
-
-	/**
-	 * <code>string gateway_incarnation = 2;</code>
-	 * @return The gatewayIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getGatewayIncarnation() {
-		java.lang.Object ref = gatewayIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			gatewayIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string gateway_incarnation = 2;</code>
-	 * @return The bytes for gatewayIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getGatewayIncarnationBytes() {
-		java.lang.Object ref = gatewayIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			gatewayIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int ACCOUNT_FIELD_NUMBER = 3;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object account_ = "";
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The account.
-	 */
-	@java.lang.Override
-	public java.lang.String getAccount() {
-		java.lang.Object ref = account_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			account_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The bytes for account.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getAccountBytes() {
-		java.lang.Object ref = account_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			account_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int KEY_SHA256_FIELD_NUMBER = 4;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object keySha256_ = "";
-
-	/**
-	 * <pre>
-	 * SHA-256 of the whole caller key, lower-case hex.
-	 * </pre>
-	 *
-	 * <code>string key_sha256 = 4;</code>
-	 * @return The keySha256.
-	 */
-	@java.lang.Override
-	public java.lang.String getKeySha256() {
-		java.lang.Object ref = keySha256_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			keySha256_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <pre>
-	 * SHA-256 of the whole caller key, lower-case hex.
-	 * </pre>
-	 *
-	 * <code>string key_sha256 = 4;</code>
-	 * @return The bytes for keySha256.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getKeySha256Bytes() {
-		java.lang.Object ref = keySha256_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			keySha256_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int TOKENS_FIELD_NUMBER = 5;
-
-	private long tokens_ = 0L;
-
-	/**
-	 * <code>int64 tokens = 5;</code>
-	 * @return The tokens.
-	 */
-	@java.lang.Override
-	public long getTokens() {
-		return tokens_;
-	}
-
-	public static final int FORWARDED_FIELD_NUMBER = 6;
-
-	private boolean forwarded_ = false;
-
-	/**
-	 * <pre>
-	 * Set when another holder could not cover the request: answer from the present grant only.
-	 * </pre>
-	 *
-	 * <code>bool forwarded = 6;</code>
-	 * @return The forwarded.
-	 */
-	@java.lang.Override
-	public boolean getForwarded() {
-		return forwarded_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, requestId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 2, gatewayIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 3, account_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(keySha256_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 4, keySha256_);
-		}
-		if (tokens_ != 0L) {
-			output.writeInt64(5, tokens_);
-		}
-		if (forwarded_ != false) {
-			output.writeBool(6, forwarded_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(1, requestId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(2, gatewayIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(3, account_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(keySha256_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(4, keySha256_);
-		}
-		if (tokens_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(5, tokens_);
-		}
-		if (forwarded_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(6, forwarded_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ReserveRequest)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ReserveRequest other = (io.verbenacleat.proto.v1.ReserveRequest) obj;
-
-		if (!getRequestId().equals(other.getRequestId()))
-			return false;
-		if (!getGatewayIncarnation().equals(other.getGatewayIncarnation()))
-			return false;
-		if (!getAccount().equals(other.getAccount()))
-			return false;
-		if (!getKeySha256().equals(other.getKeySha256()))
-			return false;
-		if (getTokens() != other.getTokens())
-			return false;
-		if (getForwarded() != other.getForwarded())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
-		hash = (53 * hash) + getRequestId().hashCode();
-		hash = (37 * hash) + GATEWAY_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getGatewayIncarnation().hashCode();
-		hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
-		hash = (53 * hash) + getAccount().hashCode();
-		hash = (37 * hash) + KEY_SHA256_FIELD_NUMBER;
-		hash = (53 * hash) + getKeySha256().hashCode();
-		hash = (37 * hash) + TOKENS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getTokens());
-		hash = (37 * hash) + FORWARDED_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getForwarded());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ReserveRequest prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ReserveRequest}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ReserveRequest)
-			io.verbenacleat.proto.v1.ReserveRequestOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReserveRequest.class,
-						io.verbenacleat.proto.v1.ReserveRequest.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ReserveRequest.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			requestId_ = "";
-			gatewayIncarnation_ = "";
-			account_ = "";
-			keySha256_ = "";
-			tokens_ = 0L;
-			forwarded_ = false;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReserveRequest getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ReserveRequest.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReserveRequest build() {
-			io.verbenacleat.proto.v1.ReserveRequest result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReserveRequest buildPartial() {
-			io.verbenacleat.proto.v1.ReserveRequest result = new io.verbenacleat.proto.v1.ReserveRequest(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ReserveRequest result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.requestId_ = requestId_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.gatewayIncarnation_ = gatewayIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.account_ = account_;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.keySha256_ = keySha256_;
-			}
-			if (((from_bitField0_ & 0x00000010) != 0)) {
-				result.tokens_ = tokens_;
-			}
-			if (((from_bitField0_ & 0x00000020) != 0)) {
-				result.forwarded_ = forwarded_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ReserveRequest) {
-				return mergeFrom((io.verbenacleat.proto.v1.ReserveRequest) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ReserveRequest other) {
-			if (other == io.verbenacleat.proto.v1.ReserveRequest.getDefaultInstance())
-				return this;
-			if (!other.getRequestId().isEmpty()) {
-				requestId_ = other.requestId_;
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			if (!other.getGatewayIncarnation().isEmpty()) {
-				gatewayIncarnation_ = other.gatewayIncarnation_;
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			if (!other.getAccount().isEmpty()) {
-				account_ = other.account_;
-				bitField0_ |= 0x00000004;
-				onChanged();
-			}
-			if (!other.getKeySha256().isEmpty()) {
-				keySha256_ = other.keySha256_;
-				bitField0_ |= 0x00000008;
-				onChanged();
-			}
-			if (other.getTokens() != 0L) {
-				setTokens(other.getTokens());
-			}
-			if (other.getForwarded() != false) {
-				setForwarded(other.getForwarded());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							requestId_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 18: {
-							gatewayIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 26: {
-							account_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 26
-						case 34: {
-							keySha256_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 34
-						case 40: {
-							tokens_ = input.readInt64();
-							bitField0_ |= 0x00000010;
-							break;
-						} // case 40
-						case 48: {
-							forwarded_ = input.readBool();
-							bitField0_ |= 0x00000020;
-							break;
-						} // case 48
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.lang.Object requestId_ = "";
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @return The requestId.
-		 */
-		public java.lang.String getRequestId() {
-			java.lang.Object ref = requestId_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				requestId_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @return The bytes for requestId.
-		 */
-		public com.google.protobuf.ByteString getRequestIdBytes() {
-			java.lang.Object ref = requestId_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				requestId_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @param value The requestId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRequestId(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			requestId_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRequestId() {
-			requestId_ = getDefaultInstance().getRequestId();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string request_id = 1;</code>
-		 * @param value The bytes for requestId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRequestIdBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			requestId_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object gatewayIncarnation_ = "";
-
-		/**
-		 * <code>string gateway_incarnation = 2;</code>
-		 * @return The gatewayIncarnation.
-		 */
-		public java.lang.String getGatewayIncarnation() {
-			java.lang.Object ref = gatewayIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				gatewayIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 2;</code>
-		 * @return The bytes for gatewayIncarnation.
-		 */
-		public com.google.protobuf.ByteString getGatewayIncarnationBytes() {
-			java.lang.Object ref = gatewayIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				gatewayIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 2;</code>
-		 * @param value The gatewayIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setGatewayIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			gatewayIncarnation_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearGatewayIncarnation() {
-			gatewayIncarnation_ = getDefaultInstance().getGatewayIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000002);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string gateway_incarnation = 2;</code>
-		 * @param value The bytes for gatewayIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setGatewayIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			gatewayIncarnation_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object account_ = "";
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return The account.
-		 */
-		public java.lang.String getAccount() {
-			java.lang.Object ref = account_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				account_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return The bytes for account.
-		 */
-		public com.google.protobuf.ByteString getAccountBytes() {
-			java.lang.Object ref = account_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				account_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @param value The account to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAccount(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			account_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearAccount() {
-			account_ = getDefaultInstance().getAccount();
-			bitField0_ = (bitField0_ & ~0x00000004);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string account = 3;</code>
-		 * @param value The bytes for account to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setAccountBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			account_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object keySha256_ = "";
-
-		/**
-		 * <pre>
-		 * SHA-256 of the whole caller key, lower-case hex.
-		 * </pre>
-		 *
-		 * <code>string key_sha256 = 4;</code>
-		 * @return The keySha256.
-		 */
-		public java.lang.String getKeySha256() {
-			java.lang.Object ref = keySha256_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				keySha256_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * SHA-256 of the whole caller key, lower-case hex.
-		 * </pre>
-		 *
-		 * <code>string key_sha256 = 4;</code>
-		 * @return The bytes for keySha256.
-		 */
-		public com.google.protobuf.ByteString getKeySha256Bytes() {
-			java.lang.Object ref = keySha256_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				keySha256_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * SHA-256 of the whole caller key, lower-case hex.
-		 * </pre>
-		 *
-		 * <code>string key_sha256 = 4;</code>
-		 * @param value The keySha256 to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setKeySha256(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			keySha256_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * SHA-256 of the whole caller key, lower-case hex.
-		 * </pre>
-		 *
-		 * <code>string key_sha256 = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearKeySha256() {
-			keySha256_ = getDefaultInstance().getKeySha256();
-			bitField0_ = (bitField0_ & ~0x00000008);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * SHA-256 of the whole caller key, lower-case hex.
-		 * </pre>
-		 *
-		 * <code>string key_sha256 = 4;</code>
-		 * @param value The bytes for keySha256 to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setKeySha256Bytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			keySha256_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		private long tokens_;
-
-		/**
-		 * <code>int64 tokens = 5;</code>
-		 * @return The tokens.
-		 */
-		@java.lang.Override
-		public long getTokens() {
-			return tokens_;
-		}
-
-		/**
-		 * <code>int64 tokens = 5;</code>
-		 * @param value The tokens to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setTokens(long value) {
-
-			tokens_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 tokens = 5;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearTokens() {
-			bitField0_ = (bitField0_ & ~0x00000010);
-			tokens_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private boolean forwarded_;
-
-		/**
-		 * <pre>
-		 * Set when another holder could not cover the request: answer from the present grant only.
-		 * </pre>
-		 *
-		 * <code>bool forwarded = 6;</code>
-		 * @return The forwarded.
-		 */
-		@java.lang.Override
-		public boolean getForwarded() {
-			return forwarded_;
-		}
-
-		/**
-		 * <pre>
-		 * Set when another holder could not cover the request: answer from the present grant only.
-		 * </pre>
-		 *
-		 * <code>bool forwarded = 6;</code>
-		 * @param value The forwarded to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setForwarded(boolean value) {
-
-			forwarded_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Set when another holder could not cover the request: answer from the present grant only.
-		 * </pre>
-		 *
-		 * <code>bool forwarded = 6;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearForwarded() {
-			bitField0_ = (bitField0_ & ~0x00000020);
-			forwarded_ = false;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ReserveRequest)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ReserveRequest)
-	private static final io.verbenacleat.proto.v1.ReserveRequest DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReserveRequest();
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveRequest getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ReserveRequest> PARSER = new com.google.protobuf.AbstractParser<ReserveRequest>() {
-		@java.lang.Override
-		public ReserveRequest parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ReserveRequest> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ReserveRequest> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReserveRequest getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ReserveRequest extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ReserveRequest)
+    ReserveRequestOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ReserveRequest.class.getName());
+  }
+  // Use ReserveRequest.newBuilder() to construct.
+  private ReserveRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ReserveRequest() {
+    requestId_ = "";
+    gatewayIncarnation_ = "";
+    account_ = "";
+    keySha256_ = "";
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ReserveRequest.class, io.verbenacleat.proto.v1.ReserveRequest.Builder.class);
+  }
+
+  public static final int REQUEST_ID_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object requestId_ = "";
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The requestId.
+   */
+  @java.lang.Override
+  public java.lang.String getRequestId() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      requestId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The bytes for requestId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestIdBytes() {
+    java.lang.Object ref = requestId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      requestId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int GATEWAY_INCARNATION_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object gatewayIncarnation_ = "";
+  /**
+   * <code>string gateway_incarnation = 2;</code>
+   * @return The gatewayIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getGatewayIncarnation() {
+    java.lang.Object ref = gatewayIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      gatewayIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string gateway_incarnation = 2;</code>
+   * @return The bytes for gatewayIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getGatewayIncarnationBytes() {
+    java.lang.Object ref = gatewayIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      gatewayIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int ACCOUNT_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object account_ = "";
+  /**
+   * <code>string account = 3;</code>
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      account_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string account = 3;</code>
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getAccountBytes() {
+    java.lang.Object ref = account_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      account_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int KEY_SHA256_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object keySha256_ = "";
+  /**
+   * <pre>
+   * SHA-256 of the whole caller key, lower-case hex.
+   * </pre>
+   *
+   * <code>string key_sha256 = 4;</code>
+   * @return The keySha256.
+   */
+  @java.lang.Override
+  public java.lang.String getKeySha256() {
+    java.lang.Object ref = keySha256_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      keySha256_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * SHA-256 of the whole caller key, lower-case hex.
+   * </pre>
+   *
+   * <code>string key_sha256 = 4;</code>
+   * @return The bytes for keySha256.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getKeySha256Bytes() {
+    java.lang.Object ref = keySha256_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      keySha256_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int TOKENS_FIELD_NUMBER = 5;
+  private long tokens_ = 0L;
+  /**
+   * <code>int64 tokens = 5;</code>
+   * @return The tokens.
+   */
+  @java.lang.Override
+  public long getTokens() {
+    return tokens_;
+  }
+
+  public static final int FORWARDED_FIELD_NUMBER = 6;
+  private boolean forwarded_ = false;
+  /**
+   * <pre>
+   * Set when another holder could not cover the request: answer from the present grant only.
+   * </pre>
+   *
+   * <code>bool forwarded = 6;</code>
+   * @return The forwarded.
+   */
+  @java.lang.Override
+  public boolean getForwarded() {
+    return forwarded_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, requestId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, gatewayIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, account_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(keySha256_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, keySha256_);
+    }
+    if (tokens_ != 0L) {
+      output.writeInt64(5, tokens_);
+    }
+    if (forwarded_ != false) {
+      output.writeBool(6, forwarded_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, requestId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(gatewayIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, gatewayIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, account_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(keySha256_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, keySha256_);
+    }
+    if (tokens_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(5, tokens_);
+    }
+    if (forwarded_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(6, forwarded_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ReserveRequest)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ReserveRequest other = (io.verbenacleat.proto.v1.ReserveRequest) obj;
+
+    if (!getRequestId()
+        .equals(other.getRequestId())) return false;
+    if (!getGatewayIncarnation()
+        .equals(other.getGatewayIncarnation())) return false;
+    if (!getAccount()
+        .equals(other.getAccount())) return false;
+    if (!getKeySha256()
+        .equals(other.getKeySha256())) return false;
+    if (getTokens()
+        != other.getTokens()) return false;
+    if (getForwarded()
+        != other.getForwarded()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + REQUEST_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestId().hashCode();
+    hash = (37 * hash) + GATEWAY_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getGatewayIncarnation().hashCode();
+    hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
+    hash = (53 * hash) + getAccount().hashCode();
+    hash = (37 * hash) + KEY_SHA256_FIELD_NUMBER;
+    hash = (53 * hash) + getKeySha256().hashCode();
+    hash = (37 * hash) + TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTokens());
+    hash = (37 * hash) + FORWARDED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getForwarded());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveRequest parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveRequest parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReserveRequest parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ReserveRequest prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ReserveRequest}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ReserveRequest)
+      io.verbenacleat.proto.v1.ReserveRequestOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ReserveRequest.class, io.verbenacleat.proto.v1.ReserveRequest.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ReserveRequest.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      requestId_ = "";
+      gatewayIncarnation_ = "";
+      account_ = "";
+      keySha256_ = "";
+      tokens_ = 0L;
+      forwarded_ = false;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReserveRequest getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ReserveRequest.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReserveRequest build() {
+      io.verbenacleat.proto.v1.ReserveRequest result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReserveRequest buildPartial() {
+      io.verbenacleat.proto.v1.ReserveRequest result = new io.verbenacleat.proto.v1.ReserveRequest(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ReserveRequest result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.requestId_ = requestId_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.gatewayIncarnation_ = gatewayIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.account_ = account_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.keySha256_ = keySha256_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.tokens_ = tokens_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.forwarded_ = forwarded_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ReserveRequest) {
+        return mergeFrom((io.verbenacleat.proto.v1.ReserveRequest)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ReserveRequest other) {
+      if (other == io.verbenacleat.proto.v1.ReserveRequest.getDefaultInstance()) return this;
+      if (!other.getRequestId().isEmpty()) {
+        requestId_ = other.requestId_;
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      if (!other.getGatewayIncarnation().isEmpty()) {
+        gatewayIncarnation_ = other.gatewayIncarnation_;
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      if (!other.getAccount().isEmpty()) {
+        account_ = other.account_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (!other.getKeySha256().isEmpty()) {
+        keySha256_ = other.keySha256_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      if (other.getTokens() != 0L) {
+        setTokens(other.getTokens());
+      }
+      if (other.getForwarded() != false) {
+        setForwarded(other.getForwarded());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              requestId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 18: {
+              gatewayIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 26: {
+              account_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              keySha256_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 40: {
+              tokens_ = input.readInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 48: {
+              forwarded_ = input.readBool();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.lang.Object requestId_ = "";
+    /**
+     * <code>string request_id = 1;</code>
+     * @return The requestId.
+     */
+    public java.lang.String getRequestId() {
+      java.lang.Object ref = requestId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        requestId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @return The bytes for requestId.
+     */
+    public com.google.protobuf.ByteString
+        getRequestIdBytes() {
+      java.lang.Object ref = requestId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        requestId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @param value The requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      requestId_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRequestId() {
+      requestId_ = getDefaultInstance().getRequestId();
+      bitField0_ = (bitField0_ & ~0x00000001);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string request_id = 1;</code>
+     * @param value The bytes for requestId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      requestId_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object gatewayIncarnation_ = "";
+    /**
+     * <code>string gateway_incarnation = 2;</code>
+     * @return The gatewayIncarnation.
+     */
+    public java.lang.String getGatewayIncarnation() {
+      java.lang.Object ref = gatewayIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        gatewayIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string gateway_incarnation = 2;</code>
+     * @return The bytes for gatewayIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getGatewayIncarnationBytes() {
+      java.lang.Object ref = gatewayIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        gatewayIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string gateway_incarnation = 2;</code>
+     * @param value The gatewayIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGatewayIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      gatewayIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string gateway_incarnation = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGatewayIncarnation() {
+      gatewayIncarnation_ = getDefaultInstance().getGatewayIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000002);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string gateway_incarnation = 2;</code>
+     * @param value The bytes for gatewayIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGatewayIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      gatewayIncarnation_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object account_ = "";
+    /**
+     * <code>string account = 3;</code>
+     * @return The account.
+     */
+    public java.lang.String getAccount() {
+      java.lang.Object ref = account_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        account_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @return The bytes for account.
+     */
+    public com.google.protobuf.ByteString
+        getAccountBytes() {
+      java.lang.Object ref = account_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        account_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      account_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      account_ = getDefaultInstance().getAccount();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string account = 3;</code>
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      account_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object keySha256_ = "";
+    /**
+     * <pre>
+     * SHA-256 of the whole caller key, lower-case hex.
+     * </pre>
+     *
+     * <code>string key_sha256 = 4;</code>
+     * @return The keySha256.
+     */
+    public java.lang.String getKeySha256() {
+      java.lang.Object ref = keySha256_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        keySha256_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * SHA-256 of the whole caller key, lower-case hex.
+     * </pre>
+     *
+     * <code>string key_sha256 = 4;</code>
+     * @return The bytes for keySha256.
+     */
+    public com.google.protobuf.ByteString
+        getKeySha256Bytes() {
+      java.lang.Object ref = keySha256_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        keySha256_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * SHA-256 of the whole caller key, lower-case hex.
+     * </pre>
+     *
+     * <code>string key_sha256 = 4;</code>
+     * @param value The keySha256 to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeySha256(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      keySha256_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * SHA-256 of the whole caller key, lower-case hex.
+     * </pre>
+     *
+     * <code>string key_sha256 = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKeySha256() {
+      keySha256_ = getDefaultInstance().getKeySha256();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * SHA-256 of the whole caller key, lower-case hex.
+     * </pre>
+     *
+     * <code>string key_sha256 = 4;</code>
+     * @param value The bytes for keySha256 to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKeySha256Bytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      keySha256_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private long tokens_ ;
+    /**
+     * <code>int64 tokens = 5;</code>
+     * @return The tokens.
+     */
+    @java.lang.Override
+    public long getTokens() {
+      return tokens_;
+    }
+    /**
+     * <code>int64 tokens = 5;</code>
+     * @param value The tokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTokens(long value) {
+
+      tokens_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 tokens = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTokens() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      tokens_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean forwarded_ ;
+    /**
+     * <pre>
+     * Set when another holder could not cover the request: answer from the present grant only.
+     * </pre>
+     *
+     * <code>bool forwarded = 6;</code>
+     * @return The forwarded.
+     */
+    @java.lang.Override
+    public boolean getForwarded() {
+      return forwarded_;
+    }
+    /**
+     * <pre>
+     * Set when another holder could not cover the request: answer from the present grant only.
+     * </pre>
+     *
+     * <code>bool forwarded = 6;</code>
+     * @param value The forwarded to set.
+     * @return This builder for chaining.
+     */
+    public Builder setForwarded(boolean value) {
+
+      forwarded_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when another holder could not cover the request: answer from the present grant only.
+     * </pre>
+     *
+     * <code>bool forwarded = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearForwarded() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      forwarded_ = false;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ReserveRequest)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ReserveRequest)
+  private static final io.verbenacleat.proto.v1.ReserveRequest DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReserveRequest();
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveRequest getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ReserveRequest>
+      PARSER = new com.google.protobuf.AbstractParser<ReserveRequest>() {
+    @java.lang.Override
+    public ReserveRequest parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ReserveRequest> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ReserveRequest> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReserveRequest getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReserveRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReserveRequestOrBuilder.java
@@ -6,79 +6,78 @@
 package io.verbenacleat.proto.v1;
 
 public interface ReserveRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ReserveRequest)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ReserveRequest)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The requestId.
-	 */
-	java.lang.String getRequestId();
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The requestId.
+   */
+  java.lang.String getRequestId();
+  /**
+   * <code>string request_id = 1;</code>
+   * @return The bytes for requestId.
+   */
+  com.google.protobuf.ByteString
+      getRequestIdBytes();
 
-	/**
-	 * <code>string request_id = 1;</code>
-	 * @return The bytes for requestId.
-	 */
-	com.google.protobuf.ByteString getRequestIdBytes();
+  /**
+   * <code>string gateway_incarnation = 2;</code>
+   * @return The gatewayIncarnation.
+   */
+  java.lang.String getGatewayIncarnation();
+  /**
+   * <code>string gateway_incarnation = 2;</code>
+   * @return The bytes for gatewayIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getGatewayIncarnationBytes();
 
-	/**
-	 * <code>string gateway_incarnation = 2;</code>
-	 * @return The gatewayIncarnation.
-	 */
-	java.lang.String getGatewayIncarnation();
+  /**
+   * <code>string account = 3;</code>
+   * @return The account.
+   */
+  java.lang.String getAccount();
+  /**
+   * <code>string account = 3;</code>
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString
+      getAccountBytes();
 
-	/**
-	 * <code>string gateway_incarnation = 2;</code>
-	 * @return The bytes for gatewayIncarnation.
-	 */
-	com.google.protobuf.ByteString getGatewayIncarnationBytes();
+  /**
+   * <pre>
+   * SHA-256 of the whole caller key, lower-case hex.
+   * </pre>
+   *
+   * <code>string key_sha256 = 4;</code>
+   * @return The keySha256.
+   */
+  java.lang.String getKeySha256();
+  /**
+   * <pre>
+   * SHA-256 of the whole caller key, lower-case hex.
+   * </pre>
+   *
+   * <code>string key_sha256 = 4;</code>
+   * @return The bytes for keySha256.
+   */
+  com.google.protobuf.ByteString
+      getKeySha256Bytes();
 
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The account.
-	 */
-	java.lang.String getAccount();
-
-	/**
-	 * <code>string account = 3;</code>
-	 * @return The bytes for account.
-	 */
-	com.google.protobuf.ByteString getAccountBytes();
-
-	/**
-	 * <pre>
-	 * SHA-256 of the whole caller key, lower-case hex.
-	 * </pre>
-	 *
-	 * <code>string key_sha256 = 4;</code>
-	 * @return The keySha256.
-	 */
-	java.lang.String getKeySha256();
-
-	/**
-	 * <pre>
-	 * SHA-256 of the whole caller key, lower-case hex.
-	 * </pre>
-	 *
-	 * <code>string key_sha256 = 4;</code>
-	 * @return The bytes for keySha256.
-	 */
-	com.google.protobuf.ByteString getKeySha256Bytes();
-
-	/**
-	 * <code>int64 tokens = 5;</code>
-	 * @return The tokens.
-	 */
-	long getTokens();
-
-	/**
-	 * <pre>
-	 * Set when another holder could not cover the request: answer from the present grant only.
-	 * </pre>
-	 *
-	 * <code>bool forwarded = 6;</code>
-	 * @return The forwarded.
-	 */
-	boolean getForwarded();
+  /**
+   * <code>int64 tokens = 5;</code>
+   * @return The tokens.
+   */
+  long getTokens();
 
+  /**
+   * <pre>
+   * Set when another holder could not cover the request: answer from the present grant only.
+   * </pre>
+   *
+   * <code>bool forwarded = 6;</code>
+   * @return The forwarded.
+   */
+  boolean getForwarded();
 }
