--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReserveResponse.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReserveResponse.java
@@ -8,1592 +8,1534 @@
 /**
  * Protobuf type {@code verbena.v1.ReserveResponse}
  */
-public final class ReserveResponse extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ReserveResponse)
-		ReserveResponseOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ReserveResponse.class.getName());
-	}
-
-	// Use ReserveResponse.newBuilder() to construct.
-	private ReserveResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ReserveResponse() {
-		refusal_ = 0;
-		holderIncarnation_ = "";
-		callerId_ = "";
-		workspace_ = "";
-		alternatives_ = java.util.Collections.emptyList();
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReserveResponse.class,
-					io.verbenacleat.proto.v1.ReserveResponse.Builder.class);
-	}
-
-	public static final int REFUSAL_FIELD_NUMBER = 1;
-
-	private int refusal_ = 0;
-
-	/**
-	 * <pre>
-	 * Unset when granted.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-	 * @return The enum numeric value on the wire for refusal.
-	 */
-	@java.lang.Override
-	public int getRefusalValue() {
-		return refusal_;
-	}
-
-	/**
-	 * <pre>
-	 * Unset when granted.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-	 * @return The refusal.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReserveRefusal getRefusal() {
-		io.verbenacleat.proto.v1.ReserveRefusal result = io.verbenacleat.proto.v1.ReserveRefusal.forNumber(refusal_);
-		return result == null ? io.verbenacleat.proto.v1.ReserveRefusal.UNRECOGNIZED : result;
-	}
-
-	public static final int GRANTED_FIELD_NUMBER = 2;
-
-	private boolean granted_ = false;
-
-	/**
-	 * <code>bool granted = 2;</code>
-	 * @return The granted.
-	 */
-	@java.lang.Override
-	public boolean getGranted() {
-		return granted_;
-	}
-
-	public static final int HOLDER_INCARNATION_FIELD_NUMBER = 3;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object holderIncarnation_ = "";
-
-	/**
-	 * <code>string holder_incarnation = 3;</code>
-	 * @return The holderIncarnation.
-	 */
-	@java.lang.Override
-	public java.lang.String getHolderIncarnation() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			holderIncarnation_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string holder_incarnation = 3;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-		java.lang.Object ref = holderIncarnation_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			holderIncarnation_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int CALLER_ID_FIELD_NUMBER = 4;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object callerId_ = "";
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The callerId.
-	 */
-	@java.lang.Override
-	public java.lang.String getCallerId() {
-		java.lang.Object ref = callerId_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			callerId_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The bytes for callerId.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getCallerIdBytes() {
-		java.lang.Object ref = callerId_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			callerId_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int WORKSPACE_FIELD_NUMBER = 5;
-
-	@SuppressWarnings("serial")
-	private volatile java.lang.Object workspace_ = "";
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The workspace.
-	 */
-	@java.lang.Override
-	public java.lang.String getWorkspace() {
-		java.lang.Object ref = workspace_;
-		if (ref instanceof java.lang.String) {
-			return (java.lang.String) ref;
-		}
-		else {
-			com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-			java.lang.String s = bs.toStringUtf8();
-			workspace_ = s;
-			return s;
-		}
-	}
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The bytes for workspace.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getWorkspaceBytes() {
-		java.lang.Object ref = workspace_;
-		if (ref instanceof java.lang.String) {
-			com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-			workspace_ = b;
-			return b;
-		}
-		else {
-			return (com.google.protobuf.ByteString) ref;
-		}
-	}
-
-	public static final int PRIORITY_FIELD_NUMBER = 6;
-
-	private int priority_ = 0;
-
-	/**
-	 * <code>int32 priority = 6;</code>
-	 * @return The priority.
-	 */
-	@java.lang.Override
-	public int getPriority() {
-		return priority_;
-	}
-
-	public static final int RETRY_AFTER_MS_FIELD_NUMBER = 7;
-
-	private long retryAfterMs_ = 0L;
-
-	/**
-	 * <code>int64 retry_after_ms = 7;</code>
-	 * @return The retryAfterMs.
-	 */
-	@java.lang.Override
-	public long getRetryAfterMs() {
-		return retryAfterMs_;
-	}
-
-	public static final int ALTERNATIVES_FIELD_NUMBER = 8;
-
-	@SuppressWarnings("serial")
-	private java.util.List<io.verbenacleat.proto.v1.HolderGrant> alternatives_;
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<io.verbenacleat.proto.v1.HolderGrant> getAlternativesList() {
-		return alternatives_;
-	}
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<? extends io.verbenacleat.proto.v1.HolderGrantOrBuilder> getAlternativesOrBuilderList() {
-		return alternatives_;
-	}
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	@java.lang.Override
-	public int getAlternativesCount() {
-		return alternatives_.size();
-	}
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HolderGrant getAlternatives(int index) {
-		return alternatives_.get(index);
-	}
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HolderGrantOrBuilder getAlternativesOrBuilder(int index) {
-		return alternatives_.get(index);
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (refusal_ != io.verbenacleat.proto.v1.ReserveRefusal.RESERVE_REFUSAL_UNSPECIFIED.getNumber()) {
-			output.writeEnum(1, refusal_);
-		}
-		if (granted_ != false) {
-			output.writeBool(2, granted_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 3, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 4, callerId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 5, workspace_);
-		}
-		if (priority_ != 0) {
-			output.writeInt32(6, priority_);
-		}
-		if (retryAfterMs_ != 0L) {
-			output.writeInt64(7, retryAfterMs_);
-		}
-		for (int i = 0; i < alternatives_.size(); i++) {
-			output.writeMessage(8, alternatives_.get(i));
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (refusal_ != io.verbenacleat.proto.v1.ReserveRefusal.RESERVE_REFUSAL_UNSPECIFIED.getNumber()) {
-			size += com.google.protobuf.CodedOutputStream.computeEnumSize(1, refusal_);
-		}
-		if (granted_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(2, granted_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(3, holderIncarnation_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(4, callerId_);
-		}
-		if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
-			size += com.google.protobuf.GeneratedMessage.computeStringSize(5, workspace_);
-		}
-		if (priority_ != 0) {
-			size += com.google.protobuf.CodedOutputStream.computeInt32Size(6, priority_);
-		}
-		if (retryAfterMs_ != 0L) {
-			size += com.google.protobuf.CodedOutputStream.computeInt64Size(7, retryAfterMs_);
-		}
-		for (int i = 0; i < alternatives_.size(); i++) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(8, alternatives_.get(i));
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ReserveResponse)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ReserveResponse other = (io.verbenacleat.proto.v1.ReserveResponse) obj;
-
-		if (refusal_ != other.refusal_)
-			return false;
-		if (getGranted() != other.getGranted())
-			return false;
-		if (!getHolderIncarnation().equals(other.getHolderIncarnation()))
-			return false;
-		if (!getCallerId().equals(other.getCallerId()))
-			return false;
-		if (!getWorkspace().equals(other.getWorkspace()))
-			return false;
-		if (getPriority() != other.getPriority())
-			return false;
-		if (getRetryAfterMs() != other.getRetryAfterMs())
-			return false;
-		if (!getAlternativesList().equals(other.getAlternativesList()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + REFUSAL_FIELD_NUMBER;
-		hash = (53 * hash) + refusal_;
-		hash = (37 * hash) + GRANTED_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getGranted());
-		hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
-		hash = (53 * hash) + getHolderIncarnation().hashCode();
-		hash = (37 * hash) + CALLER_ID_FIELD_NUMBER;
-		hash = (53 * hash) + getCallerId().hashCode();
-		hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
-		hash = (53 * hash) + getWorkspace().hashCode();
-		hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
-		hash = (53 * hash) + getPriority();
-		hash = (37 * hash) + RETRY_AFTER_MS_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashLong(getRetryAfterMs());
-		if (getAlternativesCount() > 0) {
-			hash = (37 * hash) + ALTERNATIVES_FIELD_NUMBER;
-			hash = (53 * hash) + getAlternativesList().hashCode();
-		}
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ReserveResponse prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ReserveResponse}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ReserveResponse)
-			io.verbenacleat.proto.v1.ReserveResponseOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ReserveResponse.class,
-						io.verbenacleat.proto.v1.ReserveResponse.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ReserveResponse.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			refusal_ = 0;
-			granted_ = false;
-			holderIncarnation_ = "";
-			callerId_ = "";
-			workspace_ = "";
-			priority_ = 0;
-			retryAfterMs_ = 0L;
-			if (alternativesBuilder_ == null) {
-				alternatives_ = java.util.Collections.emptyList();
-			}
-			else {
-				alternatives_ = null;
-				alternativesBuilder_.clear();
-			}
-			bitField0_ = (bitField0_ & ~0x00000080);
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReserveResponse getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ReserveResponse.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReserveResponse build() {
-			io.verbenacleat.proto.v1.ReserveResponse result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReserveResponse buildPartial() {
-			io.verbenacleat.proto.v1.ReserveResponse result = new io.verbenacleat.proto.v1.ReserveResponse(this);
-			buildPartialRepeatedFields(result);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.ReserveResponse result) {
-			if (alternativesBuilder_ == null) {
-				if (((bitField0_ & 0x00000080) != 0)) {
-					alternatives_ = java.util.Collections.unmodifiableList(alternatives_);
-					bitField0_ = (bitField0_ & ~0x00000080);
-				}
-				result.alternatives_ = alternatives_;
-			}
-			else {
-				result.alternatives_ = alternativesBuilder_.build();
-			}
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ReserveResponse result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.refusal_ = refusal_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.granted_ = granted_;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.holderIncarnation_ = holderIncarnation_;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.callerId_ = callerId_;
-			}
-			if (((from_bitField0_ & 0x00000010) != 0)) {
-				result.workspace_ = workspace_;
-			}
-			if (((from_bitField0_ & 0x00000020) != 0)) {
-				result.priority_ = priority_;
-			}
-			if (((from_bitField0_ & 0x00000040) != 0)) {
-				result.retryAfterMs_ = retryAfterMs_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ReserveResponse) {
-				return mergeFrom((io.verbenacleat.proto.v1.ReserveResponse) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ReserveResponse other) {
-			if (other == io.verbenacleat.proto.v1.ReserveResponse.getDefaultInstance())
-				return this;
-			if (other.refusal_ != 0) {
-				setRefusalValue(other.getRefusalValue());
-			}
-			if (other.getGranted() != false) {
-				setGranted(other.getGranted());
-			}
-			if (!other.getHolderIncarnation().isEmpty()) {
-				holderIncarnation_ = other.holderIncarnation_;
-				bitField0_ |= 0x00000004;
-				onChanged();
-			}
-			if (!other.getCallerId().isEmpty()) {
-				callerId_ = other.callerId_;
-				bitField0_ |= 0x00000008;
-				onChanged();
-			}
-			if (!other.getWorkspace().isEmpty()) {
-				workspace_ = other.workspace_;
-				bitField0_ |= 0x00000010;
-				onChanged();
-			}
-			if (other.getPriority() != 0) {
-				setPriority(other.getPriority());
-			}
-			if (other.getRetryAfterMs() != 0L) {
-				setRetryAfterMs(other.getRetryAfterMs());
-			}
-			if (alternativesBuilder_ == null) {
-				if (!other.alternatives_.isEmpty()) {
-					if (alternatives_.isEmpty()) {
-						alternatives_ = other.alternatives_;
-						bitField0_ = (bitField0_ & ~0x00000080);
-					}
-					else {
-						ensureAlternativesIsMutable();
-						alternatives_.addAll(other.alternatives_);
-					}
-					onChanged();
-				}
-			}
-			else {
-				if (!other.alternatives_.isEmpty()) {
-					if (alternativesBuilder_.isEmpty()) {
-						alternativesBuilder_.dispose();
-						alternativesBuilder_ = null;
-						alternatives_ = other.alternatives_;
-						bitField0_ = (bitField0_ & ~0x00000080);
-						alternativesBuilder_ = com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
-								? internalGetAlternativesFieldBuilder() : null;
-					}
-					else {
-						alternativesBuilder_.addAllMessages(other.alternatives_);
-					}
-				}
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 8: {
-							refusal_ = input.readEnum();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 8
-						case 16: {
-							granted_ = input.readBool();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 16
-						case 26: {
-							holderIncarnation_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 26
-						case 34: {
-							callerId_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 34
-						case 42: {
-							workspace_ = input.readStringRequireUtf8();
-							bitField0_ |= 0x00000010;
-							break;
-						} // case 42
-						case 48: {
-							priority_ = input.readInt32();
-							bitField0_ |= 0x00000020;
-							break;
-						} // case 48
-						case 56: {
-							retryAfterMs_ = input.readInt64();
-							bitField0_ |= 0x00000040;
-							break;
-						} // case 56
-						case 66: {
-							io.verbenacleat.proto.v1.HolderGrant m = input
-								.readMessage(io.verbenacleat.proto.v1.HolderGrant.parser(), extensionRegistry);
-							if (alternativesBuilder_ == null) {
-								ensureAlternativesIsMutable();
-								alternatives_.add(m);
-							}
-							else {
-								alternativesBuilder_.addMessage(m);
-							}
-							break;
-						} // case 66
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private int refusal_ = 0;
-
-		/**
-		 * <pre>
-		 * Unset when granted.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-		 * @return The enum numeric value on the wire for refusal.
-		 */
-		@java.lang.Override
-		public int getRefusalValue() {
-			return refusal_;
-		}
-
-		/**
-		 * <pre>
-		 * Unset when granted.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-		 * @param value The enum numeric value on the wire for refusal to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRefusalValue(int value) {
-			refusal_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Unset when granted.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-		 * @return The refusal.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ReserveRefusal getRefusal() {
-			io.verbenacleat.proto.v1.ReserveRefusal result = io.verbenacleat.proto.v1.ReserveRefusal
-				.forNumber(refusal_);
-			return result == null ? io.verbenacleat.proto.v1.ReserveRefusal.UNRECOGNIZED : result;
-		}
-
-		/**
-		 * <pre>
-		 * Unset when granted.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-		 * @param value The refusal to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRefusal(io.verbenacleat.proto.v1.ReserveRefusal value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			bitField0_ |= 0x00000001;
-			refusal_ = value.getNumber();
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Unset when granted.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRefusal() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			refusal_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private boolean granted_;
-
-		/**
-		 * <code>bool granted = 2;</code>
-		 * @return The granted.
-		 */
-		@java.lang.Override
-		public boolean getGranted() {
-			return granted_;
-		}
-
-		/**
-		 * <code>bool granted = 2;</code>
-		 * @param value The granted to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setGranted(boolean value) {
-
-			granted_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bool granted = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearGranted() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			granted_ = false;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object holderIncarnation_ = "";
-
-		/**
-		 * <code>string holder_incarnation = 3;</code>
-		 * @return The holderIncarnation.
-		 */
-		public java.lang.String getHolderIncarnation() {
-			java.lang.Object ref = holderIncarnation_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				holderIncarnation_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 3;</code>
-		 * @return The bytes for holderIncarnation.
-		 */
-		public com.google.protobuf.ByteString getHolderIncarnationBytes() {
-			java.lang.Object ref = holderIncarnation_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				holderIncarnation_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string holder_incarnation = 3;</code>
-		 * @param value The holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnation(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 3;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHolderIncarnation() {
-			holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
-			bitField0_ = (bitField0_ & ~0x00000004);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string holder_incarnation = 3;</code>
-		 * @param value The bytes for holderIncarnation to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderIncarnationBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			holderIncarnation_ = value;
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object callerId_ = "";
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return The callerId.
-		 */
-		public java.lang.String getCallerId() {
-			java.lang.Object ref = callerId_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				callerId_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return The bytes for callerId.
-		 */
-		public com.google.protobuf.ByteString getCallerIdBytes() {
-			java.lang.Object ref = callerId_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				callerId_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @param value The callerId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setCallerId(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			callerId_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearCallerId() {
-			callerId_ = getDefaultInstance().getCallerId();
-			bitField0_ = (bitField0_ & ~0x00000008);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string caller_id = 4;</code>
-		 * @param value The bytes for callerId to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setCallerIdBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			callerId_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		private java.lang.Object workspace_ = "";
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @return The workspace.
-		 */
-		public java.lang.String getWorkspace() {
-			java.lang.Object ref = workspace_;
-			if (!(ref instanceof java.lang.String)) {
-				com.google.protobuf.ByteString bs = (com.google.protobuf.ByteString) ref;
-				java.lang.String s = bs.toStringUtf8();
-				workspace_ = s;
-				return s;
-			}
-			else {
-				return (java.lang.String) ref;
-			}
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @return The bytes for workspace.
-		 */
-		public com.google.protobuf.ByteString getWorkspaceBytes() {
-			java.lang.Object ref = workspace_;
-			if (ref instanceof String) {
-				com.google.protobuf.ByteString b = com.google.protobuf.ByteString.copyFromUtf8((java.lang.String) ref);
-				workspace_ = b;
-				return b;
-			}
-			else {
-				return (com.google.protobuf.ByteString) ref;
-			}
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @param value The workspace to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setWorkspace(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			workspace_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearWorkspace() {
-			workspace_ = getDefaultInstance().getWorkspace();
-			bitField0_ = (bitField0_ & ~0x00000010);
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>string workspace = 5;</code>
-		 * @param value The bytes for workspace to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setWorkspaceBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			workspace_ = value;
-			bitField0_ |= 0x00000010;
-			onChanged();
-			return this;
-		}
-
-		private int priority_;
-
-		/**
-		 * <code>int32 priority = 6;</code>
-		 * @return The priority.
-		 */
-		@java.lang.Override
-		public int getPriority() {
-			return priority_;
-		}
-
-		/**
-		 * <code>int32 priority = 6;</code>
-		 * @param value The priority to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setPriority(int value) {
-
-			priority_ = value;
-			bitField0_ |= 0x00000020;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int32 priority = 6;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearPriority() {
-			bitField0_ = (bitField0_ & ~0x00000020);
-			priority_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private long retryAfterMs_;
-
-		/**
-		 * <code>int64 retry_after_ms = 7;</code>
-		 * @return The retryAfterMs.
-		 */
-		@java.lang.Override
-		public long getRetryAfterMs() {
-			return retryAfterMs_;
-		}
-
-		/**
-		 * <code>int64 retry_after_ms = 7;</code>
-		 * @param value The retryAfterMs to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setRetryAfterMs(long value) {
-
-			retryAfterMs_ = value;
-			bitField0_ |= 0x00000040;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>int64 retry_after_ms = 7;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearRetryAfterMs() {
-			bitField0_ = (bitField0_ & ~0x00000040);
-			retryAfterMs_ = 0L;
-			onChanged();
-			return this;
-		}
-
-		private java.util.List<io.verbenacleat.proto.v1.HolderGrant> alternatives_ = java.util.Collections.emptyList();
-
-		private void ensureAlternativesIsMutable() {
-			if (!((bitField0_ & 0x00000080) != 0)) {
-				alternatives_ = new java.util.ArrayList<io.verbenacleat.proto.v1.HolderGrant>(alternatives_);
-				bitField0_ |= 0x00000080;
-			}
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HolderGrant, io.verbenacleat.proto.v1.HolderGrant.Builder, io.verbenacleat.proto.v1.HolderGrantOrBuilder> alternativesBuilder_;
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.HolderGrant> getAlternativesList() {
-			if (alternativesBuilder_ == null) {
-				return java.util.Collections.unmodifiableList(alternatives_);
-			}
-			else {
-				return alternativesBuilder_.getMessageList();
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public int getAlternativesCount() {
-			if (alternativesBuilder_ == null) {
-				return alternatives_.size();
-			}
-			else {
-				return alternativesBuilder_.getCount();
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public io.verbenacleat.proto.v1.HolderGrant getAlternatives(int index) {
-			if (alternativesBuilder_ == null) {
-				return alternatives_.get(index);
-			}
-			else {
-				return alternativesBuilder_.getMessage(index);
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder setAlternatives(int index, io.verbenacleat.proto.v1.HolderGrant value) {
-			if (alternativesBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureAlternativesIsMutable();
-				alternatives_.set(index, value);
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.setMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder setAlternatives(int index, io.verbenacleat.proto.v1.HolderGrant.Builder builderForValue) {
-			if (alternativesBuilder_ == null) {
-				ensureAlternativesIsMutable();
-				alternatives_.set(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.setMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder addAlternatives(io.verbenacleat.proto.v1.HolderGrant value) {
-			if (alternativesBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureAlternativesIsMutable();
-				alternatives_.add(value);
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.addMessage(value);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder addAlternatives(int index, io.verbenacleat.proto.v1.HolderGrant value) {
-			if (alternativesBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureAlternativesIsMutable();
-				alternatives_.add(index, value);
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.addMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder addAlternatives(io.verbenacleat.proto.v1.HolderGrant.Builder builderForValue) {
-			if (alternativesBuilder_ == null) {
-				ensureAlternativesIsMutable();
-				alternatives_.add(builderForValue.build());
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.addMessage(builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder addAlternatives(int index, io.verbenacleat.proto.v1.HolderGrant.Builder builderForValue) {
-			if (alternativesBuilder_ == null) {
-				ensureAlternativesIsMutable();
-				alternatives_.add(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.addMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder addAllAlternatives(java.lang.Iterable<? extends io.verbenacleat.proto.v1.HolderGrant> values) {
-			if (alternativesBuilder_ == null) {
-				ensureAlternativesIsMutable();
-				com.google.protobuf.AbstractMessageLite.Builder.addAll(values, alternatives_);
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.addAllMessages(values);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder clearAlternatives() {
-			if (alternativesBuilder_ == null) {
-				alternatives_ = java.util.Collections.emptyList();
-				bitField0_ = (bitField0_ & ~0x00000080);
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public Builder removeAlternatives(int index) {
-			if (alternativesBuilder_ == null) {
-				ensureAlternativesIsMutable();
-				alternatives_.remove(index);
-				onChanged();
-			}
-			else {
-				alternativesBuilder_.remove(index);
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public io.verbenacleat.proto.v1.HolderGrant.Builder getAlternativesBuilder(int index) {
-			return internalGetAlternativesFieldBuilder().getBuilder(index);
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public io.verbenacleat.proto.v1.HolderGrantOrBuilder getAlternativesOrBuilder(int index) {
-			if (alternativesBuilder_ == null) {
-				return alternatives_.get(index);
-			}
-			else {
-				return alternativesBuilder_.getMessageOrBuilder(index);
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public java.util.List<? extends io.verbenacleat.proto.v1.HolderGrantOrBuilder> getAlternativesOrBuilderList() {
-			if (alternativesBuilder_ != null) {
-				return alternativesBuilder_.getMessageOrBuilderList();
-			}
-			else {
-				return java.util.Collections.unmodifiableList(alternatives_);
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public io.verbenacleat.proto.v1.HolderGrant.Builder addAlternativesBuilder() {
-			return internalGetAlternativesFieldBuilder()
-				.addBuilder(io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance());
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public io.verbenacleat.proto.v1.HolderGrant.Builder addAlternativesBuilder(int index) {
-			return internalGetAlternativesFieldBuilder().addBuilder(index,
-					io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance());
-		}
-
-		/**
-		 * <pre>
-		 * Other holders of the account, most tokens first; set with a refusal.
-		 * </pre>
-		 *
-		 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.HolderGrant.Builder> getAlternativesBuilderList() {
-			return internalGetAlternativesFieldBuilder().getBuilderList();
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HolderGrant, io.verbenacleat.proto.v1.HolderGrant.Builder, io.verbenacleat.proto.v1.HolderGrantOrBuilder> internalGetAlternativesFieldBuilder() {
-			if (alternativesBuilder_ == null) {
-				alternativesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.HolderGrant, io.verbenacleat.proto.v1.HolderGrant.Builder, io.verbenacleat.proto.v1.HolderGrantOrBuilder>(
-						alternatives_, ((bitField0_ & 0x00000080) != 0), getParentForChildren(), isClean());
-				alternatives_ = null;
-			}
-			return alternativesBuilder_;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ReserveResponse)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ReserveResponse)
-	private static final io.verbenacleat.proto.v1.ReserveResponse DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReserveResponse();
-	}
-
-	public static io.verbenacleat.proto.v1.ReserveResponse getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ReserveResponse> PARSER = new com.google.protobuf.AbstractParser<ReserveResponse>() {
-		@java.lang.Override
-		public ReserveResponse parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ReserveResponse> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ReserveResponse> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReserveResponse getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ReserveResponse extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ReserveResponse)
+    ReserveResponseOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ReserveResponse.class.getName());
+  }
+  // Use ReserveResponse.newBuilder() to construct.
+  private ReserveResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ReserveResponse() {
+    refusal_ = 0;
+    holderIncarnation_ = "";
+    callerId_ = "";
+    workspace_ = "";
+    alternatives_ = java.util.Collections.emptyList();
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ReserveResponse.class, io.verbenacleat.proto.v1.ReserveResponse.Builder.class);
+  }
+
+  public static final int REFUSAL_FIELD_NUMBER = 1;
+  private int refusal_ = 0;
+  /**
+   * <pre>
+   * Unset when granted.
+   * </pre>
+   *
+   * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+   * @return The enum numeric value on the wire for refusal.
+   */
+  @java.lang.Override public int getRefusalValue() {
+    return refusal_;
+  }
+  /**
+   * <pre>
+   * Unset when granted.
+   * </pre>
+   *
+   * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+   * @return The refusal.
+   */
+  @java.lang.Override public io.verbenacleat.proto.v1.ReserveRefusal getRefusal() {
+    io.verbenacleat.proto.v1.ReserveRefusal result = io.verbenacleat.proto.v1.ReserveRefusal.forNumber(refusal_);
+    return result == null ? io.verbenacleat.proto.v1.ReserveRefusal.UNRECOGNIZED : result;
+  }
+
+  public static final int GRANTED_FIELD_NUMBER = 2;
+  private boolean granted_ = false;
+  /**
+   * <code>bool granted = 2;</code>
+   * @return The granted.
+   */
+  @java.lang.Override
+  public boolean getGranted() {
+    return granted_;
+  }
+
+  public static final int HOLDER_INCARNATION_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object holderIncarnation_ = "";
+  /**
+   * <code>string holder_incarnation = 3;</code>
+   * @return The holderIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getHolderIncarnation() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      holderIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string holder_incarnation = 3;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getHolderIncarnationBytes() {
+    java.lang.Object ref = holderIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      holderIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int CALLER_ID_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object callerId_ = "";
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The callerId.
+   */
+  @java.lang.Override
+  public java.lang.String getCallerId() {
+    java.lang.Object ref = callerId_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      callerId_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The bytes for callerId.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getCallerIdBytes() {
+    java.lang.Object ref = callerId_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      callerId_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int WORKSPACE_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object workspace_ = "";
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      workspace_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    java.lang.Object ref = workspace_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      workspace_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int PRIORITY_FIELD_NUMBER = 6;
+  private int priority_ = 0;
+  /**
+   * <code>int32 priority = 6;</code>
+   * @return The priority.
+   */
+  @java.lang.Override
+  public int getPriority() {
+    return priority_;
+  }
+
+  public static final int RETRY_AFTER_MS_FIELD_NUMBER = 7;
+  private long retryAfterMs_ = 0L;
+  /**
+   * <code>int64 retry_after_ms = 7;</code>
+   * @return The retryAfterMs.
+   */
+  @java.lang.Override
+  public long getRetryAfterMs() {
+    return retryAfterMs_;
+  }
+
+  public static final int ALTERNATIVES_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<io.verbenacleat.proto.v1.HolderGrant> alternatives_;
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.verbenacleat.proto.v1.HolderGrant> getAlternativesList() {
+    return alternatives_;
+  }
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.verbenacleat.proto.v1.HolderGrantOrBuilder> 
+      getAlternativesOrBuilderList() {
+    return alternatives_;
+  }
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  @java.lang.Override
+  public int getAlternativesCount() {
+    return alternatives_.size();
+  }
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HolderGrant getAlternatives(int index) {
+    return alternatives_.get(index);
+  }
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HolderGrantOrBuilder getAlternativesOrBuilder(
+      int index) {
+    return alternatives_.get(index);
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (refusal_ != io.verbenacleat.proto.v1.ReserveRefusal.RESERVE_REFUSAL_UNSPECIFIED.getNumber()) {
+      output.writeEnum(1, refusal_);
+    }
+    if (granted_ != false) {
+      output.writeBool(2, granted_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 4, callerId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 5, workspace_);
+    }
+    if (priority_ != 0) {
+      output.writeInt32(6, priority_);
+    }
+    if (retryAfterMs_ != 0L) {
+      output.writeInt64(7, retryAfterMs_);
+    }
+    for (int i = 0; i < alternatives_.size(); i++) {
+      output.writeMessage(8, alternatives_.get(i));
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (refusal_ != io.verbenacleat.proto.v1.ReserveRefusal.RESERVE_REFUSAL_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(1, refusal_);
+    }
+    if (granted_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, granted_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, holderIncarnation_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(callerId_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(4, callerId_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(workspace_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(5, workspace_);
+    }
+    if (priority_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(6, priority_);
+    }
+    if (retryAfterMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(7, retryAfterMs_);
+    }
+    for (int i = 0; i < alternatives_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(8, alternatives_.get(i));
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ReserveResponse)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ReserveResponse other = (io.verbenacleat.proto.v1.ReserveResponse) obj;
+
+    if (refusal_ != other.refusal_) return false;
+    if (getGranted()
+        != other.getGranted()) return false;
+    if (!getHolderIncarnation()
+        .equals(other.getHolderIncarnation())) return false;
+    if (!getCallerId()
+        .equals(other.getCallerId())) return false;
+    if (!getWorkspace()
+        .equals(other.getWorkspace())) return false;
+    if (getPriority()
+        != other.getPriority()) return false;
+    if (getRetryAfterMs()
+        != other.getRetryAfterMs()) return false;
+    if (!getAlternativesList()
+        .equals(other.getAlternativesList())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + REFUSAL_FIELD_NUMBER;
+    hash = (53 * hash) + refusal_;
+    hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getGranted());
+    hash = (37 * hash) + HOLDER_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getHolderIncarnation().hashCode();
+    hash = (37 * hash) + CALLER_ID_FIELD_NUMBER;
+    hash = (53 * hash) + getCallerId().hashCode();
+    hash = (37 * hash) + WORKSPACE_FIELD_NUMBER;
+    hash = (53 * hash) + getWorkspace().hashCode();
+    hash = (37 * hash) + PRIORITY_FIELD_NUMBER;
+    hash = (53 * hash) + getPriority();
+    hash = (37 * hash) + RETRY_AFTER_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRetryAfterMs());
+    if (getAlternativesCount() > 0) {
+      hash = (37 * hash) + ALTERNATIVES_FIELD_NUMBER;
+      hash = (53 * hash) + getAlternativesList().hashCode();
+    }
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveResponse parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveResponse parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ReserveResponse parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ReserveResponse prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ReserveResponse}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ReserveResponse)
+      io.verbenacleat.proto.v1.ReserveResponseOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ReserveResponse.class, io.verbenacleat.proto.v1.ReserveResponse.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ReserveResponse.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      refusal_ = 0;
+      granted_ = false;
+      holderIncarnation_ = "";
+      callerId_ = "";
+      workspace_ = "";
+      priority_ = 0;
+      retryAfterMs_ = 0L;
+      if (alternativesBuilder_ == null) {
+        alternatives_ = java.util.Collections.emptyList();
+      } else {
+        alternatives_ = null;
+        alternativesBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ReserveResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReserveResponse getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ReserveResponse.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReserveResponse build() {
+      io.verbenacleat.proto.v1.ReserveResponse result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReserveResponse buildPartial() {
+      io.verbenacleat.proto.v1.ReserveResponse result = new io.verbenacleat.proto.v1.ReserveResponse(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.ReserveResponse result) {
+      if (alternativesBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          alternatives_ = java.util.Collections.unmodifiableList(alternatives_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.alternatives_ = alternatives_;
+      } else {
+        result.alternatives_ = alternativesBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ReserveResponse result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.refusal_ = refusal_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.granted_ = granted_;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.holderIncarnation_ = holderIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.callerId_ = callerId_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.workspace_ = workspace_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.priority_ = priority_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.retryAfterMs_ = retryAfterMs_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ReserveResponse) {
+        return mergeFrom((io.verbenacleat.proto.v1.ReserveResponse)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ReserveResponse other) {
+      if (other == io.verbenacleat.proto.v1.ReserveResponse.getDefaultInstance()) return this;
+      if (other.refusal_ != 0) {
+        setRefusalValue(other.getRefusalValue());
+      }
+      if (other.getGranted() != false) {
+        setGranted(other.getGranted());
+      }
+      if (!other.getHolderIncarnation().isEmpty()) {
+        holderIncarnation_ = other.holderIncarnation_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      if (!other.getCallerId().isEmpty()) {
+        callerId_ = other.callerId_;
+        bitField0_ |= 0x00000008;
+        onChanged();
+      }
+      if (!other.getWorkspace().isEmpty()) {
+        workspace_ = other.workspace_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (other.getPriority() != 0) {
+        setPriority(other.getPriority());
+      }
+      if (other.getRetryAfterMs() != 0L) {
+        setRetryAfterMs(other.getRetryAfterMs());
+      }
+      if (alternativesBuilder_ == null) {
+        if (!other.alternatives_.isEmpty()) {
+          if (alternatives_.isEmpty()) {
+            alternatives_ = other.alternatives_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureAlternativesIsMutable();
+            alternatives_.addAll(other.alternatives_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.alternatives_.isEmpty()) {
+          if (alternativesBuilder_.isEmpty()) {
+            alternativesBuilder_.dispose();
+            alternativesBuilder_ = null;
+            alternatives_ = other.alternatives_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            alternativesBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetAlternativesFieldBuilder() : null;
+          } else {
+            alternativesBuilder_.addAllMessages(other.alternatives_);
+          }
+        }
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 8: {
+              refusal_ = input.readEnum();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 16: {
+              granted_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            case 26: {
+              holderIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              callerId_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            case 42: {
+              workspace_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 48: {
+              priority_ = input.readInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              retryAfterMs_ = input.readInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 66: {
+              io.verbenacleat.proto.v1.HolderGrant m =
+                  input.readMessage(
+                      io.verbenacleat.proto.v1.HolderGrant.parser(),
+                      extensionRegistry);
+              if (alternativesBuilder_ == null) {
+                ensureAlternativesIsMutable();
+                alternatives_.add(m);
+              } else {
+                alternativesBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private int refusal_ = 0;
+    /**
+     * <pre>
+     * Unset when granted.
+     * </pre>
+     *
+     * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+     * @return The enum numeric value on the wire for refusal.
+     */
+    @java.lang.Override public int getRefusalValue() {
+      return refusal_;
+    }
+    /**
+     * <pre>
+     * Unset when granted.
+     * </pre>
+     *
+     * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+     * @param value The enum numeric value on the wire for refusal to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRefusalValue(int value) {
+      refusal_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Unset when granted.
+     * </pre>
+     *
+     * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+     * @return The refusal.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ReserveRefusal getRefusal() {
+      io.verbenacleat.proto.v1.ReserveRefusal result = io.verbenacleat.proto.v1.ReserveRefusal.forNumber(refusal_);
+      return result == null ? io.verbenacleat.proto.v1.ReserveRefusal.UNRECOGNIZED : result;
+    }
+    /**
+     * <pre>
+     * Unset when granted.
+     * </pre>
+     *
+     * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+     * @param value The refusal to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRefusal(io.verbenacleat.proto.v1.ReserveRefusal value) {
+      if (value == null) {
+        throw new NullPointerException();
+      }
+      bitField0_ |= 0x00000001;
+      refusal_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Unset when granted.
+     * </pre>
+     *
+     * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRefusal() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      refusal_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private boolean granted_ ;
+    /**
+     * <code>bool granted = 2;</code>
+     * @return The granted.
+     */
+    @java.lang.Override
+    public boolean getGranted() {
+      return granted_;
+    }
+    /**
+     * <code>bool granted = 2;</code>
+     * @param value The granted to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGranted(boolean value) {
+
+      granted_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool granted = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGranted() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      granted_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object holderIncarnation_ = "";
+    /**
+     * <code>string holder_incarnation = 3;</code>
+     * @return The holderIncarnation.
+     */
+    public java.lang.String getHolderIncarnation() {
+      java.lang.Object ref = holderIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        holderIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 3;</code>
+     * @return The bytes for holderIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getHolderIncarnationBytes() {
+      java.lang.Object ref = holderIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        holderIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string holder_incarnation = 3;</code>
+     * @param value The holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolderIncarnation() {
+      holderIncarnation_ = getDefaultInstance().getHolderIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string holder_incarnation = 3;</code>
+     * @param value The bytes for holderIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      holderIncarnation_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object callerId_ = "";
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return The callerId.
+     */
+    public java.lang.String getCallerId() {
+      java.lang.Object ref = callerId_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        callerId_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return The bytes for callerId.
+     */
+    public com.google.protobuf.ByteString
+        getCallerIdBytes() {
+      java.lang.Object ref = callerId_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        callerId_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @param value The callerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerId(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      callerId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCallerId() {
+      callerId_ = getDefaultInstance().getCallerId();
+      bitField0_ = (bitField0_ & ~0x00000008);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string caller_id = 4;</code>
+     * @param value The bytes for callerId to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCallerIdBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      callerId_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+
+    private java.lang.Object workspace_ = "";
+    /**
+     * <code>string workspace = 5;</code>
+     * @return The workspace.
+     */
+    public java.lang.String getWorkspace() {
+      java.lang.Object ref = workspace_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        workspace_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @return The bytes for workspace.
+     */
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      java.lang.Object ref = workspace_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        workspace_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      workspace_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      workspace_ = getDefaultInstance().getWorkspace();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string workspace = 5;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      workspace_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private int priority_ ;
+    /**
+     * <code>int32 priority = 6;</code>
+     * @return The priority.
+     */
+    @java.lang.Override
+    public int getPriority() {
+      return priority_;
+    }
+    /**
+     * <code>int32 priority = 6;</code>
+     * @param value The priority to set.
+     * @return This builder for chaining.
+     */
+    public Builder setPriority(int value) {
+
+      priority_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int32 priority = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearPriority() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      priority_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long retryAfterMs_ ;
+    /**
+     * <code>int64 retry_after_ms = 7;</code>
+     * @return The retryAfterMs.
+     */
+    @java.lang.Override
+    public long getRetryAfterMs() {
+      return retryAfterMs_;
+    }
+    /**
+     * <code>int64 retry_after_ms = 7;</code>
+     * @param value The retryAfterMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRetryAfterMs(long value) {
+
+      retryAfterMs_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 retry_after_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRetryAfterMs() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      retryAfterMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<io.verbenacleat.proto.v1.HolderGrant> alternatives_ =
+      java.util.Collections.emptyList();
+    private void ensureAlternativesIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        alternatives_ = new java.util.ArrayList<io.verbenacleat.proto.v1.HolderGrant>(alternatives_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.HolderGrant, io.verbenacleat.proto.v1.HolderGrant.Builder, io.verbenacleat.proto.v1.HolderGrantOrBuilder> alternativesBuilder_;
+
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.HolderGrant> getAlternativesList() {
+      if (alternativesBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(alternatives_);
+      } else {
+        return alternativesBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public int getAlternativesCount() {
+      if (alternativesBuilder_ == null) {
+        return alternatives_.size();
+      } else {
+        return alternativesBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public io.verbenacleat.proto.v1.HolderGrant getAlternatives(int index) {
+      if (alternativesBuilder_ == null) {
+        return alternatives_.get(index);
+      } else {
+        return alternativesBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder setAlternatives(
+        int index, io.verbenacleat.proto.v1.HolderGrant value) {
+      if (alternativesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAlternativesIsMutable();
+        alternatives_.set(index, value);
+        onChanged();
+      } else {
+        alternativesBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder setAlternatives(
+        int index, io.verbenacleat.proto.v1.HolderGrant.Builder builderForValue) {
+      if (alternativesBuilder_ == null) {
+        ensureAlternativesIsMutable();
+        alternatives_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        alternativesBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder addAlternatives(io.verbenacleat.proto.v1.HolderGrant value) {
+      if (alternativesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAlternativesIsMutable();
+        alternatives_.add(value);
+        onChanged();
+      } else {
+        alternativesBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder addAlternatives(
+        int index, io.verbenacleat.proto.v1.HolderGrant value) {
+      if (alternativesBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAlternativesIsMutable();
+        alternatives_.add(index, value);
+        onChanged();
+      } else {
+        alternativesBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder addAlternatives(
+        io.verbenacleat.proto.v1.HolderGrant.Builder builderForValue) {
+      if (alternativesBuilder_ == null) {
+        ensureAlternativesIsMutable();
+        alternatives_.add(builderForValue.build());
+        onChanged();
+      } else {
+        alternativesBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder addAlternatives(
+        int index, io.verbenacleat.proto.v1.HolderGrant.Builder builderForValue) {
+      if (alternativesBuilder_ == null) {
+        ensureAlternativesIsMutable();
+        alternatives_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        alternativesBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder addAllAlternatives(
+        java.lang.Iterable<? extends io.verbenacleat.proto.v1.HolderGrant> values) {
+      if (alternativesBuilder_ == null) {
+        ensureAlternativesIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, alternatives_);
+        onChanged();
+      } else {
+        alternativesBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder clearAlternatives() {
+      if (alternativesBuilder_ == null) {
+        alternatives_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        alternativesBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public Builder removeAlternatives(int index) {
+      if (alternativesBuilder_ == null) {
+        ensureAlternativesIsMutable();
+        alternatives_.remove(index);
+        onChanged();
+      } else {
+        alternativesBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public io.verbenacleat.proto.v1.HolderGrant.Builder getAlternativesBuilder(
+        int index) {
+      return internalGetAlternativesFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public io.verbenacleat.proto.v1.HolderGrantOrBuilder getAlternativesOrBuilder(
+        int index) {
+      if (alternativesBuilder_ == null) {
+        return alternatives_.get(index);  } else {
+        return alternativesBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public java.util.List<? extends io.verbenacleat.proto.v1.HolderGrantOrBuilder> 
+         getAlternativesOrBuilderList() {
+      if (alternativesBuilder_ != null) {
+        return alternativesBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(alternatives_);
+      }
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public io.verbenacleat.proto.v1.HolderGrant.Builder addAlternativesBuilder() {
+      return internalGetAlternativesFieldBuilder().addBuilder(
+          io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public io.verbenacleat.proto.v1.HolderGrant.Builder addAlternativesBuilder(
+        int index) {
+      return internalGetAlternativesFieldBuilder().addBuilder(
+          index, io.verbenacleat.proto.v1.HolderGrant.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * Other holders of the account, most tokens first; set with a refusal.
+     * </pre>
+     *
+     * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.HolderGrant.Builder> 
+         getAlternativesBuilderList() {
+      return internalGetAlternativesFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.HolderGrant, io.verbenacleat.proto.v1.HolderGrant.Builder, io.verbenacleat.proto.v1.HolderGrantOrBuilder> 
+        internalGetAlternativesFieldBuilder() {
+      if (alternativesBuilder_ == null) {
+        alternativesBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.verbenacleat.proto.v1.HolderGrant, io.verbenacleat.proto.v1.HolderGrant.Builder, io.verbenacleat.proto.v1.HolderGrantOrBuilder>(
+                alternatives_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        alternatives_ = null;
+      }
+      return alternativesBuilder_;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ReserveResponse)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ReserveResponse)
+  private static final io.verbenacleat.proto.v1.ReserveResponse DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ReserveResponse();
+  }
+
+  public static io.verbenacleat.proto.v1.ReserveResponse getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ReserveResponse>
+      PARSER = new com.google.protobuf.AbstractParser<ReserveResponse>() {
+    @java.lang.Override
+    public ReserveResponse parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ReserveResponse> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ReserveResponse> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReserveResponse getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ReserveResponseOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ReserveResponseOrBuilder.java
@@ -6,126 +6,123 @@
 package io.verbenacleat.proto.v1;
 
 public interface ReserveResponseOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ReserveResponse)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <pre>
-	 * Unset when granted.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-	 * @return The enum numeric value on the wire for refusal.
-	 */
-	int getRefusalValue();
-
-	/**
-	 * <pre>
-	 * Unset when granted.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
-	 * @return The refusal.
-	 */
-	io.verbenacleat.proto.v1.ReserveRefusal getRefusal();
-
-	/**
-	 * <code>bool granted = 2;</code>
-	 * @return The granted.
-	 */
-	boolean getGranted();
-
-	/**
-	 * <code>string holder_incarnation = 3;</code>
-	 * @return The holderIncarnation.
-	 */
-	java.lang.String getHolderIncarnation();
-
-	/**
-	 * <code>string holder_incarnation = 3;</code>
-	 * @return The bytes for holderIncarnation.
-	 */
-	com.google.protobuf.ByteString getHolderIncarnationBytes();
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The callerId.
-	 */
-	java.lang.String getCallerId();
-
-	/**
-	 * <code>string caller_id = 4;</code>
-	 * @return The bytes for callerId.
-	 */
-	com.google.protobuf.ByteString getCallerIdBytes();
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The workspace.
-	 */
-	java.lang.String getWorkspace();
-
-	/**
-	 * <code>string workspace = 5;</code>
-	 * @return The bytes for workspace.
-	 */
-	com.google.protobuf.ByteString getWorkspaceBytes();
-
-	/**
-	 * <code>int32 priority = 6;</code>
-	 * @return The priority.
-	 */
-	int getPriority();
-
-	/**
-	 * <code>int64 retry_after_ms = 7;</code>
-	 * @return The retryAfterMs.
-	 */
-	long getRetryAfterMs();
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	java.util.List<io.verbenacleat.proto.v1.HolderGrant> getAlternativesList();
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	io.verbenacleat.proto.v1.HolderGrant getAlternatives(int index);
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	int getAlternativesCount();
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	java.util.List<? extends io.verbenacleat.proto.v1.HolderGrantOrBuilder> getAlternativesOrBuilderList();
-
-	/**
-	 * <pre>
-	 * Other holders of the account, most tokens first; set with a refusal.
-	 * </pre>
-	 *
-	 * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
-	 */
-	io.verbenacleat.proto.v1.HolderGrantOrBuilder getAlternativesOrBuilder(int index);
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ReserveResponse)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <pre>
+   * Unset when granted.
+   * </pre>
+   *
+   * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+   * @return The enum numeric value on the wire for refusal.
+   */
+  int getRefusalValue();
+  /**
+   * <pre>
+   * Unset when granted.
+   * </pre>
+   *
+   * <code>.verbena.v1.ReserveRefusal refusal = 1;</code>
+   * @return The refusal.
+   */
+  io.verbenacleat.proto.v1.ReserveRefusal getRefusal();
+
+  /**
+   * <code>bool granted = 2;</code>
+   * @return The granted.
+   */
+  boolean getGranted();
+
+  /**
+   * <code>string holder_incarnation = 3;</code>
+   * @return The holderIncarnation.
+   */
+  java.lang.String getHolderIncarnation();
+  /**
+   * <code>string holder_incarnation = 3;</code>
+   * @return The bytes for holderIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getHolderIncarnationBytes();
+
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The callerId.
+   */
+  java.lang.String getCallerId();
+  /**
+   * <code>string caller_id = 4;</code>
+   * @return The bytes for callerId.
+   */
+  com.google.protobuf.ByteString
+      getCallerIdBytes();
+
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <code>string workspace = 5;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
+
+  /**
+   * <code>int32 priority = 6;</code>
+   * @return The priority.
+   */
+  int getPriority();
+
+  /**
+   * <code>int64 retry_after_ms = 7;</code>
+   * @return The retryAfterMs.
+   */
+  long getRetryAfterMs();
+
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  java.util.List<io.verbenacleat.proto.v1.HolderGrant> 
+      getAlternativesList();
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  io.verbenacleat.proto.v1.HolderGrant getAlternatives(int index);
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  int getAlternativesCount();
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  java.util.List<? extends io.verbenacleat.proto.v1.HolderGrantOrBuilder> 
+      getAlternativesOrBuilderList();
+  /**
+   * <pre>
+   * Other holders of the account, most tokens first; set with a refusal.
+   * </pre>
+   *
+   * <code>repeated .verbena.v1.HolderGrant alternatives = 8;</code>
+   */
+  io.verbenacleat.proto.v1.HolderGrantOrBuilder getAlternativesOrBuilder(
+      int index);
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderRequest.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderRequest.java
@@ -8,644 +8,634 @@
 /**
  * Protobuf type {@code verbena.v1.ResolveOrderRequest}
  */
-public final class ResolveOrderRequest extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ResolveOrderRequest)
-		ResolveOrderRequestOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ResolveOrderRequest.class.getName());
-	}
-
-	// Use ResolveOrderRequest.newBuilder() to construct.
-	private ResolveOrderRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ResolveOrderRequest() {
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ResolveOrderRequest.class,
-					io.verbenacleat.proto.v1.ResolveOrderRequest.Builder.class);
-	}
-
-	private int bitField0_;
-
-	public static final int ORDER_ID_FIELD_NUMBER = 1;
-
-	private io.verbenacleat.proto.v1.OrderId orderId_;
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return Whether the orderId field is set.
-	 */
-	@java.lang.Override
-	public boolean hasOrderId() {
-		return ((bitField0_ & 0x00000001) != 0);
-	}
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return The orderId.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderId getOrderId() {
-		return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-	}
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
-		return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-	}
-
-	public static final int CANCEL_FIELD_NUMBER = 2;
-
-	private boolean cancel_ = false;
-
-	/**
-	 * <pre>
-	 * Cancels a running repeatable order.
-	 * </pre>
-	 *
-	 * <code>bool cancel = 2;</code>
-	 * @return The cancel.
-	 */
-	@java.lang.Override
-	public boolean getCancel() {
-		return cancel_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (((bitField0_ & 0x00000001) != 0)) {
-			output.writeMessage(1, getOrderId());
-		}
-		if (cancel_ != false) {
-			output.writeBool(2, cancel_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (((bitField0_ & 0x00000001) != 0)) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, getOrderId());
-		}
-		if (cancel_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(2, cancel_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ResolveOrderRequest)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ResolveOrderRequest other = (io.verbenacleat.proto.v1.ResolveOrderRequest) obj;
-
-		if (hasOrderId() != other.hasOrderId())
-			return false;
-		if (hasOrderId()) {
-			if (!getOrderId().equals(other.getOrderId()))
-				return false;
-		}
-		if (getCancel() != other.getCancel())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		if (hasOrderId()) {
-			hash = (37 * hash) + ORDER_ID_FIELD_NUMBER;
-			hash = (53 * hash) + getOrderId().hashCode();
-		}
-		hash = (37 * hash) + CANCEL_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getCancel());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ResolveOrderRequest prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ResolveOrderRequest}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ResolveOrderRequest)
-			io.verbenacleat.proto.v1.ResolveOrderRequestOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ResolveOrderRequest.class,
-						io.verbenacleat.proto.v1.ResolveOrderRequest.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ResolveOrderRequest.newBuilder()
-		private Builder() {
-			maybeForceBuilderInitialization();
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-			maybeForceBuilderInitialization();
-		}
-
-		private void maybeForceBuilderInitialization() {
-			if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
-				internalGetOrderIdFieldBuilder();
-			}
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			orderId_ = null;
-			if (orderIdBuilder_ != null) {
-				orderIdBuilder_.dispose();
-				orderIdBuilder_ = null;
-			}
-			cancel_ = false;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ResolveOrderRequest getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ResolveOrderRequest.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ResolveOrderRequest build() {
-			io.verbenacleat.proto.v1.ResolveOrderRequest result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ResolveOrderRequest buildPartial() {
-			io.verbenacleat.proto.v1.ResolveOrderRequest result = new io.verbenacleat.proto.v1.ResolveOrderRequest(
-					this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ResolveOrderRequest result) {
-			int from_bitField0_ = bitField0_;
-			int to_bitField0_ = 0;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.orderId_ = orderIdBuilder_ == null ? orderId_ : orderIdBuilder_.build();
-				to_bitField0_ |= 0x00000001;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.cancel_ = cancel_;
-			}
-			result.bitField0_ |= to_bitField0_;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ResolveOrderRequest) {
-				return mergeFrom((io.verbenacleat.proto.v1.ResolveOrderRequest) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ResolveOrderRequest other) {
-			if (other == io.verbenacleat.proto.v1.ResolveOrderRequest.getDefaultInstance())
-				return this;
-			if (other.hasOrderId()) {
-				mergeOrderId(other.getOrderId());
-			}
-			if (other.getCancel() != false) {
-				setCancel(other.getCancel());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							input.readMessage(internalGetOrderIdFieldBuilder().getBuilder(), extensionRegistry);
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 10
-						case 16: {
-							cancel_ = input.readBool();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 16
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private io.verbenacleat.proto.v1.OrderId orderId_;
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> orderIdBuilder_;
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 * @return Whether the orderId field is set.
-		 */
-		public boolean hasOrderId() {
-			return ((bitField0_ & 0x00000001) != 0);
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 * @return The orderId.
-		 */
-		public io.verbenacleat.proto.v1.OrderId getOrderId() {
-			if (orderIdBuilder_ == null) {
-				return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-			}
-			else {
-				return orderIdBuilder_.getMessage();
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder setOrderId(io.verbenacleat.proto.v1.OrderId value) {
-			if (orderIdBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				orderId_ = value;
-			}
-			else {
-				orderIdBuilder_.setMessage(value);
-			}
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder setOrderId(io.verbenacleat.proto.v1.OrderId.Builder builderForValue) {
-			if (orderIdBuilder_ == null) {
-				orderId_ = builderForValue.build();
-			}
-			else {
-				orderIdBuilder_.setMessage(builderForValue.build());
-			}
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder mergeOrderId(io.verbenacleat.proto.v1.OrderId value) {
-			if (orderIdBuilder_ == null) {
-				if (((bitField0_ & 0x00000001) != 0) && orderId_ != null
-						&& orderId_ != io.verbenacleat.proto.v1.OrderId.getDefaultInstance()) {
-					getOrderIdBuilder().mergeFrom(value);
-				}
-				else {
-					orderId_ = value;
-				}
-			}
-			else {
-				orderIdBuilder_.mergeFrom(value);
-			}
-			if (orderId_ != null) {
-				bitField0_ |= 0x00000001;
-				onChanged();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public Builder clearOrderId() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			orderId_ = null;
-			if (orderIdBuilder_ != null) {
-				orderIdBuilder_.dispose();
-				orderIdBuilder_ = null;
-			}
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.OrderId.Builder getOrderIdBuilder() {
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return internalGetOrderIdFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
-			if (orderIdBuilder_ != null) {
-				return orderIdBuilder_.getMessageOrBuilder();
-			}
-			else {
-				return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
-			}
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderId order_id = 1;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> internalGetOrderIdFieldBuilder() {
-			if (orderIdBuilder_ == null) {
-				orderIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder>(
-						getOrderId(), getParentForChildren(), isClean());
-				orderId_ = null;
-			}
-			return orderIdBuilder_;
-		}
-
-		private boolean cancel_;
-
-		/**
-		 * <pre>
-		 * Cancels a running repeatable order.
-		 * </pre>
-		 *
-		 * <code>bool cancel = 2;</code>
-		 * @return The cancel.
-		 */
-		@java.lang.Override
-		public boolean getCancel() {
-			return cancel_;
-		}
-
-		/**
-		 * <pre>
-		 * Cancels a running repeatable order.
-		 * </pre>
-		 *
-		 * <code>bool cancel = 2;</code>
-		 * @param value The cancel to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setCancel(boolean value) {
-
-			cancel_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Cancels a running repeatable order.
-		 * </pre>
-		 *
-		 * <code>bool cancel = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearCancel() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			cancel_ = false;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ResolveOrderRequest)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ResolveOrderRequest)
-	private static final io.verbenacleat.proto.v1.ResolveOrderRequest DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ResolveOrderRequest();
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderRequest getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ResolveOrderRequest> PARSER = new com.google.protobuf.AbstractParser<ResolveOrderRequest>() {
-		@java.lang.Override
-		public ResolveOrderRequest parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ResolveOrderRequest> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ResolveOrderRequest> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ResolveOrderRequest getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ResolveOrderRequest extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ResolveOrderRequest)
+    ResolveOrderRequestOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ResolveOrderRequest.class.getName());
+  }
+  // Use ResolveOrderRequest.newBuilder() to construct.
+  private ResolveOrderRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ResolveOrderRequest() {
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ResolveOrderRequest.class, io.verbenacleat.proto.v1.ResolveOrderRequest.Builder.class);
+  }
+
+  private int bitField0_;
+  public static final int ORDER_ID_FIELD_NUMBER = 1;
+  private io.verbenacleat.proto.v1.OrderId orderId_;
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return Whether the orderId field is set.
+   */
+  @java.lang.Override
+  public boolean hasOrderId() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return The orderId.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.OrderId getOrderId() {
+    return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+  }
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
+    return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+  }
+
+  public static final int CANCEL_FIELD_NUMBER = 2;
+  private boolean cancel_ = false;
+  /**
+   * <pre>
+   * Cancels a running repeatable order.
+   * </pre>
+   *
+   * <code>bool cancel = 2;</code>
+   * @return The cancel.
+   */
+  @java.lang.Override
+  public boolean getCancel() {
+    return cancel_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(1, getOrderId());
+    }
+    if (cancel_ != false) {
+      output.writeBool(2, cancel_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(1, getOrderId());
+    }
+    if (cancel_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, cancel_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ResolveOrderRequest)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ResolveOrderRequest other = (io.verbenacleat.proto.v1.ResolveOrderRequest) obj;
+
+    if (hasOrderId() != other.hasOrderId()) return false;
+    if (hasOrderId()) {
+      if (!getOrderId()
+          .equals(other.getOrderId())) return false;
+    }
+    if (getCancel()
+        != other.getCancel()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    if (hasOrderId()) {
+      hash = (37 * hash) + ORDER_ID_FIELD_NUMBER;
+      hash = (53 * hash) + getOrderId().hashCode();
+    }
+    hash = (37 * hash) + CANCEL_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCancel());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ResolveOrderRequest prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ResolveOrderRequest}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ResolveOrderRequest)
+      io.verbenacleat.proto.v1.ResolveOrderRequestOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ResolveOrderRequest.class, io.verbenacleat.proto.v1.ResolveOrderRequest.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ResolveOrderRequest.newBuilder()
+    private Builder() {
+      maybeForceBuilderInitialization();
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetOrderIdFieldBuilder();
+      }
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      orderId_ = null;
+      if (orderIdBuilder_ != null) {
+        orderIdBuilder_.dispose();
+        orderIdBuilder_ = null;
+      }
+      cancel_ = false;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ResolveOrderRequest getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ResolveOrderRequest.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ResolveOrderRequest build() {
+      io.verbenacleat.proto.v1.ResolveOrderRequest result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ResolveOrderRequest buildPartial() {
+      io.verbenacleat.proto.v1.ResolveOrderRequest result = new io.verbenacleat.proto.v1.ResolveOrderRequest(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ResolveOrderRequest result) {
+      int from_bitField0_ = bitField0_;
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.orderId_ = orderIdBuilder_ == null
+            ? orderId_
+            : orderIdBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.cancel_ = cancel_;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ResolveOrderRequest) {
+        return mergeFrom((io.verbenacleat.proto.v1.ResolveOrderRequest)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ResolveOrderRequest other) {
+      if (other == io.verbenacleat.proto.v1.ResolveOrderRequest.getDefaultInstance()) return this;
+      if (other.hasOrderId()) {
+        mergeOrderId(other.getOrderId());
+      }
+      if (other.getCancel() != false) {
+        setCancel(other.getCancel());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              input.readMessage(
+                  internalGetOrderIdFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 10
+            case 16: {
+              cancel_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private io.verbenacleat.proto.v1.OrderId orderId_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> orderIdBuilder_;
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     * @return Whether the orderId field is set.
+     */
+    public boolean hasOrderId() {
+      return ((bitField0_ & 0x00000001) != 0);
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     * @return The orderId.
+     */
+    public io.verbenacleat.proto.v1.OrderId getOrderId() {
+      if (orderIdBuilder_ == null) {
+        return orderId_ == null ? io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+      } else {
+        return orderIdBuilder_.getMessage();
+      }
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder setOrderId(io.verbenacleat.proto.v1.OrderId value) {
+      if (orderIdBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        orderId_ = value;
+      } else {
+        orderIdBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder setOrderId(
+        io.verbenacleat.proto.v1.OrderId.Builder builderForValue) {
+      if (orderIdBuilder_ == null) {
+        orderId_ = builderForValue.build();
+      } else {
+        orderIdBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder mergeOrderId(io.verbenacleat.proto.v1.OrderId value) {
+      if (orderIdBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0) &&
+          orderId_ != null &&
+          orderId_ != io.verbenacleat.proto.v1.OrderId.getDefaultInstance()) {
+          getOrderIdBuilder().mergeFrom(value);
+        } else {
+          orderId_ = value;
+        }
+      } else {
+        orderIdBuilder_.mergeFrom(value);
+      }
+      if (orderId_ != null) {
+        bitField0_ |= 0x00000001;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public Builder clearOrderId() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      orderId_ = null;
+      if (orderIdBuilder_ != null) {
+        orderIdBuilder_.dispose();
+        orderIdBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.OrderId.Builder getOrderIdBuilder() {
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return internalGetOrderIdFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder() {
+      if (orderIdBuilder_ != null) {
+        return orderIdBuilder_.getMessageOrBuilder();
+      } else {
+        return orderId_ == null ?
+            io.verbenacleat.proto.v1.OrderId.getDefaultInstance() : orderId_;
+      }
+    }
+    /**
+     * <code>.verbena.v1.OrderId order_id = 1;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder> 
+        internalGetOrderIdFieldBuilder() {
+      if (orderIdBuilder_ == null) {
+        orderIdBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.OrderId, io.verbenacleat.proto.v1.OrderId.Builder, io.verbenacleat.proto.v1.OrderIdOrBuilder>(
+                getOrderId(),
+                getParentForChildren(),
+                isClean());
+        orderId_ = null;
+      }
+      return orderIdBuilder_;
+    }
+
+    private boolean cancel_ ;
+    /**
+     * <pre>
+     * Cancels a running repeatable order.
+     * </pre>
+     *
+     * <code>bool cancel = 2;</code>
+     * @return The cancel.
+     */
+    @java.lang.Override
+    public boolean getCancel() {
+      return cancel_;
+    }
+    /**
+     * <pre>
+     * Cancels a running repeatable order.
+     * </pre>
+     *
+     * <code>bool cancel = 2;</code>
+     * @param value The cancel to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCancel(boolean value) {
+
+      cancel_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Cancels a running repeatable order.
+     * </pre>
+     *
+     * <code>bool cancel = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCancel() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      cancel_ = false;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ResolveOrderRequest)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ResolveOrderRequest)
+  private static final io.verbenacleat.proto.v1.ResolveOrderRequest DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ResolveOrderRequest();
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderRequest getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ResolveOrderRequest>
+      PARSER = new com.google.protobuf.AbstractParser<ResolveOrderRequest>() {
+    @java.lang.Override
+    public ResolveOrderRequest parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ResolveOrderRequest> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ResolveOrderRequest> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ResolveOrderRequest getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderRequestOrBuilder.java
@@ -6,34 +6,31 @@
 package io.verbenacleat.proto.v1;
 
 public interface ResolveOrderRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ResolveOrderRequest)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ResolveOrderRequest)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return Whether the orderId field is set.
-	 */
-	boolean hasOrderId();
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 * @return The orderId.
-	 */
-	io.verbenacleat.proto.v1.OrderId getOrderId();
-
-	/**
-	 * <code>.verbena.v1.OrderId order_id = 1;</code>
-	 */
-	io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder();
-
-	/**
-	 * <pre>
-	 * Cancels a running repeatable order.
-	 * </pre>
-	 *
-	 * <code>bool cancel = 2;</code>
-	 * @return The cancel.
-	 */
-	boolean getCancel();
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return Whether the orderId field is set.
+   */
+  boolean hasOrderId();
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   * @return The orderId.
+   */
+  io.verbenacleat.proto.v1.OrderId getOrderId();
+  /**
+   * <code>.verbena.v1.OrderId order_id = 1;</code>
+   */
+  io.verbenacleat.proto.v1.OrderIdOrBuilder getOrderIdOrBuilder();
 
+  /**
+   * <pre>
+   * Cancels a running repeatable order.
+   * </pre>
+   *
+   * <code>bool cancel = 2;</code>
+   * @return The cancel.
+   */
+  boolean getCancel();
 }
