--- a/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderResponse.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderResponse.java
@@ -8,1024 +8,993 @@
 /**
  * Protobuf type {@code verbena.v1.ResolveOrderResponse}
  */
-public final class ResolveOrderResponse extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.ResolveOrderResponse)
-		ResolveOrderResponseOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", ResolveOrderResponse.class.getName());
-	}
-
-	// Use ResolveOrderResponse.newBuilder() to construct.
-	private ResolveOrderResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private ResolveOrderResponse() {
-		state_ = 0;
-		httpBody_ = com.google.protobuf.ByteString.EMPTY;
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ResolveOrderResponse.class,
-					io.verbenacleat.proto.v1.ResolveOrderResponse.Builder.class);
-	}
-
-	private int bitField0_;
-
-	public static final int STATE_FIELD_NUMBER = 1;
-
-	private int state_ = 0;
-
-	/**
-	 * <code>.verbena.v1.OrderState state = 1;</code>
-	 * @return The enum numeric value on the wire for state.
-	 */
-	@java.lang.Override
-	public int getStateValue() {
-		return state_;
-	}
-
-	/**
-	 * <code>.verbena.v1.OrderState state = 1;</code>
-	 * @return The state.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.OrderState getState() {
-		io.verbenacleat.proto.v1.OrderState result = io.verbenacleat.proto.v1.OrderState.forNumber(state_);
-		return result == null ? io.verbenacleat.proto.v1.OrderState.UNRECOGNIZED : result;
-	}
-
-	public static final int RECEIPT_FIELD_NUMBER = 2;
-
-	private io.verbenacleat.proto.v1.Receipt receipt_;
-
-	/**
-	 * <pre>
-	 * Set when FINISHED.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return Whether the receipt field is set.
-	 */
-	@java.lang.Override
-	public boolean hasReceipt() {
-		return ((bitField0_ & 0x00000001) != 0);
-	}
-
-	/**
-	 * <pre>
-	 * Set when FINISHED.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return The receipt.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Receipt getReceipt() {
-		return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-	}
-
-	/**
-	 * <pre>
-	 * Set when FINISHED.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
-		return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-	}
-
-	public static final int HTTP_HEAD_FIELD_NUMBER = 3;
-
-	private io.verbenacleat.proto.v1.HttpHead httpHead_;
-
-	/**
-	 * <pre>
-	 * The response of a plain service, set when FINISHED and not repeatable.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-	 * @return Whether the httpHead field is set.
-	 */
-	@java.lang.Override
-	public boolean hasHttpHead() {
-		return ((bitField0_ & 0x00000002) != 0);
-	}
-
-	/**
-	 * <pre>
-	 * The response of a plain service, set when FINISHED and not repeatable.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-	 * @return The httpHead.
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
-		return httpHead_ == null ? io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
-	}
-
-	/**
-	 * <pre>
-	 * The response of a plain service, set when FINISHED and not repeatable.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
-		return httpHead_ == null ? io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
-	}
-
-	public static final int HTTP_BODY_FIELD_NUMBER = 4;
-
-	private com.google.protobuf.ByteString httpBody_ = com.google.protobuf.ByteString.EMPTY;
-
-	/**
-	 * <code>bytes http_body = 4;</code>
-	 * @return The httpBody.
-	 */
-	@java.lang.Override
-	public com.google.protobuf.ByteString getHttpBody() {
-		return httpBody_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		if (state_ != io.verbenacleat.proto.v1.OrderState.ORDER_STATE_UNSPECIFIED.getNumber()) {
-			output.writeEnum(1, state_);
-		}
-		if (((bitField0_ & 0x00000001) != 0)) {
-			output.writeMessage(2, getReceipt());
-		}
-		if (((bitField0_ & 0x00000002) != 0)) {
-			output.writeMessage(3, getHttpHead());
-		}
-		if (!httpBody_.isEmpty()) {
-			output.writeBytes(4, httpBody_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		if (state_ != io.verbenacleat.proto.v1.OrderState.ORDER_STATE_UNSPECIFIED.getNumber()) {
-			size += com.google.protobuf.CodedOutputStream.computeEnumSize(1, state_);
-		}
-		if (((bitField0_ & 0x00000001) != 0)) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(2, getReceipt());
-		}
-		if (((bitField0_ & 0x00000002) != 0)) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(3, getHttpHead());
-		}
-		if (!httpBody_.isEmpty()) {
-			size += com.google.protobuf.CodedOutputStream.computeBytesSize(4, httpBody_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.ResolveOrderResponse)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.ResolveOrderResponse other = (io.verbenacleat.proto.v1.ResolveOrderResponse) obj;
-
-		if (state_ != other.state_)
-			return false;
-		if (hasReceipt() != other.hasReceipt())
-			return false;
-		if (hasReceipt()) {
-			if (!getReceipt().equals(other.getReceipt()))
-				return false;
-		}
-		if (hasHttpHead() != other.hasHttpHead())
-			return false;
-		if (hasHttpHead()) {
-			if (!getHttpHead().equals(other.getHttpHead()))
-				return false;
-		}
-		if (!getHttpBody().equals(other.getHttpBody()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		hash = (37 * hash) + STATE_FIELD_NUMBER;
-		hash = (53 * hash) + state_;
-		if (hasReceipt()) {
-			hash = (37 * hash) + RECEIPT_FIELD_NUMBER;
-			hash = (53 * hash) + getReceipt().hashCode();
-		}
-		if (hasHttpHead()) {
-			hash = (37 * hash) + HTTP_HEAD_FIELD_NUMBER;
-			hash = (53 * hash) + getHttpHead().hashCode();
-		}
-		hash = (37 * hash) + HTTP_BODY_FIELD_NUMBER;
-		hash = (53 * hash) + getHttpBody().hashCode();
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.ResolveOrderResponse prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.ResolveOrderResponse}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.ResolveOrderResponse)
-			io.verbenacleat.proto.v1.ResolveOrderResponseOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.ResolveOrderResponse.class,
-						io.verbenacleat.proto.v1.ResolveOrderResponse.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.ResolveOrderResponse.newBuilder()
-		private Builder() {
-			maybeForceBuilderInitialization();
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-			maybeForceBuilderInitialization();
-		}
-
-		private void maybeForceBuilderInitialization() {
-			if (com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders) {
-				internalGetReceiptFieldBuilder();
-				internalGetHttpHeadFieldBuilder();
-			}
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			state_ = 0;
-			receipt_ = null;
-			if (receiptBuilder_ != null) {
-				receiptBuilder_.dispose();
-				receiptBuilder_ = null;
-			}
-			httpHead_ = null;
-			if (httpHeadBuilder_ != null) {
-				httpHeadBuilder_.dispose();
-				httpHeadBuilder_ = null;
-			}
-			httpBody_ = com.google.protobuf.ByteString.EMPTY;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ResolveOrderResponse getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.ResolveOrderResponse.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ResolveOrderResponse build() {
-			io.verbenacleat.proto.v1.ResolveOrderResponse result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.ResolveOrderResponse buildPartial() {
-			io.verbenacleat.proto.v1.ResolveOrderResponse result = new io.verbenacleat.proto.v1.ResolveOrderResponse(
-					this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.ResolveOrderResponse result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				result.state_ = state_;
-			}
-			int to_bitField0_ = 0;
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.receipt_ = receiptBuilder_ == null ? receipt_ : receiptBuilder_.build();
-				to_bitField0_ |= 0x00000001;
-			}
-			if (((from_bitField0_ & 0x00000004) != 0)) {
-				result.httpHead_ = httpHeadBuilder_ == null ? httpHead_ : httpHeadBuilder_.build();
-				to_bitField0_ |= 0x00000002;
-			}
-			if (((from_bitField0_ & 0x00000008) != 0)) {
-				result.httpBody_ = httpBody_;
-			}
-			result.bitField0_ |= to_bitField0_;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.ResolveOrderResponse) {
-				return mergeFrom((io.verbenacleat.proto.v1.ResolveOrderResponse) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.ResolveOrderResponse other) {
-			if (other == io.verbenacleat.proto.v1.ResolveOrderResponse.getDefaultInstance())
-				return this;
-			if (other.state_ != 0) {
-				setStateValue(other.getStateValue());
-			}
-			if (other.hasReceipt()) {
-				mergeReceipt(other.getReceipt());
-			}
-			if (other.hasHttpHead()) {
-				mergeHttpHead(other.getHttpHead());
-			}
-			if (!other.getHttpBody().isEmpty()) {
-				setHttpBody(other.getHttpBody());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 8: {
-							state_ = input.readEnum();
-							bitField0_ |= 0x00000001;
-							break;
-						} // case 8
-						case 18: {
-							input.readMessage(internalGetReceiptFieldBuilder().getBuilder(), extensionRegistry);
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 18
-						case 26: {
-							input.readMessage(internalGetHttpHeadFieldBuilder().getBuilder(), extensionRegistry);
-							bitField0_ |= 0x00000004;
-							break;
-						} // case 26
-						case 34: {
-							httpBody_ = input.readBytes();
-							bitField0_ |= 0x00000008;
-							break;
-						} // case 34
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private int state_ = 0;
-
-		/**
-		 * <code>.verbena.v1.OrderState state = 1;</code>
-		 * @return The enum numeric value on the wire for state.
-		 */
-		@java.lang.Override
-		public int getStateValue() {
-			return state_;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderState state = 1;</code>
-		 * @param value The enum numeric value on the wire for state to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setStateValue(int value) {
-			state_ = value;
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderState state = 1;</code>
-		 * @return The state.
-		 */
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.OrderState getState() {
-			io.verbenacleat.proto.v1.OrderState result = io.verbenacleat.proto.v1.OrderState.forNumber(state_);
-			return result == null ? io.verbenacleat.proto.v1.OrderState.UNRECOGNIZED : result;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderState state = 1;</code>
-		 * @param value The state to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setState(io.verbenacleat.proto.v1.OrderState value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			bitField0_ |= 0x00000001;
-			state_ = value.getNumber();
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>.verbena.v1.OrderState state = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearState() {
-			bitField0_ = (bitField0_ & ~0x00000001);
-			state_ = 0;
-			onChanged();
-			return this;
-		}
-
-		private io.verbenacleat.proto.v1.Receipt receipt_;
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptBuilder_;
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 * @return Whether the receipt field is set.
-		 */
-		public boolean hasReceipt() {
-			return ((bitField0_ & 0x00000002) != 0);
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 * @return The receipt.
-		 */
-		public io.verbenacleat.proto.v1.Receipt getReceipt() {
-			if (receiptBuilder_ == null) {
-				return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-			}
-			else {
-				return receiptBuilder_.getMessage();
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder setReceipt(io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				receipt_ = value;
-			}
-			else {
-				receiptBuilder_.setMessage(value);
-			}
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder setReceipt(io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptBuilder_ == null) {
-				receipt_ = builderForValue.build();
-			}
-			else {
-				receiptBuilder_.setMessage(builderForValue.build());
-			}
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder mergeReceipt(io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptBuilder_ == null) {
-				if (((bitField0_ & 0x00000002) != 0) && receipt_ != null
-						&& receipt_ != io.verbenacleat.proto.v1.Receipt.getDefaultInstance()) {
-					getReceiptBuilder().mergeFrom(value);
-				}
-				else {
-					receipt_ = value;
-				}
-			}
-			else {
-				receiptBuilder_.mergeFrom(value);
-			}
-			if (receipt_ != null) {
-				bitField0_ |= 0x00000002;
-				onChanged();
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public Builder clearReceipt() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			receipt_ = null;
-			if (receiptBuilder_ != null) {
-				receiptBuilder_.dispose();
-				receiptBuilder_ = null;
-			}
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder getReceiptBuilder() {
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return internalGetReceiptFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
-			if (receiptBuilder_ != null) {
-				return receiptBuilder_.getMessageOrBuilder();
-			}
-			else {
-				return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * Set when FINISHED.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.Receipt receipt = 2;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> internalGetReceiptFieldBuilder() {
-			if (receiptBuilder_ == null) {
-				receiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
-						getReceipt(), getParentForChildren(), isClean());
-				receipt_ = null;
-			}
-			return receiptBuilder_;
-		}
-
-		private io.verbenacleat.proto.v1.HttpHead httpHead_;
-
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> httpHeadBuilder_;
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 * @return Whether the httpHead field is set.
-		 */
-		public boolean hasHttpHead() {
-			return ((bitField0_ & 0x00000004) != 0);
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 * @return The httpHead.
-		 */
-		public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
-			if (httpHeadBuilder_ == null) {
-				return httpHead_ == null ? io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
-			}
-			else {
-				return httpHeadBuilder_.getMessage();
-			}
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 */
-		public Builder setHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
-			if (httpHeadBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				httpHead_ = value;
-			}
-			else {
-				httpHeadBuilder_.setMessage(value);
-			}
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 */
-		public Builder setHttpHead(io.verbenacleat.proto.v1.HttpHead.Builder builderForValue) {
-			if (httpHeadBuilder_ == null) {
-				httpHead_ = builderForValue.build();
-			}
-			else {
-				httpHeadBuilder_.setMessage(builderForValue.build());
-			}
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 */
-		public Builder mergeHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
-			if (httpHeadBuilder_ == null) {
-				if (((bitField0_ & 0x00000004) != 0) && httpHead_ != null
-						&& httpHead_ != io.verbenacleat.proto.v1.HttpHead.getDefaultInstance()) {
-					getHttpHeadBuilder().mergeFrom(value);
-				}
-				else {
-					httpHead_ = value;
-				}
-			}
-			else {
-				httpHeadBuilder_.mergeFrom(value);
-			}
-			if (httpHead_ != null) {
-				bitField0_ |= 0x00000004;
-				onChanged();
-			}
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 */
-		public Builder clearHttpHead() {
-			bitField0_ = (bitField0_ & ~0x00000004);
-			httpHead_ = null;
-			if (httpHeadBuilder_ != null) {
-				httpHeadBuilder_.dispose();
-				httpHeadBuilder_ = null;
-			}
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHead.Builder getHttpHeadBuilder() {
-			bitField0_ |= 0x00000004;
-			onChanged();
-			return internalGetHttpHeadFieldBuilder().getBuilder();
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 */
-		public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
-			if (httpHeadBuilder_ != null) {
-				return httpHeadBuilder_.getMessageOrBuilder();
-			}
-			else {
-				return httpHead_ == null ? io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
-			}
-		}
-
-		/**
-		 * <pre>
-		 * The response of a plain service, set when FINISHED and not repeatable.
-		 * </pre>
-		 *
-		 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-		 */
-		private com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> internalGetHttpHeadFieldBuilder() {
-			if (httpHeadBuilder_ == null) {
-				httpHeadBuilder_ = new com.google.protobuf.SingleFieldBuilder<io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder>(
-						getHttpHead(), getParentForChildren(), isClean());
-				httpHead_ = null;
-			}
-			return httpHeadBuilder_;
-		}
-
-		private com.google.protobuf.ByteString httpBody_ = com.google.protobuf.ByteString.EMPTY;
-
-		/**
-		 * <code>bytes http_body = 4;</code>
-		 * @return The httpBody.
-		 */
-		@java.lang.Override
-		public com.google.protobuf.ByteString getHttpBody() {
-			return httpBody_;
-		}
-
-		/**
-		 * <code>bytes http_body = 4;</code>
-		 * @param value The httpBody to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHttpBody(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			httpBody_ = value;
-			bitField0_ |= 0x00000008;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <code>bytes http_body = 4;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHttpBody() {
-			bitField0_ = (bitField0_ & ~0x00000008);
-			httpBody_ = getDefaultInstance().getHttpBody();
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.ResolveOrderResponse)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.ResolveOrderResponse)
-	private static final io.verbenacleat.proto.v1.ResolveOrderResponse DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ResolveOrderResponse();
-	}
-
-	public static io.verbenacleat.proto.v1.ResolveOrderResponse getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<ResolveOrderResponse> PARSER = new com.google.protobuf.AbstractParser<ResolveOrderResponse>() {
-		@java.lang.Override
-		public ResolveOrderResponse parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<ResolveOrderResponse> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<ResolveOrderResponse> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ResolveOrderResponse getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class ResolveOrderResponse extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.ResolveOrderResponse)
+    ResolveOrderResponseOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      ResolveOrderResponse.class.getName());
+  }
+  // Use ResolveOrderResponse.newBuilder() to construct.
+  private ResolveOrderResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private ResolveOrderResponse() {
+    state_ = 0;
+    httpBody_ = com.google.protobuf.ByteString.EMPTY;
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.ResolveOrderResponse.class, io.verbenacleat.proto.v1.ResolveOrderResponse.Builder.class);
+  }
+
+  private int bitField0_;
+  public static final int STATE_FIELD_NUMBER = 1;
+  private int state_ = 0;
+  /**
+   * <code>.verbena.v1.OrderState state = 1;</code>
+   * @return The enum numeric value on the wire for state.
+   */
+  @java.lang.Override public int getStateValue() {
+    return state_;
+  }
+  /**
+   * <code>.verbena.v1.OrderState state = 1;</code>
+   * @return The state.
+   */
+  @java.lang.Override public io.verbenacleat.proto.v1.OrderState getState() {
+    io.verbenacleat.proto.v1.OrderState result = io.verbenacleat.proto.v1.OrderState.forNumber(state_);
+    return result == null ? io.verbenacleat.proto.v1.OrderState.UNRECOGNIZED : result;
+  }
+
+  public static final int RECEIPT_FIELD_NUMBER = 2;
+  private io.verbenacleat.proto.v1.Receipt receipt_;
+  /**
+   * <pre>
+   * Set when FINISHED.
+   * </pre>
+   *
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return Whether the receipt field is set.
+   */
+  @java.lang.Override
+  public boolean hasReceipt() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Set when FINISHED.
+   * </pre>
+   *
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return The receipt.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Receipt getReceipt() {
+    return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+  }
+  /**
+   * <pre>
+   * Set when FINISHED.
+   * </pre>
+   *
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
+    return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+  }
+
+  public static final int HTTP_HEAD_FIELD_NUMBER = 3;
+  private io.verbenacleat.proto.v1.HttpHead httpHead_;
+  /**
+   * <pre>
+   * The response of a plain service, set when FINISHED and not repeatable.
+   * </pre>
+   *
+   * <code>.verbena.v1.HttpHead http_head = 3;</code>
+   * @return Whether the httpHead field is set.
+   */
+  @java.lang.Override
+  public boolean hasHttpHead() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * The response of a plain service, set when FINISHED and not repeatable.
+   * </pre>
+   *
+   * <code>.verbena.v1.HttpHead http_head = 3;</code>
+   * @return The httpHead.
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
+    return httpHead_ == null ? io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
+  }
+  /**
+   * <pre>
+   * The response of a plain service, set when FINISHED and not repeatable.
+   * </pre>
+   *
+   * <code>.verbena.v1.HttpHead http_head = 3;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
+    return httpHead_ == null ? io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
+  }
+
+  public static final int HTTP_BODY_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString httpBody_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <code>bytes http_body = 4;</code>
+   * @return The httpBody.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getHttpBody() {
+    return httpBody_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    if (state_ != io.verbenacleat.proto.v1.OrderState.ORDER_STATE_UNSPECIFIED.getNumber()) {
+      output.writeEnum(1, state_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(2, getReceipt());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(3, getHttpHead());
+    }
+    if (!httpBody_.isEmpty()) {
+      output.writeBytes(4, httpBody_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    if (state_ != io.verbenacleat.proto.v1.OrderState.ORDER_STATE_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(1, state_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(2, getReceipt());
+    }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(3, getHttpHead());
+    }
+    if (!httpBody_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(4, httpBody_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.ResolveOrderResponse)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.ResolveOrderResponse other = (io.verbenacleat.proto.v1.ResolveOrderResponse) obj;
+
+    if (state_ != other.state_) return false;
+    if (hasReceipt() != other.hasReceipt()) return false;
+    if (hasReceipt()) {
+      if (!getReceipt()
+          .equals(other.getReceipt())) return false;
+    }
+    if (hasHttpHead() != other.hasHttpHead()) return false;
+    if (hasHttpHead()) {
+      if (!getHttpHead()
+          .equals(other.getHttpHead())) return false;
+    }
+    if (!getHttpBody()
+        .equals(other.getHttpBody())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    hash = (37 * hash) + STATE_FIELD_NUMBER;
+    hash = (53 * hash) + state_;
+    if (hasReceipt()) {
+      hash = (37 * hash) + RECEIPT_FIELD_NUMBER;
+      hash = (53 * hash) + getReceipt().hashCode();
+    }
+    if (hasHttpHead()) {
+      hash = (37 * hash) + HTTP_HEAD_FIELD_NUMBER;
+      hash = (53 * hash) + getHttpHead().hashCode();
+    }
+    hash = (37 * hash) + HTTP_BODY_FIELD_NUMBER;
+    hash = (53 * hash) + getHttpBody().hashCode();
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.ResolveOrderResponse prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.ResolveOrderResponse}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.ResolveOrderResponse)
+      io.verbenacleat.proto.v1.ResolveOrderResponseOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.ResolveOrderResponse.class, io.verbenacleat.proto.v1.ResolveOrderResponse.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.ResolveOrderResponse.newBuilder()
+    private Builder() {
+      maybeForceBuilderInitialization();
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetReceiptFieldBuilder();
+        internalGetHttpHeadFieldBuilder();
+      }
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      state_ = 0;
+      receipt_ = null;
+      if (receiptBuilder_ != null) {
+        receiptBuilder_.dispose();
+        receiptBuilder_ = null;
+      }
+      httpHead_ = null;
+      if (httpHeadBuilder_ != null) {
+        httpHeadBuilder_.dispose();
+        httpHeadBuilder_ = null;
+      }
+      httpBody_ = com.google.protobuf.ByteString.EMPTY;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_ResolveOrderResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ResolveOrderResponse getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.ResolveOrderResponse.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ResolveOrderResponse build() {
+      io.verbenacleat.proto.v1.ResolveOrderResponse result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.ResolveOrderResponse buildPartial() {
+      io.verbenacleat.proto.v1.ResolveOrderResponse result = new io.verbenacleat.proto.v1.ResolveOrderResponse(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.ResolveOrderResponse result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        result.state_ = state_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.receipt_ = receiptBuilder_ == null
+            ? receipt_
+            : receiptBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.httpHead_ = httpHeadBuilder_ == null
+            ? httpHead_
+            : httpHeadBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.httpBody_ = httpBody_;
+      }
+      result.bitField0_ |= to_bitField0_;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.ResolveOrderResponse) {
+        return mergeFrom((io.verbenacleat.proto.v1.ResolveOrderResponse)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.ResolveOrderResponse other) {
+      if (other == io.verbenacleat.proto.v1.ResolveOrderResponse.getDefaultInstance()) return this;
+      if (other.state_ != 0) {
+        setStateValue(other.getStateValue());
+      }
+      if (other.hasReceipt()) {
+        mergeReceipt(other.getReceipt());
+      }
+      if (other.hasHttpHead()) {
+        mergeHttpHead(other.getHttpHead());
+      }
+      if (!other.getHttpBody().isEmpty()) {
+        setHttpBody(other.getHttpBody());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 8: {
+              state_ = input.readEnum();
+              bitField0_ |= 0x00000001;
+              break;
+            } // case 8
+            case 18: {
+              input.readMessage(
+                  internalGetReceiptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 18
+            case 26: {
+              input.readMessage(
+                  internalGetHttpHeadFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
+            case 34: {
+              httpBody_ = input.readBytes();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 34
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private int state_ = 0;
+    /**
+     * <code>.verbena.v1.OrderState state = 1;</code>
+     * @return The enum numeric value on the wire for state.
+     */
+    @java.lang.Override public int getStateValue() {
+      return state_;
+    }
+    /**
+     * <code>.verbena.v1.OrderState state = 1;</code>
+     * @param value The enum numeric value on the wire for state to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStateValue(int value) {
+      state_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderState state = 1;</code>
+     * @return The state.
+     */
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.OrderState getState() {
+      io.verbenacleat.proto.v1.OrderState result = io.verbenacleat.proto.v1.OrderState.forNumber(state_);
+      return result == null ? io.verbenacleat.proto.v1.OrderState.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.verbena.v1.OrderState state = 1;</code>
+     * @param value The state to set.
+     * @return This builder for chaining.
+     */
+    public Builder setState(io.verbenacleat.proto.v1.OrderState value) {
+      if (value == null) {
+        throw new NullPointerException();
+      }
+      bitField0_ |= 0x00000001;
+      state_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.verbena.v1.OrderState state = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearState() {
+      bitField0_ = (bitField0_ & ~0x00000001);
+      state_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private io.verbenacleat.proto.v1.Receipt receipt_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptBuilder_;
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     * @return Whether the receipt field is set.
+     */
+    public boolean hasReceipt() {
+      return ((bitField0_ & 0x00000002) != 0);
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     * @return The receipt.
+     */
+    public io.verbenacleat.proto.v1.Receipt getReceipt() {
+      if (receiptBuilder_ == null) {
+        return receipt_ == null ? io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+      } else {
+        return receiptBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder setReceipt(io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        receipt_ = value;
+      } else {
+        receiptBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder setReceipt(
+        io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptBuilder_ == null) {
+        receipt_ = builderForValue.build();
+      } else {
+        receiptBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder mergeReceipt(io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0) &&
+          receipt_ != null &&
+          receipt_ != io.verbenacleat.proto.v1.Receipt.getDefaultInstance()) {
+          getReceiptBuilder().mergeFrom(value);
+        } else {
+          receipt_ = value;
+        }
+      } else {
+        receiptBuilder_.mergeFrom(value);
+      }
+      if (receipt_ != null) {
+        bitField0_ |= 0x00000002;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public Builder clearReceipt() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      receipt_ = null;
+      if (receiptBuilder_ != null) {
+        receiptBuilder_.dispose();
+        receiptBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder getReceiptBuilder() {
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return internalGetReceiptFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder() {
+      if (receiptBuilder_ != null) {
+        return receiptBuilder_.getMessageOrBuilder();
+      } else {
+        return receipt_ == null ?
+            io.verbenacleat.proto.v1.Receipt.getDefaultInstance() : receipt_;
+      }
+    }
+    /**
+     * <pre>
+     * Set when FINISHED.
+     * </pre>
+     *
+     * <code>.verbena.v1.Receipt receipt = 2;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+        internalGetReceiptFieldBuilder() {
+      if (receiptBuilder_ == null) {
+        receiptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
+                getReceipt(),
+                getParentForChildren(),
+                isClean());
+        receipt_ = null;
+      }
+      return receiptBuilder_;
+    }
+
+    private io.verbenacleat.proto.v1.HttpHead httpHead_;
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> httpHeadBuilder_;
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     * @return Whether the httpHead field is set.
+     */
+    public boolean hasHttpHead() {
+      return ((bitField0_ & 0x00000004) != 0);
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     * @return The httpHead.
+     */
+    public io.verbenacleat.proto.v1.HttpHead getHttpHead() {
+      if (httpHeadBuilder_ == null) {
+        return httpHead_ == null ? io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
+      } else {
+        return httpHeadBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     */
+    public Builder setHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
+      if (httpHeadBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        httpHead_ = value;
+      } else {
+        httpHeadBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     */
+    public Builder setHttpHead(
+        io.verbenacleat.proto.v1.HttpHead.Builder builderForValue) {
+      if (httpHeadBuilder_ == null) {
+        httpHead_ = builderForValue.build();
+      } else {
+        httpHeadBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     */
+    public Builder mergeHttpHead(io.verbenacleat.proto.v1.HttpHead value) {
+      if (httpHeadBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0) &&
+          httpHead_ != null &&
+          httpHead_ != io.verbenacleat.proto.v1.HttpHead.getDefaultInstance()) {
+          getHttpHeadBuilder().mergeFrom(value);
+        } else {
+          httpHead_ = value;
+        }
+      } else {
+        httpHeadBuilder_.mergeFrom(value);
+      }
+      if (httpHead_ != null) {
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     */
+    public Builder clearHttpHead() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      httpHead_ = null;
+      if (httpHeadBuilder_ != null) {
+        httpHeadBuilder_.dispose();
+        httpHeadBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHead.Builder getHttpHeadBuilder() {
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return internalGetHttpHeadFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     */
+    public io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder() {
+      if (httpHeadBuilder_ != null) {
+        return httpHeadBuilder_.getMessageOrBuilder();
+      } else {
+        return httpHead_ == null ?
+            io.verbenacleat.proto.v1.HttpHead.getDefaultInstance() : httpHead_;
+      }
+    }
+    /**
+     * <pre>
+     * The response of a plain service, set when FINISHED and not repeatable.
+     * </pre>
+     *
+     * <code>.verbena.v1.HttpHead http_head = 3;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder> 
+        internalGetHttpHeadFieldBuilder() {
+      if (httpHeadBuilder_ == null) {
+        httpHeadBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            io.verbenacleat.proto.v1.HttpHead, io.verbenacleat.proto.v1.HttpHead.Builder, io.verbenacleat.proto.v1.HttpHeadOrBuilder>(
+                getHttpHead(),
+                getParentForChildren(),
+                isClean());
+        httpHead_ = null;
+      }
+      return httpHeadBuilder_;
+    }
+
+    private com.google.protobuf.ByteString httpBody_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <code>bytes http_body = 4;</code>
+     * @return The httpBody.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getHttpBody() {
+      return httpBody_;
+    }
+    /**
+     * <code>bytes http_body = 4;</code>
+     * @param value The httpBody to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHttpBody(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      httpBody_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bytes http_body = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHttpBody() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      httpBody_ = getDefaultInstance().getHttpBody();
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.ResolveOrderResponse)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.ResolveOrderResponse)
+  private static final io.verbenacleat.proto.v1.ResolveOrderResponse DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.ResolveOrderResponse();
+  }
+
+  public static io.verbenacleat.proto.v1.ResolveOrderResponse getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<ResolveOrderResponse>
+      PARSER = new com.google.protobuf.AbstractParser<ResolveOrderResponse>() {
+    @java.lang.Override
+    public ResolveOrderResponse parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<ResolveOrderResponse> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<ResolveOrderResponse> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ResolveOrderResponse getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderResponseOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/ResolveOrderResponseOrBuilder.java
@@ -6,83 +6,77 @@
 package io.verbenacleat.proto.v1;
 
 public interface ResolveOrderResponseOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.ResolveOrderResponse)
-		com.google.protobuf.MessageOrBuilder {
+    // @@protoc_insertion_point(interface_extends:verbena.v1.ResolveOrderResponse)
+    com.google.protobuf.MessageOrBuilder {
 
-	/**
-	 * <code>.verbena.v1.OrderState state = 1;</code>
-	 * @return The enum numeric value on the wire for state.
-	 */
-	int getStateValue();
+  /**
+   * <code>.verbena.v1.OrderState state = 1;</code>
+   * @return The enum numeric value on the wire for state.
+   */
+  int getStateValue();
+  /**
+   * <code>.verbena.v1.OrderState state = 1;</code>
+   * @return The state.
+   */
+  io.verbenacleat.proto.v1.OrderState getState();
 
-	/**
-	 * <code>.verbena.v1.OrderState state = 1;</code>
-	 * @return The state.
-	 */
-	io.verbenacleat.proto.v1.OrderState getState();
+  /**
+   * <pre>
+   * Set when FINISHED.
+   * </pre>
+   *
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return Whether the receipt field is set.
+   */
+  boolean hasReceipt();
+  /**
+   * <pre>
+   * Set when FINISHED.
+   * </pre>
+   *
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   * @return The receipt.
+   */
+  io.verbenacleat.proto.v1.Receipt getReceipt();
+  /**
+   * <pre>
+   * Set when FINISHED.
+   * </pre>
+   *
+   * <code>.verbena.v1.Receipt receipt = 2;</code>
+   */
+  io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder();
 
-	/**
-	 * <pre>
-	 * Set when FINISHED.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return Whether the receipt field is set.
-	 */
-	boolean hasReceipt();
-
-	/**
-	 * <pre>
-	 * Set when FINISHED.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 * @return The receipt.
-	 */
-	io.verbenacleat.proto.v1.Receipt getReceipt();
-
-	/**
-	 * <pre>
-	 * Set when FINISHED.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.Receipt receipt = 2;</code>
-	 */
-	io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptOrBuilder();
-
-	/**
-	 * <pre>
-	 * The response of a plain service, set when FINISHED and not repeatable.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-	 * @return Whether the httpHead field is set.
-	 */
-	boolean hasHttpHead();
-
-	/**
-	 * <pre>
-	 * The response of a plain service, set when FINISHED and not repeatable.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-	 * @return The httpHead.
-	 */
-	io.verbenacleat.proto.v1.HttpHead getHttpHead();
-
-	/**
-	 * <pre>
-	 * The response of a plain service, set when FINISHED and not repeatable.
-	 * </pre>
-	 *
-	 * <code>.verbena.v1.HttpHead http_head = 3;</code>
-	 */
-	io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder();
-
-	/**
-	 * <code>bytes http_body = 4;</code>
-	 * @return The httpBody.
-	 */
-	com.google.protobuf.ByteString getHttpBody();
+  /**
+   * <pre>
+   * The response of a plain service, set when FINISHED and not repeatable.
+   * </pre>
+   *
+   * <code>.verbena.v1.HttpHead http_head = 3;</code>
+   * @return Whether the httpHead field is set.
+   */
+  boolean hasHttpHead();
+  /**
+   * <pre>
+   * The response of a plain service, set when FINISHED and not repeatable.
+   * </pre>
+   *
+   * <code>.verbena.v1.HttpHead http_head = 3;</code>
+   * @return The httpHead.
+   */
+  io.verbenacleat.proto.v1.HttpHead getHttpHead();
+  /**
+   * <pre>
+   * The response of a plain service, set when FINISHED and not repeatable.
+   * </pre>
+   *
+   * <code>.verbena.v1.HttpHead http_head = 3;</code>
+   */
+  io.verbenacleat.proto.v1.HttpHeadOrBuilder getHttpHeadOrBuilder();
 
+  /**
+   * <code>bytes http_body = 4;</code>
+   * @return The httpBody.
+   */
+  com.google.protobuf.ByteString getHttpBody();
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/SettleRequest.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/SettleRequest.java
@@ -8,729 +8,712 @@
 /**
  * Protobuf type {@code verbena.v1.SettleRequest}
  */
-public final class SettleRequest extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.SettleRequest)
-		SettleRequestOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", SettleRequest.class.getName());
-	}
-
-	// Use SettleRequest.newBuilder() to construct.
-	private SettleRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private SettleRequest() {
-		receipts_ = java.util.Collections.emptyList();
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.SettleRequest.class,
-					io.verbenacleat.proto.v1.SettleRequest.Builder.class);
-	}
-
-	public static final int RECEIPTS_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_;
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
-		return receipts_;
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	@java.lang.Override
-	public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> getReceiptsOrBuilderList() {
-		return receipts_;
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	@java.lang.Override
-	public int getReceiptsCount() {
-		return receipts_.size();
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
-		return receipts_.get(index);
-	}
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(int index) {
-		return receipts_.get(index);
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		for (int i = 0; i < receipts_.size(); i++) {
-			output.writeMessage(1, receipts_.get(i));
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		for (int i = 0; i < receipts_.size(); i++) {
-			size += com.google.protobuf.CodedOutputStream.computeMessageSize(1, receipts_.get(i));
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.SettleRequest)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.SettleRequest other = (io.verbenacleat.proto.v1.SettleRequest) obj;
-
-		if (!getReceiptsList().equals(other.getReceiptsList()))
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		if (getReceiptsCount() > 0) {
-			hash = (37 * hash) + RECEIPTS_FIELD_NUMBER;
-			hash = (53 * hash) + getReceiptsList().hashCode();
-		}
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.SettleRequest prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.SettleRequest}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.SettleRequest)
-			io.verbenacleat.proto.v1.SettleRequestOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.SettleRequest.class,
-						io.verbenacleat.proto.v1.SettleRequest.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.SettleRequest.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			if (receiptsBuilder_ == null) {
-				receipts_ = java.util.Collections.emptyList();
-			}
-			else {
-				receipts_ = null;
-				receiptsBuilder_.clear();
-			}
-			bitField0_ = (bitField0_ & ~0x00000001);
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.SettleRequest getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.SettleRequest.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.SettleRequest build() {
-			io.verbenacleat.proto.v1.SettleRequest result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.SettleRequest buildPartial() {
-			io.verbenacleat.proto.v1.SettleRequest result = new io.verbenacleat.proto.v1.SettleRequest(this);
-			buildPartialRepeatedFields(result);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.SettleRequest result) {
-			if (receiptsBuilder_ == null) {
-				if (((bitField0_ & 0x00000001) != 0)) {
-					receipts_ = java.util.Collections.unmodifiableList(receipts_);
-					bitField0_ = (bitField0_ & ~0x00000001);
-				}
-				result.receipts_ = receipts_;
-			}
-			else {
-				result.receipts_ = receiptsBuilder_.build();
-			}
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.SettleRequest result) {
-			int from_bitField0_ = bitField0_;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.SettleRequest) {
-				return mergeFrom((io.verbenacleat.proto.v1.SettleRequest) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.SettleRequest other) {
-			if (other == io.verbenacleat.proto.v1.SettleRequest.getDefaultInstance())
-				return this;
-			if (receiptsBuilder_ == null) {
-				if (!other.receipts_.isEmpty()) {
-					if (receipts_.isEmpty()) {
-						receipts_ = other.receipts_;
-						bitField0_ = (bitField0_ & ~0x00000001);
-					}
-					else {
-						ensureReceiptsIsMutable();
-						receipts_.addAll(other.receipts_);
-					}
-					onChanged();
-				}
-			}
-			else {
-				if (!other.receipts_.isEmpty()) {
-					if (receiptsBuilder_.isEmpty()) {
-						receiptsBuilder_.dispose();
-						receiptsBuilder_ = null;
-						receipts_ = other.receipts_;
-						bitField0_ = (bitField0_ & ~0x00000001);
-						receiptsBuilder_ = com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders
-								? internalGetReceiptsFieldBuilder() : null;
-					}
-					else {
-						receiptsBuilder_.addAllMessages(other.receipts_);
-					}
-				}
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							io.verbenacleat.proto.v1.Receipt m = input
-								.readMessage(io.verbenacleat.proto.v1.Receipt.parser(), extensionRegistry);
-							if (receiptsBuilder_ == null) {
-								ensureReceiptsIsMutable();
-								receipts_.add(m);
-							}
-							else {
-								receiptsBuilder_.addMessage(m);
-							}
-							break;
-						} // case 10
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_ = java.util.Collections.emptyList();
-
-		private void ensureReceiptsIsMutable() {
-			if (!((bitField0_ & 0x00000001) != 0)) {
-				receipts_ = new java.util.ArrayList<io.verbenacleat.proto.v1.Receipt>(receipts_);
-				bitField0_ |= 0x00000001;
-			}
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptsBuilder_;
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
-			if (receiptsBuilder_ == null) {
-				return java.util.Collections.unmodifiableList(receipts_);
-			}
-			else {
-				return receiptsBuilder_.getMessageList();
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public int getReceiptsCount() {
-			if (receiptsBuilder_ == null) {
-				return receipts_.size();
-			}
-			else {
-				return receiptsBuilder_.getCount();
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
-			if (receiptsBuilder_ == null) {
-				return receipts_.get(index);
-			}
-			else {
-				return receiptsBuilder_.getMessage(index);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder setReceipts(int index, io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptsBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureReceiptsIsMutable();
-				receipts_.set(index, value);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.setMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder setReceipts(int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.set(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.setMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder addReceipts(io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptsBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureReceiptsIsMutable();
-				receipts_.add(value);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder addReceipts(int index, io.verbenacleat.proto.v1.Receipt value) {
-			if (receiptsBuilder_ == null) {
-				if (value == null) {
-					throw new NullPointerException();
-				}
-				ensureReceiptsIsMutable();
-				receipts_.add(index, value);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(index, value);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder addReceipts(io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.add(builderForValue.build());
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder addReceipts(int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.add(index, builderForValue.build());
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addMessage(index, builderForValue.build());
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder addAllReceipts(java.lang.Iterable<? extends io.verbenacleat.proto.v1.Receipt> values) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				com.google.protobuf.AbstractMessageLite.Builder.addAll(values, receipts_);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.addAllMessages(values);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder clearReceipts() {
-			if (receiptsBuilder_ == null) {
-				receipts_ = java.util.Collections.emptyList();
-				bitField0_ = (bitField0_ & ~0x00000001);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.clear();
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public Builder removeReceipts(int index) {
-			if (receiptsBuilder_ == null) {
-				ensureReceiptsIsMutable();
-				receipts_.remove(index);
-				onChanged();
-			}
-			else {
-				receiptsBuilder_.remove(index);
-			}
-			return this;
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder getReceiptsBuilder(int index) {
-			return internalGetReceiptsFieldBuilder().getBuilder(index);
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(int index) {
-			if (receiptsBuilder_ == null) {
-				return receipts_.get(index);
-			}
-			else {
-				return receiptsBuilder_.getMessageOrBuilder(index);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> getReceiptsOrBuilderList() {
-			if (receiptsBuilder_ != null) {
-				return receiptsBuilder_.getMessageOrBuilderList();
-			}
-			else {
-				return java.util.Collections.unmodifiableList(receipts_);
-			}
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder() {
-			return internalGetReceiptsFieldBuilder().addBuilder(io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder(int index) {
-			return internalGetReceiptsFieldBuilder().addBuilder(index,
-					io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
-		}
-
-		/**
-		 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-		 */
-		public java.util.List<io.verbenacleat.proto.v1.Receipt.Builder> getReceiptsBuilderList() {
-			return internalGetReceiptsFieldBuilder().getBuilderList();
-		}
-
-		private com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> internalGetReceiptsFieldBuilder() {
-			if (receiptsBuilder_ == null) {
-				receiptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
-						receipts_, ((bitField0_ & 0x00000001) != 0), getParentForChildren(), isClean());
-				receipts_ = null;
-			}
-			return receiptsBuilder_;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.SettleRequest)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.SettleRequest)
-	private static final io.verbenacleat.proto.v1.SettleRequest DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.SettleRequest();
-	}
-
-	public static io.verbenacleat.proto.v1.SettleRequest getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<SettleRequest> PARSER = new com.google.protobuf.AbstractParser<SettleRequest>() {
-		@java.lang.Override
-		public SettleRequest parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<SettleRequest> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<SettleRequest> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.SettleRequest getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class SettleRequest extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.SettleRequest)
+    SettleRequestOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      SettleRequest.class.getName());
+  }
+  // Use SettleRequest.newBuilder() to construct.
+  private SettleRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private SettleRequest() {
+    receipts_ = java.util.Collections.emptyList();
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.SettleRequest.class, io.verbenacleat.proto.v1.SettleRequest.Builder.class);
+  }
+
+  public static final int RECEIPTS_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_;
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  @java.lang.Override
+  public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
+    return receipts_;
+  }
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+      getReceiptsOrBuilderList() {
+    return receipts_;
+  }
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  @java.lang.Override
+  public int getReceiptsCount() {
+    return receipts_.size();
+  }
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
+    return receipts_.get(index);
+  }
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(
+      int index) {
+    return receipts_.get(index);
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    for (int i = 0; i < receipts_.size(); i++) {
+      output.writeMessage(1, receipts_.get(i));
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    for (int i = 0; i < receipts_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(1, receipts_.get(i));
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.SettleRequest)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.SettleRequest other = (io.verbenacleat.proto.v1.SettleRequest) obj;
+
+    if (!getReceiptsList()
+        .equals(other.getReceiptsList())) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    if (getReceiptsCount() > 0) {
+      hash = (37 * hash) + RECEIPTS_FIELD_NUMBER;
+      hash = (53 * hash) + getReceiptsList().hashCode();
+    }
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.SettleRequest parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.SettleRequest parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.SettleRequest parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.SettleRequest prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.SettleRequest}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.SettleRequest)
+      io.verbenacleat.proto.v1.SettleRequestOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.SettleRequest.class, io.verbenacleat.proto.v1.SettleRequest.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.SettleRequest.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      if (receiptsBuilder_ == null) {
+        receipts_ = java.util.Collections.emptyList();
+      } else {
+        receipts_ = null;
+        receiptsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000001);
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleRequest_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.SettleRequest getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.SettleRequest.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.SettleRequest build() {
+      io.verbenacleat.proto.v1.SettleRequest result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.SettleRequest buildPartial() {
+      io.verbenacleat.proto.v1.SettleRequest result = new io.verbenacleat.proto.v1.SettleRequest(this);
+      buildPartialRepeatedFields(result);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartialRepeatedFields(io.verbenacleat.proto.v1.SettleRequest result) {
+      if (receiptsBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0)) {
+          receipts_ = java.util.Collections.unmodifiableList(receipts_);
+          bitField0_ = (bitField0_ & ~0x00000001);
+        }
+        result.receipts_ = receipts_;
+      } else {
+        result.receipts_ = receiptsBuilder_.build();
+      }
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.SettleRequest result) {
+      int from_bitField0_ = bitField0_;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.SettleRequest) {
+        return mergeFrom((io.verbenacleat.proto.v1.SettleRequest)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.SettleRequest other) {
+      if (other == io.verbenacleat.proto.v1.SettleRequest.getDefaultInstance()) return this;
+      if (receiptsBuilder_ == null) {
+        if (!other.receipts_.isEmpty()) {
+          if (receipts_.isEmpty()) {
+            receipts_ = other.receipts_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+          } else {
+            ensureReceiptsIsMutable();
+            receipts_.addAll(other.receipts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.receipts_.isEmpty()) {
+          if (receiptsBuilder_.isEmpty()) {
+            receiptsBuilder_.dispose();
+            receiptsBuilder_ = null;
+            receipts_ = other.receipts_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+            receiptsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetReceiptsFieldBuilder() : null;
+          } else {
+            receiptsBuilder_.addAllMessages(other.receipts_);
+          }
+        }
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              io.verbenacleat.proto.v1.Receipt m =
+                  input.readMessage(
+                      io.verbenacleat.proto.v1.Receipt.parser(),
+                      extensionRegistry);
+              if (receiptsBuilder_ == null) {
+                ensureReceiptsIsMutable();
+                receipts_.add(m);
+              } else {
+                receiptsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 10
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private java.util.List<io.verbenacleat.proto.v1.Receipt> receipts_ =
+      java.util.Collections.emptyList();
+    private void ensureReceiptsIsMutable() {
+      if (!((bitField0_ & 0x00000001) != 0)) {
+        receipts_ = new java.util.ArrayList<io.verbenacleat.proto.v1.Receipt>(receipts_);
+        bitField0_ |= 0x00000001;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> receiptsBuilder_;
+
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList() {
+      if (receiptsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(receipts_);
+      } else {
+        return receiptsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public int getReceiptsCount() {
+      if (receiptsBuilder_ == null) {
+        return receipts_.size();
+      } else {
+        return receiptsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt getReceipts(int index) {
+      if (receiptsBuilder_ == null) {
+        return receipts_.get(index);
+      } else {
+        return receiptsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder setReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReceiptsIsMutable();
+        receipts_.set(index, value);
+        onChanged();
+      } else {
+        receiptsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder setReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        receiptsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder addReceipts(io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReceiptsIsMutable();
+        receipts_.add(value);
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder addReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt value) {
+      if (receiptsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureReceiptsIsMutable();
+        receipts_.add(index, value);
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder addReceipts(
+        io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder addReceipts(
+        int index, io.verbenacleat.proto.v1.Receipt.Builder builderForValue) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        receiptsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder addAllReceipts(
+        java.lang.Iterable<? extends io.verbenacleat.proto.v1.Receipt> values) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, receipts_);
+        onChanged();
+      } else {
+        receiptsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder clearReceipts() {
+      if (receiptsBuilder_ == null) {
+        receipts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+      } else {
+        receiptsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public Builder removeReceipts(int index) {
+      if (receiptsBuilder_ == null) {
+        ensureReceiptsIsMutable();
+        receipts_.remove(index);
+        onChanged();
+      } else {
+        receiptsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder getReceiptsBuilder(
+        int index) {
+      return internalGetReceiptsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(
+        int index) {
+      if (receiptsBuilder_ == null) {
+        return receipts_.get(index);  } else {
+        return receiptsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+         getReceiptsOrBuilderList() {
+      if (receiptsBuilder_ != null) {
+        return receiptsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(receipts_);
+      }
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder() {
+      return internalGetReceiptsFieldBuilder().addBuilder(
+          io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public io.verbenacleat.proto.v1.Receipt.Builder addReceiptsBuilder(
+        int index) {
+      return internalGetReceiptsFieldBuilder().addBuilder(
+          index, io.verbenacleat.proto.v1.Receipt.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+     */
+    public java.util.List<io.verbenacleat.proto.v1.Receipt.Builder> 
+         getReceiptsBuilderList() {
+      return internalGetReceiptsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+        internalGetReceiptsFieldBuilder() {
+      if (receiptsBuilder_ == null) {
+        receiptsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            io.verbenacleat.proto.v1.Receipt, io.verbenacleat.proto.v1.Receipt.Builder, io.verbenacleat.proto.v1.ReceiptOrBuilder>(
+                receipts_,
+                ((bitField0_ & 0x00000001) != 0),
+                getParentForChildren(),
+                isClean());
+        receipts_ = null;
+      }
+      return receiptsBuilder_;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.SettleRequest)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.SettleRequest)
+  private static final io.verbenacleat.proto.v1.SettleRequest DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.SettleRequest();
+  }
+
+  public static io.verbenacleat.proto.v1.SettleRequest getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<SettleRequest>
+      PARSER = new com.google.protobuf.AbstractParser<SettleRequest>() {
+    @java.lang.Override
+    public SettleRequest parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<SettleRequest> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<SettleRequest> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.SettleRequest getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/SettleRequestOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/SettleRequestOrBuilder.java
@@ -6,32 +6,30 @@
 package io.verbenacleat.proto.v1;
 
 public interface SettleRequestOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.SettleRequest)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	java.util.List<io.verbenacleat.proto.v1.Receipt> getReceiptsList();
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	io.verbenacleat.proto.v1.Receipt getReceipts(int index);
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	int getReceiptsCount();
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> getReceiptsOrBuilderList();
-
-	/**
-	 * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
-	 */
-	io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(int index);
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.SettleRequest)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  java.util.List<io.verbenacleat.proto.v1.Receipt> 
+      getReceiptsList();
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  io.verbenacleat.proto.v1.Receipt getReceipts(int index);
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  int getReceiptsCount();
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  java.util.List<? extends io.verbenacleat.proto.v1.ReceiptOrBuilder> 
+      getReceiptsOrBuilderList();
+  /**
+   * <code>repeated .verbena.v1.Receipt receipts = 1;</code>
+   */
+  io.verbenacleat.proto.v1.ReceiptOrBuilder getReceiptsOrBuilder(
+      int index);
 }
--- a/proto/src/main/java/io/verbenacleat/proto/v1/SettleResponse.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/SettleResponse.java
@@ -8,694 +8,682 @@
 /**
  * Protobuf type {@code verbena.v1.SettleResponse}
  */
-public final class SettleResponse extends com.google.protobuf.GeneratedMessage implements
-		// @@protoc_insertion_point(message_implements:verbena.v1.SettleResponse)
-		SettleResponseOrBuilder {
-
-	private static final long serialVersionUID = 0L;
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", SettleResponse.class.getName());
-	}
-
-	// Use SettleResponse.newBuilder() to construct.
-	private SettleResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
-		super(builder);
-	}
-
-	private SettleResponse() {
-		durableRequestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-	}
-
-	public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_descriptor;
-	}
-
-	@java.lang.Override
-	protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-		return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_fieldAccessorTable
-			.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.SettleResponse.class,
-					io.verbenacleat.proto.v1.SettleResponse.Builder.class);
-	}
-
-	public static final int DURABLE_REQUEST_IDS_FIELD_NUMBER = 1;
-
-	@SuppressWarnings("serial")
-	private com.google.protobuf.LazyStringArrayList durableRequestIds_ = com.google.protobuf.LazyStringArrayList
-		.emptyList();
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @return A list containing the durableRequestIds.
-	 */
-	public com.google.protobuf.ProtocolStringList getDurableRequestIdsList() {
-		return durableRequestIds_;
-	}
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @return The count of durableRequestIds.
-	 */
-	public int getDurableRequestIdsCount() {
-		return durableRequestIds_.size();
-	}
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @param index The index of the element to return.
-	 * @return The durableRequestIds at the given index.
-	 */
-	public java.lang.String getDurableRequestIds(int index) {
-		return durableRequestIds_.get(index);
-	}
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @param index The index of the value to return.
-	 * @return The bytes of the durableRequestIds at the given index.
-	 */
-	public com.google.protobuf.ByteString getDurableRequestIdsBytes(int index) {
-		return durableRequestIds_.getByteString(index);
-	}
-
-	public static final int HOLDER_CLOSED_FIELD_NUMBER = 2;
-
-	private boolean holderClosed_ = false;
-
-	/**
-	 * <pre>
-	 * The holder was closed: keep the receipts for the closer.
-	 * </pre>
-	 *
-	 * <code>bool holder_closed = 2;</code>
-	 * @return The holderClosed.
-	 */
-	@java.lang.Override
-	public boolean getHolderClosed() {
-		return holderClosed_;
-	}
-
-	private byte memoizedIsInitialized = -1;
-
-	@java.lang.Override
-	public final boolean isInitialized() {
-		byte isInitialized = memoizedIsInitialized;
-		if (isInitialized == 1)
-			return true;
-		if (isInitialized == 0)
-			return false;
-
-		memoizedIsInitialized = 1;
-		return true;
-	}
-
-	@java.lang.Override
-	public void writeTo(com.google.protobuf.CodedOutputStream output) throws java.io.IOException {
-		for (int i = 0; i < durableRequestIds_.size(); i++) {
-			com.google.protobuf.GeneratedMessage.writeString(output, 1, durableRequestIds_.getRaw(i));
-		}
-		if (holderClosed_ != false) {
-			output.writeBool(2, holderClosed_);
-		}
-		getUnknownFields().writeTo(output);
-	}
-
-	@java.lang.Override
-	public int getSerializedSize() {
-		int size = memoizedSize;
-		if (size != -1)
-			return size;
-
-		size = 0;
-		{
-			int dataSize = 0;
-			for (int i = 0; i < durableRequestIds_.size(); i++) {
-				dataSize += computeStringSizeNoTag(durableRequestIds_.getRaw(i));
-			}
-			size += dataSize;
-			size += 1 * getDurableRequestIdsList().size();
-		}
-		if (holderClosed_ != false) {
-			size += com.google.protobuf.CodedOutputStream.computeBoolSize(2, holderClosed_);
-		}
-		size += getUnknownFields().getSerializedSize();
-		memoizedSize = size;
-		return size;
-	}
-
-	@java.lang.Override
-	public boolean equals(final java.lang.Object obj) {
-		if (obj == this) {
-			return true;
-		}
-		if (!(obj instanceof io.verbenacleat.proto.v1.SettleResponse)) {
-			return super.equals(obj);
-		}
-		io.verbenacleat.proto.v1.SettleResponse other = (io.verbenacleat.proto.v1.SettleResponse) obj;
-
-		if (!getDurableRequestIdsList().equals(other.getDurableRequestIdsList()))
-			return false;
-		if (getHolderClosed() != other.getHolderClosed())
-			return false;
-		if (!getUnknownFields().equals(other.getUnknownFields()))
-			return false;
-		return true;
-	}
-
-	@java.lang.Override
-	public int hashCode() {
-		if (memoizedHashCode != 0) {
-			return memoizedHashCode;
-		}
-		int hash = 41;
-		hash = (19 * hash) + getDescriptor().hashCode();
-		if (getDurableRequestIdsCount() > 0) {
-			hash = (37 * hash) + DURABLE_REQUEST_IDS_FIELD_NUMBER;
-			hash = (53 * hash) + getDurableRequestIdsList().hashCode();
-		}
-		hash = (37 * hash) + HOLDER_CLOSED_FIELD_NUMBER;
-		hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(getHolderClosed());
-		hash = (29 * hash) + getUnknownFields().hashCode();
-		memoizedHashCode = hash;
-		return hash;
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(java.nio.ByteBuffer data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(java.nio.ByteBuffer data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(com.google.protobuf.ByteString data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(com.google.protobuf.ByteString data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(byte[] data)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(byte[] data,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-			throws com.google.protobuf.InvalidProtocolBufferException {
-		return PARSER.parseFrom(data, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseDelimitedFrom(java.io.InputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseDelimitedFrom(java.io.InputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseDelimitedWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(com.google.protobuf.CodedInputStream input)
-			throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input);
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse parseFrom(com.google.protobuf.CodedInputStream input,
-			com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-		return com.google.protobuf.GeneratedMessage.parseWithIOException(PARSER, input, extensionRegistry);
-	}
-
-	@java.lang.Override
-	public Builder newBuilderForType() {
-		return newBuilder();
-	}
-
-	public static Builder newBuilder() {
-		return DEFAULT_INSTANCE.toBuilder();
-	}
-
-	public static Builder newBuilder(io.verbenacleat.proto.v1.SettleResponse prototype) {
-		return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
-	}
-
-	@java.lang.Override
-	public Builder toBuilder() {
-		return this == DEFAULT_INSTANCE ? new Builder() : new Builder().mergeFrom(this);
-	}
-
-	@java.lang.Override
-	protected Builder newBuilderForType(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-		Builder builder = new Builder(parent);
-		return builder;
-	}
-
-	/**
-	 * Protobuf type {@code verbena.v1.SettleResponse}
-	 */
-	public static final class Builder extends com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-			// @@protoc_insertion_point(builder_implements:verbena.v1.SettleResponse)
-			io.verbenacleat.proto.v1.SettleResponseOrBuilder {
-
-		public static final com.google.protobuf.Descriptors.Descriptor getDescriptor() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_descriptor;
-		}
-
-		@java.lang.Override
-		protected com.google.protobuf.GeneratedMessage.FieldAccessorTable internalGetFieldAccessorTable() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_fieldAccessorTable
-				.ensureFieldAccessorsInitialized(io.verbenacleat.proto.v1.SettleResponse.class,
-						io.verbenacleat.proto.v1.SettleResponse.Builder.class);
-		}
-
-		// Construct using io.verbenacleat.proto.v1.SettleResponse.newBuilder()
-		private Builder() {
-
-		}
-
-		private Builder(com.google.protobuf.GeneratedMessage.BuilderParent parent) {
-			super(parent);
-
-		}
-
-		@java.lang.Override
-		public Builder clear() {
-			super.clear();
-			bitField0_ = 0;
-			durableRequestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-			holderClosed_ = false;
-			return this;
-		}
-
-		@java.lang.Override
-		public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-			return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_descriptor;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.SettleResponse getDefaultInstanceForType() {
-			return io.verbenacleat.proto.v1.SettleResponse.getDefaultInstance();
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.SettleResponse build() {
-			io.verbenacleat.proto.v1.SettleResponse result = buildPartial();
-			if (!result.isInitialized()) {
-				throw newUninitializedMessageException(result);
-			}
-			return result;
-		}
-
-		@java.lang.Override
-		public io.verbenacleat.proto.v1.SettleResponse buildPartial() {
-			io.verbenacleat.proto.v1.SettleResponse result = new io.verbenacleat.proto.v1.SettleResponse(this);
-			if (bitField0_ != 0) {
-				buildPartial0(result);
-			}
-			onBuilt();
-			return result;
-		}
-
-		private void buildPartial0(io.verbenacleat.proto.v1.SettleResponse result) {
-			int from_bitField0_ = bitField0_;
-			if (((from_bitField0_ & 0x00000001) != 0)) {
-				durableRequestIds_.makeImmutable();
-				result.durableRequestIds_ = durableRequestIds_;
-			}
-			if (((from_bitField0_ & 0x00000002) != 0)) {
-				result.holderClosed_ = holderClosed_;
-			}
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.Message other) {
-			if (other instanceof io.verbenacleat.proto.v1.SettleResponse) {
-				return mergeFrom((io.verbenacleat.proto.v1.SettleResponse) other);
-			}
-			else {
-				super.mergeFrom(other);
-				return this;
-			}
-		}
-
-		public Builder mergeFrom(io.verbenacleat.proto.v1.SettleResponse other) {
-			if (other == io.verbenacleat.proto.v1.SettleResponse.getDefaultInstance())
-				return this;
-			if (!other.durableRequestIds_.isEmpty()) {
-				if (durableRequestIds_.isEmpty()) {
-					durableRequestIds_ = other.durableRequestIds_;
-					bitField0_ |= 0x00000001;
-				}
-				else {
-					ensureDurableRequestIdsIsMutable();
-					durableRequestIds_.addAll(other.durableRequestIds_);
-				}
-				onChanged();
-			}
-			if (other.getHolderClosed() != false) {
-				setHolderClosed(other.getHolderClosed());
-			}
-			this.mergeUnknownFields(other.getUnknownFields());
-			onChanged();
-			return this;
-		}
-
-		@java.lang.Override
-		public final boolean isInitialized() {
-			return true;
-		}
-
-		@java.lang.Override
-		public Builder mergeFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry) throws java.io.IOException {
-			if (extensionRegistry == null) {
-				throw new java.lang.NullPointerException();
-			}
-			try {
-				boolean done = false;
-				while (!done) {
-					int tag = input.readTag();
-					switch (tag) {
-						case 0:
-							done = true;
-							break;
-						case 10: {
-							java.lang.String s = input.readStringRequireUtf8();
-							ensureDurableRequestIdsIsMutable();
-							durableRequestIds_.add(s);
-							break;
-						} // case 10
-						case 16: {
-							holderClosed_ = input.readBool();
-							bitField0_ |= 0x00000002;
-							break;
-						} // case 16
-						default: {
-							if (!super.parseUnknownField(input, extensionRegistry, tag)) {
-								done = true; // was an endgroup tag
-							}
-							break;
-						} // default:
-					} // switch (tag)
-				} // while (!done)
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.unwrapIOException();
-			}
-			finally {
-				onChanged();
-			} // finally
-			return this;
-		}
-
-		private int bitField0_;
-
-		private com.google.protobuf.LazyStringArrayList durableRequestIds_ = com.google.protobuf.LazyStringArrayList
-			.emptyList();
-
-		private void ensureDurableRequestIdsIsMutable() {
-			if (!durableRequestIds_.isModifiable()) {
-				durableRequestIds_ = new com.google.protobuf.LazyStringArrayList(durableRequestIds_);
-			}
-			bitField0_ |= 0x00000001;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @return A list containing the durableRequestIds.
-		 */
-		public com.google.protobuf.ProtocolStringList getDurableRequestIdsList() {
-			durableRequestIds_.makeImmutable();
-			return durableRequestIds_;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @return The count of durableRequestIds.
-		 */
-		public int getDurableRequestIdsCount() {
-			return durableRequestIds_.size();
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @param index The index of the element to return.
-		 * @return The durableRequestIds at the given index.
-		 */
-		public java.lang.String getDurableRequestIds(int index) {
-			return durableRequestIds_.get(index);
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @param index The index of the value to return.
-		 * @return The bytes of the durableRequestIds at the given index.
-		 */
-		public com.google.protobuf.ByteString getDurableRequestIdsBytes(int index) {
-			return durableRequestIds_.getByteString(index);
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @param index The index to set the value at.
-		 * @param value The durableRequestIds to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setDurableRequestIds(int index, java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			ensureDurableRequestIdsIsMutable();
-			durableRequestIds_.set(index, value);
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @param value The durableRequestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addDurableRequestIds(java.lang.String value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			ensureDurableRequestIdsIsMutable();
-			durableRequestIds_.add(value);
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @param values The durableRequestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addAllDurableRequestIds(java.lang.Iterable<java.lang.String> values) {
-			ensureDurableRequestIdsIsMutable();
-			com.google.protobuf.AbstractMessageLite.Builder.addAll(values, durableRequestIds_);
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearDurableRequestIds() {
-			durableRequestIds_ = com.google.protobuf.LazyStringArrayList.emptyList();
-			bitField0_ = (bitField0_ & ~0x00000001);
-			;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * Requests of this call whose receipts stand in the journal.
-		 * </pre>
-		 *
-		 * <code>repeated string durable_request_ids = 1;</code>
-		 * @param value The bytes of the durableRequestIds to add.
-		 * @return This builder for chaining.
-		 */
-		public Builder addDurableRequestIdsBytes(com.google.protobuf.ByteString value) {
-			if (value == null) {
-				throw new NullPointerException();
-			}
-			checkByteStringIsUtf8(value);
-			ensureDurableRequestIdsIsMutable();
-			durableRequestIds_.add(value);
-			bitField0_ |= 0x00000001;
-			onChanged();
-			return this;
-		}
-
-		private boolean holderClosed_;
-
-		/**
-		 * <pre>
-		 * The holder was closed: keep the receipts for the closer.
-		 * </pre>
-		 *
-		 * <code>bool holder_closed = 2;</code>
-		 * @return The holderClosed.
-		 */
-		@java.lang.Override
-		public boolean getHolderClosed() {
-			return holderClosed_;
-		}
-
-		/**
-		 * <pre>
-		 * The holder was closed: keep the receipts for the closer.
-		 * </pre>
-		 *
-		 * <code>bool holder_closed = 2;</code>
-		 * @param value The holderClosed to set.
-		 * @return This builder for chaining.
-		 */
-		public Builder setHolderClosed(boolean value) {
-
-			holderClosed_ = value;
-			bitField0_ |= 0x00000002;
-			onChanged();
-			return this;
-		}
-
-		/**
-		 * <pre>
-		 * The holder was closed: keep the receipts for the closer.
-		 * </pre>
-		 *
-		 * <code>bool holder_closed = 2;</code>
-		 * @return This builder for chaining.
-		 */
-		public Builder clearHolderClosed() {
-			bitField0_ = (bitField0_ & ~0x00000002);
-			holderClosed_ = false;
-			onChanged();
-			return this;
-		}
-
-		// @@protoc_insertion_point(builder_scope:verbena.v1.SettleResponse)
-
-	}
-
-	// @@protoc_insertion_point(class_scope:verbena.v1.SettleResponse)
-	private static final io.verbenacleat.proto.v1.SettleResponse DEFAULT_INSTANCE;
-	static {
-		DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.SettleResponse();
-	}
-
-	public static io.verbenacleat.proto.v1.SettleResponse getDefaultInstance() {
-		return DEFAULT_INSTANCE;
-	}
-
-	private static final com.google.protobuf.Parser<SettleResponse> PARSER = new com.google.protobuf.AbstractParser<SettleResponse>() {
-		@java.lang.Override
-		public SettleResponse parsePartialFrom(com.google.protobuf.CodedInputStream input,
-				com.google.protobuf.ExtensionRegistryLite extensionRegistry)
-				throws com.google.protobuf.InvalidProtocolBufferException {
-			Builder builder = newBuilder();
-			try {
-				builder.mergeFrom(input, extensionRegistry);
-			}
-			catch (com.google.protobuf.InvalidProtocolBufferException e) {
-				throw e.setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (com.google.protobuf.UninitializedMessageException e) {
-				throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
-			}
-			catch (java.io.IOException e) {
-				throw new com.google.protobuf.InvalidProtocolBufferException(e)
-					.setUnfinishedMessage(builder.buildPartial());
-			}
-			return builder.buildPartial();
-		}
-	};
-
-	public static com.google.protobuf.Parser<SettleResponse> parser() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public com.google.protobuf.Parser<SettleResponse> getParserForType() {
-		return PARSER;
-	}
-
-	@java.lang.Override
-	public io.verbenacleat.proto.v1.SettleResponse getDefaultInstanceForType() {
-		return DEFAULT_INSTANCE;
-	}
+public final class SettleResponse extends
+    com.google.protobuf.GeneratedMessage implements
+    // @@protoc_insertion_point(message_implements:verbena.v1.SettleResponse)
+    SettleResponseOrBuilder {
+private static final long serialVersionUID = 0L;
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      SettleResponse.class.getName());
+  }
+  // Use SettleResponse.newBuilder() to construct.
+  private SettleResponse(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+    super(builder);
+  }
+  private SettleResponse() {
+    durableRequestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+  }
+
+  public static final com.google.protobuf.Descriptors.Descriptor
+      getDescriptor() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_descriptor;
+  }
+
+  @java.lang.Override
+  protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internalGetFieldAccessorTable() {
+    return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_fieldAccessorTable
+        .ensureFieldAccessorsInitialized(
+            io.verbenacleat.proto.v1.SettleResponse.class, io.verbenacleat.proto.v1.SettleResponse.Builder.class);
+  }
+
+  public static final int DURABLE_REQUEST_IDS_FIELD_NUMBER = 1;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList durableRequestIds_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @return A list containing the durableRequestIds.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getDurableRequestIdsList() {
+    return durableRequestIds_;
+  }
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @return The count of durableRequestIds.
+   */
+  public int getDurableRequestIdsCount() {
+    return durableRequestIds_.size();
+  }
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @param index The index of the element to return.
+   * @return The durableRequestIds at the given index.
+   */
+  public java.lang.String getDurableRequestIds(int index) {
+    return durableRequestIds_.get(index);
+  }
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the durableRequestIds at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getDurableRequestIdsBytes(int index) {
+    return durableRequestIds_.getByteString(index);
+  }
+
+  public static final int HOLDER_CLOSED_FIELD_NUMBER = 2;
+  private boolean holderClosed_ = false;
+  /**
+   * <pre>
+   * The holder was closed: keep the receipts for the closer.
+   * </pre>
+   *
+   * <code>bool holder_closed = 2;</code>
+   * @return The holderClosed.
+   */
+  @java.lang.Override
+  public boolean getHolderClosed() {
+    return holderClosed_;
+  }
+
+  private byte memoizedIsInitialized = -1;
+  @java.lang.Override
+  public final boolean isInitialized() {
+    byte isInitialized = memoizedIsInitialized;
+    if (isInitialized == 1) return true;
+    if (isInitialized == 0) return false;
+
+    memoizedIsInitialized = 1;
+    return true;
+  }
+
+  @java.lang.Override
+  public void writeTo(com.google.protobuf.CodedOutputStream output)
+                      throws java.io.IOException {
+    for (int i = 0; i < durableRequestIds_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, durableRequestIds_.getRaw(i));
+    }
+    if (holderClosed_ != false) {
+      output.writeBool(2, holderClosed_);
+    }
+    getUnknownFields().writeTo(output);
+  }
+
+  @java.lang.Override
+  public int getSerializedSize() {
+    int size = memoizedSize;
+    if (size != -1) return size;
+
+    size = 0;
+    {
+      int dataSize = 0;
+      for (int i = 0; i < durableRequestIds_.size(); i++) {
+        dataSize += computeStringSizeNoTag(durableRequestIds_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getDurableRequestIdsList().size();
+    }
+    if (holderClosed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(2, holderClosed_);
+    }
+    size += getUnknownFields().getSerializedSize();
+    memoizedSize = size;
+    return size;
+  }
+
+  @java.lang.Override
+  public boolean equals(final java.lang.Object obj) {
+    if (obj == this) {
+     return true;
+    }
+    if (!(obj instanceof io.verbenacleat.proto.v1.SettleResponse)) {
+      return super.equals(obj);
+    }
+    io.verbenacleat.proto.v1.SettleResponse other = (io.verbenacleat.proto.v1.SettleResponse) obj;
+
+    if (!getDurableRequestIdsList()
+        .equals(other.getDurableRequestIdsList())) return false;
+    if (getHolderClosed()
+        != other.getHolderClosed()) return false;
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+    return true;
+  }
+
+  @java.lang.Override
+  public int hashCode() {
+    if (memoizedHashCode != 0) {
+      return memoizedHashCode;
+    }
+    int hash = 41;
+    hash = (19 * hash) + getDescriptor().hashCode();
+    if (getDurableRequestIdsCount() > 0) {
+      hash = (37 * hash) + DURABLE_REQUEST_IDS_FIELD_NUMBER;
+      hash = (53 * hash) + getDurableRequestIdsList().hashCode();
+    }
+    hash = (37 * hash) + HOLDER_CLOSED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getHolderClosed());
+    hash = (29 * hash) + getUnknownFields().hashCode();
+    memoizedHashCode = hash;
+    return hash;
+  }
+
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      java.nio.ByteBuffer data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      java.nio.ByteBuffer data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      com.google.protobuf.ByteString data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      com.google.protobuf.ByteString data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(byte[] data)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      byte[] data,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws com.google.protobuf.InvalidProtocolBufferException {
+    return PARSER.parseFrom(data, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  public static io.verbenacleat.proto.v1.SettleResponse parseDelimitedFrom(java.io.InputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input);
+  }
+
+  public static io.verbenacleat.proto.v1.SettleResponse parseDelimitedFrom(
+      java.io.InputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      com.google.protobuf.CodedInputStream input)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input);
+  }
+  public static io.verbenacleat.proto.v1.SettleResponse parseFrom(
+      com.google.protobuf.CodedInputStream input,
+      com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+      throws java.io.IOException {
+    return com.google.protobuf.GeneratedMessage
+        .parseWithIOException(PARSER, input, extensionRegistry);
+  }
+
+  @java.lang.Override
+  public Builder newBuilderForType() { return newBuilder(); }
+  public static Builder newBuilder() {
+    return DEFAULT_INSTANCE.toBuilder();
+  }
+  public static Builder newBuilder(io.verbenacleat.proto.v1.SettleResponse prototype) {
+    return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
+  }
+  @java.lang.Override
+  public Builder toBuilder() {
+    return this == DEFAULT_INSTANCE
+        ? new Builder() : new Builder().mergeFrom(this);
+  }
+
+  @java.lang.Override
+  protected Builder newBuilderForType(
+      com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+    Builder builder = new Builder(parent);
+    return builder;
+  }
+  /**
+   * Protobuf type {@code verbena.v1.SettleResponse}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessage.Builder<Builder> implements
+      // @@protoc_insertion_point(builder_implements:verbena.v1.SettleResponse)
+      io.verbenacleat.proto.v1.SettleResponseOrBuilder {
+    public static final com.google.protobuf.Descriptors.Descriptor
+        getDescriptor() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_descriptor;
+    }
+
+    @java.lang.Override
+    protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
+        internalGetFieldAccessorTable() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_fieldAccessorTable
+          .ensureFieldAccessorsInitialized(
+              io.verbenacleat.proto.v1.SettleResponse.class, io.verbenacleat.proto.v1.SettleResponse.Builder.class);
+    }
+
+    // Construct using io.verbenacleat.proto.v1.SettleResponse.newBuilder()
+    private Builder() {
+
+    }
+
+    private Builder(
+        com.google.protobuf.GeneratedMessage.BuilderParent parent) {
+      super(parent);
+
+    }
+    @java.lang.Override
+    public Builder clear() {
+      super.clear();
+      bitField0_ = 0;
+      durableRequestIds_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
+      holderClosed_ = false;
+      return this;
+    }
+
+    @java.lang.Override
+    public com.google.protobuf.Descriptors.Descriptor
+        getDescriptorForType() {
+      return io.verbenacleat.proto.v1.Verbena.internal_static_verbena_v1_SettleResponse_descriptor;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.SettleResponse getDefaultInstanceForType() {
+      return io.verbenacleat.proto.v1.SettleResponse.getDefaultInstance();
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.SettleResponse build() {
+      io.verbenacleat.proto.v1.SettleResponse result = buildPartial();
+      if (!result.isInitialized()) {
+        throw newUninitializedMessageException(result);
+      }
+      return result;
+    }
+
+    @java.lang.Override
+    public io.verbenacleat.proto.v1.SettleResponse buildPartial() {
+      io.verbenacleat.proto.v1.SettleResponse result = new io.verbenacleat.proto.v1.SettleResponse(this);
+      if (bitField0_ != 0) { buildPartial0(result); }
+      onBuilt();
+      return result;
+    }
+
+    private void buildPartial0(io.verbenacleat.proto.v1.SettleResponse result) {
+      int from_bitField0_ = bitField0_;
+      if (((from_bitField0_ & 0x00000001) != 0)) {
+        durableRequestIds_.makeImmutable();
+        result.durableRequestIds_ = durableRequestIds_;
+      }
+      if (((from_bitField0_ & 0x00000002) != 0)) {
+        result.holderClosed_ = holderClosed_;
+      }
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(com.google.protobuf.Message other) {
+      if (other instanceof io.verbenacleat.proto.v1.SettleResponse) {
+        return mergeFrom((io.verbenacleat.proto.v1.SettleResponse)other);
+      } else {
+        super.mergeFrom(other);
+        return this;
+      }
+    }
+
+    public Builder mergeFrom(io.verbenacleat.proto.v1.SettleResponse other) {
+      if (other == io.verbenacleat.proto.v1.SettleResponse.getDefaultInstance()) return this;
+      if (!other.durableRequestIds_.isEmpty()) {
+        if (durableRequestIds_.isEmpty()) {
+          durableRequestIds_ = other.durableRequestIds_;
+          bitField0_ |= 0x00000001;
+        } else {
+          ensureDurableRequestIdsIsMutable();
+          durableRequestIds_.addAll(other.durableRequestIds_);
+        }
+        onChanged();
+      }
+      if (other.getHolderClosed() != false) {
+        setHolderClosed(other.getHolderClosed());
+      }
+      this.mergeUnknownFields(other.getUnknownFields());
+      onChanged();
+      return this;
+    }
+
+    @java.lang.Override
+    public final boolean isInitialized() {
+      return true;
+    }
+
+    @java.lang.Override
+    public Builder mergeFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws java.io.IOException {
+      if (extensionRegistry == null) {
+        throw new java.lang.NullPointerException();
+      }
+      try {
+        boolean done = false;
+        while (!done) {
+          int tag = input.readTag();
+          switch (tag) {
+            case 0:
+              done = true;
+              break;
+            case 10: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureDurableRequestIdsIsMutable();
+              durableRequestIds_.add(s);
+              break;
+            } // case 10
+            case 16: {
+              holderClosed_ = input.readBool();
+              bitField0_ |= 0x00000002;
+              break;
+            } // case 16
+            default: {
+              if (!super.parseUnknownField(input, extensionRegistry, tag)) {
+                done = true; // was an endgroup tag
+              }
+              break;
+            } // default:
+          } // switch (tag)
+        } // while (!done)
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.unwrapIOException();
+      } finally {
+        onChanged();
+      } // finally
+      return this;
+    }
+    private int bitField0_;
+
+    private com.google.protobuf.LazyStringArrayList durableRequestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureDurableRequestIdsIsMutable() {
+      if (!durableRequestIds_.isModifiable()) {
+        durableRequestIds_ = new com.google.protobuf.LazyStringArrayList(durableRequestIds_);
+      }
+      bitField0_ |= 0x00000001;
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @return A list containing the durableRequestIds.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getDurableRequestIdsList() {
+      durableRequestIds_.makeImmutable();
+      return durableRequestIds_;
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @return The count of durableRequestIds.
+     */
+    public int getDurableRequestIdsCount() {
+      return durableRequestIds_.size();
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @param index The index of the element to return.
+     * @return The durableRequestIds at the given index.
+     */
+    public java.lang.String getDurableRequestIds(int index) {
+      return durableRequestIds_.get(index);
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the durableRequestIds at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getDurableRequestIdsBytes(int index) {
+      return durableRequestIds_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @param index The index to set the value at.
+     * @param value The durableRequestIds to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDurableRequestIds(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDurableRequestIdsIsMutable();
+      durableRequestIds_.set(index, value);
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @param value The durableRequestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDurableRequestIds(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureDurableRequestIdsIsMutable();
+      durableRequestIds_.add(value);
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @param values The durableRequestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllDurableRequestIds(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureDurableRequestIdsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, durableRequestIds_);
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDurableRequestIds() {
+      durableRequestIds_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000001);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests of this call whose receipts stand in the journal.
+     * </pre>
+     *
+     * <code>repeated string durable_request_ids = 1;</code>
+     * @param value The bytes of the durableRequestIds to add.
+     * @return This builder for chaining.
+     */
+    public Builder addDurableRequestIdsBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureDurableRequestIdsIsMutable();
+      durableRequestIds_.add(value);
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+
+    private boolean holderClosed_ ;
+    /**
+     * <pre>
+     * The holder was closed: keep the receipts for the closer.
+     * </pre>
+     *
+     * <code>bool holder_closed = 2;</code>
+     * @return The holderClosed.
+     */
+    @java.lang.Override
+    public boolean getHolderClosed() {
+      return holderClosed_;
+    }
+    /**
+     * <pre>
+     * The holder was closed: keep the receipts for the closer.
+     * </pre>
+     *
+     * <code>bool holder_closed = 2;</code>
+     * @param value The holderClosed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHolderClosed(boolean value) {
+
+      holderClosed_ = value;
+      bitField0_ |= 0x00000002;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The holder was closed: keep the receipts for the closer.
+     * </pre>
+     *
+     * <code>bool holder_closed = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHolderClosed() {
+      bitField0_ = (bitField0_ & ~0x00000002);
+      holderClosed_ = false;
+      onChanged();
+      return this;
+    }
+
+    // @@protoc_insertion_point(builder_scope:verbena.v1.SettleResponse)
+  }
+
+  // @@protoc_insertion_point(class_scope:verbena.v1.SettleResponse)
+  private static final io.verbenacleat.proto.v1.SettleResponse DEFAULT_INSTANCE;
+  static {
+    DEFAULT_INSTANCE = new io.verbenacleat.proto.v1.SettleResponse();
+  }
+
+  public static io.verbenacleat.proto.v1.SettleResponse getDefaultInstance() {
+    return DEFAULT_INSTANCE;
+  }
+
+  private static final com.google.protobuf.Parser<SettleResponse>
+      PARSER = new com.google.protobuf.AbstractParser<SettleResponse>() {
+    @java.lang.Override
+    public SettleResponse parsePartialFrom(
+        com.google.protobuf.CodedInputStream input,
+        com.google.protobuf.ExtensionRegistryLite extensionRegistry)
+        throws com.google.protobuf.InvalidProtocolBufferException {
+      Builder builder = newBuilder();
+      try {
+        builder.mergeFrom(input, extensionRegistry);
+      } catch (com.google.protobuf.InvalidProtocolBufferException e) {
+        throw e.setUnfinishedMessage(builder.buildPartial());
+      } catch (com.google.protobuf.UninitializedMessageException e) {
+        throw e.asInvalidProtocolBufferException().setUnfinishedMessage(builder.buildPartial());
+      } catch (java.io.IOException e) {
+        throw new com.google.protobuf.InvalidProtocolBufferException(e)
+            .setUnfinishedMessage(builder.buildPartial());
+      }
+      return builder.buildPartial();
+    }
+  };
+
+  public static com.google.protobuf.Parser<SettleResponse> parser() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public com.google.protobuf.Parser<SettleResponse> getParserForType() {
+    return PARSER;
+  }
+
+  @java.lang.Override
+  public io.verbenacleat.proto.v1.SettleResponse getDefaultInstanceForType() {
+    return DEFAULT_INSTANCE;
+  }
 
 }
+
--- a/proto/src/main/java/io/verbenacleat/proto/v1/SettleResponseOrBuilder.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/SettleResponseOrBuilder.java
@@ -6,59 +6,57 @@
 package io.verbenacleat.proto.v1;
 
 public interface SettleResponseOrBuilder extends
-		// @@protoc_insertion_point(interface_extends:verbena.v1.SettleResponse)
-		com.google.protobuf.MessageOrBuilder {
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @return A list containing the durableRequestIds.
-	 */
-	java.util.List<java.lang.String> getDurableRequestIdsList();
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @return The count of durableRequestIds.
-	 */
-	int getDurableRequestIdsCount();
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @param index The index of the element to return.
-	 * @return The durableRequestIds at the given index.
-	 */
-	java.lang.String getDurableRequestIds(int index);
-
-	/**
-	 * <pre>
-	 * Requests of this call whose receipts stand in the journal.
-	 * </pre>
-	 *
-	 * <code>repeated string durable_request_ids = 1;</code>
-	 * @param index The index of the value to return.
-	 * @return The bytes of the durableRequestIds at the given index.
-	 */
-	com.google.protobuf.ByteString getDurableRequestIdsBytes(int index);
-
-	/**
-	 * <pre>
-	 * The holder was closed: keep the receipts for the closer.
-	 * </pre>
-	 *
-	 * <code>bool holder_closed = 2;</code>
-	 * @return The holderClosed.
-	 */
-	boolean getHolderClosed();
-
+    // @@protoc_insertion_point(interface_extends:verbena.v1.SettleResponse)
+    com.google.protobuf.MessageOrBuilder {
+
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @return A list containing the durableRequestIds.
+   */
+  java.util.List<java.lang.String>
+      getDurableRequestIdsList();
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @return The count of durableRequestIds.
+   */
+  int getDurableRequestIdsCount();
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @param index The index of the element to return.
+   * @return The durableRequestIds at the given index.
+   */
+  java.lang.String getDurableRequestIds(int index);
+  /**
+   * <pre>
+   * Requests of this call whose receipts stand in the journal.
+   * </pre>
+   *
+   * <code>repeated string durable_request_ids = 1;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the durableRequestIds at the given index.
+   */
+  com.google.protobuf.ByteString
+      getDurableRequestIdsBytes(int index);
+
+  /**
+   * <pre>
+   * The holder was closed: keep the receipts for the closer.
+   * </pre>
+   *
+   * <code>bool holder_closed = 2;</code>
+   * @return The holderClosed.
+   */
+  boolean getHolderClosed();
 }
