--- a/proto/src/main/java/io/verbenacleat/proto/v1/Verbena.java
+++ b/proto/src/main/java/io/verbenacleat/proto/v1/Verbena.java
@@ -6,297 +6,439 @@
 package io.verbenacleat.proto.v1;
 
 public final class Verbena {
+  private Verbena() {}
+  static {
+    com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+      com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+      /* major= */ 4,
+      /* minor= */ 30,
+      /* patch= */ 2,
+      /* suffix= */ "",
+      Verbena.class.getName());
+  }
+  public static void registerAllExtensions(
+      com.google.protobuf.ExtensionRegistryLite registry) {
+  }
 
-	private Verbena() {
-	}
+  public static void registerAllExtensions(
+      com.google.protobuf.ExtensionRegistry registry) {
+    registerAllExtensions(
+        (com.google.protobuf.ExtensionRegistryLite) registry);
+  }
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_OrderId_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_OrderId_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_HttpHeader_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_HttpHeader_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ChatWork_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ChatWork_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_HttpWork_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_HttpWork_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ExecuteRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_Accepted_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_Accepted_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_Refused_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_Refused_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_HttpHead_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_HttpHead_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_Finished_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_Finished_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ExecuteEvent_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_Receipt_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_Receipt_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ResolveOrderRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ResolveOrderResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_CloseProcessRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_CloseProcessResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_GetStatusRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_GetStatusRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_GetStatusResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ReserveRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ReserveRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_HolderGrant_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_HolderGrant_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ReserveResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ReserveResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_SettleRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_SettleRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_SettleResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_SettleResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ReleaseRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ReleaseResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ProbeRequest_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ProbeRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_verbena_v1_ProbeResponse_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_verbena_v1_ProbeResponse_fieldAccessorTable;
 
-	static {
-		com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-				com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC, /* major= */ 4,
-				/* minor= */ 30, /* patch= */ 2, /* suffix= */ "", Verbena.class.getName());
-	}
-
-	public static void registerAllExtensions(com.google.protobuf.ExtensionRegistryLite registry) {
-	}
-
-	public static void registerAllExtensions(com.google.protobuf.ExtensionRegistry registry) {
-		registerAllExtensions((com.google.protobuf.ExtensionRegistryLite) registry);
-	}
-
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_OrderId_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_OrderId_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_HttpHeader_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_HttpHeader_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ChatWork_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ChatWork_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_HttpWork_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_HttpWork_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ExecuteRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_Accepted_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_Accepted_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_Refused_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_Refused_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_HttpHead_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_HttpHead_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_Finished_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_Finished_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ExecuteEvent_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_Receipt_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_Receipt_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ResolveOrderRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ResolveOrderResponse_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_CloseProcessRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_CloseProcessResponse_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_GetStatusRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_GetStatusRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_GetStatusResponse_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ReserveRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ReserveRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_HolderGrant_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_HolderGrant_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ReserveResponse_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ReserveResponse_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_SettleRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_SettleRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_SettleResponse_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_SettleResponse_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ReleaseRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ReleaseResponse_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ProbeRequest_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ProbeRequest_fieldAccessorTable;
-	static final com.google.protobuf.Descriptors.Descriptor internal_static_verbena_v1_ProbeResponse_descriptor;
-	static final com.google.protobuf.GeneratedMessage.FieldAccessorTable internal_static_verbena_v1_ProbeResponse_fieldAccessorTable;
-
-	public static com.google.protobuf.Descriptors.FileDescriptor getDescriptor() {
-		return descriptor;
-	}
-
-	private static com.google.protobuf.Descriptors.FileDescriptor descriptor;
-	static {
-		java.lang.String[] descriptorData = { "\n\030verbena/v1/verbena.proto\022\nverbena.v1\"S"
-				+ "\n\007OrderId\022\033\n\023gateway_incarnation\030\001 \001(\t\022\031"
-				+ "\n\021agent_incarnation\030\002 \001(\t\022\020\n\010sequence\030\003 "
-				+ "\001(\003\")\n\nHttpHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value"
-				+ "\030\002 \001(\t\"f\n\010ChatWork\022\r\n\005model\030\001 \001(\t\022\021\n\tbod"
-				+ "y_json\030\002 \001(\014\022\033\n\023prompt_bound_tokens\030\003 \001("
-				+ "\003\022\033\n\023answer_bound_tokens\030\004 \001(\003\"\220\001\n\010HttpW"
-				+ "ork\022\017\n\007service\030\001 \001(\t\022\016\n\006method\030\002 \001(\t\022\026\n\016"
-				+ "path_and_query\030\003 \001(\t\022\'\n\007headers\030\004 \003(\0132\026."
-				+ "verbena.v1.HttpHeader\022\014\n\004body\030\005 \001(\014\022\024\n\014p"
-				+ "rice_tokens\030\006 \001(\003\"\367\002\n\016ExecuteRequest\022%\n\010"
-				+ "order_id\030\001 \001(\0132\023.verbena.v1.OrderId\022\022\n\nr"
-				+ "equest_id\030\002 \001(\t\022\017\n\007account\030\003 \001(\t\022\021\n\tcall"
-				+ "er_id\030\004 \001(\t\022\021\n\tworkspace\030\005 \001(\t\022\032\n\022holder"
-				+ "_incarnation\030\006 \001(\t\022\026\n\016holder_address\030\007 \001"
-				+ "(\t\022\027\n\017reserved_tokens\030\010 \001(\003\022\022\n\nrepeatabl"
-				+ "e\030\t \001(\010\022\020\n\010priority\030\n \001(\005\022\022\n\ntimeout_ms\030"
-				+ "\013 \001(\003\022\030\n\020resolved_through\030\014 \001(\003\022$\n\004chat\030"
-				+ "\r \001(\0132\024.verbena.v1.ChatWorkH\000\022$\n\004http\030\016 "
-				+ "\001(\0132\024.verbena.v1.HttpWorkH\000B\006\n\004work\"\n\n\010A"
-				+ "ccepted\"\\\n\007Refused\022)\n\006reason\030\001 \001(\0162\031.ver"
-				+ "bena.v1.RefusalReason\022\016\n\006detail\030\002 \001(\t\022\026\n"
-				+ "\016retry_after_ms\030\003 \001(\003\"C\n\010HttpHead\022\016\n\006sta"
-				+ "tus\030\001 \001(\005\022\'\n\007headers\030\002 \003(\0132\026.verbena.v1."
-				+ "HttpHeader\"r\n\010Finished\022\022\n\npart_count\030\001 \001"
-				+ "(\003\022$\n\007receipt\030\002 \001(\0132\023.verbena.v1.Receipt"
-				+ "\022\024\n\014failure_code\030\003 \001(\t\022\026\n\016failure_detail"
-				+ "\030\004 \001(\t\"\376\001\n\014ExecuteEvent\022\023\n\013part_number\030\001"
-				+ " \001(\003\022(\n\010accepted\030\002 \001(\0132\024.verbena.v1.Acce"
-				+ "ptedH\000\022&\n\007refused\030\003 \001(\0132\023.verbena.v1.Ref"
-				+ "usedH\000\022\024\n\nchat_chunk\030\004 \001(\014H\000\022)\n\thttp_hea"
-				+ "d\030\005 \001(\0132\024.verbena.v1.HttpHeadH\000\022\023\n\thttp_"
-				+ "body\030\006 \001(\014H\000\022(\n\010finished\030\007 \001(\0132\024.verbena"
-				+ ".v1.FinishedH\000B\007\n\005event\"\340\002\n\007Receipt\022\022\n\nr"
-				+ "equest_id\030\001 \001(\t\022%\n\010order_id\030\002 \001(\0132\023.verb"
-				+ "ena.v1.OrderId\022\017\n\007account\030\003 \001(\t\022\021\n\tcalle"
-				+ "r_id\030\004 \001(\t\022\032\n\022holder_incarnation\030\005 \001(\t\022\026"
-				+ "\n\016backend_server\030\006 \001(\t\022\016\n\006target\030\007 \001(\t\022\025"
-				+ "\n\rprompt_tokens\030\010 \001(\003\022\025\n\ranswer_tokens\030\t"
-				+ " \001(\003\022\025\n\rbilled_tokens\030\n \001(\003\022\023\n\013held_toke"
-				+ "ns\030\013 \001(\003\022)\n\006status\030\014 \001(\0162\031.verbena.v1.Re"
-				+ "ceiptStatus\022\025\n\rstarted_at_ms\030\r \001(\003\022\026\n\016fi"
-				+ "nished_at_ms\030\016 \001(\003\"L\n\023ResolveOrderReques"
-				+ "t\022%\n\010order_id\030\001 \001(\0132\023.verbena.v1.OrderId"
-				+ "\022\016\n\006cancel\030\002 \001(\010\"\237\001\n\024ResolveOrderRespons"
-				+ "e\022%\n\005state\030\001 \001(\0162\026.verbena.v1.OrderState"
-				+ "\022$\n\007receipt\030\002 \001(\0132\023.verbena.v1.Receipt\022\'"
-				+ "\n\thttp_head\030\003 \001(\0132\024.verbena.v1.HttpHead\022"
-				+ "\021\n\thttp_body\030\004 \001(\014\"F\n\023CloseProcessReques"
-				+ "t\022\023\n\013incarnation\030\001 \001(\t\022\032\n\022asking_incarna"
-				+ "tion\030\002 \001(\t\"p\n\024CloseProcessResponse\022\023\n\013in"
-				+ "_progress\030\001 \001(\005\022%\n\010receipts\030\002 \003(\0132\023.verb"
-				+ "ena.v1.Receipt\022\034\n\024executed_request_ids\030\003"
-				+ " \003(\t\"\022\n\020GetStatusRequest\"\232\001\n\021GetStatusRe"
-				+ "sponse\022\023\n\013incarnation\030\001 \001(\t\022\026\n\016backend_s"
-				+ "erver\030\002 \001(\t\022\020\n\010draining\030\003 \001(\010\022\023\n\013in_prog"
-				+ "ress\030\004 \001(\005\022\026\n\016config_version\030\005 \001(\003\022\031\n\021ba"
-				+ "ckend_reachable\030\006 \001(\010\"\211\001\n\016ReserveRequest"
-				+ "\022\022\n\nrequest_id\030\001 \001(\t\022\033\n\023gateway_incarnat"
-				+ "ion\030\002 \001(\t\022\017\n\007account\030\003 \001(\t\022\022\n\nkey_sha256"
-				+ "\030\004 \001(\t\022\016\n\006tokens\030\005 \001(\003\022\021\n\tforwarded\030\006 \001("
-				+ "\010\"O\n\013HolderGrant\022\032\n\022holder_incarnation\030\001"
-				+ " \001(\t\022\017\n\007address\030\002 \001(\t\022\023\n\013rest_tokens\030\003 \001"
-				+ "(\003\"\352\001\n\017ReserveResponse\022+\n\007refusal\030\001 \001(\0162"
-				+ "\032.verbena.v1.ReserveRefusal\022\017\n\007granted\030\002"
-				+ " \001(\010\022\032\n\022holder_incarnation\030\003 \001(\t\022\021\n\tcall"
-				+ "er_id\030\004 \001(\t\022\021\n\tworkspace\030\005 \001(\t\022\020\n\010priori"
-				+ "ty\030\006 \001(\005\022\026\n\016retry_after_ms\030\007 \001(\003\022-\n\014alte"
-				+ "rnatives\030\010 \003(\0132\027.verbena.v1.HolderGrant\""
-				+ "6\n\rSettleRequest\022%\n\010receipts\030\001 \003(\0132\023.ver"
-				+ "bena.v1.Receipt\"D\n\016SettleResponse\022\033\n\023dur"
-				+ "able_request_ids\030\001 \003(\t\022\025\n\rholder_closed\030"
-				+ "\002 \001(\010\"A\n\016ReleaseRequest\022\032\n\022holder_incarn"
-				+ "ation\030\001 \001(\t\022\023\n\013request_ids\030\002 \003(\t\"\021\n\017Rele"
-				+ "aseResponse\"#\n\014ProbeRequest\022\023\n\013incarnati"
-				+ "on\030\001 \001(\t\"N\n\rProbeResponse\022\023\n\013incarnation"
-				+ "\030\001 \001(\t\022\020\n\010draining\030\002 \001(\010\022\026\n\016config_versi"
-				+ "on\030\003 \001(\003*\362\001\n\rRefusalReason\022\036\n\032REFUSAL_RE"
-				+ "ASON_UNSPECIFIED\020\000\022\025\n\021WRONG_INCARNATION\020"
-				+ "\001\022\022\n\016GATEWAY_CLOSED\020\002\022\021\n\rHOLDER_CLOSED\020\003"
-				+ "\022\016\n\nTOMBSTONED\020\004\022\014\n\010DRAINING\020\005\022\016\n\nOVERLO"
-				+ "ADED\020\006\022\024\n\020MODEL_NOT_SERVED\020\007\022\027\n\023BACKEND_"
-				+ "UNREACHABLE\020\010\022\023\n\017DUPLICATE_ORDER\020\t\022\021\n\rIN"
-				+ "VALID_ORDER\020\n*q\n\rReceiptStatus\022\036\n\032RECEIP"
-				+ "T_STATUS_UNSPECIFIED\020\000\022\014\n\010COMPLETE\020\001\022\007\n\003"
-				+ "CUT\020\002\022\r\n\tCANCELLED\020\003\022\n\n\006FAILED\020\004\022\016\n\nTAKE"
-				+ "N_OVER\020\005*f\n\nOrderState\022\033\n\027ORDER_STATE_UN"
-				+ "SPECIFIED\020\000\022\021\n\rNEVER_STARTED\020\001\022\013\n\007RUNNIN"
-				+ "G\020\002\022\014\n\010FINISHED\020\003\022\r\n\tFORGOTTEN\020\004*\320\001\n\016Res"
-				+ "erveRefusal\022\037\n\033RESERVE_REFUSAL_UNSPECIFI"
-				+ "ED\020\000\022\023\n\017UNKNOWN_ACCOUNT\020\001\022\017\n\013UNKNOWN_KEY"
-				+ "\020\002\022\017\n\013REVOKED_KEY\020\003\022\023\n\017QUOTA_EXHAUSTED\020\004"
-				+ "\022\023\n\017BUDGET_RESERVED\020\005\022\025\n\021TABLE_UNREACHAB"
-				+ "LE\020\006\022\023\n\017HOLDER_NOT_OPEN\020\007\022\020\n\014JOURNAL_FUL"
-				+ "L\020\0102\301\002\n\014AgentService\022A\n\007Execute\022\032.verben"
-				+ "a.v1.ExecuteRequest\032\030.verbena.v1.Execute"
-				+ "Event0\001\022Q\n\014ResolveOrder\022\037.verbena.v1.Res"
-				+ "olveOrderRequest\032 .verbena.v1.ResolveOrd"
-				+ "erResponse\022Q\n\014CloseProcess\022\037.verbena.v1."
-				+ "CloseProcessRequest\032 .verbena.v1.ClosePr" + "ocessResponse\022H\n\tGetStatus\022\034.verbena.v1."
-				+ "GetStatusRequest\032\035.verbena.v1.GetStatusR"
-				+ "esponse2\226\002\n\rHolderService\022B\n\007Reserve\022\032.v"
-				+ "erbena.v1.ReserveRequest\032\033.verbena.v1.Re"
-				+ "serveResponse\022?\n\006Settle\022\031.verbena.v1.Set"
-				+ "tleRequest\032\032.verbena.v1.SettleResponse\022B"
-				+ "\n\007Release\022\032.verbena.v1.ReleaseRequest\032\033."
-				+ "verbena.v1.ReleaseResponse\022<\n\005Probe\022\030.ve"
-				+ "rbena.v1.ProbeRequest\032\031.verbena.v1.Probe"
-				+ "ResponseB\034\n\030io.verbenacleat.proto.v1P\001b\006" + "proto3" };
-		descriptor = com.google.protobuf.Descriptors.FileDescriptor.internalBuildGeneratedFileFrom(descriptorData,
-				new com.google.protobuf.Descriptors.FileDescriptor[] {});
-		internal_static_verbena_v1_OrderId_descriptor = getDescriptor().getMessageTypes().get(0);
-		internal_static_verbena_v1_OrderId_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_OrderId_descriptor,
-				new java.lang.String[] { "GatewayIncarnation", "AgentIncarnation", "Sequence", });
-		internal_static_verbena_v1_HttpHeader_descriptor = getDescriptor().getMessageTypes().get(1);
-		internal_static_verbena_v1_HttpHeader_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_HttpHeader_descriptor, new java.lang.String[] { "Name", "Value", });
-		internal_static_verbena_v1_ChatWork_descriptor = getDescriptor().getMessageTypes().get(2);
-		internal_static_verbena_v1_ChatWork_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ChatWork_descriptor,
-				new java.lang.String[] { "Model", "BodyJson", "PromptBoundTokens", "AnswerBoundTokens", });
-		internal_static_verbena_v1_HttpWork_descriptor = getDescriptor().getMessageTypes().get(3);
-		internal_static_verbena_v1_HttpWork_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_HttpWork_descriptor,
-				new java.lang.String[] { "Service", "Method", "PathAndQuery", "Headers", "Body", "PriceTokens", });
-		internal_static_verbena_v1_ExecuteRequest_descriptor = getDescriptor().getMessageTypes().get(4);
-		internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ExecuteRequest_descriptor,
-				new java.lang.String[] { "OrderId", "RequestId", "Account", "CallerId", "Workspace",
-						"HolderIncarnation", "HolderAddress", "ReservedTokens", "Repeatable", "Priority", "TimeoutMs",
-						"ResolvedThrough", "Chat", "Http", "Work", });
-		internal_static_verbena_v1_Accepted_descriptor = getDescriptor().getMessageTypes().get(5);
-		internal_static_verbena_v1_Accepted_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_Accepted_descriptor, new java.lang.String[] {});
-		internal_static_verbena_v1_Refused_descriptor = getDescriptor().getMessageTypes().get(6);
-		internal_static_verbena_v1_Refused_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_Refused_descriptor,
-				new java.lang.String[] { "Reason", "Detail", "RetryAfterMs", });
-		internal_static_verbena_v1_HttpHead_descriptor = getDescriptor().getMessageTypes().get(7);
-		internal_static_verbena_v1_HttpHead_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_HttpHead_descriptor, new java.lang.String[] { "Status", "Headers", });
-		internal_static_verbena_v1_Finished_descriptor = getDescriptor().getMessageTypes().get(8);
-		internal_static_verbena_v1_Finished_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_Finished_descriptor,
-				new java.lang.String[] { "PartCount", "Receipt", "FailureCode", "FailureDetail", });
-		internal_static_verbena_v1_ExecuteEvent_descriptor = getDescriptor().getMessageTypes().get(9);
-		internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ExecuteEvent_descriptor, new java.lang.String[] { "PartNumber", "Accepted",
-						"Refused", "ChatChunk", "HttpHead", "HttpBody", "Finished", "Event", });
-		internal_static_verbena_v1_Receipt_descriptor = getDescriptor().getMessageTypes().get(10);
-		internal_static_verbena_v1_Receipt_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_Receipt_descriptor,
-				new java.lang.String[] { "RequestId", "OrderId", "Account", "CallerId", "HolderIncarnation",
-						"BackendServer", "Target", "PromptTokens", "AnswerTokens", "BilledTokens", "HeldTokens",
-						"Status", "StartedAtMs", "FinishedAtMs", });
-		internal_static_verbena_v1_ResolveOrderRequest_descriptor = getDescriptor().getMessageTypes().get(11);
-		internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ResolveOrderRequest_descriptor,
-				new java.lang.String[] { "OrderId", "Cancel", });
-		internal_static_verbena_v1_ResolveOrderResponse_descriptor = getDescriptor().getMessageTypes().get(12);
-		internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ResolveOrderResponse_descriptor,
-				new java.lang.String[] { "State", "Receipt", "HttpHead", "HttpBody", });
-		internal_static_verbena_v1_CloseProcessRequest_descriptor = getDescriptor().getMessageTypes().get(13);
-		internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_CloseProcessRequest_descriptor,
-				new java.lang.String[] { "Incarnation", "AskingIncarnation", });
-		internal_static_verbena_v1_CloseProcessResponse_descriptor = getDescriptor().getMessageTypes().get(14);
-		internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_CloseProcessResponse_descriptor,
-				new java.lang.String[] { "InProgress", "Receipts", "ExecutedRequestIds", });
-		internal_static_verbena_v1_GetStatusRequest_descriptor = getDescriptor().getMessageTypes().get(15);
-		internal_static_verbena_v1_GetStatusRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_GetStatusRequest_descriptor, new java.lang.String[] {});
-		internal_static_verbena_v1_GetStatusResponse_descriptor = getDescriptor().getMessageTypes().get(16);
-		internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_GetStatusResponse_descriptor, new java.lang.String[] { "Incarnation",
-						"BackendServer", "Draining", "InProgress", "ConfigVersion", "BackendReachable", });
-		internal_static_verbena_v1_ReserveRequest_descriptor = getDescriptor().getMessageTypes().get(17);
-		internal_static_verbena_v1_ReserveRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ReserveRequest_descriptor, new java.lang.String[] { "RequestId",
-						"GatewayIncarnation", "Account", "KeySha256", "Tokens", "Forwarded", });
-		internal_static_verbena_v1_HolderGrant_descriptor = getDescriptor().getMessageTypes().get(18);
-		internal_static_verbena_v1_HolderGrant_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_HolderGrant_descriptor,
-				new java.lang.String[] { "HolderIncarnation", "Address", "RestTokens", });
-		internal_static_verbena_v1_ReserveResponse_descriptor = getDescriptor().getMessageTypes().get(19);
-		internal_static_verbena_v1_ReserveResponse_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ReserveResponse_descriptor, new java.lang.String[] { "Refusal", "Granted",
-						"HolderIncarnation", "CallerId", "Workspace", "Priority", "RetryAfterMs", "Alternatives", });
-		internal_static_verbena_v1_SettleRequest_descriptor = getDescriptor().getMessageTypes().get(20);
-		internal_static_verbena_v1_SettleRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_SettleRequest_descriptor, new java.lang.String[] { "Receipts", });
-		internal_static_verbena_v1_SettleResponse_descriptor = getDescriptor().getMessageTypes().get(21);
-		internal_static_verbena_v1_SettleResponse_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_SettleResponse_descriptor,
-				new java.lang.String[] { "DurableRequestIds", "HolderClosed", });
-		internal_static_verbena_v1_ReleaseRequest_descriptor = getDescriptor().getMessageTypes().get(22);
-		internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ReleaseRequest_descriptor,
-				new java.lang.String[] { "HolderIncarnation", "RequestIds", });
-		internal_static_verbena_v1_ReleaseResponse_descriptor = getDescriptor().getMessageTypes().get(23);
-		internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ReleaseResponse_descriptor, new java.lang.String[] {});
-		internal_static_verbena_v1_ProbeRequest_descriptor = getDescriptor().getMessageTypes().get(24);
-		internal_static_verbena_v1_ProbeRequest_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ProbeRequest_descriptor, new java.lang.String[] { "Incarnation", });
-		internal_static_verbena_v1_ProbeResponse_descriptor = getDescriptor().getMessageTypes().get(25);
-		internal_static_verbena_v1_ProbeResponse_fieldAccessorTable = new com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-				internal_static_verbena_v1_ProbeResponse_descriptor,
-				new java.lang.String[] { "Incarnation", "Draining", "ConfigVersion", });
-		descriptor.resolveAllFeaturesImmutable();
-	}
-
-	// @@protoc_insertion_point(outer_class_scope)
+  public static com.google.protobuf.Descriptors.FileDescriptor
+      getDescriptor() {
+    return descriptor;
+  }
+  private static  com.google.protobuf.Descriptors.FileDescriptor
+      descriptor;
+  static {
+    java.lang.String[] descriptorData = {
+      "\n\030verbena/v1/verbena.proto\022\nverbena.v1\"S" +
+      "\n\007OrderId\022\033\n\023gateway_incarnation\030\001 \001(\t\022\031" +
+      "\n\021agent_incarnation\030\002 \001(\t\022\020\n\010sequence\030\003 " +
+      "\001(\003\")\n\nHttpHeader\022\014\n\004name\030\001 \001(\t\022\r\n\005value" +
+      "\030\002 \001(\t\"f\n\010ChatWork\022\r\n\005model\030\001 \001(\t\022\021\n\tbod" +
+      "y_json\030\002 \001(\014\022\033\n\023prompt_bound_tokens\030\003 \001(" +
+      "\003\022\033\n\023answer_bound_tokens\030\004 \001(\003\"\220\001\n\010HttpW" +
+      "ork\022\017\n\007service\030\001 \001(\t\022\016\n\006method\030\002 \001(\t\022\026\n\016" +
+      "path_and_query\030\003 \001(\t\022\'\n\007headers\030\004 \003(\0132\026." +
+      "verbena.v1.HttpHeader\022\014\n\004body\030\005 \001(\014\022\024\n\014p" +
+      "rice_tokens\030\006 \001(\003\"\367\002\n\016ExecuteRequest\022%\n\010" +
+      "order_id\030\001 \001(\0132\023.verbena.v1.OrderId\022\022\n\nr" +
+      "equest_id\030\002 \001(\t\022\017\n\007account\030\003 \001(\t\022\021\n\tcall" +
+      "er_id\030\004 \001(\t\022\021\n\tworkspace\030\005 \001(\t\022\032\n\022holder" +
+      "_incarnation\030\006 \001(\t\022\026\n\016holder_address\030\007 \001" +
+      "(\t\022\027\n\017reserved_tokens\030\010 \001(\003\022\022\n\nrepeatabl" +
+      "e\030\t \001(\010\022\020\n\010priority\030\n \001(\005\022\022\n\ntimeout_ms\030" +
+      "\013 \001(\003\022\030\n\020resolved_through\030\014 \001(\003\022$\n\004chat\030" +
+      "\r \001(\0132\024.verbena.v1.ChatWorkH\000\022$\n\004http\030\016 " +
+      "\001(\0132\024.verbena.v1.HttpWorkH\000B\006\n\004work\"\n\n\010A" +
+      "ccepted\"\\\n\007Refused\022)\n\006reason\030\001 \001(\0162\031.ver" +
+      "bena.v1.RefusalReason\022\016\n\006detail\030\002 \001(\t\022\026\n" +
+      "\016retry_after_ms\030\003 \001(\003\"C\n\010HttpHead\022\016\n\006sta" +
+      "tus\030\001 \001(\005\022\'\n\007headers\030\002 \003(\0132\026.verbena.v1." +
+      "HttpHeader\"r\n\010Finished\022\022\n\npart_count\030\001 \001" +
+      "(\003\022$\n\007receipt\030\002 \001(\0132\023.verbena.v1.Receipt" +
+      "\022\024\n\014failure_code\030\003 \001(\t\022\026\n\016failure_detail" +
+      "\030\004 \001(\t\"\376\001\n\014ExecuteEvent\022\023\n\013part_number\030\001" +
+      " \001(\003\022(\n\010accepted\030\002 \001(\0132\024.verbena.v1.Acce" +
+      "ptedH\000\022&\n\007refused\030\003 \001(\0132\023.verbena.v1.Ref" +
+      "usedH\000\022\024\n\nchat_chunk\030\004 \001(\014H\000\022)\n\thttp_hea" +
+      "d\030\005 \001(\0132\024.verbena.v1.HttpHeadH\000\022\023\n\thttp_" +
+      "body\030\006 \001(\014H\000\022(\n\010finished\030\007 \001(\0132\024.verbena" +
+      ".v1.FinishedH\000B\007\n\005event\"\340\002\n\007Receipt\022\022\n\nr" +
+      "equest_id\030\001 \001(\t\022%\n\010order_id\030\002 \001(\0132\023.verb" +
+      "ena.v1.OrderId\022\017\n\007account\030\003 \001(\t\022\021\n\tcalle" +
+      "r_id\030\004 \001(\t\022\032\n\022holder_incarnation\030\005 \001(\t\022\026" +
+      "\n\016backend_server\030\006 \001(\t\022\016\n\006target\030\007 \001(\t\022\025" +
+      "\n\rprompt_tokens\030\010 \001(\003\022\025\n\ranswer_tokens\030\t" +
+      " \001(\003\022\025\n\rbilled_tokens\030\n \001(\003\022\023\n\013held_toke" +
+      "ns\030\013 \001(\003\022)\n\006status\030\014 \001(\0162\031.verbena.v1.Re" +
+      "ceiptStatus\022\025\n\rstarted_at_ms\030\r \001(\003\022\026\n\016fi" +
+      "nished_at_ms\030\016 \001(\003\"L\n\023ResolveOrderReques" +
+      "t\022%\n\010order_id\030\001 \001(\0132\023.verbena.v1.OrderId" +
+      "\022\016\n\006cancel\030\002 \001(\010\"\237\001\n\024ResolveOrderRespons" +
+      "e\022%\n\005state\030\001 \001(\0162\026.verbena.v1.OrderState" +
+      "\022$\n\007receipt\030\002 \001(\0132\023.verbena.v1.Receipt\022\'" +
+      "\n\thttp_head\030\003 \001(\0132\024.verbena.v1.HttpHead\022" +
+      "\021\n\thttp_body\030\004 \001(\014\"F\n\023CloseProcessReques" +
+      "t\022\023\n\013incarnation\030\001 \001(\t\022\032\n\022asking_incarna" +
+      "tion\030\002 \001(\t\"\213\001\n\024CloseProcessResponse\022\023\n\013i" +
+      "n_progress\030\001 \001(\005\022%\n\010receipts\030\002 \003(\0132\023.ver" +
+      "bena.v1.Receipt\022\034\n\024executed_request_ids\030" +
+      "\003 \003(\t\022\031\n\021agent_incarnation\030\004 \001(\t\"\022\n\020GetS" +
+      "tatusRequest\"\232\001\n\021GetStatusResponse\022\023\n\013in" +
+      "carnation\030\001 \001(\t\022\026\n\016backend_server\030\002 \001(\t\022" +
+      "\020\n\010draining\030\003 \001(\010\022\023\n\013in_progress\030\004 \001(\005\022\026" +
+      "\n\016config_version\030\005 \001(\003\022\031\n\021backend_reacha" +
+      "ble\030\006 \001(\010\"\211\001\n\016ReserveRequest\022\022\n\nrequest_" +
+      "id\030\001 \001(\t\022\033\n\023gateway_incarnation\030\002 \001(\t\022\017\n" +
+      "\007account\030\003 \001(\t\022\022\n\nkey_sha256\030\004 \001(\t\022\016\n\006to" +
+      "kens\030\005 \001(\003\022\021\n\tforwarded\030\006 \001(\010\"O\n\013HolderG" +
+      "rant\022\032\n\022holder_incarnation\030\001 \001(\t\022\017\n\007addr" +
+      "ess\030\002 \001(\t\022\023\n\013rest_tokens\030\003 \001(\003\"\352\001\n\017Reser" +
+      "veResponse\022+\n\007refusal\030\001 \001(\0162\032.verbena.v1" +
+      ".ReserveRefusal\022\017\n\007granted\030\002 \001(\010\022\032\n\022hold" +
+      "er_incarnation\030\003 \001(\t\022\021\n\tcaller_id\030\004 \001(\t\022" +
+      "\021\n\tworkspace\030\005 \001(\t\022\020\n\010priority\030\006 \001(\005\022\026\n\016" +
+      "retry_after_ms\030\007 \001(\003\022-\n\014alternatives\030\010 \003" +
+      "(\0132\027.verbena.v1.HolderGrant\"6\n\rSettleReq" +
+      "uest\022%\n\010receipts\030\001 \003(\0132\023.verbena.v1.Rece" +
+      "ipt\"D\n\016SettleResponse\022\033\n\023durable_request" +
+      "_ids\030\001 \003(\t\022\025\n\rholder_closed\030\002 \001(\010\"A\n\016Rel" +
+      "easeRequest\022\032\n\022holder_incarnation\030\001 \001(\t\022" +
+      "\023\n\013request_ids\030\002 \003(\t\"\021\n\017ReleaseResponse\"" +
+      "#\n\014ProbeRequest\022\023\n\013incarnation\030\001 \001(\t\"N\n\r" +
+      "ProbeResponse\022\023\n\013incarnation\030\001 \001(\t\022\020\n\010dr" +
+      "aining\030\002 \001(\010\022\026\n\016config_version\030\003 \001(\003*\204\002\n" +
+      "\rRefusalReason\022\036\n\032REFUSAL_REASON_UNSPECI" +
+      "FIED\020\000\022\025\n\021WRONG_INCARNATION\020\001\022\022\n\016GATEWAY" +
+      "_CLOSED\020\002\022\021\n\rHOLDER_CLOSED\020\003\022\016\n\nTOMBSTON" +
+      "ED\020\004\022\014\n\010DRAINING\020\005\022\016\n\nOVERLOADED\020\006\022\024\n\020MO" +
+      "DEL_NOT_SERVED\020\007\022\027\n\023BACKEND_UNREACHABLE\020" +
+      "\010\022\023\n\017DUPLICATE_ORDER\020\t\022\021\n\rINVALID_ORDER\020" +
+      "\n\022\020\n\014NOT_A_MEMBER\020\013*q\n\rReceiptStatus\022\036\n\032" +
+      "RECEIPT_STATUS_UNSPECIFIED\020\000\022\014\n\010COMPLETE" +
+      "\020\001\022\007\n\003CUT\020\002\022\r\n\tCANCELLED\020\003\022\n\n\006FAILED\020\004\022\016" +
+      "\n\nTAKEN_OVER\020\005*f\n\nOrderState\022\033\n\027ORDER_ST" +
+      "ATE_UNSPECIFIED\020\000\022\021\n\rNEVER_STARTED\020\001\022\013\n\007" +
+      "RUNNING\020\002\022\014\n\010FINISHED\020\003\022\r\n\tFORGOTTEN\020\004*\320" +
+      "\001\n\016ReserveRefusal\022\037\n\033RESERVE_REFUSAL_UNS" +
+      "PECIFIED\020\000\022\023\n\017UNKNOWN_ACCOUNT\020\001\022\017\n\013UNKNO" +
+      "WN_KEY\020\002\022\017\n\013REVOKED_KEY\020\003\022\023\n\017QUOTA_EXHAU" +
+      "STED\020\004\022\023\n\017BUDGET_RESERVED\020\005\022\025\n\021TABLE_UNR" +
+      "EACHABLE\020\006\022\023\n\017HOLDER_NOT_OPEN\020\007\022\020\n\014JOURN" +
+      "AL_FULL\020\0102\301\002\n\014AgentService\022A\n\007Execute\022\032." +
+      "verbena.v1.ExecuteRequest\032\030.verbena.v1.E" +
+      "xecuteEvent0\001\022Q\n\014ResolveOrder\022\037.verbena." +
+      "v1.ResolveOrderRequest\032 .verbena.v1.Reso" +
+      "lveOrderResponse\022Q\n\014CloseProcess\022\037.verbe" +
+      "na.v1.CloseProcessRequest\032 .verbena.v1.C" +
+      "loseProcessResponse\022H\n\tGetStatus\022\034.verbe" +
+      "na.v1.GetStatusRequest\032\035.verbena.v1.GetS" +
+      "tatusResponse2\226\002\n\rHolderService\022B\n\007Reser" +
+      "ve\022\032.verbena.v1.ReserveRequest\032\033.verbena" +
+      ".v1.ReserveResponse\022?\n\006Settle\022\031.verbena." +
+      "v1.SettleRequest\032\032.verbena.v1.SettleResp" +
+      "onse\022B\n\007Release\022\032.verbena.v1.ReleaseRequ" +
+      "est\032\033.verbena.v1.ReleaseResponse\022<\n\005Prob" +
+      "e\022\030.verbena.v1.ProbeRequest\032\031.verbena.v1" +
+      ".ProbeResponseB\034\n\030io.verbenacleat.proto." +
+      "v1P\001b\006proto3"
+    };
+    descriptor = com.google.protobuf.Descriptors.FileDescriptor
+      .internalBuildGeneratedFileFrom(descriptorData,
+        new com.google.protobuf.Descriptors.FileDescriptor[] {
+        });
+    internal_static_verbena_v1_OrderId_descriptor =
+      getDescriptor().getMessageTypes().get(0);
+    internal_static_verbena_v1_OrderId_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_OrderId_descriptor,
+        new java.lang.String[] { "GatewayIncarnation", "AgentIncarnation", "Sequence", });
+    internal_static_verbena_v1_HttpHeader_descriptor =
+      getDescriptor().getMessageTypes().get(1);
+    internal_static_verbena_v1_HttpHeader_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_HttpHeader_descriptor,
+        new java.lang.String[] { "Name", "Value", });
+    internal_static_verbena_v1_ChatWork_descriptor =
+      getDescriptor().getMessageTypes().get(2);
+    internal_static_verbena_v1_ChatWork_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ChatWork_descriptor,
+        new java.lang.String[] { "Model", "BodyJson", "PromptBoundTokens", "AnswerBoundTokens", });
+    internal_static_verbena_v1_HttpWork_descriptor =
+      getDescriptor().getMessageTypes().get(3);
+    internal_static_verbena_v1_HttpWork_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_HttpWork_descriptor,
+        new java.lang.String[] { "Service", "Method", "PathAndQuery", "Headers", "Body", "PriceTokens", });
+    internal_static_verbena_v1_ExecuteRequest_descriptor =
+      getDescriptor().getMessageTypes().get(4);
+    internal_static_verbena_v1_ExecuteRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ExecuteRequest_descriptor,
+        new java.lang.String[] { "OrderId", "RequestId", "Account", "CallerId", "Workspace", "HolderIncarnation", "HolderAddress", "ReservedTokens", "Repeatable", "Priority", "TimeoutMs", "ResolvedThrough", "Chat", "Http", "Work", });
+    internal_static_verbena_v1_Accepted_descriptor =
+      getDescriptor().getMessageTypes().get(5);
+    internal_static_verbena_v1_Accepted_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_Accepted_descriptor,
+        new java.lang.String[] { });
+    internal_static_verbena_v1_Refused_descriptor =
+      getDescriptor().getMessageTypes().get(6);
+    internal_static_verbena_v1_Refused_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_Refused_descriptor,
+        new java.lang.String[] { "Reason", "Detail", "RetryAfterMs", });
+    internal_static_verbena_v1_HttpHead_descriptor =
+      getDescriptor().getMessageTypes().get(7);
+    internal_static_verbena_v1_HttpHead_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_HttpHead_descriptor,
+        new java.lang.String[] { "Status", "Headers", });
+    internal_static_verbena_v1_Finished_descriptor =
+      getDescriptor().getMessageTypes().get(8);
+    internal_static_verbena_v1_Finished_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_Finished_descriptor,
+        new java.lang.String[] { "PartCount", "Receipt", "FailureCode", "FailureDetail", });
+    internal_static_verbena_v1_ExecuteEvent_descriptor =
+      getDescriptor().getMessageTypes().get(9);
+    internal_static_verbena_v1_ExecuteEvent_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ExecuteEvent_descriptor,
+        new java.lang.String[] { "PartNumber", "Accepted", "Refused", "ChatChunk", "HttpHead", "HttpBody", "Finished", "Event", });
+    internal_static_verbena_v1_Receipt_descriptor =
+      getDescriptor().getMessageTypes().get(10);
+    internal_static_verbena_v1_Receipt_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_Receipt_descriptor,
+        new java.lang.String[] { "RequestId", "OrderId", "Account", "CallerId", "HolderIncarnation", "BackendServer", "Target", "PromptTokens", "AnswerTokens", "BilledTokens", "HeldTokens", "Status", "StartedAtMs", "FinishedAtMs", });
+    internal_static_verbena_v1_ResolveOrderRequest_descriptor =
+      getDescriptor().getMessageTypes().get(11);
+    internal_static_verbena_v1_ResolveOrderRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ResolveOrderRequest_descriptor,
+        new java.lang.String[] { "OrderId", "Cancel", });
+    internal_static_verbena_v1_ResolveOrderResponse_descriptor =
+      getDescriptor().getMessageTypes().get(12);
+    internal_static_verbena_v1_ResolveOrderResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ResolveOrderResponse_descriptor,
+        new java.lang.String[] { "State", "Receipt", "HttpHead", "HttpBody", });
+    internal_static_verbena_v1_CloseProcessRequest_descriptor =
+      getDescriptor().getMessageTypes().get(13);
+    internal_static_verbena_v1_CloseProcessRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_CloseProcessRequest_descriptor,
+        new java.lang.String[] { "Incarnation", "AskingIncarnation", });
+    internal_static_verbena_v1_CloseProcessResponse_descriptor =
+      getDescriptor().getMessageTypes().get(14);
+    internal_static_verbena_v1_CloseProcessResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_CloseProcessResponse_descriptor,
+        new java.lang.String[] { "InProgress", "Receipts", "ExecutedRequestIds", "AgentIncarnation", });
+    internal_static_verbena_v1_GetStatusRequest_descriptor =
+      getDescriptor().getMessageTypes().get(15);
+    internal_static_verbena_v1_GetStatusRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_GetStatusRequest_descriptor,
+        new java.lang.String[] { });
+    internal_static_verbena_v1_GetStatusResponse_descriptor =
+      getDescriptor().getMessageTypes().get(16);
+    internal_static_verbena_v1_GetStatusResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_GetStatusResponse_descriptor,
+        new java.lang.String[] { "Incarnation", "BackendServer", "Draining", "InProgress", "ConfigVersion", "BackendReachable", });
+    internal_static_verbena_v1_ReserveRequest_descriptor =
+      getDescriptor().getMessageTypes().get(17);
+    internal_static_verbena_v1_ReserveRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ReserveRequest_descriptor,
+        new java.lang.String[] { "RequestId", "GatewayIncarnation", "Account", "KeySha256", "Tokens", "Forwarded", });
+    internal_static_verbena_v1_HolderGrant_descriptor =
+      getDescriptor().getMessageTypes().get(18);
+    internal_static_verbena_v1_HolderGrant_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_HolderGrant_descriptor,
+        new java.lang.String[] { "HolderIncarnation", "Address", "RestTokens", });
+    internal_static_verbena_v1_ReserveResponse_descriptor =
+      getDescriptor().getMessageTypes().get(19);
+    internal_static_verbena_v1_ReserveResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ReserveResponse_descriptor,
+        new java.lang.String[] { "Refusal", "Granted", "HolderIncarnation", "CallerId", "Workspace", "Priority", "RetryAfterMs", "Alternatives", });
+    internal_static_verbena_v1_SettleRequest_descriptor =
+      getDescriptor().getMessageTypes().get(20);
+    internal_static_verbena_v1_SettleRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_SettleRequest_descriptor,
+        new java.lang.String[] { "Receipts", });
+    internal_static_verbena_v1_SettleResponse_descriptor =
+      getDescriptor().getMessageTypes().get(21);
+    internal_static_verbena_v1_SettleResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_SettleResponse_descriptor,
+        new java.lang.String[] { "DurableRequestIds", "HolderClosed", });
+    internal_static_verbena_v1_ReleaseRequest_descriptor =
+      getDescriptor().getMessageTypes().get(22);
+    internal_static_verbena_v1_ReleaseRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ReleaseRequest_descriptor,
+        new java.lang.String[] { "HolderIncarnation", "RequestIds", });
+    internal_static_verbena_v1_ReleaseResponse_descriptor =
+      getDescriptor().getMessageTypes().get(23);
+    internal_static_verbena_v1_ReleaseResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ReleaseResponse_descriptor,
+        new java.lang.String[] { });
+    internal_static_verbena_v1_ProbeRequest_descriptor =
+      getDescriptor().getMessageTypes().get(24);
+    internal_static_verbena_v1_ProbeRequest_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ProbeRequest_descriptor,
+        new java.lang.String[] { "Incarnation", });
+    internal_static_verbena_v1_ProbeResponse_descriptor =
+      getDescriptor().getMessageTypes().get(25);
+    internal_static_verbena_v1_ProbeResponse_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_verbena_v1_ProbeResponse_descriptor,
+        new java.lang.String[] { "Incarnation", "Draining", "ConfigVersion", });
+    descriptor.resolveAllFeaturesImmutable();
+  }
 
+  // @@protoc_insertion_point(outer_class_scope)
 }
