Check histories of an office in one JVM

Cause: the parts had tests of their own, but no test ran entries, agents and backend servers together and compared what callers were told with what ran.

Ruled out: real processes for these checks; another set of tests has them, and in one JVM each process can have its own faulty way to the table store.

Change: OfficeFixture starts stand-ins, agents and entries in one JVM. At its end it stops all of them gracefully, and OfficeAudit checks that nothing ran that a caller was told was not, that each run has one receipt, and that bills and account rows agree. Tests for an ordinary chat client, whole answers, requests that are not repeatable, leaving, configuration and spending. EntryDaemon.start takes a hook for the exit of an entry that was closed by others; the default still ends the process.

--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -78,6 +79,8 @@
 
 	private final HostList hosts;
 
+	private final Consumer<ExitCode> exit;
+
 	private final PrometheusRegistry registry = new PrometheusRegistry();
 
 	private final Blackboard blackboard = new Blackboard();
@@ -104,11 +107,12 @@
 
 	private volatile boolean stopping;
 
-	private EntryDaemon(EntrySettings settings, TableStore tables, HostList hosts, FleetSecret secret)
-			throws IOException {
+	private EntryDaemon(EntrySettings settings, TableStore tables, HostList hosts, FleetSecret secret,
+			Consumer<ExitCode> exit) throws IOException {
 		this.settings = settings;
 		this.tables = tables;
 		this.hosts = hosts;
+		this.exit = exit;
 		this.channels = new Channels(secret);
 		JvmMetrics.builder().register(this.registry);
 		this.self = member(settings);
@@ -147,7 +151,23 @@
 	 */
 	public static EntryDaemon start(EntrySettings settings, TableStore tables, HostList hosts)
 			throws IOException, UsageException {
-		EntryDaemon daemon = new EntryDaemon(settings, tables, hosts, settings.secret());
+		return start(settings, tables, hosts, (code) -> System.exit(code.code()));
+	}
+
+	/**
+	 * Starts an entry on given platform services, in a process that runs several daemons.
+	 * @param settings checked settings
+	 * @param tables the table service
+	 * @param hosts the host list
+	 * @param exit ends the daemon after another process has closed this entry; called on
+	 * its own thread
+	 * @return the running entry
+	 * @throws IOException when a port cannot be bound
+	 * @throws UsageException when the fleet secret is wrong
+	 */
+	public static EntryDaemon start(EntrySettings settings, TableStore tables, HostList hosts, Consumer<ExitCode> exit)
+			throws IOException, UsageException {
+		EntryDaemon daemon = new EntryDaemon(settings, tables, hosts, settings.secret(), exit);
 		Thread registration = new Thread(daemon::register, "registration");
 		registration.setDaemon(true);
 		registration.start();
@@ -306,8 +326,7 @@
 			logger.warn("Entry {} was closed by another process and stops", this.self.incarnation());
 			this.closedByOthers = true;
 			this.blackboard.write(EntryBoard.ACCEPTING, false);
-			Thread exit = new Thread(() -> System.exit(ExitCode.FAILED.code()), "exit");
-			exit.start();
+			new Thread(() -> this.exit.accept(ExitCode.FAILED), "exit").start();
 		}
 	}
 
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/office/BreakingProxy.java
@@ -0,0 +1,116 @@
+package io.verbenacleat.itest.office;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Stands between an agent and its engine and breaks off some connections after a random
+ * number of response bytes. Safe for use by several threads.
+ */
+final class BreakingProxy implements AutoCloseable {
+
+	private static final int MAX_BYTES_BEFORE_BREAK = 4_000;
+
+	private final URI target;
+
+	private final ServerSocket server;
+
+	private final SplittableRandom random;
+
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+	private final AtomicInteger breaks = new AtomicInteger();
+
+	private double breakProbability;
+
+	BreakingProxy(String targetUrl, long seed) throws IOException {
+		this.target = URI.create(targetUrl);
+		this.random = new SplittableRandom(seed);
+		this.server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
+		daemon(this::accept);
+	}
+
+	String url() {
+		return "http://127.0.0.1:" + this.server.getLocalPort();
+	}
+
+	synchronized void setBreakProbability(double probability) {
+		this.breakProbability = probability;
+	}
+
+	int breaks() {
+		return this.breaks.get();
+	}
+
+	@Override
+	public void close() {
+		try {
+			this.server.close();
+			for (Socket socket : this.sockets) {
+				socket.close();
+			}
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private void accept() {
+		while (!this.server.isClosed()) {
+			try {
+				Socket agent = this.server.accept();
+				Socket engine = new Socket(this.target.getHost(), this.target.getPort());
+				this.sockets.add(agent);
+				this.sockets.add(engine);
+				daemon(() -> copy(agent, engine, Long.MAX_VALUE));
+				daemon(() -> copy(engine, agent, bytesBeforeBreak()));
+			}
+			catch (IOException ex) {
+				// The proxy was closed, or the engine takes no connection.
+				continue;
+			}
+		}
+	}
+
+	private synchronized long bytesBeforeBreak() {
+		boolean breaking = this.random.nextDouble() < this.breakProbability;
+		return (breaking) ? 1 + this.random.nextInt(MAX_BYTES_BEFORE_BREAK) : Long.MAX_VALUE;
+	}
+
+	private void copy(Socket from, Socket to, long maxBytes) {
+		byte[] buffer = new byte[512];
+		long leftBytes = maxBytes;
+		try (from; to; InputStream in = from.getInputStream(); OutputStream out = to.getOutputStream()) {
+			int count = in.read(buffer);
+			while (count >= 0 && leftBytes > count) {
+				out.write(buffer, 0, count);
+				out.flush();
+				leftBytes -= count;
+				count = in.read(buffer);
+			}
+			if (count >= 0) {
+				out.write(buffer, 0, (int) leftBytes);
+				this.breaks.incrementAndGet();
+			}
+		}
+		catch (IOException ex) {
+			this.sockets.remove(from);
+		}
+	}
+
+	private static void daemon(Runnable task) {
+		Thread thread = new Thread(task, "proxy");
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/office/NotRepeatableTests.java
@@ -0,0 +1,121 @@
+package io.verbenacleat.itest.office;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+
+import io.verbenacleat.standins.BookingCall;
+import org.testng.annotations.AfterClass;
+import org.testng.annotations.BeforeClass;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against bookings that run twice, or that run after the caller was told that they
+ * did not.
+ */
+@SuppressWarnings("NullAway.Init")
+public class NotRepeatableTests {
+
+	private static final int ENTRIES = 3;
+
+	private static final int KEYS = 25;
+
+	private static final int REPEATS = 9;
+
+	private OfficeFixture office;
+
+	@BeforeClass
+	public void start() throws Exception {
+		this.office = OfficeFixture.start(ENTRIES, 1);
+	}
+
+	@AfterClass(alwaysRun = true)
+	public void stop() throws Exception {
+		this.office.close();
+	}
+
+	@Test
+	public void concurrentRepeatsRunAtMostOnceWhenAnswersAreLost() throws Exception {
+		this.office.entryTables.forEach((way) -> way.setWriteFaults(0.3, 0.1));
+		List<Callable<Reply>> tasks = new ArrayList<>();
+		for (int i = 0; i < KEYS * REPEATS; i++) {
+			int entry = i % ENTRIES;
+			String key = "order-" + (i / REPEATS);
+			tasks.add(() -> this.office.caller.book(this.office.url(entry), this.office.key, key, body(key)));
+		}
+		List<Reply> replies = Load.all(tasks);
+		assertRunAtMostOnce();
+		this.office.entryTables.forEach((way) -> way.setWriteFaults(0, 0));
+		System.out.println("repeats: "
+				+ replies.stream()
+					.collect(Collectors.groupingBy((reply) -> reply.status() + " " + reply.code(),
+							Collectors.counting()))
+				+ ", answers lost: " + this.office.entryTables.stream().mapToInt(FaultyTables::lostAnswers).sum());
+		for (int i = 0; i < KEYS; i++) {
+			assertRepeatsAreReplayed("order-" + i);
+		}
+		assertRunAtMostOnce();
+	}
+
+	@Test
+	public void isNotRunWhileTheClaimCannotBeWritten() {
+		Reply warm = this.office.caller.book(this.office.url(0), this.office.key, "warm", body("warm"));
+		assertEquals(warm.status(), 201, warm.toString());
+		this.office.entryTables.forEach((way) -> way.setAvailable(false));
+		for (int i = 0; i < ENTRIES; i++) {
+			Reply reply = this.office.caller.book(this.office.url(i), this.office.key, "out-" + i, body("out"));
+			assertEquals(reply.status(), 503, reply.toString());
+			assertEquals(reply.code(), "claim_store_unreachable");
+			assertEquals(reply.outcome(), "not-run");
+		}
+		this.office.entryTables.forEach((way) -> way.setAvailable(true));
+		Reply next = this.office.caller.book(this.office.url(0), this.office.key, "out-0", body("out"));
+		assertEquals(next.status(), 201, next.toString());
+		assertFalse(next.replayed(), "the refused request must not have run");
+		assertFalse(calls().containsKey("out-1"), "nothing may run later");
+	}
+
+	private void assertRepeatsAreReplayed(String key) {
+		AtomicReference<Reply> last = new AtomicReference<>(repeat(0, key));
+		OfficeFixture.await("the first request of " + key + " has ended", () -> {
+			if (last.get().status() != 201) {
+				last.set(repeat(0, key));
+			}
+			return last.get().status() == 201;
+		});
+		for (int i = 0; i < ENTRIES; i++) {
+			Reply repeat = repeat(i, key);
+			assertTrue(repeat.replayed(), repeat.toString());
+			assertEquals(repeat.body(), last.get().body());
+			Reply other = this.office.caller.book(this.office.url(i), this.office.key, key, body("other"));
+			assertEquals(other.status(), 422, other.toString());
+			assertEquals(other.code(), "idempotency_key_reused");
+		}
+	}
+
+	private Reply repeat(int entry, String key) {
+		return this.office.caller.book(this.office.url(entry), this.office.key, key, body(key));
+	}
+
+	private void assertRunAtMostOnce() {
+		calls().forEach((key, count) -> assertEquals(count, 1, "runs of " + key));
+	}
+
+	private Map<String, Integer> calls() {
+		return this.office.booking.records()
+			.stream()
+			.collect(Collectors.groupingBy(BookingCall::idempotencyKey, Collectors.summingInt((call) -> 1)));
+	}
+
+	private static String body(String name) {
+		return "{\"slot\":\"" + name + "\"}";
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
@@ -0,0 +1,288 @@
+package io.verbenacleat.itest.office;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.agent.AgentDaemon;
+import io.verbenacleat.agent.AgentSettings;
+import io.verbenacleat.core.account.AccountAdmin;
+import io.verbenacleat.core.account.CallerAdmin;
+import io.verbenacleat.core.config.ConfigStore;
+import io.verbenacleat.core.daemon.CommonSettings;
+import io.verbenacleat.core.daemon.ExitCode;
+import io.verbenacleat.core.member.DrainAdmin;
+import io.verbenacleat.core.platform.BlockingTableStore;
+import io.verbenacleat.core.platform.HostEntry;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.core.platform.PlatformClient;
+import io.verbenacleat.entry.EntryDaemon;
+import io.verbenacleat.entry.EntrySettings;
+import io.verbenacleat.standins.BookingSettings;
+import io.verbenacleat.standins.BookingStandin;
+import io.verbenacleat.standins.EngineSettings;
+import io.verbenacleat.standins.EngineStandin;
+import io.verbenacleat.standins.PlatformSettings;
+import io.verbenacleat.standins.PlatformStandin;
+
+/**
+ * An office in one JVM: stand-ins, agents and entries, each entry and agent with its own
+ * faulty way to one table store. The end stops every process gracefully and audits the
+ * whole history. Not safe for use by several threads, but for the daemons and admins.
+ *
+ * <pre>{@code
+ * try (OfficeFixture office = OfficeFixture.start(2, 2)) {
+ *     office.caller.chat(office.url(0), office.key, body);
+ * }
+ * }</pre>
+ */
+final class OfficeFixture implements AutoCloseable {
+
+	static final String SECRET = "secret-of-the-test-fleet";
+
+	static final String ACCOUNT = "pans";
+
+	private static final Duration PATIENCE = Duration.ofSeconds(20);
+
+	final InMemoryTableStore tables = new InMemoryTableStore();
+
+	final BlockingTableStore blocking = new BlockingTableStore(this.tables, Duration.ofSeconds(2));
+
+	final AccountAdmin accounts = new AccountAdmin(this.blocking, Clock.systemUTC());
+
+	final CallerAdmin callers = new CallerAdmin(this.blocking, Clock.systemUTC(), new SplittableRandom(4));
+
+	final DrainAdmin drains = new DrainAdmin(this.blocking, Clock.systemUTC());
+
+	final ConfigStore configs = new ConfigStore(this.blocking, Clock.systemUTC());
+
+	final Caller caller = new Caller();
+
+	final PlatformStandin platform = PlatformStandin.start(new PlatformSettings());
+
+	final List<EngineStandin> engines = new ArrayList<>();
+
+	final List<BreakingProxy> proxies = new ArrayList<>();
+
+	final EngineStandin runaway;
+
+	final BookingStandin booking;
+
+	final OfficeTexts.Servers servers;
+
+	final List<EntryDaemon> entries = new CopyOnWriteArrayList<>();
+
+	final List<FaultyTables> entryTables = new ArrayList<>();
+
+	final List<AgentDaemon> agents = new ArrayList<>();
+
+	final List<FaultyTables> agentTables = new ArrayList<>();
+
+	final List<ExitCode> exits = new CopyOnWriteArrayList<>();
+
+	final String key;
+
+	private final Set<Object> stopped = ConcurrentHashMap.newKeySet();
+
+	private final PlatformClient platformClient = PlatformClient.builder(this.platform.url()).build();
+
+	private OfficeFixture(int entryCount, int engineCount, long tokenIntervalMs, long budgetTokens) throws Exception {
+		for (int i = 0; i < engineCount; i++) {
+			this.engines.add(EngineStandin.start(engineSettings("quotes", tokenIntervalMs, false)));
+			this.proxies.add(new BreakingProxy(this.engines.get(i).url(), 11 + i));
+		}
+		this.runaway = EngineStandin.start(engineSettings("runaway", tokenIntervalMs, true));
+		BookingSettings bookingSettings = new BookingSettings();
+		bookingSettings.delayMs = 20;
+		this.booking = BookingStandin.start(bookingSettings);
+		this.servers = new OfficeTexts.Servers(this.proxies.stream().map(BreakingProxy::url).toList(),
+				this.runaway.url(), this.booking.url());
+		this.configs.apply(OfficeTexts.files(this.servers, 0), "test", "first", 0);
+		this.accounts.create(ACCOUNT, "quotes", 1);
+		this.accounts.topUp(ACCOUNT, "first", budgetTokens);
+		this.key = this.callers.create(ACCOUNT, "bench").reveal();
+		for (String server : this.servers.names()) {
+			startAgent(server);
+		}
+		for (int i = 0; i < entryCount; i++) {
+			startEntry();
+		}
+		await("all processes are ready", this::ready);
+	}
+
+	/**
+	 * Starts an office with a large budget.
+	 * @param entryCount how many entries
+	 * @param engineCount how many engines for the model {@code quotes}
+	 * @return the office, with all processes ready
+	 * @throws Exception when it cannot start
+	 */
+	static OfficeFixture start(int entryCount, int engineCount) throws Exception {
+		return start(entryCount, engineCount, 1, 1_000_000_000);
+	}
+
+	static OfficeFixture start(int entryCount, int engineCount, long tokenIntervalMs, long budgetTokens)
+			throws Exception {
+		return new OfficeFixture(entryCount, engineCount, tokenIntervalMs, budgetTokens);
+	}
+
+	/**
+	 * Starts one more entry.
+	 * @return its place in {@link #entries}
+	 * @throws Exception when it cannot start
+	 */
+	int startEntry() throws Exception {
+		int index = this.entries.size();
+		EntrySettings settings = new EntrySettings();
+		fill(settings, "entry-" + index, "127.0.0.1");
+		settings.rpcPort = freePort(settings.host);
+		settings.httpPort = 0;
+		settings.httpHost = "127.0.0.1";
+		FaultyTables way = new FaultyTables(this.tables, 100 + index);
+		this.entryTables.add(way);
+		this.entries.add(EntryDaemon.start(settings, way, this.platformClient.hosts(), this.exits::add));
+		return index;
+	}
+
+	String url(int entry) {
+		return "http://127.0.0.1:" + this.entries.get(entry % this.entries.size()).httpPort();
+	}
+
+	/**
+	 * Returns the host of an agent, one for each agent.
+	 * @param agent its place in {@link #agents}
+	 * @return the IP number
+	 */
+	static String agentHost(int agent) {
+		return "127.0.1." + (agent + 1);
+	}
+
+	void setLeaving(int agent) {
+		List<HostEntry> hosts = new ArrayList<>();
+		for (int i = 0; i < this.agents.size(); i++) {
+			hosts.add(
+					new HostEntry(agentHost(i), "tx-1", (i == agent) ? HostEntry.State.LEAVING : HostEntry.State.LIVE));
+		}
+		this.platform.setHosts(hosts);
+	}
+
+	/**
+	 * Polls until a condition holds; the deadline only ends a test that hangs.
+	 * @param what the condition in words
+	 * @param condition the condition
+	 */
+	static void await(String what, BooleanSupplier condition) {
+		long endNanos = System.nanoTime() + PATIENCE.toNanos();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() > endNanos) {
+				throw new AssertionError("Not within " + PATIENCE + ": " + what);
+			}
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(10));
+		}
+	}
+
+	/**
+	 * Stops all processes gracefully, audits the history, and stops the stand-ins.
+	 */
+	@Override
+	public void close() throws Exception {
+		this.entryTables.forEach((way) -> {
+			way.setAvailable(true);
+			way.setWriteFaults(0, 0);
+			way.setDelay(Duration.ZERO);
+		});
+		CompletableFuture<?>[] stops = this.agents.stream()
+			.map((agent) -> CompletableFuture.runAsync(() -> stop(agent), Executors.newSingleThreadExecutor()))
+			.toArray(CompletableFuture<?>[]::new);
+		CompletableFuture.allOf(stops).get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
+		this.entries.forEach(this::stop);
+		try {
+			new OfficeAudit(this).check();
+		}
+		finally {
+			this.proxies.forEach(BreakingProxy::close);
+			this.engines.forEach(EngineStandin::close);
+			this.runaway.close();
+			this.booking.close();
+			this.platform.close();
+		}
+	}
+
+	/**
+	 * Stops an agent as SIGTERM does, once.
+	 * @param agent the agent
+	 */
+	void stop(AgentDaemon agent) {
+		if (this.stopped.add(agent)) {
+			agent.shutdown();
+		}
+	}
+
+	/**
+	 * Stops an entry as SIGTERM does, once.
+	 * @param entry the entry
+	 */
+	void stop(EntryDaemon entry) {
+		if (this.stopped.add(entry)) {
+			entry.stopGracefully();
+		}
+	}
+
+	boolean isStopped(int entry) {
+		return this.stopped.contains(this.entries.get(entry));
+	}
+
+	private boolean ready() {
+		return this.entries.stream().allMatch(EntryDaemon::isReady)
+				&& this.agents.stream().allMatch(AgentDaemon::ready);
+	}
+
+	private void startAgent(String server) throws Exception {
+		int index = this.agents.size();
+		AgentSettings settings = new AgentSettings();
+		fill(settings, "agent-" + index, agentHost(index));
+		settings.server = server;
+		FaultyTables way = new FaultyTables(this.tables, 200 + index);
+		this.agentTables.add(way);
+		this.agents.add(AgentDaemon.start(settings, way, this.platformClient.hosts(), new PrometheusRegistry()));
+	}
+
+	private void fill(CommonSettings settings, String name, String host) {
+		settings.name = name;
+		settings.region = "south-texas";
+		settings.zone = "tx-1";
+		settings.site = "austin";
+		settings.host = host;
+		settings.platformUrl = this.platform.url();
+		settings.fleetSecret = SECRET;
+	}
+
+	private static EngineSettings engineSettings(String model, long tokenIntervalMs, boolean ignoreMaxTokens) {
+		EngineSettings settings = new EngineSettings();
+		settings.models = model;
+		settings.tokenIntervalMs = tokenIntervalMs;
+		settings.ignoreMaxTokens = ignoreMaxTokens;
+		return settings;
+	}
+
+	private static int freePort(String host) throws IOException {
+		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+			return socket.getLocalPort();
+		}
+	}
+
+}
