Add failure tests that run the programs as processes

Cause: the modules are tested in one JVM with fakes; no test killed, paused or separated real processes under load and compared the bills with what the backend servers did.

Ruled out: one relay in front of each process, since it cannot tell the sources of connections apart and so cannot cut one pair. Fixed ports, since several builds run on one host.

--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/FleetNode.java
@@ -0,0 +1,98 @@
+package io.verbenacleat.itest;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * One entry or agent of a test fleet, with its ports and the relays to its peers. Used by
+ * one thread.
+ */
+final class FleetNode {
+
+	private final Map<String, LinkRelay> links = new HashMap<>();
+
+	private final String name;
+
+	private final String site;
+
+	private final int rpcPort;
+
+	private final int adminPort;
+
+	private final int httpPort;
+
+	FleetNode(String name, String site, Ports ports) {
+		this.name = name;
+		this.site = site;
+		this.rpcPort = ports.next();
+		this.adminPort = ports.next();
+		this.httpPort = ports.next();
+	}
+
+	/**
+	 * Returns the name.
+	 * @return the name
+	 */
+	String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns the site.
+	 * @return the site
+	 */
+	String site() {
+		return this.site;
+	}
+
+	/**
+	 * Returns the gRPC port.
+	 * @return the port
+	 */
+	int rpcPort() {
+		return this.rpcPort;
+	}
+
+	/**
+	 * Returns the port of health and metrics.
+	 * @return the port
+	 */
+	int adminPort() {
+		return this.adminPort;
+	}
+
+	/**
+	 * Returns the port for callers, used by entries only.
+	 * @return the port
+	 */
+	int httpPort() {
+		return this.httpPort;
+	}
+
+	/**
+	 * Returns whether this node is an entry.
+	 * @return {@code true} for an entry
+	 */
+	boolean isEntry() {
+		return this.name.startsWith("entry");
+	}
+
+	/**
+	 * Returns the links from this node by the name of the peer.
+	 * @return the changeable map
+	 */
+	Map<String, LinkRelay> links() {
+		return this.links;
+	}
+
+	/**
+	 * Returns the port through which this node reaches another.
+	 * @param other the other node
+	 * @return the port of the link, or of the node itself when there is no link
+	 */
+	int portOf(FleetNode other) {
+		LinkRelay link = this.links.get(other.name());
+		return (link != null) ? link.port() : other.rpcPort();
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/History.java
@@ -0,0 +1,153 @@
+package io.verbenacleat.itest;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.json.Json;
+
+/**
+ * What the stand-ins recorded: the executed requests, and the transactions of the table
+ * service with the receipts, top-ups and states of processes in them. Immutable.
+ *
+ * @param executions the executed requests of the engines and the booking service
+ * @param writes all rows that were written, in the order of application
+ */
+record History(List<Execution> executions, List<Write> writes) {
+
+	private static final String TOP_UP_PREFIX = "topup/" + FleetAdmin.ACCOUNT + "/";
+
+	private static final long BOOKING_PRICE_TOKENS = 5;
+
+	/**
+	 * Reads the records of all stand-ins.
+	 * @param standins the client
+	 * @return the history
+	 * @throws IOException when records cannot be read
+	 */
+	static History read(StandinClient standins) throws IOException {
+		List<Execution> executions = new ArrayList<>();
+		for (String engine : List.of("engine-1", "engine-2")) {
+			for (JsonNode call : standins.records(engine).path("requests")) {
+				executions.add(new Execution(call.path("requestId").asText(), "", call.path("promptTokens").asLong(),
+						call.path("generatedTokens").asLong(), call.path("startedAtMs").asLong(),
+						call.path("finishedAtMs").asLong()));
+			}
+		}
+		for (JsonNode call : standins.records("booking-1").path("calls")) {
+			long atMs = call.path("atMs").asLong();
+			executions.add(new Execution(call.path("requestId").asText(), call.path("idempotencyKey").asText(),
+					BOOKING_PRICE_TOKENS, 0, atMs, atMs));
+		}
+		List<Write> writes = new ArrayList<>();
+		for (JsonNode transaction : standins.records("platform").path("transactions")) {
+			for (JsonNode put : transaction.path("puts")) {
+				writes.add(new Write(transaction.path("sequence").asLong(), transaction.path("atMs").asLong(),
+						put.path("key").asText(), put.path("json").asText()));
+			}
+		}
+		return new History(List.copyOf(executions), List.copyOf(writes));
+	}
+
+	/**
+	 * Returns the accepted top-ups of the account.
+	 * @return the writes of their rows
+	 */
+	List<Write> topUps() {
+		return writesOf(TOP_UP_PREFIX);
+	}
+
+	/**
+	 * Returns the written rows of a prefix.
+	 * @param prefix the prefix of the key
+	 * @return the writes in the order of application
+	 */
+	List<Write> writesOf(String prefix) {
+		return this.writes.stream().filter((write) -> write.key().startsWith(prefix)).toList();
+	}
+
+	/**
+	 * Returns the receipts of all journals and final rows by request.
+	 * @return the receipts
+	 * @throws IOException when a row cannot be read
+	 */
+	Map<String, List<JournalReceipt>> receipts() throws IOException {
+		Map<String, String> rows = new LinkedHashMap<>();
+		writesOf(JournalRow.KEY_PREFIX).forEach((write) -> rows.put(write.key(), write.json()));
+		writesOf(JournalRow.FINAL_KEY_PREFIX).forEach((write) -> rows.put(write.key(), write.json()));
+		Map<String, List<JournalReceipt>> receipts = new LinkedHashMap<>();
+		for (String json : rows.values()) {
+			for (JournalReceipt receipt : Json.mapper().readValue(json, JournalRow.class).receipts()) {
+				receipts.computeIfAbsent(receipt.requestId(), (id) -> new ArrayList<>()).add(receipt);
+			}
+		}
+		return receipts;
+	}
+
+	/**
+	 * Returns what is still missing: requests that run, and executed requests without a
+	 * receipt.
+	 * @return the request ids
+	 * @throws IOException when a row cannot be read
+	 */
+	Set<String> unfinished() throws IOException {
+		Map<String, List<JournalReceipt>> receipts = receipts();
+		Set<String> missing = new HashSet<>();
+		for (Execution execution : this.executions) {
+			if (execution.finishedAtMs() == 0 || !receipts.containsKey(execution.requestId())) {
+				missing.add(execution.requestId());
+			}
+		}
+		return missing;
+	}
+
+	/**
+	 * One request that a stand-in executed.
+	 *
+	 * @param requestId the request id
+	 * @param idempotencyKey the key of a booking, empty for a chat request
+	 * @param promptTokens the tokens of the prompt, or the price of a booking
+	 * @param answerTokens the generated tokens
+	 * @param startedAtMs start, in milliseconds since the epoch
+	 * @param finishedAtMs end, in milliseconds since the epoch, 0 while it runs
+	 */
+	record Execution(String requestId, String idempotencyKey, long promptTokens, long answerTokens, long startedAtMs,
+			long finishedAtMs) {
+
+		/**
+		 * Returns all tokens of the request.
+		 * @return the tokens
+		 */
+		long tokens() {
+			return this.promptTokens + this.answerTokens;
+		}
+
+		/**
+		 * Returns whether this is a booking.
+		 * @return {@code false} for a chat request
+		 */
+		boolean isBooking() {
+			return !this.idempotencyKey.isEmpty();
+		}
+
+	}
+
+	/**
+	 * One row that a transaction wrote.
+	 *
+	 * @param sequence the place of the transaction in the order of application
+	 * @param atMs when it was applied, in milliseconds since the epoch
+	 * @param key the key
+	 * @param json the value
+	 */
+	record Write(long sequence, long atMs, String key, String json) {
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/LedgerChecker.java
@@ -0,0 +1,242 @@
+package io.verbenacleat.itest;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+import io.verbenacleat.core.account.Account;
+import io.verbenacleat.core.account.Grant;
+import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.member.ProcessRow;
+
+/**
+ * Checks the bills against the executions, and the answers of callers against both. Used
+ * once for each history.
+ */
+final class LedgerChecker {
+
+	private static final String TAKEN_OVER = "TAKEN_OVER";
+
+	private final List<String> violations = new ArrayList<>();
+
+	private final History history;
+
+	private final Map<String, List<JournalReceipt>> receipts;
+
+	private final List<CallRecord> calls;
+
+	/**
+	 * Creates a checker.
+	 * @param history the history, at rest
+	 * @param calls what the callers saw
+	 * @throws IOException when a row cannot be read
+	 */
+	LedgerChecker(History history, List<CallRecord> calls) throws IOException {
+		this.history = history;
+		this.receipts = history.receipts();
+		this.calls = List.copyOf(calls);
+	}
+
+	/**
+	 * Runs all checks.
+	 * @return what is wrong, empty when everything holds
+	 * @throws IOException when a row cannot be read
+	 */
+	List<String> check() throws IOException {
+		checkSpendAtEveryPrefix();
+		checkAccountRows();
+		checkReceiptsOfExecutions();
+		checkExecutionsOfReceipts();
+		checkClosedHolders();
+		checkBookings();
+		checkAnswers();
+		return List.copyOf(this.violations);
+	}
+
+	/**
+	 * Returns figures of the history.
+	 * @return one line
+	 */
+	String summary() {
+		List<JournalReceipt> all = this.receipts.values().stream().flatMap(List::stream).toList();
+		Map<String, Long> byStatus = all.stream()
+			.collect(Collectors.groupingBy(JournalReceipt::status, Collectors.counting()));
+		Map<CallRecord.Outcome, Long> byOutcome = this.calls.stream()
+			.collect(Collectors.groupingBy(CallRecord::outcome, Collectors.counting()));
+		long held = all.stream().mapToLong(JournalReceipt::heldTokens).sum();
+		long tokens = this.history.executions().stream().mapToLong(History.Execution::tokens).sum();
+		return "calls " + byOutcome + ", executions " + this.history.executions().size() + " with " + tokens
+				+ " tokens, receipts " + byStatus + ", held " + held + " tokens, taken over " + takenOver(all)
+				+ ", uncounted " + uncountedTokens() + " tokens";
+	}
+
+	// A request is reserved before it starts: all its tokens count from its start.
+	private void checkSpendAtEveryPrefix() throws IOException {
+		List<History.Write> topUps = this.history.topUps();
+		List<History.Execution> inOrder = this.history.executions()
+			.stream()
+			.sorted(Comparator.comparingLong(History.Execution::startedAtMs))
+			.toList();
+		long spentTokens = 0;
+		for (History.Execution execution : inOrder) {
+			spentTokens += execution.tokens();
+			long acceptedTokens = 0;
+			for (History.Write topUp : topUps) {
+				if (topUp.atMs() <= execution.startedAtMs()) {
+					acceptedTokens += Json.mapper().readTree(topUp.json()).path("tokens").asLong();
+				}
+			}
+			if (spentTokens > acceptedTokens) {
+				violation("overspend: " + spentTokens + " tokens of " + acceptedTokens + " after "
+						+ execution.requestId());
+			}
+		}
+	}
+
+	private void checkAccountRows() throws IOException {
+		for (History.Write write : this.history.writesOf(Account.key(FleetAdmin.ACCOUNT))) {
+			Account account = Json.mapper().readValue(write.json(), Account.class);
+			long granted = account.grants().values().stream().mapToLong(Grant::grantedTokens).sum();
+			if (account.settledTokens() + account.heldTokens() + granted > account.toppedUpTokens()) {
+				violation("account row of transaction " + write.sequence() + " exceeds the budget: " + write.json());
+			}
+		}
+	}
+
+	private void checkReceiptsOfExecutions() {
+		Set<String> seen = new HashSet<>();
+		for (History.Execution execution : this.history.executions()) {
+			if (!seen.add(execution.requestId())) {
+				violation("executed twice: " + execution);
+			}
+			List<JournalReceipt> found = this.receipts.getOrDefault(execution.requestId(), List.of());
+			if (found.size() != 1) {
+				violation(found.size() + " receipts for " + execution + ": " + found);
+			}
+			else {
+				checkTokens(execution, found.get(0));
+			}
+		}
+	}
+
+	// Only a complete stream has usage; the bill of others must cover what was generated.
+	private void checkTokens(History.Execution execution, JournalReceipt receipt) {
+		boolean equal = receipt.billedTokens() == execution.tokens() && receipt.heldTokens() == 0;
+		boolean covered = receipt.billedTokens() + receipt.heldTokens() >= execution.tokens();
+		if ((receipt.status().equals("COMPLETE")) ? !equal : !covered) {
+			violation("receipt differs from " + execution + ": " + receipt);
+		}
+	}
+
+	private void checkExecutionsOfReceipts() {
+		Set<String> executed = this.history.executions()
+			.stream()
+			.map(History.Execution::requestId)
+			.collect(Collectors.toSet());
+		for (List<JournalReceipt> group : this.receipts.values()) {
+			for (JournalReceipt receipt : group) {
+				boolean held = receipt.status().equals(TAKEN_OVER) && receipt.heldTokens() > 0;
+				if (!executed.contains(receipt.requestId()) && !held) {
+					violation("receipt without execution: " + receipt);
+				}
+			}
+			if (group.size() > 1 && !executed.contains(group.get(0).requestId())) {
+				violation("several receipts: " + group);
+			}
+		}
+	}
+
+	private void checkClosedHolders() throws IOException {
+		Map<String, History.Write> closedBy = new HashMap<>();
+		for (History.Write write : this.history.writes()) {
+			if (write.key().startsWith(ProcessRow.KEY_PREFIX)) {
+				ProcessRow row = Json.mapper().readValue(write.json(), ProcessRow.class);
+				if (row.state() != ProcessRow.State.OPEN) {
+					closedBy.putIfAbsent(row.member().incarnation(), write);
+				}
+			}
+			else if (write.key().startsWith(JournalRow.KEY_PREFIX)) {
+				History.Write closed = closedBy.get(write.key().split("/")[1]);
+				if (closed != null && closed.sequence() < write.sequence()) {
+					violation("journal row after the holder was closed: " + write);
+				}
+			}
+		}
+	}
+
+	private void checkBookings() {
+		Map<String, Long> runs = this.history.executions()
+			.stream()
+			.filter(History.Execution::isBooking)
+			.collect(Collectors.groupingBy(History.Execution::idempotencyKey, Collectors.counting()));
+		runs.forEach((key, count) -> {
+			if (count != 1) {
+				violation("booking " + key + " ran " + count + " times");
+			}
+		});
+		Map<String, Set<String>> answers = new HashMap<>();
+		for (CallRecord call : this.calls) {
+			if (call.kind() == CallRecord.Kind.BOOKING && call.outcome() == CallRecord.Outcome.WHOLE) {
+				answers.computeIfAbsent(call.idempotencyKey(), (key) -> new HashSet<>()).add(call.detail());
+			}
+		}
+		answers.forEach((key, texts) -> {
+			if (texts.size() != 1 || !runs.containsKey(key)) {
+				violation("booking " + key + " has answers " + texts + " and ran " + runs.get(key) + " times");
+			}
+		});
+	}
+
+	private void checkAnswers() {
+		Map<String, History.Execution> executed = new HashMap<>();
+		this.history.executions().forEach((execution) -> executed.put(execution.requestId(), execution));
+		for (CallRecord call : this.calls) {
+			boolean ran = executed.containsKey(call.requestId());
+			if (call.outcome() == CallRecord.Outcome.FOREIGN) {
+				violation("not the caller's own answer: " + call);
+			}
+			if (call.outcome() == CallRecord.Outcome.NOT_RUN && (ran || call.requestId().isEmpty())) {
+				violation("answered not-run but ran, or without request id: " + call);
+			}
+			if (call.outcome() == CallRecord.Outcome.NOT_RUN && this.receipts.containsKey(call.requestId())) {
+				violation("answered not-run but has a receipt: " + call);
+			}
+			if (call.outcome() == CallRecord.Outcome.WHOLE && call.kind() == CallRecord.Kind.CHAT && !ran) {
+				violation("whole answer without execution: " + call);
+			}
+		}
+	}
+
+	private long uncountedTokens() {
+		long tokens = 0;
+		for (History.Execution execution : this.history.executions()) {
+			for (JournalReceipt receipt : this.receipts.getOrDefault(execution.requestId(), List.of())) {
+				if (!execution.isBooking() && !receipt.status().equals(TAKEN_OVER)) {
+					tokens += Math.max(0, execution.answerTokens() - receipt.answerTokens());
+				}
+			}
+		}
+		return tokens;
+	}
+
+	private static List<String> takenOver(List<JournalReceipt> all) {
+		return all.stream()
+			.filter((receipt) -> receipt.status().equals(TAKEN_OVER))
+			.map((receipt) -> receipt.requestId() + " billed " + receipt.billedTokens() + " held "
+					+ receipt.heldTokens())
+			.toList();
+	}
+
+	private void violation(String text) {
+		this.violations.add(text);
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/LinkRelay.java
@@ -0,0 +1,257 @@
+package io.verbenacleat.itest;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * A TCP relay from one process to another whose two directions can be cut and delayed.
+ * Bytes of a cut direction are kept back and delivered when it is healed, as a network
+ * does that retransmits. Safe for use by several threads.
+ *
+ * <pre>{@code
+ * try (LinkRelay link = LinkRelay.start(targetPort)) {
+ *     link.cut();
+ *     link.heal();
+ * }
+ * }</pre>
+ */
+final class LinkRelay implements AutoCloseable {
+
+	private static final int BUFFER_BYTES = 16 * 1024;
+
+	/**
+	 * A kept start of an address that turns out to be none is sent on after this time.
+	 */
+	private static final int FLUSH_MS = 20;
+
+	private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+	private final Gate forward = new Gate();
+
+	private final Gate backward = new Gate();
+
+	private final ServerSocket server;
+
+	private final int targetPort;
+
+	private volatile Map<Integer, Integer> forwardPorts = Map.of();
+
+	private volatile Map<Integer, Integer> backwardPorts = Map.of();
+
+	private LinkRelay(int targetPort) throws IOException {
+		this.targetPort = targetPort;
+		this.server = new ServerSocket(0, 256, InetAddress.getLoopbackAddress());
+	}
+
+	/**
+	 * Starts a relay.
+	 * @param targetPort the port of the target on the loopback address
+	 * @return the relay
+	 * @throws IOException when no port can be bound
+	 */
+	static LinkRelay start(int targetPort) throws IOException {
+		LinkRelay relay = new LinkRelay(targetPort);
+		startThread(relay::accept, "relay-" + relay.port());
+		return relay;
+	}
+
+	/**
+	 * Returns the port on which the relay listens.
+	 * @return the port
+	 */
+	int port() {
+		return this.server.getLocalPort();
+	}
+
+	/**
+	 * Sets which ports are replaced in the bytes of later connections.
+	 * @param forwardMap new port by port, towards the target
+	 * @param backwardMap new port by port, from the target
+	 */
+	void rewrite(Map<Integer, Integer> forwardMap, Map<Integer, Integer> backwardMap) {
+		this.forwardPorts = Map.copyOf(forwardMap);
+		this.backwardPorts = Map.copyOf(backwardMap);
+	}
+
+	/**
+	 * Cuts both directions.
+	 */
+	void cut() {
+		cutForward();
+		cutBackward();
+	}
+
+	/**
+	 * Cuts the direction towards the target.
+	 */
+	void cutForward() {
+		this.forward.setCut(true);
+	}
+
+	/**
+	 * Cuts the direction from the target.
+	 */
+	void cutBackward() {
+		this.backward.setCut(true);
+	}
+
+	/**
+	 * Delays each chunk of both directions.
+	 * @param delay the delay
+	 */
+	void delay(Duration delay) {
+		this.forward.setDelay(delay);
+		this.backward.setDelay(delay);
+	}
+
+	/**
+	 * Ends all cuts and delays.
+	 */
+	void heal() {
+		delay(Duration.ZERO);
+		this.forward.setCut(false);
+		this.backward.setCut(false);
+	}
+
+	@Override
+	public void close() {
+		closeQuietly(this.server);
+		heal();
+		this.sockets.forEach(LinkRelay::closeQuietly);
+	}
+
+	private void accept() {
+		while (!this.server.isClosed()) {
+			try {
+				connect(this.server.accept());
+			}
+			catch (IOException ex) {
+				// The relay was closed; the loop ends.
+			}
+		}
+	}
+
+	private void connect(Socket caller) {
+		this.sockets.add(caller);
+		Socket target = new Socket();
+		this.sockets.add(target);
+		try {
+			target.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), this.targetPort));
+			target.setTcpNoDelay(true);
+			caller.setTcpNoDelay(true);
+		}
+		catch (IOException ex) {
+			drop(caller, target);
+			return;
+		}
+		startThread(() -> pump(caller, target, this.forward, new AddressMap(this.forwardPorts)), "relay-forward");
+		startThread(() -> pump(target, caller, this.backward, new AddressMap(this.backwardPorts)), "relay-backward");
+	}
+
+	private void pump(Socket from, Socket to, Gate gate, AddressMap addresses) {
+		try {
+			from.setSoTimeout(FLUSH_MS);
+			InputStream in = from.getInputStream();
+			OutputStream out = to.getOutputStream();
+			byte[] buffer = new byte[BUFFER_BYTES];
+			int length = 0;
+			while (length >= 0) {
+				length = read(in, buffer);
+				byte[] bytes = (length > 0) ? addresses.apply(buffer, length) : addresses.flush();
+				if (bytes.length > 0 || length < 0) {
+					gate.pass();
+					out.write(bytes);
+				}
+			}
+			to.shutdownOutput();
+		}
+		catch (IOException ex) {
+			drop(from, to);
+		}
+		finally {
+			if (from.isOutputShutdown() && to.isOutputShutdown()) {
+				drop(from, to);
+			}
+		}
+	}
+
+	private static int read(InputStream in, byte[] buffer) throws IOException {
+		try {
+			return in.read(buffer);
+		}
+		catch (SocketTimeoutException ex) {
+			return 0;
+		}
+	}
+
+	private void drop(Socket first, Socket second) {
+		closeQuietly(first);
+		closeQuietly(second);
+		this.sockets.remove(first);
+		this.sockets.remove(second);
+	}
+
+	private static void closeQuietly(AutoCloseable socket) {
+		try {
+			socket.close();
+		}
+		catch (Exception ex) {
+			// It is closed already.
+		}
+	}
+
+	private static void startThread(Runnable task, String name) {
+		Thread thread = new Thread(task, name);
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	/**
+	 * One direction.
+	 */
+	private static final class Gate {
+
+		private boolean cut;
+
+		private Duration delay = Duration.ZERO;
+
+		private synchronized void setCut(boolean newCut) {
+			this.cut = newCut;
+			notifyAll();
+		}
+
+		private synchronized void setDelay(Duration newDelay) {
+			this.delay = newDelay;
+		}
+
+		private void pass() {
+			LockSupport.parkNanos(awaitOpen().toNanos());
+		}
+
+		private synchronized Duration awaitOpen() {
+			while (this.cut) {
+				try {
+					wait();
+				}
+				catch (InterruptedException ex) {
+					Thread.currentThread().interrupt();
+					return Duration.ZERO;
+				}
+			}
+			return this.delay;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/Load.java
@@ -0,0 +1,141 @@
+package io.verbenacleat.itest;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Callers that send chat requests and bookings through all entries until they are
+ * stopped. A request that did not end well is sent again through another entry: a chat
+ * request as a new one, a booking with the same idempotency key. All outcomes are kept.
+ * Safe for use by several threads.
+ */
+final class Load implements AutoCloseable {
+
+	private static final int MAX_ATTEMPTS = 8;
+
+	private static final int BOOKING_PERCENT = 15;
+
+	private static final int MAX_ANSWER_TOKENS = 40;
+
+	private static final long RETRY_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
+	private final Queue<CallRecord> records = new ConcurrentLinkedQueue<>();
+
+	private final Map<String, AtomicInteger> open = new ConcurrentHashMap<>();
+
+	private final List<Thread> threads = new ArrayList<>();
+
+	private final Caller caller;
+
+	private volatile boolean stopped;
+
+	/**
+	 * Creates callers that do not send yet.
+	 * @param caller sends the requests
+	 */
+	Load(Caller caller) {
+		this.caller = caller;
+		ProcessFleet.ENTRIES.forEach((entry) -> this.open.put(entry, new AtomicInteger()));
+	}
+
+	/**
+	 * Starts callers.
+	 * @param seed the seed of their choices
+	 * @param count how many callers
+	 */
+	void start(long seed, int count) {
+		SplittableRandom seeds = new SplittableRandom(seed);
+		for (int number = 0; number < count; number++) {
+			SplittableRandom random = seeds.split();
+			String name = "caller" + this.threads.size();
+			Thread thread = new Thread(() -> run(name, random), name);
+			thread.setDaemon(true);
+			this.threads.add(thread);
+			thread.start();
+		}
+	}
+
+	/**
+	 * Returns the requests that ended so far.
+	 * @return a copy in order of their ends
+	 */
+	List<CallRecord> records() {
+		return List.copyOf(this.records);
+	}
+
+	/**
+	 * Counts the requests that ended in one way.
+	 * @param outcome the outcome
+	 * @return how many
+	 */
+	long count(CallRecord.Outcome outcome) {
+		return this.records.stream().filter((call) -> call.outcome() == outcome).count();
+	}
+
+	/**
+	 * Returns how many requests an entry has in progress.
+	 * @param entry the entry
+	 * @return how many
+	 */
+	int open(String entry) {
+		AtomicInteger count = this.open.get(entry);
+		return (count != null) ? count.get() : 0;
+	}
+
+	/**
+	 * Lets every caller end its request in progress and stops.
+	 */
+	@Override
+	public void close() {
+		this.stopped = true;
+		for (Thread thread : this.threads) {
+			try {
+				thread.join();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+				return;
+			}
+		}
+	}
+
+	private void run(String name, SplittableRandom random) {
+		for (int number = 0; !this.stopped; number++) {
+			String id = name + "x" + number;
+			boolean booking = random.nextInt(100) < BOOKING_PERCENT;
+			int answerTokens = random.nextInt(1, MAX_ANSWER_TOKENS + 1);
+			int first = random.nextInt(ProcessFleet.ENTRIES.size());
+			for (int attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+				String entry = ProcessFleet.ENTRIES.get((first + attempt) % ProcessFleet.ENTRIES.size());
+				CallRecord call = send(id + "a" + attempt, id, entry, booking, answerTokens);
+				if (call.outcome() == CallRecord.Outcome.WHOLE || this.stopped) {
+					break;
+				}
+				LockSupport.parkNanos(RETRY_PAUSE_NANOS);
+			}
+		}
+	}
+
+	private CallRecord send(String attemptId, String id, String entry, boolean booking, int answerTokens) {
+		AtomicInteger count = this.open.computeIfAbsent(entry, (name) -> new AtomicInteger());
+		count.incrementAndGet();
+		try {
+			CallRecord call = (booking) ? this.caller.book(attemptId, entry, "key-" + id)
+					: this.caller.chat(attemptId, entry, answerTokens);
+			this.records.add(call);
+			return call;
+		}
+		finally {
+			count.decrementAndGet();
+		}
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/Ports.java
@@ -0,0 +1,45 @@
+package io.verbenacleat.itest;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Finds free ports on the loopback address. They lie below the range from which the
+ * system takes ports for outgoing connections, so that a port stays free until its
+ * process binds it, and all have five digits. Not safe for use by several threads.
+ */
+final class Ports {
+
+	private static final int LOWEST = 12_000;
+
+	private static final int HIGHEST = 32_000;
+
+	private final Set<Integer> taken = new HashSet<>();
+
+	/**
+	 * Returns a free port that was not returned before.
+	 * @return the port
+	 */
+	int next() {
+		while (true) {
+			int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
+			if (this.taken.add(port) && isFree(port)) {
+				return port;
+			}
+		}
+	}
+
+	private static boolean isFree(int port) {
+		try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+			return socket.isBound();
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/Scenario.java
@@ -0,0 +1,307 @@
+package io.verbenacleat.itest;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.verbenacleat.core.account.Grant;
+
+/**
+ * The failures that the fleet has to survive. Each brings faults about under load and
+ * waits for their effects; {@link #run} ends with the checks of {@link LedgerChecker}.
+ */
+enum Scenario {
+
+	/** An entry is killed with streams open. */
+	KILL_ENTRY {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			String entry = run.choose("entry-0", "entry-1");
+			String lost = run.incarnation(entry);
+			run.awaitOpen(entry);
+			run.event("kill " + entry);
+			run.fleet().process(entry).kill();
+			run.awaitAnswers(ANSWERS);
+			run.awaitClosed(lost);
+			run.fleet().restart(entry);
+		}
+	},
+
+	/** An agent is killed and replaced. */
+	KILL_AGENT {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			String agent = run.choose("agent-1", "agent-2");
+			run.event("kill " + agent);
+			run.fleet().process(agent).kill();
+			run.awaitAnswers(ANSWERS);
+			run.fleet().restart(agent);
+		}
+	},
+
+	/** An agent and an entry are killed at once. */
+	KILL_AGENT_AND_ENTRY {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			String agent = run.choose("agent-1", "agent-2");
+			String entry = run.choose("entry-0", "entry-1");
+			String lost = run.incarnation(entry);
+			run.awaitOpen(entry);
+			run.event("kill " + agent + " and " + entry);
+			run.fleet().process(agent).signal("KILL");
+			run.fleet().process(entry).signal("KILL");
+			run.awaitAnswers(ANSWERS);
+			run.fleet().restart(agent);
+			run.awaitClosed(lost);
+			run.fleet().restart(entry);
+		}
+	},
+
+	/** An entry is paused until another has closed it, and then goes on. */
+	PAUSE_ENTRY {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			String entry = run.choose("entry-0", "entry-1");
+			String paused = run.incarnation(entry);
+			run.awaitOpen(entry);
+			run.event("stop " + entry);
+			ManagedProcess process = run.fleet().process(entry);
+			process.signal("STOP");
+			run.awaitClosed(paused);
+			run.event("continue " + entry);
+			process.signal("CONT");
+			int code = process.exitCode(Duration.ofSeconds(60));
+			if (code != 1) {
+				throw run.failure(entry + " ended with exit code " + code + " after it was closed", List.of());
+			}
+			run.fleet().restart(entry);
+		}
+	},
+
+	/**
+	 * An entry loses the platform while spending goes on and the account is topped up.
+	 */
+	PARTITION_ENTRY_PLATFORM {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			LinkRelay link = run.fleet().link(run.choose("entry-0", "entry-2"), FleetLinks.PLATFORM);
+			run.event("cut entry from platform");
+			link.cut();
+			run.awaitAnswers(ANSWERS);
+			run.fleet().admin().topUp("second", 50_000);
+			run.awaitAnswers(ANSWERS);
+			run.event("heal");
+			link.heal();
+		}
+	},
+
+	/** An entry and an agent lose each other, in both directions and in each one. */
+	PARTITION_ENTRY_AGENT {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			String entry = run.choose("entry-0", "entry-1");
+			LinkRelay orders = run.fleet().link(entry, "agent-1");
+			LinkRelay receipts = run.fleet().link("agent-1", entry);
+			run.event("cut " + entry + " and agent-1");
+			orders.cut();
+			receipts.cut();
+			run.awaitAnswers(ANSWERS);
+			orders.heal();
+			receipts.heal();
+			run.event("healed, cut towards the agent");
+			run.awaitAnswers(ANSWERS);
+			orders.cutForward();
+			run.awaitAnswers(ANSWERS);
+			orders.heal();
+			run.event("healed, cut from the agent");
+			run.awaitAnswers(ANSWERS);
+			orders.cutBackward();
+			run.awaitAnswers(ANSWERS);
+			orders.heal();
+		}
+	},
+
+	/** The sites lose each other while both spend. */
+	PARTITION_SITES {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			List<LinkRelay> links = new ArrayList<>();
+			for (String west : List.of("entry-0", "entry-1", "agent-1", "agent-3")) {
+				links.add(run.fleet().link("entry-2", west));
+				links.add(run.fleet().link(west, "entry-2"));
+			}
+			links.add(run.fleet().link("entry-0", "agent-2"));
+			links.add(run.fleet().link("entry-1", "agent-2"));
+			run.event("cut the sites");
+			links.forEach(LinkRelay::cut);
+			run.awaitAnswers(2 * ANSWERS);
+			run.event("heal");
+			links.forEach(LinkRelay::heal);
+		}
+	},
+
+	/** The platform is down, then slow, then loses answers and applies writes late. */
+	PLATFORM_FAULTS {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			run.platformFaults("{\"available\":false}");
+			run.awaitAnswers(ANSWERS);
+			run.platformFaults("{\"available\":true,\"delayMs\":1500}");
+			run.awaitAnswers(ANSWERS);
+			run.platformFaults("{\"delayMs\":0,\"loseAnswers\":10,\"refusalProbability\":0.3}");
+			run.awaitAnswers(ANSWERS);
+			run.platformFaults("{\"refusalProbability\":0,\"lateTransactions\":5,\"lateByMs\":3000}");
+			run.awaitAnswers(ANSWERS);
+		}
+	},
+
+	/** All entries draw on a budget until it is used up. */
+	BUDGET_END {
+		@Override
+		long budgetTokens() {
+			return 12_000;
+		}
+
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			run.await("the budget is used up", () -> count(run, "insufficient_quota") >= 30);
+			run.load().close();
+		}
+
+		@Override
+		void report(ScenarioRun run, History history) {
+			List<CallRecord> refused = FalseRefusals.of(history, run.load().records());
+			long spent = history.executions().stream().mapToLong(History.Execution::tokens).sum();
+			System.out.println("BUDGET_END: spent " + spent + " of " + budgetTokens() + " tokens, refusals "
+					+ count(run, "insufficient_quota") + " insufficient_quota, " + count(run, "budget_reserved")
+					+ " budget_reserved; false refusals " + refused.size() + " " + refused.stream().limit(3).toList());
+		}
+	},
+
+	/** An entry and an agent are told to stop under load. */
+	STOP_TWO {
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			String entry = run.choose("entry-0", "entry-1");
+			String agent = run.choose("agent-1", "agent-2");
+			run.awaitOpen(entry);
+			run.event("terminate " + entry + " and " + agent);
+			ManagedProcess first = run.fleet().process(entry);
+			ManagedProcess second = run.fleet().process(agent);
+			first.signal("TERM");
+			second.signal("TERM");
+			int entryCode = first.exitCode(Duration.ofSeconds(60));
+			int agentCode = second.exitCode(Duration.ofSeconds(60));
+			run.awaitAnswers(ANSWERS);
+			List<String> cut = run.load()
+				.records()
+				.stream()
+				.filter((call) -> call.outcome() == CallRecord.Outcome.BROKEN_OFF
+						|| call.outcome() == CallRecord.Outcome.UNKNOWN)
+				.map(CallRecord::toString)
+				.toList();
+			if (entryCode != 0 || agentCode != 0 || !cut.isEmpty()) {
+				throw run.failure("exit codes " + entryCode + " of " + entry + " and " + agentCode + " of " + agent
+						+ ", requests cut off: " + cut.size() + " " + cut.stream().limit(3).toList(), cut);
+			}
+		}
+
+		@Override
+		void report(ScenarioRun run, History history) throws Exception {
+			List<String> incomplete = history.receipts()
+				.values()
+				.stream()
+				.flatMap(List::stream)
+				.filter((receipt) -> !receipt.status().equals("COMPLETE"))
+				.map(Object::toString)
+				.toList();
+			if (!incomplete.isEmpty()) {
+				throw run.failure("receipts of requests that were cut off: " + incomplete, incomplete);
+			}
+		}
+	},
+
+	/** A holder is lost; its grant returns to the account. */
+	RECOVER_GRANT {
+		@Override
+		long budgetTokens() {
+			return 100_000;
+		}
+
+		@Override
+		void disturb(ScenarioRun run) throws Exception {
+			String entry = run.choose("entry-0", "entry-1");
+			String lost = run.incarnation(entry);
+			run.await("a grant of " + lost, () -> run.fleet().admin().account().grant(lost) != null);
+			Grant grant = run.fleet().admin().account().grants().get(lost);
+			long restTokens = (grant != null) ? grant.restTokens() : 0;
+			run.event("kill " + entry);
+			long startNanos = System.nanoTime();
+			run.fleet().process(entry).kill();
+			run.awaitClosed(lost);
+			Duration closed = Duration.ofNanos(System.nanoTime() - startNanos);
+			run.await("the grant is folded", () -> run.fleet().admin().account().grant(lost) == null);
+			Duration folded = Duration.ofNanos(System.nanoTime() - startNanos);
+			System.out.println("RECOVER_GRANT: closed after " + closed.toMillis() + " ms, grant folded after "
+					+ folded.toMillis() + " ms, out of reach meanwhile at most " + restTokens + " of " + budgetTokens()
+					+ " tokens, held afterwards " + run.fleet().admin().account().heldTokens());
+			run.fleet().restart(entry);
+		}
+	};
+
+	private static final int ANSWERS = 25;
+
+	/**
+	 * Runs the scenario with all checks.
+	 * @param seed the seed of all choices
+	 * @throws Exception when the run fails
+	 * @throws AssertionError when a check fails
+	 */
+	void run(long seed) throws Exception {
+		try (ScenarioRun run = ScenarioRun.start(name(), seed, budgetTokens())) {
+			try {
+				run.awaitAnswers(ANSWERS / 2);
+				disturb(run);
+				if (budgetTokens() >= LARGE_BUDGET_TOKENS) {
+					run.awaitAnswers(ANSWERS);
+				}
+				report(run, run.finish());
+			}
+			catch (AssertionError ex) {
+				throw (String.valueOf(ex.getMessage()).contains("The history is in")) ? ex
+						: run.failure(String.valueOf(ex.getMessage()), List.of());
+			}
+		}
+	}
+
+	/**
+	 * Returns the first top-up.
+	 * @return the tokens
+	 */
+	long budgetTokens() {
+		return LARGE_BUDGET_TOKENS;
+	}
+
+	/**
+	 * Brings the faults about and ends them.
+	 * @param run the run
+	 * @throws Exception when a step fails
+	 */
+	abstract void disturb(ScenarioRun run) throws Exception;
+
+	/**
+	 * Reports figures or checks more, after the common checks.
+	 * @param run the run
+	 * @param history the history at rest
+	 * @throws Exception when a check cannot be made
+	 */
+	void report(ScenarioRun run, History history) throws Exception {
+	}
+
+	private static final long LARGE_BUDGET_TOKENS = 1_000_000;
+
+	private static long count(ScenarioRun run, String code) {
+		return run.load().records().stream().filter((call) -> call.detail().startsWith(code)).count();
+	}
+
+}
--- /dev/null
+++ b/itest/src/test/java/io/verbenacleat/itest/StandinClient.java
@@ -0,0 +1,86 @@
+package io.verbenacleat.itest;
+
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.verbenacleat.core.json.Json;
+
+/**
+ * Reads the stand-ins' own records and switches the faults of the platform. Safe for use
+ * by several threads.
+ */
+final class StandinClient {
+
+	private static final HttpClient CLIENT = HttpClient.newBuilder()
+		.version(HttpClient.Version.HTTP_1_1)
+		.connectTimeout(Duration.ofSeconds(5))
+		.build();
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(30);
+
+	private final Map<String, Integer> ports;
+
+	/**
+	 * Creates a client.
+	 * @param ports the ports by the name of the stand-in
+	 */
+	StandinClient(Map<String, Integer> ports) {
+		this.ports = Map.copyOf(ports);
+	}
+
+	/**
+	 * Reads the records of a stand-in.
+	 * @param name the stand-in
+	 * @return the records
+	 * @throws IOException when they cannot be read
+	 */
+	JsonNode records(String name) throws IOException {
+		return Json.mapper().readTree(send(HttpRequest.newBuilder(uri(name, "/standin/records")).build()).body());
+	}
+
+	/**
+	 * Changes the faults of the platform.
+	 * @param change the JSON object of the change
+	 * @throws IOException when it is not accepted
+	 */
+	void platformFaults(String change) throws IOException {
+		HttpRequest request = HttpRequest.newBuilder(uri("platform", "/standin/faults"))
+			.header("Content-Type", "application/json")
+			.POST(HttpRequest.BodyPublishers.ofString(change))
+			.build();
+		if (send(request).statusCode() != 200) {
+			throw new IOException("The change of faults was refused: " + change);
+		}
+	}
+
+	/**
+	 * Returns the status of a GET.
+	 * @param uri the address
+	 * @return the HTTP status
+	 * @throws IOException when there is no answer
+	 */
+	static int status(URI uri) throws IOException {
+		return send(HttpRequest.newBuilder(uri).timeout(TIMEOUT).build()).statusCode();
+	}
+
+	private URI uri(String name, String path) {
+		return URI.create("http://127.0.0.1:" + this.ports.getOrDefault(name, 0) + path);
+	}
+
+	private static HttpResponse<String> send(HttpRequest request) throws IOException {
+		try {
+			return CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+			throw new IOException("Interrupted", ex);
+		}
+	}
+
+}
