--- a/entry/src/main/java/io/verbenacleat/entry/member/ConfigController.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/ConfigController.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.config.ConfigException;
 import io.verbenacleat.core.config.ConfigLoader;
@@ -57,9 +58,29 @@
 			.name("verbena_config_unusable")
 			.help("Stored versions that this node could not use")
 			.register(registry);
+		GaugeWithCallback.builder()
+			.name("verbena_config_version")
+			.help("Version of the configuration in force, 0 for none")
+			.callback((callback) -> callback.call(version()))
+			.register(registry);
+		GaugeWithCallback.builder()
+			.name("verbena_config_age_seconds")
+			.help("Time since the platform last answered a poll, in seconds")
+			.callback((callback) -> callback.call(ageSeconds()))
+			.register(registry);
 		poller.onTopic(Head.CONFIG, (topic) -> read());
 	}
 
+	private long version() {
+		OfficeConfig config = this.blackboard.read(EntryBoard.CONFIG);
+		return (config != null) ? config.version() : 0;
+	}
+
+	private double ageSeconds() {
+		Long seenAtMs = this.blackboard.read(EntryBoard.PLATFORM_SEEN_AT_MS);
+		return (seenAtMs != null) ? (this.control.clock().millis() - seenAtMs) / 1_000.0 : Double.NaN;
+	}
+
 	private CompletableFuture<?> read() {
 		return ConfigStore.readCurrent(this.store).thenAcceptAsync(this::publish, this.control);
 	}
