--- a/entry/src/main/java/io/verbenacleat/entry/holder/RemoteHolder.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/RemoteHolder.java
@@ -4,11 +4,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-import com.google.common.util.concurrent.FutureCallback;
-import com.google.common.util.concurrent.Futures;
 import com.google.common.util.concurrent.ListenableFuture;
-import com.google.common.util.concurrent.MoreExecutors;
 import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.core.rpc.RpcFutures;
 import io.verbenacleat.entry.budget.BudgetHolder;
 import io.verbenacleat.entry.budget.HolderUnreachableException;
 import io.verbenacleat.proto.v1.HolderServiceGrpc;
@@ -58,19 +56,9 @@
 	}
 
 	private <T> CompletableFuture<T> future(ListenableFuture<T> call) {
-		CompletableFuture<T> result = new CompletableFuture<>();
-		Futures.addCallback(call, new FutureCallback<T>() {
-			@Override
-			public void onSuccess(T answer) {
-				result.complete(answer);
-			}
-
-			@Override
-			public void onFailure(Throwable failure) {
-				result.completeExceptionally(new HolderUnreachableException(RemoteHolder.this.address, failure));
-			}
-		}, MoreExecutors.directExecutor());
-		return result;
+		return RpcFutures.of(call)
+			.exceptionallyCompose(
+					(failure) -> CompletableFuture.failedFuture(new HolderUnreachableException(this.address, failure)));
 	}
 
 }
--- a/entry/src/main/java/io/verbenacleat/entry/member/AgentStatusController.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/AgentStatusController.java
@@ -5,17 +5,17 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-import com.google.common.util.concurrent.FutureCallback;
-import com.google.common.util.concurrent.Futures;
 import io.verbenacleat.core.control.Blackboard;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.Membership;
 import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.core.rpc.RpcFutures;
 import io.verbenacleat.entry.EntryBoard;
 import io.verbenacleat.proto.v1.AgentServiceGrpc;
 import io.verbenacleat.proto.v1.GetStatusRequest;
 import io.verbenacleat.proto.v1.GetStatusResponse;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Keeps {@link EntryBoard#AGENT_STATUS} up to date by asking the agents. Agents of the
@@ -82,21 +82,17 @@
 		var call = AgentServiceGrpc.newFutureStub(this.channels.get(agent.address()))
 			.withDeadlineAfter(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
 			.getStatus(GetStatusRequest.getDefaultInstance());
-		Futures.addCallback(call, new FutureCallback<>() {
-			@Override
-			public void onSuccess(GetStatusResponse status) {
-				if (status.getIncarnation().equals(agent.incarnation())) {
-					AgentStatusController.this.statuses.put(agent.incarnation(), status);
-					publish();
-				}
-			}
-
-			@Override
-			public void onFailure(Throwable failure) {
-				AgentStatusController.this.statuses.remove(agent.incarnation());
-				publish();
-			}
-		}, this.control);
+		RpcFutures.of(call).whenCompleteAsync((status, failure) -> answered(agent, status), this.control);
+	}
+
+	private void answered(Member agent, @Nullable GetStatusResponse status) {
+		if (status == null) {
+			this.statuses.remove(agent.incarnation());
+		}
+		else if (status.getIncarnation().equals(agent.incarnation())) {
+			this.statuses.put(agent.incarnation(), status);
+		}
+		publish();
 	}
 
 	private void publish() {
--- a/entry/src/main/java/io/verbenacleat/entry/member/GrpcAgentControl.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/GrpcAgentControl.java
@@ -3,11 +3,9 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
-import com.google.common.util.concurrent.FutureCallback;
-import com.google.common.util.concurrent.Futures;
-import com.google.common.util.concurrent.MoreExecutors;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.core.rpc.RpcFutures;
 import io.verbenacleat.entry.budget.AgentControl;
 import io.verbenacleat.proto.v1.AgentServiceGrpc;
 import io.verbenacleat.proto.v1.CloseProcessRequest;
@@ -32,27 +30,17 @@
 
 	@Override
 	public CompletableFuture<CloseProcessResponse> closeProcess(Member agent, CloseProcessRequest request) {
-		CompletableFuture<CloseProcessResponse> result = new CompletableFuture<>();
-		var call = AgentServiceGrpc.newFutureStub(this.channels.get(agent.address()))
-			.withDeadlineAfter(CALL_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-			.closeProcess(request);
-		Futures.addCallback(call, new FutureCallback<>() {
-			@Override
-			public void onSuccess(CloseProcessResponse response) {
-				if (response.getAgentIncarnation().equals(agent.incarnation())) {
-					result.complete(response);
-				}
-				else {
-					result.completeExceptionally(new WrongAgentException(agent.incarnation()));
-				}
-			}
-
-			@Override
-			public void onFailure(Throwable failure) {
-				result.completeExceptionally(failure);
-			}
-		}, MoreExecutors.directExecutor());
-		return result;
+		return RpcFutures
+			.of(AgentServiceGrpc.newFutureStub(this.channels.get(agent.address()))
+				.withDeadlineAfter(CALL_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+				.closeProcess(request))
+			.thenCompose((response) -> check(agent, response));
+	}
+
+	private static CompletableFuture<CloseProcessResponse> check(Member agent, CloseProcessResponse response) {
+		return (response.getAgentIncarnation().equals(agent.incarnation()))
+				? CompletableFuture.completedFuture(response)
+				: CompletableFuture.failedFuture(new WrongAgentException(agent.incarnation()));
 	}
 
 }
--- a/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
@@ -8,8 +8,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
-import com.google.common.util.concurrent.FutureCallback;
-import com.google.common.util.concurrent.Futures;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.Blackboard;
@@ -17,11 +15,11 @@
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.Membership;
 import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.core.rpc.RpcFutures;
 import io.verbenacleat.entry.EntryBoard;
 import io.verbenacleat.entry.budget.ProcessCloser;
 import io.verbenacleat.proto.v1.HolderServiceGrpc;
 import io.verbenacleat.proto.v1.ProbeRequest;
-import io.verbenacleat.proto.v1.ProbeResponse;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -149,17 +147,9 @@
 		var call = HolderServiceGrpc.newFutureStub(this.channels.get(peer.address()))
 			.withDeadlineAfter(PROBE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
 			.probe(ProbeRequest.newBuilder().setIncarnation(this.self.incarnation()).build());
-		Futures.addCallback(call, new FutureCallback<>() {
-			@Override
-			public void onSuccess(ProbeResponse response) {
-				if (response.getIncarnation().equals(peer.incarnation())) {
-					PeerMonitor.this.answeredAtNanos.put(peer.incarnation(), nowNanos());
-				}
-			}
-
-			@Override
-			public void onFailure(Throwable failure) {
-				logger.debug("Entry {} did not answer a probe", peer.incarnation());
+		RpcFutures.of(call).thenAcceptAsync((response) -> {
+			if (response.getIncarnation().equals(peer.incarnation())) {
+				this.answeredAtNanos.put(peer.incarnation(), nowNanos());
 			}
 		}, this.control);
 	}
