Let partitions last longer in the failure tests

Cause: 25 answers of any entry came within a second, so the partitions ended before the separated entry had served many requests.

Ruled out: fixed waits.

--- a/itest/src/test/java/io/verbenacleat/itest/ScenarioRun.java
+++ b/itest/src/test/java/io/verbenacleat/itest/ScenarioRun.java
@@ -123,6 +123,23 @@
 		await(count + " more whole answers", () -> this.load.count(CallRecord.Outcome.WHOLE) >= target);
 	}
 
+	/**
+	 * Waits until callers got more whole answers from one entry.
+	 * @param entry the entry
+	 * @param count how many more
+	 */
+	void awaitAnswersFrom(String entry, int count) {
+		long target = answersFrom(entry) + count;
+		await(count + " more whole answers from " + entry, () -> answersFrom(entry) >= target);
+	}
+
+	private long answersFrom(String entry) {
+		return this.load.records()
+			.stream()
+			.filter((call) -> call.entry().equals(entry) && call.outcome() == CallRecord.Outcome.WHOLE)
+			.count();
+	}
+
 	/**
 	 * Waits until an entry has requests in progress.
 	 * @param entry the entry
