Let an entry learn from the members that it was closed

An entry that was closed while it was paused gets no receipts afterwards, since agents refuse its orders, so it wrote nothing and never learned. It refused every request and did not exit.

Ruled out: reading the own process row in each poll, which would double the reads of entries; a pause in the control thread as the sign, since an entry can be closed without one.

Change: after a poll that shows the entry missing from the members it reads its own process row.

While the closer waits for an agent, the entry is still a member and learns of the close only from its writes.

--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -23,6 +23,7 @@
 import io.verbenacleat.core.id.Incarnations;
 import io.verbenacleat.core.member.FleetRegistrar;
 import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Membership;
 import io.verbenacleat.core.member.RegistrationException;
 import io.verbenacleat.core.platform.HostList;
 import io.verbenacleat.core.platform.PlatformClient;
@@ -253,10 +254,19 @@
 		new CallersController(this.tables, this.control, this.ledger, poller);
 		new AgentStatusController(this.control, this.blackboard, this.channels, this.self.site());
 		new PeerMonitor(this.self, this.control, this.blackboard, this.channels, hostWatch, closer, this.registry);
-		poller.onContact(() -> this.blackboard.write(EntryBoard.PLATFORM_SEEN_AT_MS, this.control.clock().millis()));
+		poller.onContact(this::platformSeen);
 		this.control.execute(poller::start);
 	}
 
+	// A closer removes the entry from the members; without traffic nothing else tells it.
+	private void platformSeen() {
+		this.blackboard.write(EntryBoard.PLATFORM_SEEN_AT_MS, this.control.clock().millis());
+		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
+		if (this.registered && members != null && members.find(this.self.incarnation()).isEmpty()) {
+			this.ledger.checkOpen();
+		}
+	}
+
 	private CompletableFuture<Optional<Refusal>> checkKey(String requestId, CallerKey key) {
 		ReserveRequest request = ReserveRequest.newBuilder()
 			.setRequestId(requestId)
--- a/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
@@ -48,6 +48,8 @@
 
 	private final LedgerState state;
 
+	private final TableStore store;
+
 	private final ControlThread control;
 
 	private final CallerCache callers;
@@ -68,6 +70,7 @@
 		String incarnation = Objects.requireNonNull(builder.incarnation, "incarnation");
 		String address = Objects.requireNonNull(builder.address, "address");
 		TableStore store = Objects.requireNonNull(builder.store, "store");
+		this.store = store;
 		GrantPolicy policy = Objects.requireNonNull(builder.policy, "policy");
 		this.control = Objects.requireNonNull(builder.control, "control");
 		BudgetMetrics metrics = new BudgetMetrics(Objects.requireNonNull(builder.registry, "registry"));
@@ -170,6 +173,18 @@
 		this.control.execute(() -> this.state.process.addListener(listener));
 	}
 
+	/**
+	 * Reads the own process row, to learn whether this holder was closed. A holder that
+	 * has nothing to write would not learn it otherwise.
+	 */
+	public void checkOpen() {
+		this.store.read(this.state.process.key()).whenCompleteAsync((row, failure) -> {
+			if (row != null) {
+				this.state.process.observe(row);
+			}
+		}, this.control);
+	}
+
 	/**
 	 * Stops gracefully: refuses new reservations, waits for the open ones, writes the
 	 * journal, gives back all grants, and closes the process row.
