Keep the shutdown hook of Jooby from cutting requests off

Cause: Jooby registers a shutdown hook of its own that stops the HTTP server at once.

Ruled out: the agent, which was stopped at the same time: the three callers lost their connections within 12 ms of the signal, while the agent drained for 13 s and exited with 0.

Change: the daemons turn the hook off by the system property jooby.useShutdownHook before they start.

--- a/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
@@ -14,6 +14,8 @@
  */
 public final class DaemonProcess<S extends CommonSettings> {
 
+	private static final String JOOBY_SHUTDOWN_HOOK_PROPERTY = "jooby.useShutdownHook";
+
 	private static final String LAYOUT_PROPERTY = "verbena.log.layout";
 
 	private final String program;
@@ -62,6 +64,8 @@
 	}
 
 	private void start(S settings) {
+		// The hook of Jooby would close connections before requests in progress end.
+		System.setProperty(JOOBY_SHUTDOWN_HOOK_PROPERTY, "false");
 		try {
 			GracefulDaemon daemon = this.starter.start(settings);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
