--- a/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/DaemonProcess.java
@@ -16,6 +16,8 @@
  */
 public final class DaemonProcess<S extends CommonSettings> {
 
+	private static final String JOOBY_SHUTDOWN_HOOK_PROPERTY = "jooby.useShutdownHook";
+
 	private static final String LAYOUT_PROPERTY = "verbena.log.layout";
 
 	private final String program;
@@ -74,6 +76,8 @@
 			return fail(ExitCode.USAGE, ex);
 		}
 		System.setProperty(LAYOUT_PROPERTY, settings.logLayout.name().toLowerCase(Locale.ROOT));
+		// The hook of Jooby would close connections before requests in progress end.
+		System.setProperty(JOOBY_SHUTDOWN_HOOK_PROPERTY, "false");
 		try {
 			GracefulDaemon daemon = this.starter.start(settings);
 			Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
