--- a/itest/src/test/java/io/verbenacleat/itest/office/SpendingTests.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/SpendingTests.java
@@ -29,6 +29,8 @@
 
 	private static final int REFUSALS_PER_CUT = 200;
 
+	private static final int REFUSALS_AT_END = 300;
+
 	private static final Duration RETRY_AFTER = Duration.ofMillis(5);
 
 	private static final int ANSWER_TOKENS = 60;
@@ -72,6 +74,10 @@
 				// Each entry may keep a rest that is too small for one more request.
 				OfficeFixture.await("the budget is used up",
 						() -> spentTokens(office) + ENTRIES * REQUEST_BOUND_TOKENS > (TOP_UPS + 1) * TOP_UP_TOKENS);
+				// An overspend would show only now.
+				int refusedBefore = this.refusals.size();
+				OfficeFixture.await("the load goes on", () -> this.refusals.size() > refusedBefore + REFUSALS_AT_END
+						|| spentTokens(office) > (TOP_UPS + 1) * TOP_UP_TOKENS);
 			}
 		}
 		checkPrefixes(office);
