Test that a stop does not wait for a closed holder

Cause: one of nine runs of ConfigHistoryTests did not end; its stack shows EntryDaemon.stopGracefully waiting for the outbox of the budget router. A second run that did not end has no stack.

Change: a test that kills one of two entries, waits until it is closed, and stops the other.

Figures: fails with "Not within PT20S: the entry has stopped".

--- a/itest/src/test/java/io/verbenacleat/itest/office/LeavingTests.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/LeavingTests.java
@@ -6,8 +6,10 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.verbenacleat.agent.AgentDaemon;
+import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.entry.EntryDaemon;
 import io.verbenacleat.standins.EngineRecord;
+import okhttp3.Request;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -80,6 +82,27 @@
 		}
 	}
 
+	@Test
+	public void aStopDoesNotWaitForAHolderThatWasClosed() throws Exception {
+		try (OfficeFixture office = OfficeFixture.start(2, 1)) {
+			List<String> keys = new ArrayList<>();
+			for (int i = 0; i < 8; i++) {
+				office.accounts.create("account-" + i, "quotes", 1);
+				keys.add(office.callers.create("account-" + i, "caller").reveal());
+			}
+			office.kill(office.entries.get(0));
+			// The killed entry is the home holder of some of these accounts.
+			keys.forEach((key) -> office.caller.send(new Request.Builder().url(office.url(1) + "/v1/models")
+				.header("Authorization", "Bearer " + key)
+				.build()));
+			String row = ProcessRow.key(office.entries.get(0).incarnation());
+			OfficeFixture.await("the killed entry is closed",
+					() -> office.tables.read(row).join().json().contains("CLOSED"));
+			CompletableFuture<Void> stop = CompletableFuture.runAsync(() -> office.stop(office.entries.get(1)));
+			OfficeFixture.await("the entry has stopped", stop::isDone);
+		}
+	}
+
 	private static void assertNoNewWork(OfficeFixture office, int engine, long sinceMs, String cause) {
 		OfficeFixture.await("the bound is over",
 				() -> System.currentTimeMillis() > sinceMs + BOUND_MS + AFTER_BOUND_MS);
--- a/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
@@ -242,6 +242,16 @@
 		}
 	}
 
+	/**
+	 * Stops an entry at once, as a crash does.
+	 * @param entry the entry
+	 */
+	void kill(EntryDaemon entry) {
+		if (this.stopped.add(entry)) {
+			entry.close();
+		}
+	}
+
 	boolean isStopped(int entry) {
 		return this.stopped.contains(this.entries.get(entry));
 	}
