Add the experiment on budget grants

Cause: the presets of the grant policy were chosen without measurement.

Change: bin/experiment grants replays one set of requests, top-ups, partitions and holder losses against a check of the table at each request, a static split, three fixed grant sizes and both presets. The ledgers, the closer and the policies are those of the product, on a manual control thread and an in-memory table store with a round trip of 4 ms.

Ruled out: the search of the entry itself, which needs channels; the experiment repeats its order and limits.

--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
@@ -0,0 +1,58 @@
+package io.verbenacleat.bench;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.verbenacleat.bench.grants.GrantsExperiment;
+import io.verbenacleat.core.daemon.ExitCode;
+import io.verbenacleat.core.daemon.SettingsParser;
+import io.verbenacleat.core.daemon.UsageException;
+
+/**
+ * The program {@code bin/experiment}. The exit code is 1 when a bound was broken or a
+ * result could not be written, and 2 for bad usage.
+ */
+public final class ExperimentMain {
+
+	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(Map.of("grants", new GrantsExperiment()));
+
+	private ExperimentMain() {
+	}
+
+	/**
+	 * Runs one experiment.
+	 * @param args the name and the flags
+	 */
+	public static void main(String[] args) {
+		System.setProperty("java.awt.headless", "true");
+		System.exit(run(args).code());
+	}
+
+	static ExitCode run(String... args) {
+		ExperimentSettings settings = new ExperimentSettings();
+		try {
+			new SettingsParser("experiment", Map.of()).parse(settings, args);
+		}
+		catch (UsageException ex) {
+			System.err.println("experiment: " + ex.getMessage());
+			return ExitCode.USAGE;
+		}
+		Experiment experiment = EXPERIMENTS.get(settings.name);
+		if (experiment == null) {
+			System.err.println("experiment: unknown name '" + settings.name + "'; allowed are " + EXPERIMENTS.keySet());
+			return ExitCode.USAGE;
+		}
+		try {
+			String command = "bin/experiment " + settings.name + " --seed " + settings.seed;
+			ResultFiles results = new ResultFiles(Path.of(settings.out), command);
+			return (experiment.run(settings.seed, results, System.out)) ? ExitCode.DONE : ExitCode.FAILED;
+		}
+		catch (IOException ex) {
+			System.err.println("experiment: " + ex.getMessage());
+			return ExitCode.FAILED;
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/ExperimentSettings.java
@@ -0,0 +1,20 @@
+package io.verbenacleat.bench;
+
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+
+/**
+ * The command line of {@code bin/experiment}. Filled by args4j.
+ */
+final class ExperimentSettings {
+
+	@Argument(metaVar = "NAME", required = true, usage = "the experiment")
+	String name = "";
+
+	@Option(name = "--seed", metaVar = "N", required = true, usage = "seed of all random choices")
+	long seed;
+
+	@Option(name = "--out", metaVar = "DIR", usage = "directory of the results")
+	String out = "target/experiments";
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerFleet.java
@@ -0,0 +1,147 @@
+package io.verbenacleat.bench.grants;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import com.google.common.hash.Hashing;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.entry.budget.GrantPolicy;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The holders of all sites: their places in rendezvous order, their loss, their closing
+ * by a neighbor and their replacement. Used by one thread.
+ */
+final class LedgerFleet {
+
+	/** The time after which a neighbor suspects a silent process. */
+	private static final Duration SUSPICION_DELAY = Duration.ofSeconds(10);
+
+	private static final Duration RESTART_DELAY = Duration.ofMinutes(1);
+
+	private static final Duration RETRY_DELAY = Duration.ofSeconds(5);
+
+	final InMemoryTableStore store = new InMemoryTableStore();
+
+	final OfficeRows rows = new OfficeRows(this.store);
+
+	final AgentBooks agents = new AgentBooks();
+
+	final SiteTable.Counts counts = new SiteTable.Counts();
+
+	private final Work work;
+
+	private final ManualControlThread control;
+
+	private final GrantPolicy policy;
+
+	private final long startMs;
+
+	private final Map<String, LedgerHolder> holders = new HashMap<>();
+
+	private final List<List<LedgerHolder>> members = new ArrayList<>();
+
+	private final LedgerHolder[][] slots;
+
+	LedgerFleet(Work work, ManualControlThread control, GrantPolicy policy) {
+		this.work = work;
+		this.control = control;
+		this.policy = policy;
+		this.startMs = control.clock().millis();
+		this.slots = new LedgerHolder[work.sites()][work.holdersPerSite()];
+		this.rows.register("agents", Member.Role.AGENT, "site-0");
+		for (int site = 0; site < work.sites(); site++) {
+			this.members.add(new ArrayList<>());
+			for (int slot = 0; slot < work.holdersPerSite(); slot++) {
+				start(site, slot);
+			}
+		}
+	}
+
+	private void start(int site, int slot) {
+		if (!tableReachable(site)) {
+			this.control.schedule(RETRY_DELAY, () -> start(site, slot));
+			return;
+		}
+		Member member = this.rows.register("entry-" + site + "-" + slot + "-" + this.holders.size(), Member.Role.ENTRY,
+				"site-" + site);
+		SiteTable table = new SiteTable(this.store, this.control, () -> tableReachable(site), this.counts);
+		LedgerHolder holder = new LedgerHolder(member, site, table, this.control, this.policy, this.agents);
+		this.holders.put(member.incarnation(), holder);
+		this.members.get(site).add(holder);
+		this.slots[site][slot] = holder;
+	}
+
+	void lose(HolderLoss loss) {
+		LedgerHolder holder = this.slots[loss.site()][loss.slot()];
+		if (holder.lost()) {
+			return;
+		}
+		holder.lose();
+		this.control.schedule(SUSPICION_DELAY, () -> close(holder));
+		this.control.schedule(RESTART_DELAY, () -> start(loss.site(), loss.slot()));
+	}
+
+	private void close(LedgerHolder lost) {
+		this.members.get(lost.site)
+			.stream()
+			.filter((member) -> !member.lost())
+			.findFirst()
+			.ifPresent((member) -> member.closer.closeProcess(lost.member.incarnation())
+				.thenRun(() -> this.members.get(lost.site).remove(lost)));
+	}
+
+	/**
+	 * Returns the holders of a site in rendezvous order.
+	 * @param site the site
+	 * @param account the account
+	 * @return the holders, the home holder first, lost ones that are not closed included
+	 */
+	List<LedgerHolder> ranked(int site, String account) {
+		return this.members.get(site)
+			.stream()
+			.sorted(Comparator.comparingLong((holder) -> weight(account, holder.member.incarnation())))
+			.toList();
+	}
+
+	@Nullable
+	LedgerHolder find(String incarnation) {
+		return this.holders.get(incarnation);
+	}
+
+	/**
+	 * Returns whether a gateway of a site reaches a holder.
+	 * @param site the site of the gateway
+	 * @param holder the holder
+	 * @return {@code true} when it runs and is not behind a partition
+	 */
+	boolean reachable(int site, LedgerHolder holder) {
+		return !holder.lost() && (site == holder.site || this.work.connected(site, holder.site, nowMs()));
+	}
+
+	boolean tableReachable(int site) {
+		return this.work.tableReachable(site, nowMs());
+	}
+
+	private long nowMs() {
+		return this.control.clock().millis() - this.startMs;
+	}
+
+	private static long weight(String account, String incarnation) {
+		return Hashing.murmur3_128()
+			.newHasher()
+			.putString(account, StandardCharsets.UTF_8)
+			.putChar('/')
+			.putString(incarnation, StandardCharsets.UTF_8)
+			.hash()
+			.asLong();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerHolder.java
@@ -0,0 +1,59 @@
+package io.verbenacleat.bench.grants;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.entry.budget.BudgetLedger;
+import io.verbenacleat.entry.budget.GrantPolicy;
+import io.verbenacleat.entry.budget.ProcessCloser;
+
+/**
+ * One incarnation of a holder: the ledger of the product and its way to the table store.
+ * Used by one thread.
+ */
+final class LedgerHolder {
+
+	final Member member;
+
+	final int site;
+
+	final BudgetLedger ledger;
+
+	final ProcessCloser closer;
+
+	private final SiteTable table;
+
+	private boolean lost;
+
+	LedgerHolder(Member member, int site, SiteTable table, ManualControlThread control, GrantPolicy policy,
+			AgentBooks agents) {
+		this.member = member;
+		this.site = site;
+		this.table = table;
+		this.ledger = BudgetLedger.builder()
+			.incarnation(member.incarnation())
+			.address(member.address())
+			.store(table)
+			.control(control)
+			.policy(policy)
+			.registry(new PrometheusRegistry())
+			.build();
+		this.closer = new ProcessCloser(member.incarnation(), table, control,
+				(agent, request) -> CompletableFuture.completedFuture(agents.close(request.getIncarnation())),
+				(agent) -> false);
+	}
+
+	boolean lost() {
+		return this.lost;
+	}
+
+	void lose() {
+		this.lost = true;
+		this.table.setLost();
+		this.ledger.close();
+		this.closer.close();
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/Partition.java
@@ -0,0 +1,20 @@
+package io.verbenacleat.bench.grants;
+
+/**
+ * A time during which a site cannot reach another site or the table service. Immutable.
+ *
+ * @param fromMs the start, in milliseconds since the start of the run
+ * @param toMs the end, exclusive
+ * @param site the index of the site
+ * @param other the index of the other site, {@link #TABLE} for the table service
+ */
+record Partition(long fromMs, long toMs, int site, int other) {
+
+	static final int TABLE = -1;
+
+	boolean separates(int first, int second, long atMs) {
+		boolean pair = (this.site == first && this.other == second) || (this.site == second && this.other == first);
+		return pair && atMs >= this.fromMs && atMs < this.toMs;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/SiteTable.java
@@ -0,0 +1,113 @@
+package io.verbenacleat.bench.grants;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.platform.PlatformUnavailableException;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WriteOutcome;
+
+/**
+ * One holder's way to the shared table store: answers take a round trip, calls fail after
+ * a timeout during a partition, and are never answered once the holder is lost. Counts
+ * the calls. Used by one thread.
+ */
+final class SiteTable implements TableStore {
+
+	private static final Duration ROUND_TRIP = Duration.ofMillis(4);
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(1);
+
+	private final TableStore shared;
+
+	private final ManualControlThread control;
+
+	private final BooleanSupplier reachable;
+
+	private final Counts counts;
+
+	private boolean lost;
+
+	SiteTable(TableStore shared, ManualControlThread control, BooleanSupplier reachable, Counts counts) {
+		this.shared = shared;
+		this.control = control;
+		this.reachable = reachable;
+		this.counts = counts;
+	}
+
+	void setLost() {
+		this.lost = true;
+	}
+
+	@Override
+	public CompletableFuture<List<Row>> read(List<String> keys) {
+		this.counts.reads++;
+		return call(() -> this.shared.read(keys), CompletableFuture.failedFuture(unreachable()));
+	}
+
+	@Override
+	public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+		this.counts.reads++;
+		return call(() -> this.shared.scan(prefix, after, limit), CompletableFuture.failedFuture(unreachable()));
+	}
+
+	@Override
+	public CompletableFuture<WriteOutcome> transact(Transaction transaction) {
+		if (transaction.puts().stream().anyMatch((put) -> put.key().startsWith("account/"))) {
+			this.counts.accountWrites++;
+		}
+		else {
+			this.counts.journalWrites++;
+		}
+		return call(() -> this.shared.transact(transaction),
+				CompletableFuture.completedFuture(new WriteOutcome.NotApplied(unreachable())));
+	}
+
+	private <T> CompletableFuture<T> call(Supplier<CompletableFuture<T>> call, CompletableFuture<T> failed) {
+		CompletableFuture<T> answer = new CompletableFuture<>();
+		boolean reached = this.reachable.getAsBoolean();
+		this.control.schedule((reached) ? ROUND_TRIP : TIMEOUT, () -> {
+			if (!this.lost) {
+				((reached) ? call.get() : failed).whenComplete((value, failure) -> complete(answer, value, failure));
+			}
+		});
+		return answer;
+	}
+
+	private static <T> void complete(CompletableFuture<T> answer, T value, Throwable failure) {
+		if (failure != null) {
+			answer.completeExceptionally(failure);
+		}
+		else {
+			answer.complete(value);
+		}
+	}
+
+	private static PlatformUnavailableException unreachable() {
+		return new PlatformUnavailableException("The table service is behind a partition", null);
+	}
+
+	/**
+	 * The calls of all holders of one scheme.
+	 */
+	static final class Counts {
+
+		private long reads;
+
+		private long accountWrites;
+
+		private long journalWrites;
+
+		TableLoad load() {
+			return new TableLoad(this.reads, this.accountWrites, this.journalWrites);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/Tally.java
@@ -0,0 +1,155 @@
+package io.verbenacleat.bench.grants;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * The truth about all budgets of one run, and what the scheme made of it. Used by one
+ * thread.
+ */
+final class Tally {
+
+	private final long[] toppedUpTokens;
+
+	private final long[] spentTokens;
+
+	private final long[] runningTokens;
+
+	private final long[] overspentTokens;
+
+	/** Reserved tokens of running requests beyond the budget, at the highest. */
+	private final long[] overcommittedTokens;
+
+	final Map<String, Long> falseByCause = new TreeMap<>();
+
+	final Share connected = new Share();
+
+	final Share cut = new Share();
+
+	final Share nearlyUsedUp = new Share();
+
+	double outOfReachSum;
+
+	long outOfReachSamples;
+
+	Tally(Work work) {
+		this.toppedUpTokens = work.budgetTokens().stream().mapToLong(Long::longValue).toArray();
+		this.spentTokens = new long[this.toppedUpTokens.length];
+		this.runningTokens = new long[this.toppedUpTokens.length];
+		this.overspentTokens = new long[this.toppedUpTokens.length];
+		this.overcommittedTokens = new long[this.toppedUpTokens.length];
+	}
+
+	void topUp(TopUp topUp) {
+		this.toppedUpTokens[topUp.account()] += topUp.tokens();
+	}
+
+	void started(WorkRequest request) {
+		int account = request.account();
+		this.runningTokens[account] += request.reservedTokens();
+		this.overcommittedTokens[account] = Math.max(this.overcommittedTokens[account],
+				this.spentTokens[account] + this.runningTokens[account] - this.toppedUpTokens[account]);
+	}
+
+	void finished(WorkRequest request) {
+		int account = request.account();
+		this.runningTokens[account] -= request.reservedTokens();
+		this.spentTokens[account] += request.usedTokens();
+		this.overspentTokens[account] = Math.max(this.overspentTokens[account],
+				this.spentTokens[account] - this.toppedUpTokens[account]);
+	}
+
+	/**
+	 * Returns whether the budget could cover a request: what was topped up minus what was
+	 * spent, reservations of running requests not counted.
+	 * @param request the request
+	 * @return {@code true} when a refusal is false
+	 */
+	boolean covered(WorkRequest request) {
+		return request.reservedTokens() <= rest(request);
+	}
+
+	/**
+	 * Returns whether the budget could cover a request and all running ones.
+	 * @param request the request
+	 * @return {@code true} when a refusal is avoidable without the risk of overspend
+	 */
+	boolean coveredWithRunning(WorkRequest request) {
+		return request.reservedTokens() <= rest(request) - this.runningTokens[request.account()];
+	}
+
+	void counted(WorkRequest request, boolean tableReachable, boolean falselyRefused, boolean avoidable) {
+		((tableReachable) ? this.connected : this.cut).count(request, falselyRefused, avoidable);
+		long rest = rest(request);
+		if (rest > 0 && rest < this.toppedUpTokens[request.account()] / 20) {
+			this.nearlyUsedUp.count(request, falselyRefused, avoidable);
+		}
+	}
+
+	long overspentTokens() {
+		return Arrays.stream(this.overspentTokens).sum();
+	}
+
+	long overcommittedTokens() {
+		return Arrays.stream(this.overcommittedTokens).sum();
+	}
+
+	private long rest(WorkRequest request) {
+		return this.toppedUpTokens[request.account()] - this.spentTokens[request.account()];
+	}
+
+	/**
+	 * False refusals among a part of the requests.
+	 */
+	static final class Share {
+
+		private long requests;
+
+		private long requestedTokens;
+
+		private long falseRefusals;
+
+		private long falseTokens;
+
+		private long avoidableRefusals;
+
+		private void count(WorkRequest request, boolean falselyRefused, boolean avoidable) {
+			this.requests++;
+			this.requestedTokens += request.reservedTokens();
+			if (falselyRefused) {
+				this.falseRefusals++;
+				this.falseTokens += request.reservedTokens();
+				this.avoidableRefusals += (avoidable) ? 1 : 0;
+			}
+		}
+
+		Share plus(Share other) {
+			Share sum = new Share();
+			sum.requests = this.requests + other.requests;
+			sum.requestedTokens = this.requestedTokens + other.requestedTokens;
+			sum.falseRefusals = this.falseRefusals + other.falseRefusals;
+			sum.falseTokens = this.falseTokens + other.falseTokens;
+			sum.avoidableRefusals = this.avoidableRefusals + other.avoidableRefusals;
+			return sum;
+		}
+
+		long requests() {
+			return this.requests;
+		}
+
+		double falsePercent() {
+			return 100.0 * this.falseRefusals / Math.max(1, this.requests);
+		}
+
+		double falseTokenPercent() {
+			return 100.0 * this.falseTokens / Math.max(1, this.requestedTokens);
+		}
+
+		double avoidablePercent() {
+			return 100.0 * this.avoidableRefusals / Math.max(1, this.requests);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/io/verbenacleat/bench/grants/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the experiment on budget grants.
+ */
+@NullMarked
+package io.verbenacleat.bench.grants;
+
+import org.jspecify.annotations.NullMarked;
