Limit what a holder keeps to its share of the rest of a budget

A grant was returned by rate only, and the check that starts a return did not know the ungranted tokens.

Ruled out: a smaller minimum, since it makes the grants of small accounts useless while the table service is out of reach.

Change: AdaptiveGrantPolicy keeps at most its share of the free and ungranted tokens; the maintenance of the ledger passes the ungranted tokens of the last read.

--- a/entry/src/main/java/io/verbenacleat/entry/budget/AdaptiveGrantPolicy.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/AdaptiveGrantPolicy.java
@@ -4,7 +4,8 @@
 
 /**
  * Sizes a grant by the spending rate over a horizon, with a minimum, and limits it to a
- * share of the ungranted tokens so that the last tokens of a budget stay spread. The
+ * share of the ungranted tokens. The same share limits what a holder keeps, so that the
+ * last tokens of a budget come back to where one request can find them together. The
  * shortfall of waiting requests is always covered. Immutable.
  *
  * @param horizonSeconds for how long a grant should last, in seconds
@@ -36,7 +37,8 @@
 
 	@Override
 	public long returnedTokens(GrantDemand demand) {
-		long wantedTokens = wantedTokens(demand);
+		long spareTokens = (long) (this.share * (demand.ungrantedTokens() + demand.freeTokens()));
+		long wantedTokens = Math.min(wantedTokens(demand), spareTokens);
 		boolean idle = demand.freeTokens() > this.idleFactor * wantedTokens;
 		return (idle) ? demand.freeTokens() - wantedTokens : 0;
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/budget/LedgerMaintenance.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/LedgerMaintenance.java
@@ -60,8 +60,9 @@
 		if (state.writing || (state.grantedTokens == 0 && state.freeTokens() >= 0)) {
 			return false;
 		}
+		long ungrantedTokens = (state.row != null) ? Math.max(0, state.row.ungrantedTokens()) : 0;
 		GrantDemand demand = new GrantDemand(state.rate.perSecond(this.control.clock().millis()), state.freeTokens(), 0,
-				0);
+				ungrantedTokens);
 		return state.freeTokens() < 0 || (unused(state) && state.removable())
 				|| (state.freeTokens() > 0 && this.policy.returnedTokens(demand) > 0)
 				|| state.figuresLag(this.ledger.incarnation);
