Measure a search that renews at other sites

Cause: with the table service out of reach from a site, three quarters of the false refusals name tokens that some reachable holder has. The home holder does not know that holder, and holders asked second answer from their present grant.

Ruled out: a larger grant alone; it helps only accounts used at the site before.

Change: in the experiment only, a variant of the search that asks the named holders and the home holders of other sites to renew, when the home holder answers TABLE_UNREACHABLE. The product is unchanged.

--- a/bench/src/main/java/io/verbenacleat/bench/grants/LedgerFleet.java
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerFleet.java
@@ -7,6 +7,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.IntStream;
 
 import com.google.common.hash.Hashing;
 import io.verbenacleat.core.control.ManualControlThread;
@@ -111,6 +113,20 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the home holders of an account at all other sites.
+	 * @param site the site that is left out
+	 * @param account the account
+	 * @return one holder for each site that has any
+	 */
+	List<LedgerHolder> otherHomes(int site, String account) {
+		return IntStream.range(0, this.work.sites())
+			.filter((other) -> other != site)
+			.mapToObj((other) -> ranked(other, account).stream().findFirst())
+			.flatMap(Optional::stream)
+			.toList();
+	}
+
 	@Nullable
 	LedgerHolder find(String incarnation) {
 		return this.holders.get(incarnation);
--- a/bench/src/main/java/io/verbenacleat/bench/grants/LedgerScheme.java
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerScheme.java
@@ -27,7 +27,10 @@
 
 	private final LedgerFleet fleet;
 
-	LedgerScheme(Work work, ManualControlThread control, GrantPolicy policy) {
+	private final boolean renewsElsewhere;
+
+	LedgerScheme(Work work, ManualControlThread control, GrantPolicy policy, boolean renewsElsewhere) {
+		this.renewsElsewhere = renewsElsewhere;
 		this.work = work;
 		this.control = control;
 		this.fleet = new LedgerFleet(work, control, policy);
@@ -45,7 +48,7 @@
 			.setKeySha256(OfficeRows.KEY_SHA256)
 			.setTokens(request.reservedTokens())
 			.build();
-		new LedgerSearch(this.fleet, request.site(), message, answer).start();
+		new LedgerSearch(this.fleet, request.site(), message, answer, this.renewsElsewhere).start();
 	}
 
 	@Override
--- a/bench/src/main/java/io/verbenacleat/bench/grants/LedgerSearch.java
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerSearch.java
@@ -15,8 +15,10 @@
 
 /**
  * The search of one request for a holder, with the order and the limits of the search in
- * the entry: up to three home holders, then up to six that the first refusal names. Used
- * by one thread.
+ * the entry: up to three home holders, then up to six that the first refusal names. The
+ * variant of the search that may renew elsewhere asks these holders, and then the home
+ * holders of other sites, to renew when the home holder cannot reach the table service.
+ * Used by one thread.
  */
 final class LedgerSearch {
 
@@ -32,6 +34,8 @@
 
 	private final Consumer<Decision> answer;
 
+	private final boolean renewsElsewhere;
+
 	private final Deque<LedgerHolder> homes = new ArrayDeque<>();
 
 	private final Deque<LedgerHolder> alternatives = new ArrayDeque<>();
@@ -40,11 +44,13 @@
 
 	private @Nullable ReserveRefusal refusal;
 
-	LedgerSearch(LedgerFleet fleet, int site, ReserveRequest request, Consumer<Decision> answer) {
+	LedgerSearch(LedgerFleet fleet, int site, ReserveRequest request, Consumer<Decision> answer,
+			boolean renewsElsewhere) {
 		this.fleet = fleet;
 		this.site = site;
 		this.request = request;
 		this.answer = answer;
+		this.renewsElsewhere = renewsElsewhere;
 	}
 
 	void start() {
@@ -63,7 +69,8 @@
 			askNext();
 		}
 		else {
-			holder.ledger.reserve(this.request.toBuilder().setForwarded(forwarded).build())
+			boolean renews = this.renewsElsewhere && this.refusal == ReserveRefusal.TABLE_UNREACHABLE;
+			holder.ledger.reserve(this.request.toBuilder().setForwarded(forwarded && !renews).build())
 				.whenComplete((response, failure) -> answered(holder, response));
 		}
 	}
@@ -95,6 +102,9 @@
 				.map((grant) -> this.fleet.find(grant.getHolderIncarnation()))
 				.filter((found) -> found != null)
 				.forEach(this.alternatives::add);
+			if (this.renewsElsewhere && this.refusal == ReserveRefusal.TABLE_UNREACHABLE) {
+				this.alternatives.addAll(this.fleet.otherHomes(this.site, this.request.getAccount()));
+			}
 		}
 	}
 
