Return grants of a lost holder whose lost agents are accounted for

Cause: a closer counted every agent that was lost since the holder started, and held the rest of each grant, although every request of that agent had long been settled by TAKEN_OVER receipts. Two cases: the agent was replaced while the holder lived, or before it started when the agent that replaced it had been replaced as well. Ruled out: naming an agent as soon as LostAgents knows it to be lost, for an agent that is only missing from the host list may still receive an order of a later reservation from a gateway that has not heard of the loss; an acknowledgement by each open entry, which needs a new message and waits for the other side of a partition; naming the agent in the reservation, since the gateway selects the agent after it has reserved. Change: ReplacedAgents reports an agent whose address was taken over by a newer agent of its backend server, so that no order can reach it any more. AgentAccounting waits until the reservations open at that time have ended; ReceiptJournal then names the agent in a row that leaves no receipt pending (JournalRow.accountedAgents), and ProcessCloser leaves it out. AgentRound leaves out agents replaced before the process registered by the fencing numbers in the process rows. The random histories lose agents twice as often, let holders learn of it at random, settle with TAKEN_OVER, and require at the end that no holder with nothing unknown has its rest held. Conclusion: an agent replaced at another address, or only missing from the host list, still has the rest held.

--- a/core/src/main/java/io/verbenacleat/core/journal/JournalRow.java
+++ b/core/src/main/java/io/verbenacleat/core/journal/JournalRow.java
@@ -17,9 +17,11 @@
  * @param restHeld whether the rest of each grant of the holder is held, because an agent
  * was lost that may have spent it; set in final rows only
  * @param lostAgents the agents that were lost, in final rows only
+ * @param accountedAgents ended agents of which this row and the earlier rows hold every
+ * receipt; in journal rows only, empty in rows of older versions
  */
 public record JournalRow(List<JournalReceipt> receipts, Map<String, Long> spentByAccount,
-		Map<String, Long> heldByAccount, boolean restHeld, List<String> lostAgents) {
+		Map<String, Long> heldByAccount, boolean restHeld, List<String> lostAgents, List<String> accountedAgents) {
 
 	/** The prefix of the table keys of all journals. */
 	public static final String KEY_PREFIX = "journal/";
@@ -36,6 +38,7 @@
 		spentByAccount = (spentByAccount != null) ? Map.copyOf(spentByAccount) : Map.of();
 		heldByAccount = (heldByAccount != null) ? Map.copyOf(heldByAccount) : Map.of();
 		lostAgents = (lostAgents != null) ? List.copyOf(lostAgents) : List.of();
+		accountedAgents = (accountedAgents != null) ? List.copyOf(accountedAgents) : List.of();
 	}
 
 	/**
@@ -46,7 +49,7 @@
 	 */
 	public JournalRow(List<JournalReceipt> receipts, Map<String, Long> spentByAccount,
 			Map<String, Long> heldByAccount) {
-		this(receipts, spentByAccount, heldByAccount, false, List.of());
+		this(receipts, spentByAccount, heldByAccount, false, List.of(), List.of());
 	}
 
 	/**
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -47,6 +47,7 @@
 import io.verbenacleat.entry.member.HostWatch;
 import io.verbenacleat.entry.member.MembershipController;
 import io.verbenacleat.entry.member.PeerMonitor;
+import io.verbenacleat.entry.member.ReplacedAgents;
 import io.verbenacleat.entry.request.DefaultRequestRunner;
 import io.verbenacleat.entry.request.Refusal;
 import io.verbenacleat.entry.request.ReserveRefusals;
@@ -274,6 +275,7 @@
 	private void startControllers(HostWatch hostWatch, ProcessCloser closer) {
 		HeadPoller poller = new HeadPoller(this.tables, this.control, HEAD_POLL_INTERVAL);
 		new ConfigController(this.tables, this.control, this.blackboard, poller, this.self.site(), this.registry);
+		new ReplacedAgents(this.blackboard, this.ledger::agentEnded);
 		new MembershipController(this.tables, this.control, this.blackboard, poller);
 		new DrainController(this.tables, this.control, this.blackboard, poller);
 		new CallersController(this.tables, this.control, this.ledger, poller);
--- a/entry/src/main/java/io/verbenacleat/entry/budget/AgentRound.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/AgentRound.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 
 import io.verbenacleat.core.control.Cancellable;
@@ -20,7 +22,9 @@
  * Used on the control thread only.
  * <p>
  * The agents are those with a process row. One that closed its own row stopped
- * gracefully, with all its receipts durable, and is left out.
+ * gracefully, with all its receipts durable, and is left out. So is one that ended before
+ * the process registered: a newer agent of its backend server had registered by then. The
+ * rows show this also when that newer agent has since been replaced itself.
  */
 final class AgentRound {
 
@@ -50,17 +54,17 @@
 	 * @return what the agents answered; fails when the process rows cannot be read
 	 */
 	CompletableFuture<Result> run(Member process, String asking) {
-		List<Member> found = new ArrayList<>();
+		List<ProcessRow> found = new ArrayList<>();
 		CloseProcessRequest request = CloseProcessRequest.newBuilder()
 			.setIncarnation(process.incarnation())
 			.setAskingIncarnation(asking)
 			.build();
 		CompletableFuture<Void> listed = new CompletableFuture<>();
-		list(process, "", found, listed);
-		return listed.thenCompose((done) -> ask(found, request));
+		list("", found, listed);
+		return listed.thenCompose((done) -> ask(concerned(found, process), request));
 	}
 
-	private void list(Member process, String after, List<Member> found, CompletableFuture<Void> done) {
+	private void list(String after, List<ProcessRow> found, CompletableFuture<Void> done) {
 		this.store.scan(ProcessRow.KEY_PREFIX, after, PAGE_ROWS).whenCompleteAsync((rows, failure) -> {
 			if (rows == null) {
 				done.completeExceptionally((failure != null) ? failure : new IllegalStateException("No rows"));
@@ -68,23 +72,35 @@
 			}
 			for (Row row : rows) {
 				ProcessRows.parse(row)
-					.filter((agent) -> concerned(agent, process))
-					.ifPresent((agent) -> found.add(agent.member()));
+					.filter((process) -> process.member().role() == Member.Role.AGENT)
+					.ifPresent(found::add);
 			}
 			if (rows.size() < PAGE_ROWS) {
 				done.complete(null);
 			}
 			else {
-				list(process, rows.get(rows.size() - 1).key(), found, done);
+				list(rows.get(rows.size() - 1).key(), found, done);
 			}
 		}, this.control);
 	}
 
+	private List<Member> concerned(List<ProcessRow> agents, Member process) {
+		Map<String, Long> fences = new HashMap<>();
+		agents.stream()
+			.map(ProcessRow::member)
+			.filter((agent) -> agent.backendServer() != null && agent.registration() < process.registration())
+			.forEach((agent) -> fences.merge(agent.backendServer(), agent.fence(), Math::max));
+		return agents.stream()
+			.filter((agent) -> concerned(agent, process))
+			.map(ProcessRow::member)
+			.filter((agent) -> agent.fence() >= fences.getOrDefault(agent.backendServer(), 0L))
+			.toList();
+	}
+
 	private boolean concerned(ProcessRow agent, Member process) {
 		boolean stoppedGracefully = agent.state() == ProcessRow.State.CLOSED
 				&& agent.member().incarnation().equals(agent.closedBy());
-		return agent.member().role() == Member.Role.AGENT && !stoppedGracefully
-				&& !this.lostAgents.endedBefore(agent.member(), process);
+		return !stoppedGracefully && !this.lostAgents.endedBefore(agent.member(), process);
 	}
 
 	private CompletableFuture<Result> ask(List<Member> members, CloseProcessRequest request) {
--- a/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
@@ -58,6 +58,8 @@
 
 	private final Settlement settlement;
 
+	private final AgentAccounting agentAccounting;
+
 	private final LedgerMaintenance maintenance;
 
 	private final GracefulStop gracefulStop;
@@ -82,10 +84,11 @@
 						planner, metrics, owner::written));
 		this.settlement = new Settlement(ledger, this.control, this.admission, this.journal,
 				new JournalReader(store, this.control), metrics);
+		this.agentAccounting = new AgentAccounting(ledger, this.journal);
 		this.maintenance = new LedgerMaintenance(ledger, this.control, policy, this.admission.writer(), this.journal,
 				metrics);
 		this.gracefulStop = new GracefulStop(ledger, store, this.control, this.admission, this.journal);
-		this.maintenanceTimer = this.control.scheduleWithFixedDelay(MAINTENANCE_INTERVAL, this.maintenance::run);
+		this.maintenanceTimer = this.control.scheduleWithFixedDelay(MAINTENANCE_INTERVAL, this::maintain);
 		ledger.process.addListener(this::refuseWaiting);
 	}
 
@@ -149,6 +152,15 @@
 		});
 	}
 
+	/**
+	 * Takes notice that an agent has ended, so that no order can reach it any more. The
+	 * journal names it as accounted for once no reservation can be waiting for it.
+	 * @param agent the agent incarnation
+	 */
+	public void agentEnded(String agent) {
+		this.control.execute(() -> this.agentAccounting.ended(agent));
+	}
+
 	/**
 	 * Returns the gateways that have open reservations here; called on the control
 	 * thread.
@@ -189,6 +201,11 @@
 		this.maintenanceTimer.cancel();
 	}
 
+	private void maintain() {
+		this.maintenance.run();
+		this.agentAccounting.run();
+	}
+
 	private void durable(List<JournalReceipt> receipts) {
 		this.settlement.durable(receipts);
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/budget/GracefulStop.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/GracefulStop.java
@@ -65,7 +65,7 @@
 		else if (this.ledger.accounts.values().stream().anyMatch((state) -> !state.reservations.isEmpty())) {
 			later();
 		}
-		else if (this.journal.pendingCount() > 0) {
+		else if (!this.journal.idle()) {
 			this.journal.flush();
 			later();
 		}
--- a/entry/src/main/java/io/verbenacleat/entry/budget/ProcessCloser.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/ProcessCloser.java
@@ -3,9 +3,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import io.verbenacleat.core.control.ControlThread;
@@ -31,7 +33,8 @@
  * Each step starts from the rows as they are, so any closer can continue the work of
  * another, and a lost answer needs no special treatment. When an agent was lost, the
  * final row says that the rest of each grant of the process is held, since the agent may
- * have spent it on requests whose receipts are gone.
+ * have spent it on requests whose receipts are gone. Agents that the journal of the
+ * process names as accounted for are left out (see {@link AgentAccounting}).
  */
 public final class ProcessCloser implements AutoCloseable {
 
@@ -222,6 +225,8 @@
 
 		private final Map<String, Long> held = new HashMap<>();
 
+		private final Set<String> accountedAgents = new HashSet<>();
+
 		private FinalFigures(Map<String, Receipt> receipts) {
 			this.missing = new LinkedHashMap<>(receipts);
 		}
@@ -230,16 +235,18 @@
 			row.receipts().forEach((receipt) -> this.missing.remove(receipt.requestId()));
 			this.spent.putAll(row.spentByAccount());
 			this.held.putAll(row.heldByAccount());
+			this.accountedAgents.addAll(row.accountedAgents());
 		}
 
-		private JournalRow finalRow(List<String> lost) {
+		private JournalRow finalRow(List<String> lostAgents) {
+			List<String> lost = lostAgents.stream().filter((agent) -> !this.accountedAgents.contains(agent)).toList();
 			List<JournalReceipt> receipts = new ArrayList<>();
 			for (Receipt receipt : this.missing.values()) {
 				receipts.add(JournalReceipt.of(receipt));
 				this.spent.merge(receipt.getAccount(), receipt.getBilledTokens(), Long::sum);
 				this.held.merge(receipt.getAccount(), receipt.getHeldTokens(), Long::sum);
 			}
-			return new JournalRow(receipts, this.spent, this.held, !lost.isEmpty(), lost);
+			return new JournalRow(receipts, this.spent, this.held, !lost.isEmpty(), lost, List.of());
 		}
 
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/budget/ReceiptJournal.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/ReceiptJournal.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.ControlThread;
@@ -52,6 +54,8 @@
 
 	private final Deque<JournalReceipt> pending = new ArrayDeque<>();
 
+	private final Set<String> accountedAgents = new LinkedHashSet<>();
+
 	private Map<String, Long> spentByAccount = new HashMap<>();
 
 	private Map<String, Long> heldByAccount = new HashMap<>();
@@ -80,6 +84,15 @@
 		schedule();
 	}
 
+	/**
+	 * Names an agent as accounted for in the next row that leaves no receipt unwritten.
+	 * @param agent the agent incarnation
+	 */
+	void addAccountedAgent(String agent) {
+		this.accountedAgents.add(agent);
+		schedule();
+	}
+
 	/**
 	 * Returns whether so many receipts wait that no request is admitted.
 	 * @return {@code true} at the bound
@@ -92,6 +105,14 @@
 		return this.pending.size();
 	}
 
+	/**
+	 * Returns whether everything is written and no write is in flight.
+	 * @return {@code true} when a flush would do nothing
+	 */
+	boolean idle() {
+		return !this.writing && !hasContent();
+	}
+
 	Duration interval() {
 		return this.interval;
 	}
@@ -100,7 +121,7 @@
 	 * Writes what is pending now, unless a write is in flight.
 	 */
 	void flush() {
-		if (this.writing || this.pending.isEmpty() || this.process.closed()) {
+		if (this.writing || !hasContent() || this.process.closed()) {
 			return;
 		}
 		this.writing = true;
@@ -127,13 +148,17 @@
 		return new JournalRow(List.of(), this.spentByAccount, this.heldByAccount);
 	}
 
+	private boolean hasContent() {
+		return !this.pending.isEmpty() || !this.accountedAgents.isEmpty();
+	}
+
 	private void schedule() {
 		if (!this.scheduled && !this.process.closed()) {
 			this.scheduled = true;
 			this.control.schedule(this.interval, () -> {
 				this.scheduled = false;
 				flush();
-				if (!this.pending.isEmpty()) {
+				if (hasContent()) {
 					schedule();
 				}
 			});
@@ -148,22 +173,24 @@
 			spent.merge(receipt.account(), receipt.billedTokens(), Long::sum);
 			held.merge(receipt.account(), receipt.heldTokens(), Long::sum);
 		}
+		List<String> agents = (receipts.size() == this.pending.size()) ? List.copyOf(this.accountedAgents) : List.of();
 		String key = JournalRow.key(this.holder, this.sequence);
 		Transaction transaction = Transaction.builder()
-			.insert(key, Json.write(row(receipts, spent, held)))
+			.insert(key, Json.write(row(receipts, spent, held, agents)))
 			.require(this.process.key(), this.process.openVersion())
 			.build();
-		send(new Batch(key, receipts, spent, held, transaction), false);
+		send(new Batch(key, receipts, spent, held, agents, transaction), false);
 	}
 
-	private static JournalRow row(List<JournalReceipt> receipts, Map<String, Long> spent, Map<String, Long> held) {
+	private static JournalRow row(List<JournalReceipt> receipts, Map<String, Long> spent, Map<String, Long> held,
+			List<String> accountedAgents) {
 		Map<String, Long> batchSpent = new HashMap<>();
 		Map<String, Long> batchHeld = new HashMap<>();
 		for (JournalReceipt receipt : receipts) {
 			batchSpent.put(receipt.account(), spent.getOrDefault(receipt.account(), 0L));
 			batchHeld.put(receipt.account(), held.getOrDefault(receipt.account(), 0L));
 		}
-		return new JournalRow(receipts, batchSpent, batchHeld);
+		return new JournalRow(receipts, batchSpent, batchHeld, false, List.of(), accountedAgents);
 	}
 
 	private void send(Batch batch, boolean uncertain) {
@@ -218,6 +245,7 @@
 		for (int i = 0; i < batch.receipts.size(); i++) {
 			this.pending.remove();
 		}
+		batch.accountedAgents.forEach(this.accountedAgents::remove);
 		this.metrics.journalRows.inc();
 		this.listener.accept(new ArrayList<>(batch.receipts));
 		if (this.pending.size() >= MAX_BATCH) {
@@ -236,7 +264,7 @@
 	}
 
 	private record Batch(String key, List<JournalReceipt> receipts, Map<String, Long> spent, Map<String, Long> held,
-			Transaction transaction) {
+			List<String> accountedAgents, Transaction transaction) {
 	}
 
 }
--- a/entry/src/test/java/io/verbenacleat/entry/budget/BudgetSimulation.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/BudgetSimulation.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -16,8 +17,10 @@
 import io.verbenacleat.core.account.Account;
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.core.journal.JournalRow;
 import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReceiptStatus;
 import io.verbenacleat.proto.v1.ReleaseRequest;
 import io.verbenacleat.proto.v1.ReserveRequest;
 import io.verbenacleat.proto.v1.ReserveResponse;
@@ -34,7 +37,7 @@
 
 	private static final int HOLDERS = 3;
 
-	private static final int STEP_KINDS = 26;
+	private static final int STEP_KINDS = 28;
 
 	private final TestOffice office = new TestOffice();
 
@@ -57,7 +60,10 @@
 
 	private final Map<String, Receipt> executed = new HashMap<>();
 
-	private final Set<String> lostRequests = new HashSet<>();
+	/** Receipts that an agent had, or would have had, when it was lost. */
+	private final Map<String, Receipt> lostReceipts = new LinkedHashMap<>();
+
+	private final List<String> lostAgents = new ArrayList<>();
 
 	private final FaultyTableStore closerStore = new FaultyTableStore(this.office.store);
 
@@ -67,6 +73,9 @@
 
 	private final Set<String> closing = new HashSet<>();
 
+	/** Holders that may end with a closing transaction that did not take effect. */
+	private final Set<String> stopping = new HashSet<>();
+
 	private final List<String> liveAgents = new ArrayList<>();
 
 	private boolean agentLost;
@@ -112,6 +121,8 @@
 			case 22 -> close(holder, parameter);
 			case 23 -> agentFault(parameter);
 			case 24 -> stop(holder, parameter);
+			case 25 -> this.lostAgents.forEach(holder.ledger::agentEnded);
+			case 26 -> takeOver(parameter);
 			default -> advanceMs((parameter % 3 == 0) ? 100_000 : 1_000);
 		}
 		advanceMs(parameter % 3 * 100);
@@ -132,21 +143,43 @@
 		this.closerStore.setAvailable(true);
 		this.agents.agents.values().forEach((agent) -> agent.unreachable = false);
 		this.agents.agents.values().forEach(FakeAgents.FakeAgent::finishAll);
-		for (int i = 0; i < 4; i++) {
+		for (int i = 0; i < 6; i++) {
+			settleAll();
 			advanceMs(6_000);
 			this.liveAgents.forEach((agent) -> report(this.agents.agent(agent)));
 			collect();
 			check();
 		}
+		List<String> settled = this.everyHolder.keySet()
+			.stream()
+			.filter((holder) -> !this.stopping.contains(holder))
+			.filter((holder) -> this.office.state(holder) == ProcessRow.State.OPEN)
+			.toList();
 		for (String holder : this.everyHolder.keySet()) {
 			this.closers.get(0).closeProcess(holder);
 		}
 		advanceMs(60_000);
+		settled.forEach((holder) -> require(!restHeld(holder), "nothing is unknown of " + holder));
 		foldAll();
 		check();
 		checkBills();
 	}
 
+	/**
+	 * Ends all reservations: has each holder learn of all losses, and the gateways settle
+	 * or release what is left.
+	 */
+	private void settleAll() {
+		this.everyHolder.values().forEach((holder) -> this.lostAgents.forEach(holder.ledger::agentEnded));
+		this.lostReceipts.values().forEach(this::takeOver);
+		this.undispatched.forEach(this::release);
+		this.undispatched.clear();
+	}
+
+	private boolean restHeld(String holder) {
+		return this.office.get(JournalRow.finalKey(holder), JournalRow.class).restHeld();
+	}
+
 	private void foldAll() {
 		TestOffice.Holder last = this.office.holder("last", new FixedGrantPolicy(1));
 		for (String account : ACCOUNTS) {
@@ -166,16 +199,26 @@
 		for (Receipt receipt : this.executed.values()) {
 			List<JournalReceipt> found = bills.get(receipt.getRequestId());
 			if (found != null) {
-				require(found.get(0).billedTokens() == receipt.getBilledTokens(), "the amount of " + receipt);
+				JournalReceipt bill = found.get(0);
+				require(bill.billedTokens() + bill.heldTokens() == receipt.getBilledTokens(),
+						"the amount of " + receipt);
 			}
 			else {
-				require(this.lostRequests.contains(receipt.getRequestId()), "a bill for " + receipt);
+				require(this.lostReceipts.containsKey(receipt.getRequestId()), "a bill for " + receipt);
 			}
 		}
+		boolean anyRestHeld = this.everyHolder.keySet().stream().anyMatch(this::restHeld);
 		for (String id : ACCOUNTS) {
 			Account account = this.office.account(id);
 			long used = this.usedTokens.getOrDefault(id, 0L);
 			require(account.settledTokens() + account.heldTokens() >= used, "settled and held cover what was used");
+			long billed = this.office.receipts()
+				.stream()
+				.filter((bill) -> bill.account().equals(id))
+				.mapToLong((bill) -> bill.billedTokens() + bill.heldTokens())
+				.sum();
+			require(anyRestHeld || account.settledTokens() + account.heldTokens() == billed,
+					"settled and held are what was billed: " + account + " " + billed);
 			require(this.agentLost || (account.settledTokens() == used && account.heldTokens() == 0),
 					"settled is what was used: " + account + " " + used);
 		}
@@ -238,6 +281,22 @@
 				ReleaseRequest.newBuilder().setHolderIncarnation(holder).addRequestIds(order.getRequestId()).build());
 	}
 
+	private void takeOver(int parameter) {
+		if (!this.lostReceipts.isEmpty()) {
+			takeOver(new ArrayList<>(this.lostReceipts.values()).get(parameter % this.lostReceipts.size()));
+		}
+	}
+
+	private void takeOver(Receipt lost) {
+		Receipt takenOver = lost.toBuilder()
+			.setBilledTokens(0)
+			.setHeldTokens(lost.getBilledTokens())
+			.setStatus(ReceiptStatus.TAKEN_OVER)
+			.build();
+		Objects.requireNonNull(this.everyHolder.get(lost.getHolderIncarnation())).ledger
+			.settle(SettleRequest.newBuilder().addReceipts(takenOver).build());
+	}
+
 	private void report(FakeAgents.FakeAgent agent) {
 		for (TestOffice.Holder holder : this.everyHolder.values()) {
 			List<Receipt> receipts = agent.receipts.values()
@@ -280,6 +339,7 @@
 
 	private void stop(TestOffice.Holder holder, int parameter) {
 		if (parameter % 2 == 0) {
+			this.stopping.add(holder.incarnation);
 			holder.ledger.stop(Duration.ofSeconds(30));
 			this.holders.set(this.holders.indexOf(holder), newHolder());
 		}
@@ -288,9 +348,10 @@
 	private void agentFault(int parameter) {
 		int which = parameter % this.liveAgents.size();
 		FakeAgents.FakeAgent agent = this.agents.agent(this.liveAgents.get(which));
-		if (parameter % 16 == 7) {
-			this.lostRequests.addAll(agent.running.keySet());
-			this.lostRequests.addAll(agent.receipts.keySet());
+		if (parameter % 8 == 7) {
+			this.lostReceipts.putAll(agent.running);
+			this.lostReceipts.putAll(agent.receipts);
+			this.lostAgents.add(this.liveAgents.get(which));
 			this.agentLost = true;
 			agent.lost = true;
 			agent.running.clear();
--- a/entry/src/test/java/io/verbenacleat/entry/budget/ProcessCloserTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/ProcessCloserTests.java
@@ -9,8 +9,10 @@
 import io.verbenacleat.core.account.Account;
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ReceiptStatus;
 import io.verbenacleat.proto.v1.ReserveResponse;
 import io.verbenacleat.proto.v1.SettleRequest;
 import org.testng.annotations.BeforeMethod;
@@ -91,6 +93,62 @@
 		assertEquals(fold(), account(70, 30));
 	}
 
+	// Guards against holding a grant for ever because of an agent that was lost long
+	// before
+	// its holder, when every request that it had is settled.
+	@Test
+	void returnsTheRestWhenTheLostAgentIsAccountedFor() {
+		loseAgentOne();
+		settle(takenOver("r1", 30));
+		settle(takenOver("r2", 40));
+		this.holder.advanceMs(86_400_000);
+		close(closer("closer"), 5_000);
+		JournalRow last = this.office.get(JournalRow.finalKey("h1"), JournalRow.class);
+		assertFalse(last.restHeld());
+		assertEquals(fold(), account(0, 70));
+	}
+
+	// Guards against returning tokens of a request that the lost agent may have run, when
+	// other requests were settled and later ones are granted meanwhile.
+	@Test
+	void holdsTheRestWhileARequestOfTheLostAgentIsOpen() {
+		loseAgentOne();
+		settle(takenOver("r1", 30));
+		reserve("r3", 20);
+		this.holder.advanceMs(60_000);
+		close(closer("closer"), 5_000);
+		JournalRow last = this.office.get(JournalRow.finalKey("h1"), JournalRow.class);
+		assertEquals(last.lostAgents(), List.of("agent-1"));
+		assertEquals(fold(), account(0, 100));
+	}
+
+	// Guards against naming an agent before the receipts of its requests are durable: the
+	// table service takes no row of the holder from the loss on.
+	@Test
+	void holdsTheRestWhileReceiptsOfTheLostAgentArePending() {
+		this.holder.store.setAvailable(false);
+		loseAgentOne();
+		settle(takenOver("r1", 30));
+		settle(takenOver("r2", 40));
+		this.holder.advanceMs(60_000);
+		close(closer("closer"), 5_000);
+		assertEquals(fold(), account(0, 100));
+	}
+
+	// Guards against holding a grant because of an agent that was replaced before the
+	// holder started, when the agent that replaced it is gone as well.
+	@Test
+	void leavesOutAgentsThatEndedBeforeTheHolderStarted() {
+		this.agents.agent("agent-1").finishAll();
+		this.agents.add("old").lost = true;
+		this.agents.add("next");
+		putProcess(agent("old", 1), 1, ProcessRow.State.OPEN);
+		putProcess(agent("next", 2), 2, ProcessRow.State.CLOSED);
+		putProcess(this.office.get(ProcessRow.key("h1"), ProcessRow.class).member(), 3, ProcessRow.State.OPEN);
+		close(closer("closer"), 5_000);
+		assertEquals(this.office.get(JournalRow.finalKey("h1"), JournalRow.class).lostAgents(), List.of());
+	}
+
 	// Guards against a half-closed process: the first closer dies before each of its
 	// writes
 	// in turn, and its answers are lost.
@@ -138,11 +196,41 @@
 		assertEquals(fold(), account(70, 0));
 	}
 
-	private void execute(String requestId, String agent, long tokens) {
+	private void putProcess(Member member, long registration, ProcessRow.State state) {
+		String closedBy = (state == ProcessRow.State.CLOSED) ? member.incarnation() : null;
+		this.office.put(ProcessRow.key(member.incarnation()),
+				new ProcessRow(member.withRegistration(registration), state, closedBy));
+	}
+
+	private static Member agent(String incarnation, long fence) {
+		return new Member(incarnation, Member.Role.AGENT, "host:1", "host", "region", "zone", "site", "server", fence,
+				0);
+	}
+
+	private void loseAgentOne() {
+		FakeAgents.FakeAgent agent = this.agents.agent("agent-1");
+		agent.running.clear();
+		agent.lost = true;
+		this.holder.ledger.agentEnded("agent-1");
+	}
+
+	private static Receipt takenOver(String requestId, long tokens) {
+		return TestOffice.receipt(requestId, "a", "h1", 0)
+			.toBuilder()
+			.setHeldTokens(tokens)
+			.setStatus(ReceiptStatus.TAKEN_OVER)
+			.build();
+	}
+
+	private void reserve(String requestId, long tokens) {
 		CompletableFuture<ReserveResponse> answer = this.holder.ledger
 			.reserve(TestOffice.request(requestId, "a", tokens));
 		this.holder.advanceMs(100);
 		assertTrue(answer.join().getGranted());
+	}
+
+	private void execute(String requestId, String agent, long tokens) {
+		reserve(requestId, tokens);
 		assertTrue(this.agents.agent(agent).start(TestOffice.receipt(requestId, "a", "h1", tokens)));
 	}
 
