--- a/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
@@ -228,7 +228,7 @@
 	 */
 	void stop(AgentDaemon agent) {
 		if (this.stopped.add(agent)) {
-			agent.shutdown();
+			agent.stopGracefully();
 		}
 	}
 
