Drop receipts in the outbox when the holder was closed

Cause: the graceful stop waits until the outbox is empty, and the outbox repeated receipts that a closed holder never takes.

Ruled out: acknowledging such receipts, since the end of an answer must not be sent before the holder knows the receipt; a bound on the stop, which would also end stops that wait for receipts still to be taken.

Change: an item whose holder answers holder_closed is removed, without an acknowledgement: the agent keeps the receipt for the closer.

Conclusion: fixed at the level of the outbox.

--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderOutbox.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderOutbox.java
@@ -117,7 +117,12 @@
 	}
 
 	private void settleAnswered(List<String> keys, @Nullable SettleResponse answer) {
-		acknowledge(keys, answer != null && !answer.getHolderClosed());
+		if (answer != null && answer.getHolderClosed()) {
+			// The agents keep the receipts for the closer.
+			keys.forEach(this.items::remove);
+			return;
+		}
+		acknowledge(keys, answer != null);
 	}
 
 	private void acknowledge(List<String> keys, boolean done) {
