End the processes of a test run that is ended early

Cause: a soak ended by SIGTERM left its fleet running.

Ruled out: process groups, which end more than the started processes.

Change: each started process is ended by a shutdown hook.

--- a/itest/src/test/java/io/verbenacleat/itest/ManagedProcess.java
+++ b/itest/src/test/java/io/verbenacleat/itest/ManagedProcess.java
@@ -51,7 +51,10 @@
 		ProcessBuilder builder = new ProcessBuilder(this.command).redirectErrorStream(true)
 			.redirectOutput(ProcessBuilder.Redirect.appendTo(this.output.toFile()));
 		builder.environment().putAll(this.environment);
-		this.process = builder.start();
+		Process started = builder.start();
+		this.process = started;
+		// A test run that is ended early must not leave processes behind.
+		Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
 	}
 
 	/**
