Stop without waiting for holders that were closed

Cause: on a graceful stop an entry waits until its outbox is empty. A release or receipt for a holder that had crashed or stopped was kept for 5 minutes after the holder left the members, so SIGTERM took as long.

Ruled out: requests in progress and open reservations of the ledger; the stack shows the wait for the outbox. Dropping such items earlier was not chosen, since a holder that is not listed yet may still answer.

Change: the outbox counts only items for members as waiting. The closer of a holder accounts for its reservations, and agents keep their receipts.

--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderOutbox.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderOutbox.java
@@ -42,11 +42,16 @@
 	}
 
 	/**
-	 * Returns how many items wait for an acknowledgement; called on the control thread.
+	 * Returns how many items wait for an acknowledgement that may still come; called on
+	 * the control thread. A holder that is no member was closed: its closer accounts for
+	 * its reservations, and the agents keep their receipts for the closer.
 	 * @return the number
 	 */
 	int waiting() {
-		return this.items.size();
+		return (int) this.items.values()
+			.stream()
+			.filter((item) -> this.directory.isMember(item.holder.incarnation()))
+			.count();
 	}
 
 	/**
