Test the order of responses to pipelined requests

Ruled out: the decoder alone; two valid requests on one connection are answered in the wrong order as well.

Change: a test sends a chat completion and GET /v1/models on one connection without waiting.

The new test fails: the list of models comes first.

Conclusion: responses are not mixed up on connections without pipelining. A fix needs requests of one connection to wait for each other in the gateway, or a connection that pipelines to be refused; neither is small here.

--- a/itest/src/test/java/io/verbenacleat/itest/office/BadInputTests.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/BadInputTests.java
@@ -175,6 +175,15 @@
 		assertRefused(noRoute, 404, "route_not_found");
 	}
 
+	@Test
+	public void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+		String chat = Caller.chatBody("pipe", 50, 60).replace("\"stream\":true,", "");
+		String head = " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + this.office.key + "\r\n";
+		String response = raw("POST /v1/chat/completions" + head + "Content-Length: " + chat.length() + "\r\n\r\n"
+				+ chat + "GET /v1/models" + head + "\r\n");
+		assertTrue(response.contains(Caller.answer("pipe", 50)), "the first response is not the first: " + response);
+	}
+
 	@Test
 	public void aRawRequestWithoutTricksGetsIn() throws IOException {
 		String response = raw(
