Measure the cost of control and replace reckoned figures

Cause: the capacity page had reckoned figures for memory and messages.

The meter now collects until the live heap shrinks no more.

--- a/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
+++ b/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import io.verbenacleat.bench.control.ControlExperiment;
 import io.verbenacleat.bench.grants.GrantsExperiment;
 import io.verbenacleat.core.daemon.ExitCode;
 import io.verbenacleat.core.daemon.SettingsParser;
@@ -16,7 +17,8 @@
  */
 public final class ExperimentMain {
 
-	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(Map.of("grants", new GrantsExperiment()));
+	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(
+			Map.of("control", new ControlExperiment(), "grants", new GrantsExperiment()));
 
 	private ExperimentMain() {
 	}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/control/ControlExperiment.java
@@ -0,0 +1,45 @@
+package io.verbenacleat.bench.control;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.verbenacleat.bench.Experiment;
+import io.verbenacleat.bench.ResultFiles;
+
+/**
+ * Measures the cost of control on the control objects alone: slopes for the capacity
+ * page. The seed is not used. Stateless.
+ */
+public final class ControlExperiment implements Experiment {
+
+	@Override
+	public boolean run(long seed, ResultFiles results, PrintStream out) throws IOException {
+		List<Measurement> measurements = new ArrayList<>(LedgerCost.measure());
+		measurements.addAll(FleetCost.measure());
+		measurements.add(Sizes.journal());
+		List<String> points = new ArrayList<>();
+		for (Measurement measurement : measurements) {
+			measurement.points().forEach((point) -> points.add(measurement.name() + "," + point.x() + "," + point.y()));
+		}
+		List<String> slopes = measurements.stream().map(Measurement::line).toList();
+		Map<String, Double> sizes = new LinkedHashMap<>();
+		Sizes.messages().forEach((name, bytes) -> sizes.put(name, bytes.doubleValue()));
+		List<String> sizeLines = sizes.entrySet()
+			.stream()
+			.map((entry) -> entry.getKey() + "," + entry.getValue().intValue())
+			.toList();
+		results.csv("control", Measurement.HEADER, slopes);
+		results.csv("control-points", "name,size,cost", points);
+		results.csv("control-messages", "message,bytes", sizeLines);
+		results.bars("control-messages", "Serialized size, bytes", sizes);
+		slopes.forEach(out::println);
+		sizeLines.forEach(out::println);
+		out.println("control: " + slopes.size() + " slopes, " + sizeLines.size() + " message sizes");
+		return true;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/control/Measurement.java
@@ -0,0 +1,29 @@
+package io.verbenacleat.bench.control;
+
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * The cost of one thing at several sizes. Immutable.
+ *
+ * @param name what is measured
+ * @param unit the unit of the cost
+ * @param size the unit of the size
+ * @param points the measurements
+ */
+record Measurement(String name, String unit, String size, List<Slope.Point> points) {
+
+	static final String HEADER = "name,slope,unit,per,base,from,to,fit_error_pct";
+
+	Measurement {
+		points = List.copyOf(points);
+	}
+
+	String line() {
+		Slope slope = Slope.of(this.points);
+		return String.format(Locale.ROOT, "%s,%.4g,%s,%s,%.4g,%s,%s,%.1f", this.name, slope.perUnit(), this.unit,
+				this.size, slope.base(), this.points.get(0).x(), this.points.get(this.points.size() - 1).x(),
+				slope.errorPercent());
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/control/Meter.java
@@ -0,0 +1,97 @@
+package io.verbenacleat.bench.control;
+
+import java.lang.management.ManagementFactory;
+import java.util.Arrays;
+import java.util.concurrent.ForkJoinPool;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
+import java.util.stream.LongStream;
+
+/**
+ * Measures CPU time of the calling thread and memory retained by an object graph.
+ * Stateless.
+ */
+final class Meter {
+
+	private static final int STEADY_COLLECTIONS = 6;
+
+	private static final long SMALL_BYTES = 4_096;
+
+	private static final long BACKGROUND_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private static final int REPETITIONS = 5;
+
+	private Meter() {
+	}
+
+	/**
+	 * Returns the CPU time of a task on this thread.
+	 * @param task the task
+	 * @return the time, in microseconds
+	 */
+	static double cpuMicros(Runnable task) {
+		long startNanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+		task.run();
+		return (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - startNanos) / 1_000.0;
+	}
+
+	/**
+	 * Returns the median CPU time of several runs of a task, after as many that are not
+	 * measured.
+	 * @param task the task
+	 * @return the time, in microseconds
+	 */
+	static double medianCpuMicros(Runnable task) {
+		for (int i = 0; i < REPETITIONS; i++) {
+			task.run();
+		}
+		double[] micros = new double[REPETITIONS];
+		Arrays.setAll(micros, (i) -> cpuMicros(task));
+		Arrays.sort(micros);
+		return micros[REPETITIONS / 2];
+	}
+
+	/**
+	 * Returns the heap that an object graph keeps alive: what a full collection frees
+	 * once it is dropped. Memory shared with anything else is not counted.
+	 * @param maker makes the graph
+	 * @return the median of several measurements, in bytes
+	 */
+	static double retainedBytes(Supplier<Object> maker) {
+		return LongStream.range(0, REPETITIONS)
+			.map((i) -> retainedOnce(maker))
+			.sorted()
+			.skip(REPETITIONS / 2)
+			.findFirst()
+			.orElseThrow();
+	}
+
+	private static long retainedOnce(Supplier<Object> maker) {
+		Object[] holder = { maker.get() };
+		long with = liveBytes();
+		holder[0] = "";
+		return with - liveBytes();
+	}
+
+	/**
+	 * Returns the live heap once it shrinks no more: caches and the runtime let go of
+	 * dropped objects in the background, some after a collection.
+	 * @return the size, in bytes
+	 */
+	private static long liveBytes() {
+		long lowest = Long.MAX_VALUE;
+		for (int steady = 0; steady < STEADY_COLLECTIONS; steady++) {
+			ForkJoinPool.commonPool().awaitQuiescence(1, TimeUnit.SECONDS);
+			System.gc();
+			long bytes = Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+			if (bytes < lowest - SMALL_BYTES) {
+				steady = 0;
+			}
+			lowest = Math.min(lowest, bytes);
+			LockSupport.parkNanos(BACKGROUND_NANOS);
+		}
+		return lowest;
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/io/verbenacleat/bench/ExperimentMainTests.java
@@ -0,0 +1,20 @@
+package io.verbenacleat.bench;
+
+import io.verbenacleat.core.daemon.ExitCode;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+
+public class ExperimentMainTests {
+
+	// Guards against a run that starts with a mistyped name or without its seed.
+	@Test
+	void refusesBadUsage() {
+		assertEquals(ExperimentMain.run(), ExitCode.USAGE);
+		assertEquals(ExperimentMain.run("grants"), ExitCode.USAGE);
+		assertEquals(ExperimentMain.run("grant", "--seed", "1"), ExitCode.USAGE);
+		assertEquals(ExperimentMain.run("grants", "--seed", "one"), ExitCode.USAGE);
+		assertEquals(ExperimentMain.run("grants", "--seed", "1", "--unknown"), ExitCode.USAGE);
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/io/verbenacleat/bench/control/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the experiment on the cost of control.
+ */
+@NullMarked
+package io.verbenacleat.bench.control;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/bench/src/test/java/io/verbenacleat/bench/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the program that runs experiments.
+ */
+@NullMarked
+package io.verbenacleat.bench;
+
+import org.jspecify.annotations.NullMarked;
