Measure the cost of the hop through entry and agent

Cause: the time and the CPU that entry and agent add were not known.

Change: bin/experiment hop starts the processes of bin/quickstart and sends streamed requests at fixed times, directly to the engine stand-in and through entry and agent; times count from the intended start.

--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/hop/LocalFleet.java
@@ -0,0 +1,136 @@
+package io.verbenacleat.bench.hop;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The processes that {@code bin/quickstart --keep} starts on loopback. Used by one
+ * thread.
+ */
+final class LocalFleet implements AutoCloseable {
+
+	private static final int PORT_BASE = 28_000;
+
+	/** Clock ticks in /proc are hundredths of a second on all supported hosts. */
+	private static final double TICKS_PER_SECOND = 100;
+
+	private static final int FIELDS_BEFORE_UTIME = 11;
+
+	private static final long STOP_SECONDS = 30;
+
+	private static final int AGENT = 3;
+
+	private static final int ENTRY = 5;
+
+	private final String entryUrl;
+
+	private final String key;
+
+	private final List<Long> pids;
+
+	private LocalFleet(Map<String, String> printed) {
+		this.entryUrl = printed.getOrDefault("BASE_URL", "");
+		this.key = printed.getOrDefault("API_KEY", "");
+		this.pids = Arrays.stream(printed.getOrDefault("PIDS", "").split(" ", -1)).map(Long::valueOf).toList();
+	}
+
+	/**
+	 * Starts the processes and tops up the account.
+	 * @param home the directory of the project
+	 * @param tokens the tokens to add
+	 * @return the running fleet
+	 * @throws IOException when a process did not start
+	 * @throws InterruptedException when the thread is interrupted
+	 */
+	static LocalFleet start(Path home, long tokens) throws IOException, InterruptedException {
+		ProcessBuilder quickstart = new ProcessBuilder(home.resolve("bin/quickstart").toString(), "--keep");
+		quickstart.environment().put("QUICKSTART_PORT_BASE", Integer.toString(PORT_BASE));
+		Map<String, String> printed = new HashMap<>();
+		Process process = quickstart.redirectError(ProcessBuilder.Redirect.INHERIT).start();
+		try (BufferedReader reader = process.inputReader(StandardCharsets.UTF_8)) {
+			String line = reader.readLine();
+			while (line != null && !printed.containsKey("PIDS")) {
+				int equals = line.indexOf('=');
+				if (line.matches("(BASE_URL|API_KEY|PIDS)=.*")) {
+					printed.put(line.substring(0, equals), line.substring(equals + 1));
+				}
+				line = (printed.containsKey("PIDS")) ? null : reader.readLine();
+			}
+		}
+		if (!printed.containsKey("PIDS")) {
+			throw new IOException("The quickstart did not start");
+		}
+		LocalFleet fleet = new LocalFleet(printed);
+		fleet.topUp(home, tokens);
+		return fleet;
+	}
+
+	private void topUp(Path home, long tokens) throws IOException, InterruptedException {
+		ProcessBuilder ctl = new ProcessBuilder(home.resolve("bin/verbenactl").toString(), "account", "top-up",
+				"counter", "--id", "load", "--tokens", Long.toString(tokens));
+		ctl.environment().put("VERBENA_PLATFORM_URL", "http://127.0.0.1:" + PORT_BASE);
+		ctl.environment().put("VERBENA_PLATFORM_TOKEN", "quickstart-platform-token");
+		if (ctl.inheritIO().start().waitFor() != 0) {
+			close();
+			throw new IOException("The top-up failed");
+		}
+	}
+
+	String entryUrl() {
+		return this.entryUrl;
+	}
+
+	String engineUrl() {
+		return "http://127.0.0.1:" + (PORT_BASE + 1) + "/v1";
+	}
+
+	String key() {
+		return this.key;
+	}
+
+	double entryCpuSeconds() throws IOException {
+		return cpuSeconds(this.pids.get(ENTRY));
+	}
+
+	double agentCpuSeconds() throws IOException {
+		return cpuSeconds(this.pids.get(AGENT));
+	}
+
+	private static double cpuSeconds(long pid) throws IOException {
+		String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+		String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+		return (Long.parseLong(fields[FIELDS_BEFORE_UTIME]) + Long.parseLong(fields[FIELDS_BEFORE_UTIME + 1]))
+				/ TICKS_PER_SECOND;
+	}
+
+	/**
+	 * Ends the processes one after the other, entries before agents and these before the
+	 * stand-ins, so that each can finish its journal.
+	 */
+	@Override
+	public void close() {
+		for (int i = this.pids.size() - 1; i >= 0; i--) {
+			ProcessHandle.of(this.pids.get(i)).ifPresent(LocalFleet::end);
+		}
+	}
+
+	private static void end(ProcessHandle process) {
+		process.destroy();
+		try {
+			process.onExit().orTimeout(STOP_SECONDS, TimeUnit.SECONDS).join();
+		}
+		catch (CompletionException ex) {
+			process.destroyForcibly();
+		}
+	}
+
+}
