Delete rows of closed processes that are no longer needed

Ruled out: deletion after a time, since a paused gateway, a grant that no holder has folded, or a receipt at an agent may need the row at any age; deletion of final rows with receipts, which are the only bills of them; and of rows of lost processes whose address nobody has taken over, since the process could find its row absent and register again. Change: ProcessRetention, run by the first entry of the ring (PeerMonitor.isFirst), examines one process a minute. RetentionScan reads all process rows and then all account rows once an hour at most; the class doc gives the evidence for each condition. GatewayReconciler takes an absent row of a gateway for a closed one and asks all agents. Figures: at most 60 deletions an hour; 20 closed processes are 15 after six minutes. Conclusion: rows of crashed agents are never closed by anyone, so they and the holders that lived with an agent replaced at another address still stay.

--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -34,6 +34,7 @@
 import io.verbenacleat.entry.budget.BudgetLedger;
 import io.verbenacleat.entry.budget.GatewayReconciler;
 import io.verbenacleat.entry.budget.ProcessCloser;
+import io.verbenacleat.entry.budget.ProcessRetention;
 import io.verbenacleat.entry.holder.ConfiguredGrantPolicy;
 import io.verbenacleat.entry.holder.FleetBudgetRouter;
 import io.verbenacleat.entry.holder.HolderService;
@@ -258,7 +259,9 @@
 				lostAgents);
 		new GatewayReconciler(this.self.incarnation(), this.ledger, this.tables, this.control, agentControl,
 				lostAgents);
-		startControllers(hostWatch, closer);
+		PeerMonitor peers = startControllers(hostWatch, closer);
+		new ProcessRetention(this.self.incarnation(), this.tables, this.control, agentControl, lostAgents,
+				peers::isFirst);
 		DefaultRequestRunner runner = DefaultRequestRunner.builder(this.self.incarnation(), this.self.site())
 			.control(this.control, this.blackboard)
 			.budget(this.router)
@@ -272,7 +275,7 @@
 			.start(this.settings.httpHost, this.settings.httpPort);
 	}
 
-	private void startControllers(HostWatch hostWatch, ProcessCloser closer) {
+	private PeerMonitor startControllers(HostWatch hostWatch, ProcessCloser closer) {
 		HeadPoller poller = new HeadPoller(this.tables, this.control, HEAD_POLL_INTERVAL);
 		new ConfigController(this.tables, this.control, this.blackboard, poller, this.self.site(), this.registry);
 		new ReplacedAgents(this.blackboard, this.ledger::agentEnded);
@@ -280,9 +283,11 @@
 		new DrainController(this.tables, this.control, this.blackboard, poller);
 		new CallersController(this.tables, this.control, this.ledger, poller);
 		new AgentStatusController(this.control, this.blackboard, this.channels, this.self.site());
-		new PeerMonitor(this.self, this.control, this.blackboard, this.channels, hostWatch, closer, this.registry);
+		PeerMonitor peers = new PeerMonitor(this.self, this.control, this.blackboard, this.channels, hostWatch, closer,
+				this.registry);
 		poller.onContact(() -> this.blackboard.write(EntryBoard.PLATFORM_SEEN_AT_MS, this.control.clock().millis()));
 		this.control.execute(poller::start);
+		return peers;
 	}
 
 	private CompletableFuture<Optional<Refusal>> checkKey(String requestId, CallerKey key) {
--- a/entry/src/main/java/io/verbenacleat/entry/budget/GatewayReconciler.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/GatewayReconciler.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
@@ -13,7 +14,9 @@
 /**
  * Ends the reservations of gateways that were closed: asks the agents which of their
  * requests were executed, and frees the others. A gateway counts as closed when its
- * process row says so. Used on the control thread.
+ * process row says so, or is absent: a gateway reserves only after it has registered, so
+ * {@link ProcessRetention} has deleted the row after the gateway was closed. Used on the
+ * control thread.
  */
 public final class GatewayReconciler {
 
@@ -54,7 +57,7 @@
 		for (String gateway : this.ledger.reservingGateways()) {
 			if (!gateway.equals(this.incarnation) && this.inProgress.add(gateway)) {
 				this.store.read(ProcessRow.key(gateway)).whenCompleteAsync((row, failure) -> {
-					if (row != null && row.exists()) {
+					if (row != null) {
 						reconcileIfClosed(gateway, row);
 					}
 					else {
@@ -65,10 +68,21 @@
 		}
 	}
 
+	/**
+	 * Returns a stand-in for a deleted row. Without a registration, all agents that have
+	 * a row are asked.
+	 * @param gateway the gateway incarnation
+	 * @return the row of a closed process
+	 */
+	private static ProcessRow deleted(String gateway) {
+		Member member = new Member(gateway, Member.Role.ENTRY, "", "", "", "", "", null, 0, 0);
+		return new ProcessRow(member, ProcessRow.State.CLOSED, null);
+	}
+
 	private void reconcileIfClosed(String gateway, Row row) {
-		ProcessRow process = ProcessRows.parse(row)
-			.filter((parsed) -> parsed.state() == ProcessRow.State.CLOSED)
-			.orElse(null);
+		ProcessRow process = (row.exists())
+				? ProcessRows.parse(row).filter((parsed) -> parsed.state() == ProcessRow.State.CLOSED).orElse(null)
+				: deleted(gateway);
 		if (process == null) {
 			this.inProgress.remove(gateway);
 			return;
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/ProcessRetention.java
@@ -0,0 +1,177 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.Members;
+import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+
+/**
+ * Deletes the rows {@code process/<incarnation>} and {@code final/<holder>} of processes
+ * that are closed and no longer needed, at most one process a minute. Used on the control
+ * thread.
+ * <p>
+ * A process row is deleted when all of this is known; otherwise it is kept:
+ * <ul>
+ * <li>Its state is CLOSED. A closed process never changes its state again, and the
+ * deletion carries the version of the row.</li>
+ * <li>The process cannot register again: it closed its own row, or a process that
+ * registered later has its address.</li>
+ * <li>No account row has a grant of it. All account rows are read after the process was
+ * seen closed. A holder writes a grant only under the condition that its process row is
+ * open, so a grant that is not there then never comes back.</li>
+ * <li>No row {@code members/<zone>} of its zone lists it. The deletion carries the
+ * version of that row.</li>
+ * <li>Each agent that may have had its orders answers {@code CloseProcess} with no order
+ * in progress and no receipt, and starts none from then on; or it is lost and a newer
+ * agent of its backend server has its address, so it reads the rows no more.</li>
+ * <li>An agent closed its own row, and no older agent of its backend server has a row.
+ * The row shows closers that the older agent ended.</li>
+ * </ul>
+ * A final row is deleted together with the process row when it has no receipts and holds
+ * no rest; with these it is a billing record and stays. Two entries that both take
+ * themselves for the first of the ring do no harm, since each deletion is conditional.
+ */
+public final class ProcessRetention {
+
+	private static final Duration INTERVAL = Duration.ofMinutes(1);
+
+	/** A cycle reads all account rows: 26,000 rows are 52 pages. */
+	private static final Duration CYCLE_INTERVAL = Duration.ofHours(1);
+
+	private final String incarnation;
+
+	private final TableStore store;
+
+	private final ControlThread control;
+
+	private final AgentRound agents;
+
+	private final BooleanSupplier leads;
+
+	private final RetentionScan scan;
+
+	private final Queue<Row> candidates = new ArrayDeque<>();
+
+	private Set<String> endedAgents = Set.of();
+
+	private long nextCycleNanos;
+
+	private boolean busy;
+
+	/**
+	 * Creates a retention and starts it.
+	 * @param incarnation the incarnation of this process
+	 * @param store the table store
+	 * @param control the control thread
+	 * @param agentControl reaches the agents
+	 * @param lostAgents knows which agents are lost
+	 * @param leads whether this entry is the one that deletes; called on the control
+	 * thread
+	 */
+	public ProcessRetention(String incarnation, TableStore store, ControlThread control, AgentControl agentControl,
+			LostAgents lostAgents, BooleanSupplier leads) {
+		this.incarnation = incarnation;
+		this.store = store;
+		this.control = control;
+		this.agents = new AgentRound(store, control, agentControl, lostAgents);
+		this.leads = leads;
+		this.scan = new RetentionScan(store, control);
+		this.nextCycleNanos = control.nanoTime();
+		control.scheduleWithFixedDelay(INTERVAL, this::run);
+	}
+
+	private void run() {
+		if (this.busy) {
+			return;
+		}
+		if (!this.leads.getAsBoolean()) {
+			this.candidates.clear();
+			return;
+		}
+		Row next = this.candidates.poll();
+		if (next != null) {
+			await(examine(next));
+		}
+		else if (this.control.nanoTime() - this.nextCycleNanos >= 0) {
+			this.nextCycleNanos = this.control.nanoTime() + CYCLE_INTERVAL.toNanos();
+			await(this.scan.run().thenAccept(this::take));
+		}
+	}
+
+	private void await(CompletableFuture<?> work) {
+		this.busy = true;
+		work.whenCompleteAsync((done, failure) -> this.busy = false, this.control);
+	}
+
+	private void take(RetentionScan.Result result) {
+		this.candidates.addAll(result.candidates());
+		this.endedAgents = result.endedAgents();
+	}
+
+	private CompletableFuture<?> examine(Row row) {
+		ProcessRow process = ProcessRows.parse(row).orElseThrow();
+		if (process.member().role() == Member.Role.AGENT) {
+			return delete(row, process.member());
+		}
+		return this.agents.run(process.member(), this.incarnation)
+			.thenCompose((round) -> (unneededBy(round)) ? delete(row, process.member())
+					: CompletableFuture.completedFuture(null));
+	}
+
+	private boolean unneededBy(AgentRound.Result round) {
+		return round.complete() && this.endedAgents.containsAll(round.lost)
+				&& round.responses.stream().allMatch((response) -> response.getReceiptsCount() == 0);
+	}
+
+	private CompletableFuture<?> delete(Row process, Member member) {
+		String zoneKey = Members.key(member.zone());
+		return this.store.read(List.of(zoneKey, JournalRow.finalKey(member.incarnation()))).thenCompose((rows) -> {
+			try {
+				Row zone = rows.get(0);
+				if (lists(zone, member)) {
+					return CompletableFuture.completedFuture(null);
+				}
+				return this.store.transact(deletion(process, zone, rows.get(1)));
+			}
+			catch (JsonFormatException ex) {
+				return CompletableFuture.failedFuture(ex);
+			}
+		});
+	}
+
+	private static boolean lists(Row zone, Member member) throws JsonFormatException {
+		return zone.exists() && Json.read(zone.json(), Members.class)
+			.members()
+			.stream()
+			.anyMatch((listed) -> listed.incarnation().equals(member.incarnation()));
+	}
+
+	private static Transaction deletion(Row process, Row zone, Row last) throws JsonFormatException {
+		Transaction.Builder deletion = Transaction.builder()
+			.deleteIf(process.key(), process.version())
+			.require(zone.key(), zone.version());
+		if (last.exists() && !billingRecord(Json.read(last.json(), JournalRow.class))) {
+			deletion.deleteIf(last.key(), last.version());
+		}
+		return deletion.build();
+	}
+
+	private static boolean billingRecord(JournalRow last) {
+		return last.restHeld() || !last.receipts().isEmpty();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/RetentionScan.java
@@ -0,0 +1,147 @@
+package io.verbenacleat.entry.budget;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+
+import io.verbenacleat.core.account.Account;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+
+/**
+ * Reads all process rows and then all account rows, and selects the closed processes that
+ * no account row mentions. Used on the control thread.
+ */
+final class RetentionScan {
+
+	private static final int PAGE_ROWS = 500;
+
+	private final TableStore store;
+
+	private final ControlThread control;
+
+	RetentionScan(TableStore store, ControlThread control) {
+		this.store = store;
+		this.control = control;
+	}
+
+	/**
+	 * Runs one scan.
+	 * @return the result, on the control thread; fails when a row cannot be read
+	 */
+	CompletableFuture<Result> run() {
+		List<Row> rows = new ArrayList<>();
+		return scan(ProcessRow.KEY_PREFIX, rows::add).thenCompose((done) -> {
+			Map<String, Row> candidates = new HashMap<>();
+			List<Entry> entries = entries(rows);
+			entries.stream()
+				.filter((entry) -> closedForGood(entry, entries))
+				.forEach((entry) -> candidates.put(entry.member().incarnation(), entry.row));
+			if (candidates.isEmpty()) {
+				return CompletableFuture.completedFuture(new Result(List.of(), Set.of()));
+			}
+			return scan(Account.key(""), (row) -> candidates.keySet().removeAll(holders(row)))
+				.thenApply((read) -> new Result(List.copyOf(candidates.values()), endedAgents(entries)));
+		});
+	}
+
+	private static List<Entry> entries(List<Row> rows) {
+		List<Entry> entries = new ArrayList<>();
+		for (Row row : rows) {
+			ProcessRows.parse(row).ifPresent((process) -> entries.add(new Entry(row, process)));
+		}
+		return entries;
+	}
+
+	private static boolean closedForGood(Entry entry, List<Entry> all) {
+		if (entry.process.state() != ProcessRow.State.CLOSED) {
+			return false;
+		}
+		boolean byItself = entry.member().incarnation().equals(entry.process.closedBy());
+		if (entry.member().role() == Member.Role.AGENT) {
+			return byItself && all.stream().noneMatch((other) -> newerAgent(entry.member(), other.member()));
+		}
+		return byItself || all.stream().anyMatch((other) -> replaces(other.member(), entry.member()));
+	}
+
+	private static boolean replaces(Member later, Member earlier) {
+		return later.address().equals(earlier.address()) && later.registration() > earlier.registration();
+	}
+
+	private static boolean newerAgent(Member newer, Member older) {
+		return newer.backendServer() != null && newer.backendServer().equals(older.backendServer())
+				&& newer.fence() > older.fence();
+	}
+
+	private static Set<String> endedAgents(List<Entry> entries) {
+		List<Member> agents = entries.stream()
+			.map(Entry::member)
+			.filter((member) -> member.role() == Member.Role.AGENT)
+			.toList();
+		return agents.stream()
+			.filter((agent) -> agents.stream()
+				.anyMatch((other) -> newerAgent(other, agent) && other.address().equals(agent.address())))
+			.map(Member::incarnation)
+			.collect(Collectors.toUnmodifiableSet());
+	}
+
+	private static Set<String> holders(Row account) {
+		try {
+			return Json.read(account.json(), Account.class).grants().keySet();
+		}
+		catch (JsonFormatException ex) {
+			throw new IllegalStateException("The row " + account.key() + " has a wrong form", ex);
+		}
+	}
+
+	private CompletableFuture<Void> scan(String prefix, Consumer<Row> consumer) {
+		CompletableFuture<Void> done = new CompletableFuture<>();
+		page(prefix, "", consumer, done);
+		return done;
+	}
+
+	private void page(String prefix, String after, Consumer<Row> consumer, CompletableFuture<Void> done) {
+		this.store.scan(prefix, after, PAGE_ROWS).thenAcceptAsync((rows) -> {
+			rows.forEach(consumer);
+			if (rows.size() < PAGE_ROWS) {
+				done.complete(null);
+			}
+			else {
+				page(prefix, rows.get(rows.size() - 1).key(), consumer, done);
+			}
+		}, this.control).whenComplete((read, failure) -> {
+			if (failure != null) {
+				done.completeExceptionally(failure);
+			}
+		});
+	}
+
+	/**
+	 * What a scan found.
+	 *
+	 * @param candidates process rows of closed processes without grants
+	 * @param endedAgents agents whose address a newer agent of the same backend server
+	 * has taken
+	 */
+	record Result(List<Row> candidates, Set<String> endedAgents) {
+	}
+
+	private record Entry(Row row, ProcessRow process) {
+
+		private Member member() {
+			return this.process.member();
+		}
+
+	}
+
+}
--- a/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
@@ -112,16 +112,29 @@
 		this.lastRoundNanos = nowNanos();
 	}
 
-	private List<Member> peers() {
+	/**
+	 * Returns whether this entry is the first of the ring, as far as it knows.
+	 * @return {@code true} when it is
+	 */
+	public boolean isFirst() {
+		List<Member> ring = ring();
+		return !ring.isEmpty() && ring.get(0).incarnation().equals(this.self.incarnation());
+	}
+
+	private List<Member> ring() {
 		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
 		if (members == null) {
 			return List.of();
 		}
-		List<Member> ring = members.members()
+		return members.members()
 			.stream()
 			.filter((member) -> member.role() == Member.Role.ENTRY)
 			.sorted(Comparator.comparing(Member::site).thenComparing(Member::incarnation))
 			.toList();
+	}
+
+	private List<Member> peers() {
+		List<Member> ring = ring();
 		int own = ring.stream().map(Member::incarnation).toList().indexOf(this.self.incarnation());
 		if (own < 0) {
 			return List.of();
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/ProcessRetentionTests.java
@@ -0,0 +1,99 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.journal.JournalReceipt;
+import io.verbenacleat.core.journal.JournalRow;
+import io.verbenacleat.core.member.Member;
+import io.verbenacleat.core.member.ProcessRow;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+public class ProcessRetentionTests {
+
+	private static final JournalRow EMPTY = new JournalRow(List.of(), Map.of(), Map.of());
+
+	private TestOffice office = new TestOffice();
+
+	private FakeAgents agents = new FakeAgents(this.office);
+
+	private ManualControlThread control = new ManualControlThread(Instant.EPOCH);
+
+	private boolean leads;
+
+	@BeforeMethod
+	void openOffice() {
+		this.office = new TestOffice();
+		this.office.addAccount("a", 1_000);
+		this.agents = new FakeAgents(this.office);
+		this.agents.add("agent-1");
+		this.control = new ManualControlThread(Instant.EPOCH);
+		this.leads = true;
+		new ProcessRetention("self", this.office.store, this.control, this.agents, this.agents, () -> this.leads);
+	}
+
+	// Guards against deleting the row of a process that may still register again, and
+	// against two entries that delete.
+	@Test
+	void deletesOnlyWhatCannotReturn() {
+		putClosed("h1", "entry:9", 10, "other");
+		putClosed("h2", "entry:8", 11, "h2");
+		this.leads = false;
+		hours(3);
+		assertTrue(exists("h2"));
+		this.leads = true;
+		hours(3);
+		assertTrue(exists("h1"));
+		assertFalse(exists("h2"));
+		assertFalse(this.office.exists(JournalRow.finalKey("h2")));
+		putClosed("h3", "entry:9", 12, "h3");
+		hours(3);
+		assertFalse(exists("h1"));
+	}
+
+	// Guards against the loss of bills that only the final row has.
+	@Test
+	void keepsFinalRowsWithReceipts() {
+		putClosed("h1", "entry:9", 10, "h1");
+		JournalReceipt bill = JournalReceipt.of(TestOffice.receipt("r1", "a", "h1", 5));
+		this.office.put(JournalRow.finalKey("h1"), new JournalRow(List.of(bill), Map.of("a", 5L), Map.of()));
+		hours(3);
+		assertFalse(exists("h1"));
+		assertEquals(this.office.receipts(), List.of(bill));
+	}
+
+	// Guards against a burst of deletions that the table service has to bear.
+	@Test
+	void deletesOneProcessAMinute() {
+		for (int i = 0; i < 20; i++) {
+			putClosed("h" + i, "entry:9", 10 + i, "h" + i);
+		}
+		this.control.advance(Duration.ofMinutes(6));
+		assertEquals(this.office.closedProcesses().size(), 15);
+	}
+
+	private void putClosed(String incarnation, String address, long registration, String closedBy) {
+		Member member = new Member(incarnation, Member.Role.ENTRY, address, "host", "region", "zone", "site", null, 0,
+				0);
+		this.office.put(ProcessRow.key(incarnation),
+				new ProcessRow(member.withRegistration(registration), ProcessRow.State.CLOSED, closedBy));
+		this.office.put(JournalRow.finalKey(incarnation), EMPTY);
+	}
+
+	private boolean exists(String incarnation) {
+		return this.office.exists(ProcessRow.key(incarnation));
+	}
+
+	private void hours(long hours) {
+		this.control.advance(Duration.ofHours(hours));
+	}
+
+}
