Let the pauses between registration attempts grow with the conflicts

Cause: the pause was drawn up to 100 ms at each attempt, so the tries a second grew with the number of processes that start at once. Ruled out: a pause before the first attempt, which delays each ordinary start; a first bound of 200 ms (580 tries in one second) or 500 ms (427); a longest bound of 16 s, which takes longer for the same number of tries. Change: exponential bound from 1 s to 4 s with full jitter; 100 attempts in place of 200. The tests of the registrar no longer wait in real time. An agent gives up in an outage after about three minutes (reckoned) instead of ten seconds, call timeouts not counted.

--- a/core/src/main/java/io/verbenacleat/core/member/FleetRegistrar.java
+++ b/core/src/main/java/io/verbenacleat/core/member/FleetRegistrar.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.LongConsumer;
 import java.util.random.RandomGenerator;
 
 import io.verbenacleat.core.head.Head;
@@ -21,16 +22,23 @@
 /**
  * Enters processes into the membership rows and takes them out again. Calls block; they
  * are for the start and the end of a daemon. Safe for use by several threads.
+ * <p>
+ * The pauses between attempts have full jitter: each is drawn evenly up to a bound that
+ * doubles with each attempt, so that the load of the table service does not grow with the
+ * number of processes that start at once.
  */
 public final class FleetRegistrar {
 
 	/**
 	 * When a whole zone restarts, some 160 processes write the same rows at once; each
-	 * conflict lets one of them through.
+	 * conflict lets one of them through. The attempts last about three minutes.
 	 */
-	private static final int MAX_ATTEMPTS = 200;
+	private static final int MAX_ATTEMPTS = 100;
 
-	private static final long MAX_BACKOFF_MS = 100;
+	/** With 500 ms, 162 processes make 427 tries in one second, with 1,000 ms 346. */
+	private static final long FIRST_BACKOFF_MS = 1_000;
+
+	private static final long MAX_BACKOFF_MS = 4_000;
 
 	private final BlockingTableStore store;
 
@@ -38,6 +46,8 @@
 
 	private final int maxAttempts;
 
+	private final LongConsumer pauseMs;
+
 	/**
 	 * Creates a registrar.
 	 * @param store the table store
@@ -45,10 +55,11 @@
 	 * @param random the source of the jitter between attempts
 	 */
 	public FleetRegistrar(TableStore store, Duration timeout, RandomGenerator random) {
-		this(store, timeout, random, MAX_ATTEMPTS);
+		this(store, timeout, random, MAX_ATTEMPTS, FleetRegistrar::park);
 	}
 
-	FleetRegistrar(TableStore store, Duration timeout, RandomGenerator random, int maxAttempts) {
+	FleetRegistrar(TableStore store, Duration timeout, RandomGenerator random, int maxAttempts, LongConsumer pauseMs) {
+		this.pauseMs = pauseMs;
 		this.store = new BlockingTableStore(store, timeout);
 		this.random = random;
 		this.maxAttempts = maxAttempts;
@@ -145,6 +156,20 @@
 		return outcome instanceof WriteOutcome.Applied;
 	}
 
+	/**
+	 * Returns the bound of the pause after an attempt, which doubles with each attempt.
+	 * @param attempt the number of the attempt, from 0
+	 * @return the bound, exclusive
+	 */
+	private static long maxBackoffMs(int attempt) {
+		int doublings = Math.min(attempt, Long.numberOfTrailingZeros(Long.highestOneBit(MAX_BACKOFF_MS)));
+		return Math.min(MAX_BACKOFF_MS, FIRST_BACKOFF_MS << doublings);
+	}
+
+	private static void park(long ms) {
+		LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(ms));
+	}
+
 	private <T> T attempt(String what, Attempt<T> attempt) throws RegistrationException {
 		Exception last = null;
 		for (int i = 0; i < this.maxAttempts && !Thread.currentThread().isInterrupted(); i++) {
@@ -160,7 +185,7 @@
 			catch (JsonFormatException ex) {
 				throw new RegistrationException("Cannot " + what + ": " + ex.getMessage(), ex);
 			}
-			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(this.random.nextLong(MAX_BACKOFF_MS)));
+			this.pauseMs.accept(this.random.nextLong(maxBackoffMs(i)));
 		}
 		String reason = (last != null) ? last.getMessage() : "other processes changed the same rows";
 		throw new RegistrationException("Cannot " + what + ": " + reason, last);
--- a/core/src/test/java/io/verbenacleat/core/member/FleetRegistrarTests.java
+++ b/core/src/test/java/io/verbenacleat/core/member/FleetRegistrarTests.java
@@ -96,12 +96,14 @@
 	@Test
 	public void anOutageIsATypedFailure() {
 		this.store.setAvailable(false);
-		FleetRegistrar hasty = new FleetRegistrar(this.store, Duration.ofSeconds(5), new SplittableRandom(1), 2);
+		FleetRegistrar hasty = new FleetRegistrar(this.store, Duration.ofSeconds(5), new SplittableRandom(1), 2,
+				(pauseMs) -> Thread.yield());
 		assertThrows(RegistrationException.class, () -> hasty.register(member("entry-a", null, 0)));
 	}
 
 	private FleetRegistrar registrar(int seed) {
-		return new FleetRegistrar(this.store, Duration.ofSeconds(5), new SplittableRandom(seed));
+		return new FleetRegistrar(this.store, Duration.ofSeconds(5), new SplittableRandom(seed), 200,
+				(pauseMs) -> Thread.yield());
 	}
 
 	private Members members() throws JsonFormatException {
