Test that a holder whose process row was deleted counts as closed

Cause: process rows are deleted now, and a holder may wake from a pause after that. Change: a test; the conflict of the next write of a grant already marks the holder closed. Ruled out: a check of absent rows in OwnProcess, since the test passes without it. Conclusion: no change needed.

--- a/entry/src/test/java/io/verbenacleat/entry/budget/ProcessRetentionTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/ProcessRetentionTests.java
@@ -4,12 +4,16 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.journal.JournalReceipt;
 import io.verbenacleat.core.journal.JournalRow;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.ProcessRow;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.proto.v1.ReserveRefusal;
+import io.verbenacleat.proto.v1.ReserveResponse;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -59,6 +63,25 @@
 		assertFalse(exists("h1"));
 	}
 
+	// Guards against a paused holder that wakes after its row was deleted and takes
+	// itself
+	// for open.
+	@Test
+	void aHolderWhoseRowWasDeletedIsClosed() {
+		TestOffice.Holder holder = this.office.holder("h1", new FixedGrantPolicy(100));
+		CompletableFuture<ReserveResponse> first = holder.ledger.reserve(TestOffice.request("r1", "a", 10));
+		holder.advanceMs(100);
+		assertTrue(first.join().getGranted());
+		this.office.store
+			.transact(Transaction.builder()
+				.deleteIf(ProcessRow.key("h1"), this.office.store.read(ProcessRow.key("h1")).join().version())
+				.build())
+			.join();
+		CompletableFuture<ReserveResponse> second = holder.ledger.reserve(TestOffice.request("r2", "a", 500));
+		holder.advanceMs(1_000);
+		assertEquals(second.join().getRefusal(), ReserveRefusal.HOLDER_NOT_OPEN);
+	}
+
 	// Guards against the loss of bills that only the final row has.
 	@Test
 	void keepsFinalRowsWithReceipts() {
