Ask the next home holder when one cannot reach the table store

Cause: after TABLE_UNREACHABLE of the home holder only grants that others already had were asked for, though the next home holder of the site may reach the table store and take a new grant. Change: HolderSearch goes on with up to 3 home holders, not forwarded, and then with the alternatives; a refusal that knows the budget replaces one that does not. The two new tests of the router failed before.

--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderSearch.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderSearch.java
@@ -20,7 +20,8 @@
 final class HolderSearch {
 
 	/**
-	 * Home holders that may be out of reach at the same time, as after a rack failure.
+	 * Home holders that may be out of reach, or cut off from the table store, at the same
+	 * time, as after a rack failure.
 	 */
 	private static final int MAX_HOME_HOLDERS = 3;
 
@@ -61,7 +62,7 @@
 	}
 
 	private void askNext() {
-		boolean forwarded = this.refusal != null;
+		boolean forwarded = this.homes.isEmpty() || !searchesTableStore();
 		HolderAddress holder = (forwarded) ? this.alternatives.poll() : this.homes.poll();
 		if (holder == null) {
 			this.result.complete((this.refusal != null) ? this.refusal : unreachable());
@@ -85,8 +86,7 @@
 			this.result.complete(new RoutedReservation(holder.address(), response));
 			return;
 		}
-		else if (this.refusal == null && response.getRefusal() != ReserveRefusal.HOLDER_NOT_OPEN
-				&& response.getRefusal() != ReserveRefusal.JOURNAL_FULL) {
+		else if (saysMore(response.getRefusal())) {
 			this.refusal = new RoutedReservation(holder.address(), response);
 			response.getAlternativesList()
 				.stream()
@@ -97,6 +97,29 @@
 		askNext();
 	}
 
+	/**
+	 * Returns whether a home holder that can reach the table store is still looked for.
+	 * @return {@code true} before any refusal and after one for want of the table store
+	 */
+	private boolean searchesTableStore() {
+		return this.refusal == null || isTableUnreachable(this.refusal.response().getRefusal());
+	}
+
+	/**
+	 * Returns whether a refusal replaces the one so far. A holder that cannot reach the
+	 * table store does not know the budget; the next one may.
+	 * @param reason the reason of the new refusal
+	 * @return {@code true} when it replaces the one so far
+	 */
+	private boolean saysMore(ReserveRefusal reason) {
+		boolean holderStops = reason == ReserveRefusal.HOLDER_NOT_OPEN || reason == ReserveRefusal.JOURNAL_FULL;
+		return !holderStops && (this.refusal == null || (searchesTableStore() && !isTableUnreachable(reason)));
+	}
+
+	private static boolean isTableUnreachable(ReserveRefusal reason) {
+		return reason == ReserveRefusal.TABLE_UNREACHABLE;
+	}
+
 	private static RoutedReservation unreachable() {
 		return new RoutedReservation("",
 				ReserveResponse.newBuilder().setRefusal(ReserveRefusal.HOLDER_NOT_OPEN).build());
--- a/entry/src/test/java/io/verbenacleat/entry/holder/FleetBudgetRouterTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/holder/FleetBudgetRouterTests.java
@@ -103,6 +103,23 @@
 		assertEquals(this.network.reserveCalls, List.of(holder(0), holder(1)));
 	}
 
+	@Test
+	public void asksTheNextHomeHolderWhenOneCannotReachTheTableStore() {
+		this.network.scripts.put(holder(0), (any) -> refuse(ReserveRefusal.TABLE_UNREACHABLE, this.ranked.get(2)));
+		this.network.scripts.put(holder(1), (request) -> (request.getForwarded())
+				? refuse(ReserveRefusal.TABLE_UNREACHABLE, this.ranked.get(0)) : FakeHolderNetwork.grant());
+		assertTrue(reserve().response().getGranted());
+		assertEquals(this.network.reserveCalls, List.of(holder(0), holder(1)));
+	}
+
+	@Test
+	public void asksEachHolderOnceWhenNoneCanReachTheTableStore() {
+		this.ranked.forEach((entry) -> this.network.scripts.put(entry.incarnation(),
+				(request) -> refuse(ReserveRefusal.TABLE_UNREACHABLE, this.ranked.get(0))));
+		assertEquals(reserve().response().getRefusal(), ReserveRefusal.TABLE_UNREACHABLE);
+		assertEquals(this.network.reserveCalls, List.of(holder(0), holder(1), holder(2)));
+	}
+
 	@Test
 	public void goesPastAHolderThatStops() {
 		this.network.scripts.put(holder(0), (any) -> refuse(ReserveRefusal.HOLDER_NOT_OPEN, this.ranked.get(0)));
