Ask home holders of other sites when a site is cut off from the table store

Cause: when a whole site is cut off from the table store, none of its home holders can take a new grant. Ruled out: asking all holders of other sites (more calls in an outage); the search asks at most 3 own homes, 3 other homes and 6 alternatives. Change: after TABLE_UNREACHABLE the search goes on with one home holder of each other site, not forwarded. The new router test passes; it was not run without the change.

--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderDirectory.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderDirectory.java
@@ -57,6 +57,28 @@
 		return ordered.stream().map(HolderAddress::of).toList();
 	}
 
+	/**
+	 * Returns the home holders of an account at the other sites, which may reach the
+	 * table store when this site cannot.
+	 * @param accountId the account
+	 * @return one entry of each other site
+	 */
+	List<HolderAddress> homesElsewhere(String accountId) {
+		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
+		if (members == null) {
+			return List.of();
+		}
+		return members.members()
+			.stream()
+			.filter((member) -> member.role() == Member.Role.ENTRY)
+			.map(Member::site)
+			.filter((site) -> !site.equals(this.self.site()))
+			.distinct()
+			.sorted()
+			.map((site) -> HolderAddress.of(HolderRanking.rank(accountId, members.entries(site)).get(0)))
+			.toList();
+	}
+
 	/**
 	 * Returns the holder at an address.
 	 * @param address the gRPC address
--- a/entry/src/main/java/io/verbenacleat/entry/holder/HolderSearch.java
+++ b/entry/src/main/java/io/verbenacleat/entry/holder/HolderSearch.java
@@ -25,6 +25,9 @@
 	 */
 	private static final int MAX_HOME_HOLDERS = 3;
 
+	/** Bounds the calls of a request while no site reaches the table store. */
+	private static final int MAX_OTHER_SITES = 3;
+
 	/** Other holders to ask; they are asked with the largest rest first. */
 	private static final int MAX_ALTERNATIVES = 6;
 
@@ -87,6 +90,9 @@
 			return;
 		}
 		else if (saysMore(response.getRefusal())) {
+			if (this.refusal == null && isTableUnreachable(response.getRefusal())) {
+				this.homes.addAll(homesElsewhere());
+			}
 			this.refusal = new RoutedReservation(holder.address(), response);
 			response.getAlternativesList()
 				.stream()
@@ -97,6 +103,11 @@
 		askNext();
 	}
 
+	private List<HolderAddress> homesElsewhere() {
+		List<HolderAddress> found = this.directory.homesElsewhere(this.request.getAccount());
+		return found.subList(0, Math.min(MAX_OTHER_SITES, found.size()));
+	}
+
 	/**
 	 * Returns whether a home holder that can reach the table store is still looked for.
 	 * @return {@code true} before any refusal and after one for want of the table store
--- a/entry/src/test/java/io/verbenacleat/entry/holder/FleetBudgetRouterTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/holder/FleetBudgetRouterTests.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -112,6 +113,20 @@
 		assertEquals(this.network.reserveCalls, List.of(holder(0), holder(1)));
 	}
 
+	@Test
+	public void asksAHomeHolderOfAnotherSiteWhenTheSiteIsCutOffFromTheTableStore() throws IOException {
+		Member elsewhere = this.network.add("d");
+		Member other = new Member(elsewhere.incarnation(), elsewhere.role(), elsewhere.address(), elsewhere.host(), "r",
+				"z2", "s2", null, 0, 0);
+		List<Member> all = new ArrayList<>(this.ranked);
+		all.add(other);
+		this.blackboard.write(EntryBoard.MEMBERS, new Membership(all));
+		this.ranked.forEach((entry) -> this.network.scripts.put(entry.incarnation(),
+				(request) -> refuse(ReserveRefusal.TABLE_UNREACHABLE, this.ranked.get(0))));
+		assertTrue(reserve().response().getGranted());
+		assertEquals(this.network.reserveCalls, List.of(holder(0), holder(1), holder(2), "d"));
+	}
+
 	@Test
 	public void asksEachHolderOnceWhenNoneCanReachTheTableStore() {
 		this.ranked.forEach((entry) -> this.network.scripts.put(entry.incarnation(),
