End the stop of an entry when the platform is lost

Cause: the whole fleet of the quickstart was stopped at once; the platform ended first, and two entries waited for it for up to 65 minutes. Ruled out: a bound on the whole stop (requests in progress may take longer). Change: once its own requests have ended, an entry waits for the platform for at most 10 s after the last answer and exits with 1; agents keep the receipts, and a closer takes over.

--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -79,6 +79,12 @@
 	 */
 	private static final Duration MEMBERSHIP_SPREAD = Duration.ofMillis(2_500);
 
+	/**
+	 * Without the platform nothing more can be written at the end: agents keep the
+	 * receipts that are not durable, and a closer takes over the rest.
+	 */
+	private static final Duration PLATFORM_PATIENCE = Duration.ofSeconds(10);
+
 	/** Longer than any request may take. */
 	private static final Duration DRAIN_PATIENCE = Duration.ofMinutes(65);
 
@@ -217,8 +223,9 @@
 		}).join();
 		CompletableFuture<Boolean> ledgerStop = this.ledger.stop(DRAIN_PATIENCE);
 		await(() -> this.gateway.requestsInProgress() == 0);
-		await(() -> this.control.submit(this.router::waiting).join() == 0);
-		boolean clean = !this.registered || ledgerStop.join();
+		await(() -> this.control.submit(this.router::waiting).join() == 0 || platformLost());
+		await(() -> ledgerStop.isDone() || platformLost());
+		boolean clean = !this.registered || ledgerStop.getNow(false);
 		close();
 		return (clean && !this.closedByOthers) ? ExitCode.DONE : ExitCode.FAILED;
 	}
@@ -353,6 +360,12 @@
 		}
 	}
 
+	private boolean platformLost() {
+		Long seenAtMs = this.blackboard.read(EntryBoard.PLATFORM_SEEN_AT_MS);
+		long sinceMs = (seenAtMs != null) ? seenAtMs : this.self.startedAtMs();
+		return this.control.clock().millis() - sinceMs > PLATFORM_PATIENCE.toMillis();
+	}
+
 	private static void await(BooleanSupplier condition) {
 		while (!condition.getAsBoolean()) {
 			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(20));
--- a/itest/src/test/java/io/verbenacleat/itest/office/LeavingTests.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/LeavingTests.java
@@ -103,6 +103,20 @@
 		}
 	}
 
+	@Test
+	public void aStopEndsWhenThePlatformIsLost() throws Exception {
+		try (OfficeFixture office = OfficeFixture.start(2, 1)) {
+			Reply reply = office.caller.chat(office.url(0), office.key, Caller.chatBody("lost", 3, 10));
+			assertEquals(reply.status(), 200, reply.toString());
+			office.entryTables.get(0).setAvailable(false);
+			CompletableFuture<Void> stop = CompletableFuture.runAsync(() -> office.stop(office.entries.get(0)));
+			OfficeFixture.await("the entry has stopped", stop::isDone);
+			String row = ProcessRow.key(office.entries.get(0).incarnation());
+			OfficeFixture.await("another entry has closed it",
+					() -> office.tables.read(row).join().json().contains("CLOSED"));
+		}
+	}
+
 	private static void assertNoNewWork(OfficeFixture office, int engine, long sinceMs, String cause) {
 		OfficeFixture.await("the bound is over",
 				() -> System.currentTimeMillis() > sinceMs + BOUND_MS + AFTER_BOUND_MS);
