Delete the process rows of crashed agents

Ruled out: closing the row on behalf of the agent. A closer must still see that the agent was lost while it may have run orders of the entry that it closes, and a CLOSED row would say nothing about that.

Change: the row is deleted when a newer agent of the backend server has its address and every entry that registered before that agent is closed. Entries that registered later cannot have had orders at the crashed agent.

Before: ProcessRetentionTests.deletesCrashedAgentsWhenNoEntryOfTheirTimeIsOpen failed, the row stayed. After: it passes, with the rows of an agent replaced at another address and of agents that an open or closing entry may need kept; ProcessCloserTests and BudgetPropertyTests (300 histories) pass.

--- a/entry/src/main/java/io/verbenacleat/entry/budget/ProcessRetention.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/ProcessRetention.java
@@ -24,7 +24,10 @@
  * that are closed and no longer needed, at most one process a minute. Used on the control
  * thread.
  * <p>
- * A process row is deleted when all of this is known; otherwise it is kept:
+ * The row of an agent that crashed is deleted when a newer agent of its backend server
+ * has its address and every entry that registered before that agent is closed: only these
+ * entries can have had orders at the crashed agent, and closers ask for it no more. Any
+ * other process row is deleted when all of this is known; otherwise it is kept:
  * <ul>
  * <li>Its state is CLOSED. A closed process never changes its state again, and the
  * deletion carries the version of the row.</li>
--- a/entry/src/main/java/io/verbenacleat/entry/budget/RetentionScan.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/RetentionScan.java
@@ -20,7 +20,8 @@
 
 /**
  * Reads all process rows and then all account rows, and selects the closed processes that
- * no account row mentions. Used on the control thread.
+ * no account row mentions, and the crashed agents that no closer needs. Used on the
+ * control thread.
  */
 final class RetentionScan {
 
@@ -64,14 +65,39 @@
 	}
 
 	private static boolean closedForGood(Entry entry, List<Entry> all) {
-		if (entry.process.state() != ProcessRow.State.CLOSED) {
-			return false;
-		}
-		boolean byItself = entry.member().incarnation().equals(entry.process.closedBy());
 		if (entry.member().role() == Member.Role.AGENT) {
-			return byItself && all.stream().noneMatch((other) -> newerAgent(entry.member(), other.member()));
+			return (closedByItself(entry))
+					? all.stream().noneMatch((other) -> newerAgent(entry.member(), other.member()))
+					: neededByNoCloser(entry.member(), all);
 		}
-		return byItself || all.stream().anyMatch((other) -> replaces(other.member(), entry.member()));
+		return entry.process.state() == ProcessRow.State.CLOSED && (closedByItself(entry)
+				|| all.stream().anyMatch((other) -> replaces(other.member(), entry.member())));
+	}
+
+	private static boolean closedByItself(Entry entry) {
+		return entry.process.state() == ProcessRow.State.CLOSED
+				&& entry.member().incarnation().equals(entry.process.closedBy());
+	}
+
+	/**
+	 * Returns whether an agent crashed and no process that is still to be closed can have
+	 * sent it an order.
+	 * @param agent the agent
+	 * @param all all processes
+	 * @return {@code true} when a newer agent has its address and every process that
+	 * registered before that one is closed
+	 */
+	private static boolean neededByNoCloser(Member agent, List<Entry> all) {
+		long successor = all.stream()
+			.map(Entry::member)
+			.filter((other) -> newerAgent(other, agent) && replaces(other, agent))
+			.mapToLong(Member::registration)
+			.min()
+			.orElse(0);
+		return all.stream()
+			.filter((other) -> other.member().role() == Member.Role.ENTRY
+					&& other.process.state() != ProcessRow.State.CLOSED)
+			.allMatch((other) -> other.member().registration() > successor) && successor > 0;
 	}
 
 	private static boolean replaces(Member later, Member earlier) {
@@ -129,7 +155,8 @@
 	/**
 	 * What a scan found.
 	 *
-	 * @param candidates process rows of closed processes without grants
+	 * @param candidates process rows of closed processes without grants and of crashed
+	 * agents
 	 * @param endedAgents agents whose address a newer agent of the same backend server
 	 * has taken
 	 */
--- a/entry/src/test/java/io/verbenacleat/entry/budget/ProcessRetentionTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/ProcessRetentionTests.java
@@ -14,6 +14,7 @@
 import io.verbenacleat.core.platform.Transaction;
 import io.verbenacleat.proto.v1.ReserveRefusal;
 import io.verbenacleat.proto.v1.ReserveResponse;
+import org.jspecify.annotations.Nullable;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -103,11 +104,47 @@
 		assertEquals(this.office.closedProcesses().size(), 15);
 	}
 
-	private void putClosed(String incarnation, String address, long registration, String closedBy) {
+	// Guards against rows of crashed agents that pile up, and against a closer that finds
+	// no trace of an agent that may have run orders of the lost entry.
+	@Test
+	void deletesCrashedAgentsWhenNoEntryOfTheirTimeIsOpen() {
+		putAgent("crashed", "agent:1", 1, 20);
+		putAgent("present", "agent:1", 2, 30);
+		putAgent("cut-off", "agent:2", 1, 20);
+		putAgent("elsewhere", "agent:3", 2, 30);
+		put("h1", "entry:9", 25, ProcessRow.State.OPEN, null);
+		put("h2", "entry:8", 40, ProcessRow.State.OPEN, null);
+		hours(3);
+		assertTrue(exists("crashed"));
+		put("h1", "entry:9", 25, ProcessRow.State.CLOSING, "h2");
+		hours(3);
+		assertTrue(exists("crashed"));
+		put("h1", "entry:9", 25, ProcessRow.State.CLOSED, "h2");
+		hours(3);
+		assertFalse(exists("crashed"));
+		assertTrue(exists("present"));
+		assertTrue(exists("cut-off"));
+		assertTrue(exists("elsewhere"));
+	}
+
+	private void putAgent(String incarnation, String address, long fence, long registration) {
+		String server = (address.equals("agent:1")) ? "engine-1" : "engine-2";
+		Member member = new Member(incarnation, Member.Role.AGENT, address, "host", "region", "zone", "site", server,
+				fence, 0);
+		this.office.put(ProcessRow.key(incarnation),
+				new ProcessRow(member.withRegistration(registration), ProcessRow.State.OPEN, null));
+	}
+
+	private void put(String incarnation, String address, long registration, ProcessRow.State state,
+			@Nullable String closedBy) {
 		Member member = new Member(incarnation, Member.Role.ENTRY, address, "host", "region", "zone", "site", null, 0,
 				0);
 		this.office.put(ProcessRow.key(incarnation),
-				new ProcessRow(member.withRegistration(registration), ProcessRow.State.CLOSED, closedBy));
+				new ProcessRow(member.withRegistration(registration), state, closedBy));
+	}
+
+	private void putClosed(String incarnation, String address, long registration, String closedBy) {
+		put(incarnation, address, registration, ProcessRow.State.CLOSED, closedBy);
 		this.office.put(JournalRow.finalKey(incarnation), EMPTY);
 	}
 
