Check the bounds of leaving, configuration and revocation in virtual time

Cause: LeavingTests, ConfigHistoryTests and BadInputTests compared wall-clock times of a whole office with the bound of 3 s. Nothing checked that a node ignores an older configuration whose answer arrives late.

Change: PropagationTests of entry and agent and RevocationTests check the same bounds on a manual control thread, with late answers of the table store (DelayedTableStore), at many phases of the poll, and with answers that overtake each other. The office tests keep their checks of order: no request reaches a server once its agent drains, each node gets each version, a revoked key is refused; they print the times. The poll intervals move to HeadPoller, since the bounds rest on them.

--- a/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
@@ -45,8 +45,6 @@
 
 	private static final Logger logger = LogManager.getLogger(AgentDaemon.class);
 
-	private static final Duration POLL_INTERVAL = Duration.ofSeconds(2);
-
 	private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(3);
 
 	/** A platform that does not answer must not keep the process from stopping. */
@@ -86,7 +84,7 @@
 		this.registrar = new FleetRegistrar(store, PLATFORM_TIMEOUT, random);
 		this.parts = new AgentParts(settings, this.incarnation, this.control, store, configSource, new Channels(secret),
 				registry);
-		this.poller = new HeadPoller(store, this.control, POLL_INTERVAL);
+		this.poller = new HeadPoller(store, this.control, HeadPoller.AGENT_INTERVAL);
 		this.drainWatch = new DrainWatch(this.control, store, hosts, this.parts.drain(), settings.server,
 				settings.host);
 		this.lastContactMs = this.control.clock().millis();
--- /dev/null
+++ b/agent/src/test/java/io/verbenacleat/agent/PropagationTests.java
@@ -0,0 +1,131 @@
+package io.verbenacleat.agent;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.agent.backend.BackendCalls;
+import io.verbenacleat.agent.drain.DrainState;
+import io.verbenacleat.agent.drain.DrainWatch;
+import io.verbenacleat.core.config.ConfigException;
+import io.verbenacleat.core.config.ConfigFiles;
+import io.verbenacleat.core.config.ConfigLoader;
+import io.verbenacleat.core.config.ConfigText;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.head.Head;
+import io.verbenacleat.core.head.HeadPoller;
+import io.verbenacleat.core.member.DrainAdmin;
+import io.verbenacleat.core.platform.BlockingTableStore;
+import io.verbenacleat.core.platform.DelayedTableStore;
+import io.verbenacleat.core.platform.HostEntry;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against agents that take new work for too long after their backend server was
+ * told to leave, and against agents that go back to an older configuration. Time is that
+ * of the manual control thread.
+ */
+public class PropagationTests {
+
+	/** The bound of R6 and R8. */
+	private static final Duration BOUND = Duration.ofSeconds(3);
+
+	private static final Duration SLOW_ANSWER = Duration.ofMillis(400);
+
+	private final ManualControlThread control = new ManualControlThread(Instant.EPOCH);
+
+	@Test
+	public void drainsWithinTheBoundOfTheDrainRow() throws Exception {
+		InMemoryTableStore tables = new InMemoryTableStore();
+		DelayedTableStore slow = new DelayedTableStore(tables, this.control, SLOW_ANSWER);
+		DrainAdmin drains = new DrainAdmin(new BlockingTableStore(tables, Duration.ofSeconds(1)), Clock.systemUTC());
+		DrainState state = new DrainState();
+		DrainWatch watch = new DrainWatch(this.control, slow, () -> CompletableFuture.completedFuture(List.of()), state,
+				"engine-1", "127.0.0.1");
+		HeadPoller poller = new HeadPoller(slow, this.control, HeadPoller.AGENT_INTERVAL);
+		poller.onTopic(Head.DRAIN, (topic) -> watch.readRow());
+		poller.start();
+		for (int i = 0; i < 20; i++) {
+			this.control.advance(Duration.ofMillis(100L * i));
+			drains.set("engine-1", true, "test");
+			this.control.advance(BOUND);
+			assertTrue(state.draining(), "round " + i);
+			drains.set("engine-1", false, "test");
+			this.control.advance(BOUND);
+			assertFalse(state.draining(), "round " + i);
+		}
+	}
+
+	@Test
+	public void drainsWithinTheBoundOfTheHostList() {
+		List<HostEntry> hosts = new ArrayList<>();
+		DrainState state = new DrainState();
+		DrainWatch watch = new DrainWatch(this.control, new InMemoryTableStore(), () -> answerLate(List.copyOf(hosts)),
+				state, "engine-1", "127.0.0.1");
+		watch.start();
+		for (int i = 0; i < 20; i++) {
+			this.control.advance(Duration.ofMillis(100L * i));
+			hosts.add(new HostEntry("127.0.0.1", "tx-1", HostEntry.State.LEAVING));
+			this.control.advance(BOUND);
+			assertTrue(state.draining(), "round " + i);
+			hosts.clear();
+			this.control.advance(BOUND);
+			assertFalse(state.draining(), "round " + i);
+		}
+	}
+
+	/**
+	 * Without the check in {@link ConfigFollower}, the late answer puts version 1 in use
+	 * again.
+	 */
+	@Test
+	public void anAnswerThatIsOvertakenDoesNotBringBackAnOlderVersion() throws Exception {
+		AgentSettings settings = new AgentSettings();
+		settings.server = "engine-1";
+		List<CompletableFuture<OfficeConfig>> answers = new ArrayList<>();
+		try (BackendCalls calls = new BackendCalls()) {
+			ConfigFollower follower = new ConfigFollower(this.control, () -> {
+				answers.add(new CompletableFuture<>());
+				return answers.get(answers.size() - 1);
+			}, calls, settings);
+			follower.read();
+			follower.read();
+			answers.get(1).complete(config(2));
+			this.control.runPending();
+			answers.get(0).complete(config(1));
+			this.control.runPending();
+			assertEquals(follower.version(), 2);
+		}
+	}
+
+	private CompletableFuture<List<HostEntry>> answerLate(List<HostEntry> hosts) {
+		CompletableFuture<List<HostEntry>> answer = new CompletableFuture<>();
+		this.control.schedule(SLOW_ANSWER, () -> answer.complete(hosts));
+		return answer;
+	}
+
+	private static OfficeConfig config(long version) throws ConfigException {
+		String base = """
+				office: pans
+				region: south-texas
+				sites:
+				  - {name: austin, zone: tx-1}
+				models:
+				  - {name: quotes, maxAnswerTokens: 4096}
+				servers:
+				  - {name: engine-1, kind: model-engine, url: 'http://127.0.0.1:1', site: austin, models: [quotes]}
+				""";
+		return new ConfigLoader().load(version, new ConfigFiles(new ConfigText("base.yaml", base), Map.of()), "austin");
+	}
+
+}
--- a/core/src/main/java/io/verbenacleat/core/head/HeadPoller.java
+++ b/core/src/main/java/io/verbenacleat/core/head/HeadPoller.java
@@ -25,6 +25,15 @@
  */
 public final class HeadPoller implements AutoCloseable {
 
+	/** With two reads of a second each, a change is in force at an entry after 3 s. */
+	public static final Duration ENTRY_INTERVAL = Duration.ofSeconds(1);
+
+	/**
+	 * Twice that of entries, since there are more agents; with two reads of half a second
+	 * each, a change is in force at an agent after 3 s.
+	 */
+	public static final Duration AGENT_INTERVAL = Duration.ofSeconds(2);
+
 	private final TableStore store;
 
 	private final ControlThread control;
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -65,8 +65,6 @@
 
 	private static final Logger logger = LogManager.getLogger(EntryDaemon.class);
 
-	private static final Duration HEAD_POLL_INTERVAL = Duration.ofSeconds(1);
-
 	private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(2);
 
 	private static final Duration REGISTRATION_RETRY = Duration.ofSeconds(2);
@@ -284,7 +282,7 @@
 	}
 
 	private PeerMonitor startControllers(HostWatch hostWatch, ProcessCloser closer) {
-		HeadPoller poller = new HeadPoller(this.tables, this.control, HEAD_POLL_INTERVAL);
+		HeadPoller poller = new HeadPoller(this.tables, this.control, HeadPoller.ENTRY_INTERVAL);
 		new ConfigController(this.tables, this.control, this.blackboard, poller, this.self.site(), this.registry);
 		new ReplacedAgents(this.blackboard, this.ledger::agentEnded);
 		new MembershipController(this.tables, this.control, this.blackboard, poller);
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/RevocationTests.java
@@ -0,0 +1,57 @@
+package io.verbenacleat.entry.budget;
+
+import java.time.Clock;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.account.CallerAdmin;
+import io.verbenacleat.core.head.HeadPoller;
+import io.verbenacleat.core.platform.BlockingTableStore;
+import io.verbenacleat.core.platform.DelayedTableStore;
+import io.verbenacleat.entry.member.CallersController;
+import io.verbenacleat.proto.v1.ReserveRefusal;
+import io.verbenacleat.proto.v1.ReserveResponse;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against callers that go on spending after their key was revoked. Time is that of
+ * the manual control thread.
+ */
+public class RevocationTests {
+
+	/** The bound for changes that operators make. */
+	private static final long BOUND_MS = 3_000;
+
+	private static final Duration SLOW_ANSWER = Duration.ofMillis(800);
+
+	@Test
+	public void aRevokedKeyIsRefusedWithinTheBound() throws Exception {
+		for (int phase = 0; phase < 10; phase++) {
+			TestOffice office = new TestOffice();
+			office.addAccount("a", 10_000);
+			TestOffice.Holder holder = office.holder("h", new FixedGrantPolicy(5_000));
+			DelayedTableStore slow = new DelayedTableStore(office.store, holder.control, SLOW_ANSWER);
+			HeadPoller poller = new HeadPoller(slow, holder.control, HeadPoller.ENTRY_INTERVAL);
+			new CallersController(slow, holder.control, holder.ledger, poller);
+			poller.start();
+			assertTrue(reserve(holder, "first").getGranted());
+			holder.advanceMs(100L * phase);
+			new CallerAdmin(new BlockingTableStore(office.store, Duration.ofSeconds(1)), Clock.systemUTC(),
+					new Random(1))
+				.revoke("a", "caller");
+			holder.advanceMs(BOUND_MS);
+			assertEquals(reserve(holder, "second").getRefusal(), ReserveRefusal.REVOKED_KEY, "phase " + phase);
+		}
+	}
+
+	private static ReserveResponse reserve(TestOffice.Holder holder, String requestId) {
+		CompletableFuture<ReserveResponse> response = holder.ledger.reserve(TestOffice.request(requestId, "a", 10));
+		holder.advanceMs(10);
+		return response.join();
+	}
+
+}
--- a/itest/src/test/java/io/verbenacleat/itest/office/BadInputTests.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/BadInputTests.java
@@ -47,9 +47,6 @@
 @SuppressWarnings("NullAway.Init")
 public class BadInputTests {
 
-	/** The bound within which a revoked key is refused everywhere. */
-	private static final long BOUND_MS = 3_000;
-
 	private static final int READ_TIMEOUT_MS = 5_000;
 
 	private static final Pattern CONTENT_LENGTH = Pattern.compile("(?is)^HTTP.*?\r\ncontent-length: ([0-9]+)\r\n");
@@ -94,7 +91,7 @@
 	}
 
 	@Test
-	public void aRevokedKeyIsRefusedEverywhereWithinTheBound() throws Exception {
+	public void aRevokedKeyIsRefusedEverywhere() throws Exception {
 		String key = this.office.callers.create(OfficeFixture.ACCOUNT, "leaver").reveal();
 		for (int entry = 0; entry < 2; entry++) {
 			String url = this.office.url(entry);
@@ -112,7 +109,6 @@
 		}
 		long tookMs = (System.nanoTime() - revokedNanos) / 1_000_000;
 		System.out.println("revoked key refused everywhere after " + tookMs + " ms");
-		assertTrue(tookMs <= BOUND_MS, "refused after " + tookMs + " ms");
 	}
 
 	@Test
--- a/itest/src/test/java/io/verbenacleat/itest/office/ConfigHistoryTests.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/ConfigHistoryTests.java
@@ -13,16 +13,11 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-import io.verbenacleat.agent.AgentDaemon;
 import io.verbenacleat.core.config.ConfigStore;
 import io.verbenacleat.core.config.StoredConfig;
 import io.verbenacleat.core.config.VersionConflictException;
 import io.verbenacleat.core.platform.BlockingTableStore;
 import io.verbenacleat.core.platform.PlatformException;
-import io.verbenacleat.core.rpc.Channels;
-import io.verbenacleat.core.rpc.FleetSecret;
-import io.verbenacleat.proto.v1.AgentServiceGrpc;
-import io.verbenacleat.proto.v1.GetStatusRequest;
 import okhttp3.Request;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -33,14 +28,12 @@
 
 /**
  * Guards against versions of the configuration that are accepted twice, seen in the wrong
- * order, or in force too late. The list of models shows the version in force.
+ * order, or never in force at some node. The list of models shows the version in force.
+ * The bound in time is checked by {@code PropagationTests} of entry and agent.
  */
 @SuppressWarnings("NullAway.Init")
 public class ConfigHistoryTests {
 
-	/** The bound of R8. */
-	private static final long BOUND_MS = 3_000;
-
 	private static final int OPERATORS = 4;
 
 	private static final int APPLIES = 12;
@@ -94,21 +87,17 @@
 	}
 
 	@Test(dependsOnMethods = "versionsAreAcceptedOnceAndSeenInOrder")
-	public void eachVersionIsInForceEverywhereWithinTheBound() throws Exception {
+	public void eachVersionIsInForceEverywhere() throws Exception {
 		List<Long> measuredMs = new ArrayList<>();
-		try (Channels channels = new Channels(FleetSecret.of(OfficeFixture.SECRET))) {
-			for (int i = 0; i < 4; i++) {
-				long expected = this.office.configs.current().orElseThrow().number();
-				this.office.configs.apply(OfficeTexts.files(this.office.servers, expected + 1), "test", "force-" + i,
-						expected);
-				long startNanos = System.nanoTime();
-				OfficeFixture.await("version " + (expected + 1) + " is in force",
-						() -> inForceEverywhere(channels, expected + 1));
-				measuredMs.add(Duration.ofNanos(System.nanoTime() - startNanos).toMillis());
-			}
+		for (int i = 0; i < 4; i++) {
+			long expected = this.office.configs.current().orElseThrow().number();
+			this.office.configs.apply(OfficeTexts.files(this.office.servers, expected + 1), "test", "force-" + i,
+					expected);
+			long startNanos = System.nanoTime();
+			OfficeFixture.await("version " + (expected + 1) + " is in force", () -> inForceEverywhere(expected + 1));
+			measuredMs.add(Duration.ofNanos(System.nanoTime() - startNanos).toMillis());
 		}
 		System.out.println("configuration in force everywhere after ms: " + measuredMs);
-		measuredMs.forEach((ms) -> assertTrue(ms <= BOUND_MS, "in force after " + ms + " ms"));
 	}
 
 	private int operate(int operator) throws PlatformException {
@@ -164,19 +153,14 @@
 		return (marker.find()) ? Long.parseLong(marker.group(1)) : 1;
 	}
 
-	private boolean inForceEverywhere(Channels channels, long number) {
+	private boolean inForceEverywhere(long number) {
 		for (int entry = 0; entry < this.office.entries.size(); entry++) {
 			if (!this.office.isStopped(entry) && version(this.office.url(entry)) < number) {
 				return false;
 			}
 		}
 		for (int i = 0; i < this.office.agents.size(); i++) {
-			AgentDaemon agent = this.office.agents.get(i);
-			long version = AgentServiceGrpc
-				.newBlockingStub(channels.get(OfficeFixture.agentHost(i) + ":" + agent.rpcPort()))
-				.getStatus(GetStatusRequest.getDefaultInstance())
-				.getConfigVersion();
-			if (version < number) {
+			if (this.office.agentStatus(i).getConfigVersion() < number) {
 				return false;
 			}
 		}
--- a/itest/src/test/java/io/verbenacleat/itest/office/LeavingTests.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/LeavingTests.java
@@ -8,7 +8,7 @@
 import io.verbenacleat.agent.AgentDaemon;
 import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.entry.EntryDaemon;
-import io.verbenacleat.standins.EngineRecord;
+import io.verbenacleat.proto.v1.GetStatusResponse;
 import okhttp3.Request;
 import org.testng.annotations.Test;
 
@@ -17,18 +17,15 @@
 
 /**
  * Guards against new work at servers that leave, and against stops that break requests in
- * progress.
+ * progress. How long an agent may take to learn that its server leaves is checked in the
+ * time of a manual control thread, by {@code PropagationTests} of the agent.
  */
 public class LeavingTests {
 
-	/** The bound of R6. */
-	private static final long BOUND_MS = 3_000;
-
-	/** Load goes on for this long after the bound. */
-	private static final long AFTER_BOUND_MS = 1_000;
+	private static final int REQUESTS_AFTER_DRAIN = 200;
 
 	@Test
-	public void leavingServersGetNoNewWorkAfterTheBound() throws Exception {
+	public void leavingServersGetNoNewWork() throws Exception {
 		try (OfficeFixture office = OfficeFixture.start(2, 3)) {
 			try (Load load = new Load()) {
 				for (int worker = 0; worker < 6; worker++) {
@@ -126,24 +123,26 @@
 		return keys;
 	}
 
+	/**
+	 * Checks that a backend server gets no request once its agent drains. Orders that
+	 * were accepted before may still reach it, so the count is taken when none is in
+	 * progress.
+	 * @param office the office under load
+	 * @param engine the place of the backend server
+	 * @param sinceMs when the cause was set, in milliseconds since the epoch
+	 * @param cause why it leaves
+	 */
 	private static void assertNoNewWork(OfficeFixture office, int engine, long sinceMs, String cause) {
-		OfficeFixture.await("the bound is over",
-				() -> System.currentTimeMillis() > sinceMs + BOUND_MS + AFTER_BOUND_MS);
-		long lastMs = office.engines.get(engine)
-			.records()
-			.stream()
-			.mapToLong(EngineRecord::startedAtMs)
-			.max()
-			.orElseThrow();
-		long otherMs = office.engines.get(2)
-			.records()
-			.stream()
-			.mapToLong(EngineRecord::startedAtMs)
-			.max()
-			.orElseThrow();
-		System.out.printf("%s: last new work %d ms after it was set%n", cause, lastMs - sinceMs);
-		assertTrue(lastMs <= sinceMs + BOUND_MS, "new work " + (lastMs - sinceMs) + " ms after the " + cause);
-		assertTrue(otherMs > sinceMs + BOUND_MS, "load must go on");
+		OfficeFixture.await("the agent drains and has finished", () -> {
+			GetStatusResponse status = office.agentStatus(engine);
+			return status.getDraining() && status.getInProgress() == 0;
+		});
+		System.out.printf("%s: drained after %d ms%n", cause, System.currentTimeMillis() - sinceMs);
+		int before = office.engines.get(engine).records().size();
+		int others = office.engines.get(2).records().size();
+		OfficeFixture.await("load goes on at another backend server",
+				() -> office.engines.get(2).records().size() >= others + REQUESTS_AFTER_DRAIN);
+		assertEquals(office.engines.get(engine).records().size(), before, "new work after the " + cause);
 	}
 
 	private static long running(OfficeFixture office) {
--- a/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
@@ -30,8 +30,13 @@
 import io.verbenacleat.core.platform.HostEntry;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.PlatformClient;
+import io.verbenacleat.core.rpc.Channels;
+import io.verbenacleat.core.rpc.FleetSecret;
 import io.verbenacleat.entry.EntryDaemon;
 import io.verbenacleat.entry.EntrySettings;
+import io.verbenacleat.proto.v1.AgentServiceGrpc;
+import io.verbenacleat.proto.v1.GetStatusRequest;
+import io.verbenacleat.proto.v1.GetStatusResponse;
 import io.verbenacleat.standins.BookingSettings;
 import io.verbenacleat.standins.BookingStandin;
 import io.verbenacleat.standins.EngineSettings;
@@ -98,6 +103,8 @@
 
 	private final Set<Object> stopped = ConcurrentHashMap.newKeySet();
 
+	private final Channels channels = new Channels(FleetSecret.of(SECRET));
+
 	private final PlatformClient platformClient = PlatformClient.builder(this.platform.url()).build();
 
 	private OfficeFixture(int entryCount, int engineCount, long tokenIntervalMs, long budgetTokens) throws Exception {
@@ -171,6 +178,17 @@
 		return "127.0.1." + (agent + 1);
 	}
 
+	/**
+	 * Asks an agent for its status.
+	 * @param agent its place in {@link #agents}
+	 * @return the answer
+	 */
+	GetStatusResponse agentStatus(int agent) {
+		return AgentServiceGrpc
+			.newBlockingStub(this.channels.get(agentHost(agent) + ":" + this.agents.get(agent).rpcPort()))
+			.getStatus(GetStatusRequest.getDefaultInstance());
+	}
+
 	void setLeaving(int agent) {
 		List<HostEntry> hosts = new ArrayList<>();
 		for (int i = 0; i < this.agents.size(); i++) {
@@ -214,6 +232,7 @@
 			new OfficeAudit(this).check();
 		}
 		finally {
+			this.channels.close();
 			this.proxies.forEach(BreakingProxy::close);
 			this.engines.forEach(EngineStandin::close);
 			this.runaway.close();
