Test the failure detector of entries

Cause: PeerMonitor decides which entries are closed and had no test of its own, since it called gRPC and the closer itself.

Change: it reaches peers through the interface PeerProbe (GrpcPeerProbe in the daemon) and reports silent entries to a consumer. ManualControlThread can pause, as a stopped process does. PeerMonitorTests cover the order of the closers, an answer of a later incarnation, entries of other sites, a pause of the monitor itself, and which entry leads.

--- a/core/src/main/java/io/verbenacleat/core/control/ManualControlThread.java
+++ b/core/src/main/java/io/verbenacleat/core/control/ManualControlThread.java
@@ -69,6 +69,15 @@
 		this.now = end;
 	}
 
+	/**
+	 * Moves time forward without running tasks, as when the process is stopped. Timers
+	 * that are due by then run late, at the next {@link #advance}.
+	 * @param duration how far, zero or more
+	 */
+	public void pause(Duration duration) {
+		this.now = this.now.plus(duration);
+	}
+
 	/**
 	 * Sets the clock without running timers, as a step of the system clock does. Timers
 	 * keep their distance from the present.
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -46,6 +46,7 @@
 import io.verbenacleat.entry.member.DrainController;
 import io.verbenacleat.entry.member.FleetLostAgents;
 import io.verbenacleat.entry.member.GrpcAgentControl;
+import io.verbenacleat.entry.member.GrpcPeerProbe;
 import io.verbenacleat.entry.member.HostWatch;
 import io.verbenacleat.entry.member.MembershipController;
 import io.verbenacleat.entry.member.PeerMonitor;
@@ -289,7 +290,8 @@
 		new DrainController(this.tables, this.control, this.blackboard, poller);
 		new CallersController(this.tables, this.control, this.ledger, poller);
 		new AgentStatusController(this.control, this.blackboard, this.channels, this.self.site());
-		PeerMonitor peers = new PeerMonitor(this.self, this.control, this.blackboard, this.channels, hostWatch, closer,
+		PeerMonitor peers = new PeerMonitor(this.self, this.control, this.blackboard,
+				new GrpcPeerProbe(this.channels, this.self.incarnation()), hostWatch, closer::closeProcess,
 				this.registry);
 		poller.onContact(this::platformSeen);
 		this.control.execute(poller::start);
--- a/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/PeerMonitor.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.IntStream;
 
 import io.prometheus.metrics.core.metrics.Counter;
@@ -14,12 +15,7 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.Membership;
-import io.verbenacleat.core.rpc.Channels;
-import io.verbenacleat.core.rpc.RpcFutures;
 import io.verbenacleat.entry.EntryBoard;
-import io.verbenacleat.entry.budget.ProcessCloser;
-import io.verbenacleat.proto.v1.HolderServiceGrpc;
-import io.verbenacleat.proto.v1.ProbeRequest;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -33,7 +29,7 @@
 
 	private static final Logger logger = LogManager.getLogger(PeerMonitor.class);
 
-	private static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
+	static final Duration PROBE_INTERVAL = Duration.ofSeconds(1);
 
 	private static final Duration SILENCE_UNTIL_CLOSE = Duration.ofSeconds(10);
 
@@ -50,11 +46,11 @@
 
 	private final Blackboard blackboard;
 
-	private final Channels channels;
+	private final PeerProbe probe;
 
 	private final HostWatch hostWatch;
 
-	private final ProcessCloser closer;
+	private final Consumer<String> closer;
 
 	private final Counter closed;
 
@@ -67,17 +63,17 @@
 	 * @param self this entry
 	 * @param control the control thread
 	 * @param blackboard the blackboard of the entry
-	 * @param channels the channels to the fleet
+	 * @param probe reaches the peers
 	 * @param hostWatch the watch of the host list
-	 * @param closer closes lost processes
+	 * @param closer takes the incarnation of each entry that is to be closed
 	 * @param registry the metrics
 	 */
-	public PeerMonitor(Member self, ControlThread control, Blackboard blackboard, Channels channels,
-			HostWatch hostWatch, ProcessCloser closer, PrometheusRegistry registry) {
+	public PeerMonitor(Member self, ControlThread control, Blackboard blackboard, PeerProbe probe, HostWatch hostWatch,
+			Consumer<String> closer, PrometheusRegistry registry) {
 		this.self = self;
 		this.control = control;
 		this.blackboard = blackboard;
-		this.channels = channels;
+		this.probe = probe;
 		this.hostWatch = hostWatch;
 		this.closer = closer;
 		this.closed = Counter.builder()
@@ -152,16 +148,13 @@
 			logger.warn("Entry {} did not answer for {} ms and is closed", peer.incarnation(), silentMs);
 			this.closed.inc();
 			this.answeredAtNanos.put(peer.incarnation(), nowNanos());
-			this.closer.closeProcess(peer.incarnation());
+			this.closer.accept(peer.incarnation());
 		}
 	}
 
 	private void probe(Member peer) {
-		var call = HolderServiceGrpc.newFutureStub(this.channels.get(peer.address()))
-			.withDeadlineAfter(PROBE_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)
-			.probe(ProbeRequest.newBuilder().setIncarnation(this.self.incarnation()).build());
-		RpcFutures.of(call).thenAcceptAsync((response) -> {
-			if (response.getIncarnation().equals(peer.incarnation())) {
+		this.probe.probe(peer).whenCompleteAsync((incarnation, failure) -> {
+			if (peer.incarnation().equals(incarnation)) {
 				this.answeredAtNanos.put(peer.incarnation(), nowNanos());
 			}
 		}, this.control);
