Queue orders at the agent and shed the least urgent

Cause: an agent ran up to 256 orders at once and refused the rest without regard to workspace or priority, with a fixed retry time of 1 s.

Ruled out: a longer queue than the number of running orders, because each waiting order keeps its request body (up to 4 MiB) in memory; a separate table of waiting orders, because an accepted order already has a slot that resolve, close and drain read; keeping queued not-repeatable orders on a close, since an order that has not started can be withdrawn truthfully.

Change: OrderQueue decides start, wait, refusal and shedding by weighted fair queuing on tokens. OrderTable tombstones each order that leaves the queue without a start and tells its owner. New configuration keys servers[].maxRunning, limits.maxQueueWaitMs and limits.workspaceWeights. The slots and marks of OrderTable move to OrderMemory, unchanged.

--- a/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.agent;
 
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -19,6 +20,9 @@
 import io.verbenacleat.agent.order.OrderLimits;
 import io.verbenacleat.agent.order.OrderMetrics;
 import io.verbenacleat.agent.order.OrderTable;
+import io.verbenacleat.agent.order.RunningOrder;
+import io.verbenacleat.agent.queue.OrderQueue;
+import io.verbenacleat.agent.queue.QueueLimits;
 import io.verbenacleat.agent.receipt.GrpcSettleClient;
 import io.verbenacleat.agent.receipt.ReceiptReporter;
 import io.verbenacleat.core.control.ControlThread;
@@ -67,9 +71,16 @@
 		this.members = new MemberWatch(control, store);
 		this.probe = new BackendProbe(this.config::url);
 		this.receipts = new ReceiptReporter(control, new GrpcSettleClient(channels), store);
-		this.table = new OrderTable(incarnation, control.clock(), OrderLimits.of(settings.maxInProgress), new Rules());
+		OrderQueue<RunningOrder> queue = new OrderQueue<>(control.clock(),
+				QueueLimits.withoutQueue(settings.maxInProgress), new SplittableRandom());
+		this.table = new OrderTable(incarnation, control.clock(), OrderLimits.of(settings.maxInProgress), new Rules(),
+				queue);
 		this.executor = new OrderExecutor(control, this.table, this.receipts, this.config::backend, this.workers,
 				new OrderMetrics(registry), settings.server);
+		this.config.onServer((server, limits) -> {
+			queue.setLimits(QueueLimits.of(server.maxRunning(), settings.maxInProgress, limits));
+			this.executor.startWaiting();
+		});
 		this.service = new AgentGrpcService(control, this.table, this.executor, this.receipts,
 				() -> new AgentStatus(incarnation, settings.server, this.config.version(), this.probe.reachable()));
 		this.sequence = new DrainSequence(control, this.drain, new OpenWork());
--- a/agent/src/main/java/io/verbenacleat/agent/ConfigFollower.java
+++ b/agent/src/main/java/io/verbenacleat/agent/ConfigFollower.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.agent;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 
 import io.verbenacleat.agent.backend.BackendCalls;
 import io.verbenacleat.agent.backend.BackendTarget;
@@ -8,6 +9,7 @@
 import io.verbenacleat.agent.order.Backend;
 import io.verbenacleat.agent.service.PlainServiceClient;
 import io.verbenacleat.core.config.BackendServerConfig;
+import io.verbenacleat.core.config.LimitsConfig;
 import io.verbenacleat.core.config.OfficeConfig;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.proto.v1.ExecuteRequest;
@@ -35,6 +37,9 @@
 
 	private String lastFailure = "";
 
+	private BiConsumer<BackendServerConfig, LimitsConfig> onServer = (server, limits) -> {
+	};
+
 	private volatile @Nullable Current current;
 
 	ConfigFollower(ControlThread control, ConfigSource source, BackendCalls calls, AgentSettings settings) {
@@ -52,6 +57,15 @@
 		this.fence = newFence;
 	}
 
+	/**
+	 * Sets what is called on the control thread for each version that lists the backend
+	 * server; must be called before the first {@link #read}.
+	 * @param action the action
+	 */
+	void onServer(BiConsumer<BackendServerConfig, LimitsConfig> action) {
+		this.onServer = action;
+	}
+
 	/**
 	 * Reads the configuration.
 	 * @return completes when the configuration is in use
@@ -124,6 +138,7 @@
 		Backend backend = (server.kind() == BackendServerConfig.Kind.MODEL_ENGINE)
 				? new ChatEngineClient(this.calls, target) : new PlainServiceClient(this.calls, target);
 		this.current = new Current(config.version(), server, backend, target.url());
+		this.onServer.accept(server, config.limits());
 		logger.info("Configuration {} in use, backend server {} at {}", config.version(), server.name(), target.url());
 	}
 
--- a/agent/src/main/java/io/verbenacleat/agent/order/Admission.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/Admission.java
@@ -15,6 +15,14 @@
 	record Started(RunningOrder order) implements Admission {
 	}
 
+	/**
+	 * The order waits for the backend server.
+	 *
+	 * @param order the order
+	 */
+	record Queued(RunningOrder order) implements Admission {
+	}
+
 	/**
 	 * The order does not start.
 	 *
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderExecutor.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderExecutor.java
@@ -18,13 +18,11 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Runs the orders that the table lets start, each on a worker thread, and makes their
- * receipts. Control thread only.
+ * Runs the orders that the table lets start, at once or after a wait in its queue, each
+ * on a worker thread, and makes their receipts. Control thread only.
  */
 public final class OrderExecutor {
 
-	private static final long RETRY_AFTER_MS = 1_000;
-
 	private final ControlThread control;
 
 	private final OrderTable table;
@@ -64,7 +62,7 @@
 	}
 
 	/**
-	 * Starts or refuses an order.
+	 * Starts, queues or refuses an order.
 	 * @param request the order
 	 * @param stream the stream to its gateway
 	 * @param receivedAtMs when it arrived, in milliseconds since the epoch
@@ -77,9 +75,26 @@
 		if (admission instanceof Admission.Started started) {
 			start(started.order(), stream, receivedAtMs);
 		}
+		else if (admission instanceof Admission.Queued queued) {
+			queue(queued.order(), stream, receivedAtMs);
+		}
 		else if (admission instanceof Admission.Denied denied) {
 			refuse(stream, denied.reason(), denied.detail());
 		}
+		startWaiting();
+	}
+
+	/**
+	 * Starts orders that wait, as far as more may run.
+	 */
+	public void startWaiting() {
+		for (RunningOrder next = this.table.startNext(); next != null; next = this.table.startNext()) {
+			RunningOrder.Waiter waiter = next.waiter();
+			if (waiter != null) {
+				waiter.start();
+			}
+		}
+		this.metrics.waiting(this.table.waiting());
 	}
 
 	/**
@@ -91,6 +106,28 @@
 		return this.lastEndMs;
 	}
 
+	private void queue(RunningOrder order, EventStream stream, long receivedAtMs) {
+		long leftMs = Math.max(0, this.table.leaveByMs(order) - this.control.clock().millis());
+		Cancellable timer = this.control.schedule(Duration.ofMillis(leftMs),
+				() -> this.table.withdraw(order, RefusalReason.OVERLOADED, "the order waited as long as it may"));
+		order.setWaiter(new RunningOrder.Waiter() {
+			@Override
+			public void start() {
+				timer.cancel();
+				OrderExecutor.this.start(order, stream, receivedAtMs);
+			}
+
+			@Override
+			public void withdrawn(RefusalReason reason, String detail) {
+				timer.cancel();
+				orderLeft();
+				refuse(stream, reason, detail);
+			}
+		});
+		stream.onGone(() -> this.control
+			.execute(() -> this.table.withdraw(order, RefusalReason.TOMBSTONED, "the gateway cancelled the order")));
+	}
+
 	private void start(RunningOrder order, EventStream stream, long receivedAtMs) {
 		Backend target = this.backend.get();
 		if (target == null) {
@@ -138,24 +175,27 @@
 				.setFailureCode(outcome.failureCode())
 				.setFailureDetail(outcome.failureDetail())));
 		stream.complete();
+		startWaiting();
 	}
 
 	private void notRun(RunningOrder order, EventStream stream, RefusalReason reason, String detail) {
 		this.table.notRun(order);
 		orderLeft();
 		refuse(stream, reason, detail);
+		this.control.execute(this::startWaiting);
 	}
 
 	private void orderLeft() {
 		this.lastEndMs = this.control.clock().millis();
 		this.metrics.inProgress(this.table.inProgress());
+		this.metrics.waiting(this.table.waiting());
 	}
 
 	private void refuse(EventStream stream, RefusalReason reason, String detail) {
 		this.metrics.refused(reason);
 		Refused.Builder refused = Refused.newBuilder().setReason(reason).setDetail(detail);
 		if (reason == RefusalReason.OVERLOADED) {
-			refused.setRetryAfterMs(RETRY_AFTER_MS);
+			refused.setRetryAfterMs(this.table.retryAfterMs());
 		}
 		if (this.table.draining() && reason != RefusalReason.DRAINING) {
 			refused.setDetail(detail + "; this agent drains");
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderMetrics.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderMetrics.java
@@ -20,6 +20,8 @@
 
 	private final Gauge inProgress;
 
+	private final Gauge waiting;
+
 	/**
 	 * Creates the metrics, each label value at 0.
 	 * @param registry where they are shown
@@ -42,7 +44,11 @@
 			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("verbena_agent_orders_in_progress")
-			.help("Orders that run")
+			.help("Orders that run or wait")
+			.register(registry);
+		this.waiting = Gauge.builder()
+			.name("verbena_agent_orders_waiting")
+			.help("Orders that wait in the queue")
 			.register(registry);
 		initialize();
 	}
@@ -73,6 +79,10 @@
 		this.tokens.labelValues("held").inc(receipt.getHeldTokens());
 	}
 
+	void waiting(int count) {
+		this.waiting.set(count);
+	}
+
 	void inProgress(int count) {
 		this.inProgress.set(count);
 	}
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderSlot.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderSlot.java
@@ -1,6 +1,8 @@
 package io.verbenacleat.agent.order;
 
+import io.verbenacleat.proto.v1.OrderState;
 import io.verbenacleat.proto.v1.Receipt;
+import io.verbenacleat.proto.v1.ResolveOrderResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -41,6 +43,20 @@
 	 */
 	record Finished(Receipt receipt, @Nullable KeptResponse response) implements OrderSlot {
 
+		/**
+		 * Returns the answer to {@code ResolveOrder}.
+		 * @return the receipt and the kept response
+		 */
+		ResolveOrderResponse report() {
+			ResolveOrderResponse.Builder builder = ResolveOrderResponse.newBuilder()
+				.setState(OrderState.FINISHED)
+				.setReceipt(this.receipt);
+			if (this.response != null) {
+				builder.setHttpHead(this.response.head()).setHttpBody(this.response.body());
+			}
+			return builder.build();
+		}
+
 		@Override
 		public int keptBytes() {
 			return (this.response != null) ? this.response.head().getSerializedSize() + this.response.body().size() : 0;
--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderTable.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderTable.java
@@ -2,12 +2,14 @@
 
 import java.time.Clock;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
+import io.verbenacleat.agent.queue.Offer;
+import io.verbenacleat.agent.queue.OrderQueue;
+import io.verbenacleat.agent.queue.QueueTicket;
+import io.verbenacleat.agent.queue.QueueWork;
 import io.verbenacleat.proto.v1.ExecuteRequest;
 import io.verbenacleat.proto.v1.OrderId;
 import io.verbenacleat.proto.v1.OrderState;
@@ -31,48 +33,40 @@
  */
 public final class OrderTable {
 
-	private static final long IDLE_GATEWAY_MS = 3_600_000;
-
-	private static final long RECLAIM_INTERVAL_MS = 10_000;
-
 	private final String incarnation;
 
 	private final Clock clock;
 
 	private final OrderLimits limits;
 
-	private final AdmissionRules rules;
+	private final OrderMemory memory;
 
-	private final Map<String, GatewayOrders> gateways = new HashMap<>();
+	private final AdmissionRules rules;
 
-	private final Set<String> closed = new HashSet<>();
+	private final OrderQueue<RunningOrder> queue;
 
 	private final Set<RunningOrder> running = new HashSet<>();
 
-	private int slotCount;
-
-	private long keptBytes;
-
-	private boolean exhausted;
-
-	private long reclaimAtMs = Long.MIN_VALUE;
-
 	/**
 	 * Creates an empty table.
 	 * @param incarnation the incarnation of this agent
 	 * @param clock the clock for start times
 	 * @param limits the bounds
 	 * @param rules the conditions outside the table
+	 * @param queue decides which accepted orders run and which wait
 	 */
-	public OrderTable(String incarnation, Clock clock, OrderLimits limits, AdmissionRules rules) {
+	public OrderTable(String incarnation, Clock clock, OrderLimits limits, AdmissionRules rules,
+			OrderQueue<RunningOrder> queue) {
 		this.incarnation = incarnation;
 		this.clock = clock;
 		this.limits = limits;
+		this.memory = new OrderMemory(clock, limits);
 		this.rules = rules;
+		this.queue = queue;
 	}
 
 	/**
-	 * Starts or refuses an order; a refused order never starts later.
+	 * Starts, queues or refuses an order; a refused order never starts later.
 	 * @param request the order
 	 * @param receivedAtMs when it arrived, in milliseconds since the epoch
 	 * @return the answer
@@ -83,28 +77,60 @@
 		if (denied != null) {
 			return denied;
 		}
-		GatewayOrders gateway = gateway(id.getGatewayIncarnation());
+		GatewayOrders gateway = this.memory.gateway(id.getGatewayIncarnation());
 		if (gateway == null) {
 			return denied(RefusalReason.OVERLOADED, "this agent has seen too many processes and must be restarted");
 		}
 		gateway.use(this.clock.millis());
-		forget(gateway.raiseMark(request.getResolvedThrough()));
+		this.memory.raiseMark(gateway, request.getResolvedThrough());
 		denied = checkHistory(gateway, id.getSequence());
 		if (denied != null) {
 			return denied;
 		}
-		reclaim(request);
+		this.memory.reclaim(request);
 		denied = checkState(request, receivedAtMs);
 		if (denied != null) {
-			bury(gateway, id.getSequence());
+			this.memory.bury(gateway, id.getSequence());
 			return denied;
 		}
 		RunningOrder order = new RunningOrder(request, this.clock.millis());
-		gateway.put(id.getSequence(), new OrderSlot.Running(order));
-		this.slotCount++;
-		this.keptBytes += reservedBytes(request);
+		QueueWork work = new QueueWork(request.getWorkspace(), request.getPriority(), request.getReservedTokens(),
+				receivedAtMs + request.getTimeoutMs());
+		Offer<RunningOrder> offer = this.queue.offer(work, order);
+		if (offer instanceof Offer.Refuse<RunningOrder> refuse) {
+			this.memory.bury(gateway, id.getSequence());
+			return denied(RefusalReason.OVERLOADED, refuse.detail());
+		}
+		this.memory.accept(gateway, order);
 		this.running.add(order);
-		return new Admission.Started(order);
+		return enter(offer, order);
+	}
+
+	/**
+	 * Starts the next order that waits.
+	 * @return the order, or {@code null} when none waits or no more may run
+	 */
+	@Nullable
+	RunningOrder startNext() {
+		QueueTicket<RunningOrder> next = this.queue.next();
+		if (next == null) {
+			return null;
+		}
+		next.item().startedAt(this.clock.millis());
+		return next.item();
+	}
+
+	/**
+	 * Takes an order that has not started out of the queue, so that it never starts.
+	 * @param order the order; nothing happens when it does not wait
+	 * @param reason the reason
+	 * @param detail the reason in words
+	 */
+	void withdraw(RunningOrder order, RefusalReason reason, String detail) {
+		QueueTicket<RunningOrder> ticket = order.ticket();
+		if (ticket != null && this.queue.withdraw(ticket)) {
+			left(order, reason, detail);
+		}
 	}
 
 	/**
@@ -112,6 +138,7 @@
 	 * @param order the order
 	 */
 	void notRun(RunningOrder order) {
+		release(order, 0);
 		end(order, OrderSlot.TOMBSTONE);
 	}
 
@@ -122,6 +149,7 @@
 	 * @param response the response of a not-repeatable call, {@code null} when not kept
 	 */
 	void finish(RunningOrder order, Receipt receipt, @Nullable KeptResponse response) {
+		release(order, receipt.getBilledTokens());
 		end(order, new OrderSlot.Finished(receipt, response));
 	}
 
@@ -129,11 +157,11 @@
 	 * Reports an order, or makes sure that it never starts.
 	 * @param id an order to this agent incarnation; this agent cannot know the fate of an
 	 * order to another one
-	 * @param cancel whether to stop it when it runs and is repeatable
+	 * @param cancel whether to stop it when it runs and is repeatable, or waits
 	 * @return the report
 	 */
 	ResolveOrderResponse resolve(OrderId id, boolean cancel) {
-		GatewayOrders gateway = gateway(id.getGatewayIncarnation());
+		GatewayOrders gateway = this.memory.gateway(id.getGatewayIncarnation());
 		if (gateway == null) {
 			return report(OrderState.NEVER_STARTED);
 		}
@@ -142,41 +170,46 @@
 			return report(OrderState.FORGOTTEN);
 		}
 		if (slot instanceof OrderSlot.Running active) {
+			if (cancel && active.order().queued()) {
+				withdraw(active.order(), RefusalReason.TOMBSTONED, "the gateway cancelled the order");
+				return report(OrderState.NEVER_STARTED);
+			}
 			if (cancel) {
 				active.order().cancelIfRepeatable();
 			}
 			return report(OrderState.RUNNING);
 		}
 		if (slot instanceof OrderSlot.Finished finished) {
-			return report(finished);
+			return finished.report();
 		}
 		if (slot == null) {
-			bury(gateway, id.getSequence());
+			this.memory.bury(gateway, id.getSequence());
 		}
 		return report(OrderState.NEVER_STARTED);
 	}
 
 	/**
 	 * Refuses from now on the orders of a gateway and those on the grants of a holder,
-	 * and stops the running repeatable orders of the gateway.
+	 * stops the running repeatable orders of the gateway, and withdraws the queued orders
+	 * of both kinds.
 	 * @param process the incarnation of the gateway and holder
 	 */
 	void close(String process) {
-		if (this.closed.size() >= this.limits.maxProcesses() && !this.closed.contains(process)) {
-			this.exhausted = true;
-		}
-		else {
-			this.closed.add(process);
-		}
+		this.memory.close(process);
 		for (RunningOrder order : List.copyOf(this.running)) {
-			if (order.request().getOrderId().getGatewayIncarnation().equals(process)) {
+			boolean ofGateway = order.request().getOrderId().getGatewayIncarnation().equals(process);
+			if (order.queued() && order.concerns(process)) {
+				withdraw(order, (ofGateway) ? RefusalReason.GATEWAY_CLOSED : RefusalReason.HOLDER_CLOSED,
+						process + " was closed");
+			}
+			else if (ofGateway) {
 				order.cancelIfRepeatable();
 			}
 		}
 	}
 
 	/**
-	 * Returns the running orders of a gateway or on the grants of a holder.
+	 * Returns the orders of a gateway or on the grants of a holder that run or wait.
 	 * @param process the incarnation
 	 * @return the orders
 	 */
@@ -196,13 +229,39 @@
 	}
 
 	/**
-	 * Returns how many orders run.
+	 * Returns how many orders run or wait.
 	 * @return the count
 	 */
 	public int inProgress() {
 		return this.running.size();
 	}
 
+	/**
+	 * Returns how many orders wait.
+	 * @return the count
+	 */
+	int waiting() {
+		return this.queue.waiting();
+	}
+
+	/**
+	 * Returns when a queued order must have left the queue.
+	 * @param order the order
+	 * @return the time in milliseconds since the epoch
+	 */
+	long leaveByMs(RunningOrder order) {
+		QueueTicket<RunningOrder> ticket = order.ticket();
+		return (ticket != null) ? ticket.leaveByMs() : Long.MAX_VALUE;
+	}
+
+	/**
+	 * Returns when an order that is refused for overload may come back.
+	 * @return the time in milliseconds
+	 */
+	long retryAfterMs() {
+		return this.queue.retryAfterMs();
+	}
+
 	/**
 	 * Returns whether the agent drains.
 	 * @return {@code true} when new orders are refused
@@ -217,7 +276,37 @@
 	 * @return {@code true} when the agent must be restarted
 	 */
 	public boolean exhausted() {
-		return this.exhausted;
+		return this.memory.exhausted();
+	}
+
+	private Admission enter(Offer<RunningOrder> offer, RunningOrder order) {
+		if (offer instanceof Offer.Wait<RunningOrder> wait) {
+			order.setTicket(wait.ticket());
+			QueueTicket<RunningOrder> shed = wait.shed();
+			if (shed != null) {
+				left(shed.item(), RefusalReason.OVERLOADED, "a more urgent order took its place in the queue");
+			}
+			return new Admission.Queued(order);
+		}
+		if (offer instanceof Offer.Start<RunningOrder> start) {
+			order.setTicket(start.ticket());
+		}
+		return new Admission.Started(order);
+	}
+
+	private void left(RunningOrder order, RefusalReason reason, String detail) {
+		end(order, OrderSlot.TOMBSTONE);
+		RunningOrder.Waiter waiter = order.waiter();
+		if (waiter != null) {
+			waiter.withdrawn(reason, detail);
+		}
+	}
+
+	private void release(RunningOrder order, long usedTokens) {
+		QueueTicket<RunningOrder> ticket = order.ticket();
+		if (ticket != null) {
+			this.queue.ended(ticket, usedTokens);
+		}
 	}
 
 	private Admission.@Nullable Denied checkIdentity(ExecuteRequest request) {
@@ -225,7 +314,7 @@
 		if (!id.getAgentIncarnation().equals(this.incarnation)) {
 			return denied(RefusalReason.WRONG_INCARNATION, "this agent is " + this.incarnation);
 		}
-		if (this.closed.contains(id.getGatewayIncarnation())) {
+		if (this.memory.isClosed(id.getGatewayIncarnation())) {
 			return denied(RefusalReason.GATEWAY_CLOSED, "gateway " + id.getGatewayIncarnation() + " was closed");
 		}
 		String fault = OrderForm.faultOf(request);
@@ -244,7 +333,7 @@
 	}
 
 	private Admission.@Nullable Denied checkState(ExecuteRequest request, long receivedAtMs) {
-		if (this.closed.contains(request.getHolderIncarnation())) {
+		if (this.memory.isClosed(request.getHolderIncarnation())) {
 			return denied(RefusalReason.HOLDER_CLOSED, "holder " + request.getHolderIncarnation() + " was closed");
 		}
 		if (!this.rules.isMember(request.getHolderIncarnation())
@@ -260,81 +349,17 @@
 		if (this.clock.millis() - receivedAtMs >= request.getTimeoutMs()) {
 			return denied(RefusalReason.OVERLOADED, "the timeout passed before the order could start");
 		}
-		if (this.exhausted || this.running.size() >= this.limits.maxInProgress()
-				|| !this.rules.roomForReceipts(this.running.size()) || full(request)) {
+		if (this.memory.exhausted() || this.running.size() >= this.limits.maxInProgress()
+				|| !this.rules.roomForReceipts(this.running.size()) || this.memory.full(request)) {
 			return denied(RefusalReason.OVERLOADED, "too many orders or receipts wait");
 		}
 		return null;
 	}
 
-	private @Nullable GatewayOrders gateway(String name) {
-		GatewayOrders known = this.gateways.get(name);
-		if (known != null) {
-			return known;
-		}
-		if (this.exhausted || this.gateways.size() >= this.limits.maxProcesses()) {
-			this.exhausted = true;
-			return null;
-		}
-		GatewayOrders created = new GatewayOrders();
-		this.gateways.put(name, created);
-		return created;
-	}
-
-	private void bury(GatewayOrders gateway, long sequence) {
-		if (this.slotCount < this.limits.maxSlots()) {
-			gateway.put(sequence, OrderSlot.TOMBSTONE);
-			this.slotCount++;
-		}
-		else {
-			gateway.raiseFloor(sequence);
-		}
-	}
-
 	private void end(RunningOrder order, OrderSlot slot) {
-		if (!this.running.remove(order)) {
-			return;
-		}
-		OrderId id = order.request().getOrderId();
-		GatewayOrders gateway = this.gateways.get(id.getGatewayIncarnation());
-		this.keptBytes -= reservedBytes(order.request());
-		if (gateway == null) {
-			return;
+		if (this.running.remove(order)) {
+			this.memory.end(order, slot);
 		}
-		if (id.getSequence() <= gateway.mark()) {
-			gateway.remove(id.getSequence());
-			this.slotCount--;
-			return;
-		}
-		gateway.put(id.getSequence(), slot);
-		this.keptBytes += slot.keptBytes();
-	}
-
-	private boolean full(ExecuteRequest request) {
-		return this.slotCount >= this.limits.maxSlots()
-				|| this.keptBytes + reservedBytes(request) > this.limits.maxKeptBytes();
-	}
-
-	private void reclaim(ExecuteRequest request) {
-		long nowMs = this.clock.millis();
-		if (nowMs < this.reclaimAtMs || !full(request)) {
-			return;
-		}
-		this.reclaimAtMs = nowMs + RECLAIM_INTERVAL_MS;
-		this.gateways.forEach((name, gateway) -> {
-			if (this.closed.contains(name) || nowMs - gateway.lastUsedMs() >= IDLE_GATEWAY_MS) {
-				forget(gateway.raiseMark(gateway.highest()));
-			}
-		});
-	}
-
-	private void forget(Map<Long, OrderSlot> slots) {
-		this.slotCount -= slots.size();
-		slots.values().forEach((slot) -> this.keptBytes -= slot.keptBytes());
-	}
-
-	private static long reservedBytes(ExecuteRequest request) {
-		return (request.getRepeatable() || !request.hasHttp()) ? 0 : KeptResponse.MAX_BYTES;
 	}
 
 	private static Admission.Denied denied(RefusalReason reason, String detail) {
@@ -345,15 +370,4 @@
 		return ResolveOrderResponse.newBuilder().setState(state).build();
 	}
 
-	private static ResolveOrderResponse report(OrderSlot.Finished finished) {
-		ResolveOrderResponse.Builder builder = ResolveOrderResponse.newBuilder()
-			.setState(OrderState.FINISHED)
-			.setReceipt(finished.receipt());
-		KeptResponse response = finished.response();
-		if (response != null) {
-			builder.setHttpHead(response.head()).setHttpBody(response.body());
-		}
-		return builder.build();
-	}
-
 }
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/queue/QueueLimits.java
@@ -0,0 +1,53 @@
+package io.verbenacleat.agent.queue;
+
+import java.util.List;
+
+import io.verbenacleat.core.config.LimitsConfig;
+import io.verbenacleat.core.config.WorkspaceWeight;
+
+/**
+ * The bounds of an order queue. Immutable.
+ *
+ * @param maxRunning the most orders that run at a time, 1 or more
+ * @param maxWaiting the most orders that wait, 0 for no queue
+ * @param maxWaitMs the longest wait of an order, in milliseconds
+ * @param weights the weights of workspaces; others have the weight 1
+ */
+public record QueueLimits(int maxRunning, int maxWaiting, long maxWaitMs, List<WorkspaceWeight> weights) {
+
+	/**
+	 * Creates bounds from a copy of the list.
+	 */
+	public QueueLimits {
+		weights = List.copyOf(weights);
+	}
+
+	/**
+	 * Returns the bounds of an agent. As many orders may wait as run: a waiting order
+	 * keeps its request body in memory, and a longer queue holds orders that pass the
+	 * wait bound anyway.
+	 * @param maxRunning the most orders that run on the backend server at a time
+	 * @param maxInProgress the most orders that the agent may have running and waiting
+	 * @param limits the limits of the office
+	 * @return the bounds
+	 */
+	public static QueueLimits of(int maxRunning, int maxInProgress, LimitsConfig limits) {
+		int running = Math.min(maxRunning, maxInProgress);
+		int waiting = (limits.maxQueueWaitMs() > 0) ? Math.min(running, maxInProgress - running) : 0;
+		return new QueueLimits(running, waiting, limits.maxQueueWaitMs(), limits.workspaceWeights());
+	}
+
+	/**
+	 * Returns bounds without a queue.
+	 * @param maxRunning the most orders that run at a time
+	 * @return the bounds
+	 */
+	public static QueueLimits withoutQueue(int maxRunning) {
+		return new QueueLimits(maxRunning, 0, 0, List.of());
+	}
+
+	int weightOf(String workspace) {
+		return WorkspaceWeight.of(this.weights, workspace);
+	}
+
+}
--- a/agent/src/test/java/io/verbenacleat/agent/order/TestOrders.java
+++ b/agent/src/test/java/io/verbenacleat/agent/order/TestOrders.java
@@ -1,6 +1,11 @@
 package io.verbenacleat.agent.order;
 
+import java.time.Clock;
+import java.util.SplittableRandom;
+
 import com.google.protobuf.ByteString;
+import io.verbenacleat.agent.queue.OrderQueue;
+import io.verbenacleat.agent.queue.QueueLimits;
 import io.verbenacleat.proto.v1.ChatWork;
 import io.verbenacleat.proto.v1.ExecuteRequest;
 import io.verbenacleat.proto.v1.HttpWork;
@@ -61,4 +66,14 @@
 		return HttpWork.newBuilder().setService("bookings").setMethod(method).setPathAndQuery(path).setPriceTokens(7);
 	}
 
+	/**
+	 * Returns a queue of a fixed seed that no order waits in.
+	 * @param clock the clock
+	 * @param maxRunning the most orders that run
+	 * @return the queue
+	 */
+	static OrderQueue<RunningOrder> noQueue(Clock clock, int maxRunning) {
+		return new OrderQueue<>(clock, QueueLimits.withoutQueue(maxRunning), new SplittableRandom(1));
+	}
+
 }
--- a/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
@@ -50,7 +50,8 @@
 		return new BackendServerConfig(node.path("name").asText(), kind, node.path("url").asText(),
 				node.path("site").asText(), list(node.path("models"), JsonNode::asText),
 				(node.has("service")) ? node.path("service").asText() : null,
-				node.path("checksFencing").asBoolean(false));
+				node.path("checksFencing").asBoolean(false),
+				node.path("maxRunning").asInt(BackendServerConfig.DEFAULT_MAX_RUNNING));
 	}
 
 	private static LimitsConfig limits(JsonNode node) {
@@ -59,7 +60,10 @@
 				node.path("requestTimeoutMs").asLong(defaults.requestTimeoutMs()),
 				node.path("maxInProgress").asInt(defaults.maxInProgress()),
 				node.path("retryAfterMs").asLong(defaults.retryAfterMs()),
-				node.path("maxConfigAgeMs").asLong(defaults.maxConfigAgeMs()));
+				node.path("maxConfigAgeMs").asLong(defaults.maxConfigAgeMs()),
+				node.path("maxQueueWaitMs").asLong(defaults.maxQueueWaitMs()),
+				list(node.path("workspaceWeights"), (entry) -> new WorkspaceWeight(entry.path("name").asText(),
+						entry.path("weight").asInt(WorkspaceWeight.DEFAULT))));
 	}
 
 	private static BudgetConfig budget(JsonNode node) {
