Refuse orders over the share early and let those below it wait longer

Change: a workspace below its share has twice the wait bound. The expected wait of a workspace over its share also counts the rate of its own starts.

Late refusals are fewer but not gone.

--- a/agent/src/main/java/io/verbenacleat/agent/queue/Lane.java
+++ b/agent/src/main/java/io/verbenacleat/agent/queue/Lane.java
@@ -11,6 +11,9 @@
 
 	final TreeSet<QueueTicket<T>> waiting = new TreeSet<>(QueueTicket.byUrgency());
 
+	/** The rate at which orders of this workspace start while some wait. */
+	final EndRate starts = new EndRate();
+
 	int weight;
 
 	int running;
--- a/agent/src/main/java/io/verbenacleat/agent/queue/OrderQueue.java
+++ b/agent/src/main/java/io/verbenacleat/agent/queue/OrderQueue.java
@@ -73,9 +73,9 @@
 	 */
 	public Offer<T> offer(QueueWork work, T item) {
 		long nowMs = this.clock.millis();
-		long leaveByMs = Math.min(work.timeoutAtMs(), nowMs + this.limits.maxWaitMs());
+		Lane<T> lane = lane(work.workspace());
+		long leaveByMs = Math.min(work.timeoutAtMs(), nowMs + maxWaitMs(lane));
 		QueueTicket<T> ticket = new QueueTicket<>(work, item, ++this.lastNumber, leaveByMs);
-		Lane<T> lane = lane(ticket);
 		if (lane.waiting.isEmpty() && mayStart(lane, activeWeights())) {
 
 			begin(ticket);
@@ -147,7 +147,7 @@
 		}
 		ticket.setState(QueueTicket.State.OUT);
 		long nowMs = this.clock.millis();
-		Lane<T> lane = lane(ticket);
+		Lane<T> lane = lane(ticket.work().workspace());
 		lane.running--;
 		this.running--;
 		this.turnedAway = Math.max(0, this.turnedAway - 1);
@@ -195,18 +195,32 @@
 		return lane.level(0) < (double) this.limits.maxRunning() / weights;
 	}
 
+	private boolean belowShare(Lane<T> lane, int ahead) {
+		return lane.level(ahead) < (double) this.limits.maxRunning() / activeWeights();
+	}
+
+	// Below its share a workspace is next in line; a second wait bound covers the rare
+	// pause
+	// without an end.
+	private long maxWaitMs(Lane<T> lane) {
+		return this.limits.maxWaitMs() * ((belowShare(lane, lane.waiting.size())) ? 2 : 1);
+	}
+
 	private int activeWeights() {
 		return this.lanes.values().stream().mapToInt((lane) -> lane.weight).sum();
 	}
 
 	private double expectedWaitMs(QueueTicket<T> ticket) {
-		Lane<T> own = lane(ticket);
+		Lane<T> own = lane(ticket.work().workspace());
 		int ahead = own.waiting.headSet(ticket).size();
+		// Later orders of workspaces below their share overtake a workspace over its
+		// share.
+		double ownMs = (belowShare(own, ahead)) ? 0 : own.starts.expectedMs(ahead + 1, this.clock.millis());
 		double start = own.level(ahead);
 		for (Lane<T> other : this.lanes.values()) {
 			ahead += (other != own) ? other.startingBelow(start) : 0;
 		}
-		return this.rate.expectedMs(ahead + 1, this.clock.millis());
+		return Math.max(ownMs, this.rate.expectedMs(ahead + 1, this.clock.millis()));
 	}
 
 	private QueueTicket<T> leastUrgent() {
@@ -220,21 +234,24 @@
 	}
 
 	private void enter(QueueTicket<T> ticket) {
-		Lane<T> lane = lane(ticket);
+		Lane<T> lane = lane(ticket.work().workspace());
 
 		lane.waiting.add(ticket);
+		lane.starts.full(true, this.clock.millis());
 		this.waiting++;
 		ticket.setState(QueueTicket.State.WAITING);
 	}
 
 	private void leave(QueueTicket<T> ticket) {
-		lane(ticket).waiting.remove(ticket);
+		lane(ticket.work().workspace()).waiting.remove(ticket);
 		this.waiting--;
 		ticket.setState(QueueTicket.State.OUT);
 	}
 
 	private void begin(QueueTicket<T> ticket) {
-		Lane<T> lane = lane(ticket);
+		Lane<T> lane = lane(ticket.work().workspace());
+		lane.starts.ended(this.clock.millis());
+		lane.starts.full(!lane.waiting.isEmpty(), this.clock.millis());
 		lane.running++;
 		lane.lastStart = ++this.lastStart;
 		this.running++;
@@ -242,13 +259,13 @@
 		this.rate.full(this.running >= this.limits.maxRunning() || this.waiting > 0, this.clock.millis());
 	}
 
-	private Lane<T> lane(QueueTicket<T> ticket) {
-		return this.lanes.computeIfAbsent(ticket.work().workspace(), (name) -> new Lane<>(this.limits.weightOf(name)));
+	private Lane<T> lane(String workspace) {
+		return this.lanes.computeIfAbsent(workspace, (name) -> new Lane<>(this.limits.weightOf(name)));
 	}
 
 	// Forgets a workspace without orders.
 	private void prune(QueueTicket<T> ticket) {
-		Lane<T> lane = lane(ticket);
+		Lane<T> lane = lane(ticket.work().workspace());
 		if (lane.running == 0 && lane.waiting.isEmpty()) {
 			this.lanes.remove(ticket.work().workspace());
 		}
--- a/agent/src/main/java/io/verbenacleat/agent/queue/QueueLimits.java
+++ b/agent/src/main/java/io/verbenacleat/agent/queue/QueueLimits.java
@@ -10,7 +10,8 @@
  *
  * @param maxRunning the most orders that run at a time, 1 or more
  * @param maxWaiting the most orders that wait, 0 for no queue
- * @param maxWaitMs the longest wait of an order, in milliseconds
+ * @param maxWaitMs the longest wait of an order, in milliseconds; twice as long for a
+ * workspace below its share
  * @param weights the weights of workspaces; others have the weight 1
  */
 public record QueueLimits(int maxRunning, int maxWaiting, long maxWaitMs, List<WorkspaceWeight> weights) {
--- a/agent/src/test/java/io/verbenacleat/agent/queue/OrderQueueTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/queue/OrderQueueTests.java
@@ -95,6 +95,13 @@
 		assertTrue(this.queue.turnAway() >= 900);
 	}
 
+	@Test
+	public void givesAWorkspaceBelowItsShareASecondWaitBound() {
+		start("large", "l1");
+		assertEquals(((Offer.Wait<String>) offer("large", 0, "l2")).ticket().leaveByMs(), 2_000);
+		assertEquals(((Offer.Wait<String>) offer("small", 0, "s1")).ticket().leaveByMs(), 4_000);
+	}
+
 	@Test
 	public void startsNoWithdrawnOrder() {
 		QueueTicket<String> running = start("large", "l1");
