Bound accounts and workspaces at the entry and pass the priority on

Cause: one workspace could use all of limits.maxInProgress of an entry, and engines with priority scheduling did not learn the priority of an account.

Ruled out: a check before the reservation, because only the grant names the workspace, and an unchecked key would let strangers use up the limit of an account.

Change: ShareLimits refuses with account_overloaded and workspace_overloaded (429, not run) after the reservation and before the claim and the order; the reservation is released. New key limits.maxInProgressPerAccount.

Conclusion: the limits are in force with tests of their arithmetic only; no run through the gateway was made.

--- a/agent/src/main/java/io/verbenacleat/agent/engine/ChatBody.java
+++ b/agent/src/main/java/io/verbenacleat/agent/engine/ChatBody.java
@@ -24,13 +24,15 @@
 	}
 
 	/**
-	 * Sets the fields that make the engine stream, report usage and stop at the bound.
+	 * Sets the fields that make the engine stream, report usage, stop at the bound and
+	 * schedule by priority. A priority of the caller is replaced.
 	 * @param body the body of the caller
 	 * @param answerBoundTokens the most tokens of the answer, 1 or more
+	 * @param priority the priority of the account; lower is more urgent
 	 * @return the body for the engine
 	 * @throws JsonFormatException when the body is not a JSON object
 	 */
-	static byte[] bounded(ByteString body, long answerBoundTokens) throws JsonFormatException {
+	static byte[] bounded(ByteString body, long answerBoundTokens, int priority) throws JsonFormatException {
 		ObjectNode root = parse(body);
 		long bound = answerBoundTokens;
 		bound = Math.min(bound, root.path(MAX_TOKENS).asLong(bound));
@@ -40,6 +42,7 @@
 				: root.putObject(STREAM_OPTIONS);
 		options.put("include_usage", true);
 		root.put(MAX_TOKENS, bound);
+		root.put("priority", priority);
 		if (root.has(MAX_COMPLETION_TOKENS)) {
 			root.put(MAX_COMPLETION_TOKENS, bound);
 		}
--- a/agent/src/main/java/io/verbenacleat/agent/engine/ChatEngineClient.java
+++ b/agent/src/main/java/io/verbenacleat/agent/engine/ChatEngineClient.java
@@ -80,7 +80,8 @@
 	}
 
 	private Request request(ExecuteRequest order) throws JsonFormatException {
-		byte[] body = ChatBody.bounded(order.getChat().getBodyJson(), order.getChat().getAnswerBoundTokens());
+		byte[] body = ChatBody.bounded(order.getChat().getBodyJson(), order.getChat().getAnswerBoundTokens(),
+				order.getPriority());
 		return new Request.Builder().url(this.target.url() + "/v1/chat/completions")
 			.header("Accept", "text/event-stream")
 			.header(BackendTarget.FENCING_HEADER, Long.toString(this.target.fence()))
--- a/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
@@ -62,6 +62,7 @@
 				node.path("retryAfterMs").asLong(defaults.retryAfterMs()),
 				node.path("maxConfigAgeMs").asLong(defaults.maxConfigAgeMs()),
 				node.path("maxQueueWaitMs").asLong(defaults.maxQueueWaitMs()),
+				node.path("maxInProgressPerAccount").asInt(defaults.maxInProgressPerAccount()),
 				list(node.path("workspaceWeights"), (entry) -> new WorkspaceWeight(entry.path("name").asText(),
 						entry.path("weight").asInt(WorkspaceWeight.DEFAULT))));
 	}
--- a/core/src/main/java/io/verbenacleat/core/config/LimitsConfig.java
+++ b/core/src/main/java/io/verbenacleat/core/config/LimitsConfig.java
@@ -14,10 +14,12 @@
  * @param maxConfigAgeMs how long a node serves without contact to the platform, in
  * milliseconds; 0 for without end
  * @param maxQueueWaitMs how long an order may wait at an agent, in milliseconds
+ * @param maxInProgressPerAccount the most requests of an account that one entry works on
+ * at a time, 0 for no limit
  * @param workspaceWeights the weights of workspaces that differ from the default
  */
 public record LimitsConfig(int maxBodyBytes, long requestTimeoutMs, int maxInProgress, long retryAfterMs,
-		long maxConfigAgeMs, long maxQueueWaitMs, List<WorkspaceWeight> workspaceWeights) {
+		long maxConfigAgeMs, long maxQueueWaitMs, int maxInProgressPerAccount, List<WorkspaceWeight> workspaceWeights) {
 
 	private static final long DEFAULT_QUEUE_WAIT_MS = 2_000;
 
@@ -41,7 +43,7 @@
 	 */
 	public LimitsConfig(int maxBodyBytes, long requestTimeoutMs, int maxInProgress, long retryAfterMs,
 			long maxConfigAgeMs) {
-		this(maxBodyBytes, requestTimeoutMs, maxInProgress, retryAfterMs, maxConfigAgeMs, DEFAULT_QUEUE_WAIT_MS,
+		this(maxBodyBytes, requestTimeoutMs, maxInProgress, retryAfterMs, maxConfigAgeMs, DEFAULT_QUEUE_WAIT_MS, 0,
 				List.of());
 	}
 
--- a/entry/src/main/java/io/verbenacleat/entry/request/DefaultRequestRunner.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/DefaultRequestRunner.java
@@ -154,7 +154,7 @@
 					new AgentSelector(this.site, board, timers.clock()), new OrderSequences(this.gateway),
 					new OrderSender(agents),
 					new OrderResolver(agents, timers, require(this.lostAgents, "lostAgents"), metrics),
-					new RetryBudget(timers.clock(), metrics),
+					new RetryBudget(timers.clock(), metrics), new ShareLimits(),
 					new ClaimStore(require(this.tables, "tables"), timers, metrics), metrics);
 			return new DefaultRequestRunner(this.gateway, parts);
 		}
--- a/entry/src/main/java/io/verbenacleat/entry/request/RefusalCode.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RefusalCode.java
@@ -59,6 +59,12 @@
 	/** The entry works on as many requests as it may. */
 	OVERLOADED(503),
 
+	/** The account has as many requests in progress at this entry as it may. */
+	ACCOUNT_OVERLOADED(429),
+
+	/** The workspace has its share of the requests in progress at this entry. */
+	WORKSPACE_OVERLOADED(429),
+
 	/** No agent for the model or service takes orders. */
 	NO_BACKEND_SERVER(503),
 
--- a/entry/src/main/java/io/verbenacleat/entry/request/RequestRun.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RequestRun.java
@@ -43,12 +43,14 @@
 
 	private @Nullable OrderRun order;
 
+	private @Nullable String countedWorkspace;
+
 	private boolean timedOut;
 
 	RequestRun(RunnerParts parts, RunRequest request, RunListener listener) {
 		this.parts = parts;
 		this.request = request;
-		this.answer = new Answer(listener, parts.metrics(), this::stopTimer);
+		this.answer = new Answer(listener, parts.metrics(), this::ended);
 		this.startedAtMs = parts.control().clock().millis();
 	}
 
@@ -74,6 +76,7 @@
 	public void callerGone() {
 		this.context.execute(() -> {
 			this.answer.close();
+			uncount();
 			giveUpOrder(false);
 		});
 	}
@@ -116,8 +119,9 @@
 		Reservation granted = new Reservation(this.request, routed);
 		this.reservation = granted;
 		String idempotencyKey = this.request.idempotencyKey();
-		if (this.answer.isClosed()) {
-			refuse(timeout());
+		Refusal overLimit = (this.answer.isClosed()) ? timeout() : count(routed.response().getWorkspace());
+		if (overLimit != null) {
+			refuse(overLimit);
 		}
 		else if (this.request.repeatable()) {
 			select().ifPresentOrElse((agent) -> dispatch(granted, agent), () -> refuse(noBackendServer()));
@@ -132,6 +136,23 @@
 		}
 	}
 
+	// Only the grant names the workspace, and only a granted key proves the account.
+	private @Nullable Refusal count(String workspace) {
+		Refusal refusal = this.parts.shares().enter(this.parts.limits(), this.request.key().accountId(), workspace);
+		if (refusal == null) {
+			this.countedWorkspace = workspace;
+		}
+		return refusal;
+	}
+
+	private void uncount() {
+		String workspace = this.countedWorkspace;
+		if (workspace != null) {
+			this.countedWorkspace = null;
+			this.parts.shares().leave(this.request.key().accountId(), workspace);
+		}
+	}
+
 	private void decided(Reservation granted, ClaimDecision decision) {
 		if (decision instanceof ClaimDecision.Dispatch dispatch) {
 			this.claim = dispatch.claim();
@@ -212,7 +233,8 @@
 		}
 	}
 
-	private void stopTimer() {
+	private void ended() {
+		uncount();
 		Cancellable timer = this.deadline;
 		if (timer != null) {
 			timer.cancel();
--- a/entry/src/main/java/io/verbenacleat/entry/request/RunnerParts.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RunnerParts.java
@@ -19,16 +19,24 @@
  * threads.
  */
 record RunnerParts(Blackboard blackboard, ControlThread control, BudgetRouter budget, AgentSelector selector,
-		OrderSequences sequences, OrderSender sender, OrderResolver resolver, RetryBudget retries, ClaimStore claims,
-		RunMetrics metrics) {
+		OrderSequences sequences, OrderSender sender, OrderResolver resolver, RetryBudget retries, ShareLimits shares,
+		ClaimStore claims, RunMetrics metrics) {
 
 	/**
 	 * Returns when to come back after a refusal without a better estimate.
 	 * @return the time in milliseconds
 	 */
 	long retryAfterMs() {
+		return limits().retryAfterMs();
+	}
+
+	/**
+	 * Returns the limits in force.
+	 * @return the limits, the defaults without a configuration
+	 */
+	LimitsConfig limits() {
 		OfficeConfig config = this.blackboard.read(EntryBoard.CONFIG);
-		return ((config != null) ? config.limits() : LimitsConfig.DEFAULT).retryAfterMs();
+		return (config != null) ? config.limits() : LimitsConfig.DEFAULT;
 	}
 
 }
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/request/ShareLimitsTests.java
@@ -0,0 +1,56 @@
+package io.verbenacleat.entry.request;
+
+import java.util.List;
+
+import io.verbenacleat.core.config.LimitsConfig;
+import io.verbenacleat.core.config.WorkspaceWeight;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+
+/**
+ * Guards against a workspace or account that keeps others out, and against a limit that
+ * counts requests that have ended.
+ */
+public class ShareLimitsTests {
+
+	private final ShareLimits shares = new ShareLimits();
+
+	@Test
+	public void boundsAWorkspaceByItsShareAboveHalf() {
+		LimitsConfig limits = limits(0, List.of(new WorkspaceWeight("large", 3)));
+		assertNull(this.shares.enter(limits, "a", "small"));
+		for (int i = 0; i < 6; i++) {
+			assertNull(this.shares.enter(limits, "b", "large"));
+		}
+		assertEquals(code(limits, "b", "large"), RefusalCode.WORKSPACE_OVERLOADED);
+		assertNull(this.shares.enter(limits, "a", "small"));
+		assertEquals(code(limits, "a", "small"), RefusalCode.WORKSPACE_OVERLOADED);
+		this.shares.leave("b", "large");
+		assertNull(this.shares.enter(limits, "b", "large"));
+	}
+
+	@Test
+	public void boundsAnAccountUntilItsRequestsEnd() {
+		LimitsConfig limits = limits(1, List.of());
+		assertNull(this.shares.enter(limits, "pans", "workshop"));
+		assertEquals(code(limits, "pans", "workshop"), RefusalCode.ACCOUNT_OVERLOADED);
+		assertNull(this.shares.enter(limits, "quotes", "workshop"));
+		this.shares.leave("pans", "workshop");
+		assertNull(this.shares.enter(limits, "pans", "workshop"));
+	}
+
+	private RefusalCode code(LimitsConfig limits, String account, String workspace) {
+		Refusal refusal = this.shares.enter(limits, account, workspace);
+		if (refusal == null) {
+			throw new AssertionError("counted over the limit");
+		}
+		return refusal.code();
+	}
+
+	private static LimitsConfig limits(int perAccount, List<WorkspaceWeight> weights) {
+		return new LimitsConfig(1_024, 1_000, 8, 1_000, 0, 2_000, perAccount, weights);
+	}
+
+}
