Test the account limit through the request runner

Cause: the limits of the entry had tests of their arithmetic only.

Ruled out: nothing else was tried.

Change: a test that a request over the limit of its account is refused as not run, that its reservation is released, and that a request that has ended is no longer counted.

Figures: ChatRunTests and ShareLimitsTests pass.

Conclusion: the check works in the runner; no run over HTTP was made.

--- a/entry/src/test/java/io/verbenacleat/entry/request/ChatRunTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/request/ChatRunTests.java
@@ -2,12 +2,16 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 import io.grpc.Status;
 import io.grpc.stub.ServerCallStreamObserver;
+import io.verbenacleat.core.config.LimitsConfig;
+import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.entry.EntryBoard;
 import io.verbenacleat.proto.v1.OrderState;
 import io.verbenacleat.proto.v1.Receipt;
 import io.verbenacleat.proto.v1.ReceiptStatus;
@@ -111,6 +115,32 @@
 		assertTrue(this.fixture.budget.settled.isEmpty());
 	}
 
+	// Guards against a refusal that keeps its reservation, and a count that outlives its
+	// request.
+	@Test
+	public void accountOverItsLimitIsNotRunAndReleased() throws Exception {
+		OfficeConfig config = Objects.requireNonNull(this.fixture.blackboard.read(EntryBoard.CONFIG));
+		LimitsConfig limits = new LimitsConfig(1_024, 60_000, 8, 1_000, 0, 2_000, 1, List.of());
+		this.fixture.blackboard.write(EntryBoard.CONFIG, new OfficeConfig(2, config.office(), config.region(),
+				config.models(), config.services(), config.servers(), limits, config.budget()));
+		RequestRunner runner = this.fixture.runner("gateway-1");
+		assertEquals(run(runner).end(), "finished");
+		assertEquals(run(runner).end(), "finished");
+		CountDownLatch open = new CountDownLatch(1);
+		this.fixture.first.script = (request, events) -> open.countDown();
+		RequestRunner.RunningRequest running = runner.run(this.fixture.chat(), new RecordingListener());
+		assertTrue(open.await(10, TimeUnit.SECONDS));
+		assertEquals(run(runner).end(), "account_overloaded not-run");
+		assertEquals(released(), "req-4");
+		running.callerGone();
+	}
+
+	private RecordingListener run(RequestRunner runner) {
+		RecordingListener listener = new RecordingListener();
+		runner.run(this.fixture.chat(), listener);
+		return listener;
+	}
+
 	@Test
 	public void closedHolderIsNotRetried() throws Exception {
 		this.fixture.first.script = (request, events) -> FakeAgent.refuse(events, RefusalReason.HOLDER_CLOSED);
