--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/queue/Lane.java
@@ -0,0 +1,52 @@
+package io.verbenacleat.agent.queue;
+
+import java.util.TreeSet;
+
+/**
+ * The orders of one workspace. Control thread only.
+ *
+ * @param <T> the type of the orders
+ */
+final class Lane<T> {
+
+	final TreeSet<QueueTicket<T>> waiting = new TreeSet<>(QueueTicket.byUrgency());
+
+	/** The rate at which orders of this workspace start while some wait. */
+	final EndRate starts = new EndRate();
+
+	int weight;
+
+	int running;
+
+	/** The number of the start that was last, for turns between equal workspaces. */
+	long lastStart;
+
+	Lane(int weight) {
+		this.weight = weight;
+	}
+
+	/**
+	 * Returns the service that the workspace receives relative to its weight. All running
+	 * orders of a batching server advance at the same rate, so their number is the rate
+	 * of tokens.
+	 * @param more orders to count besides the running ones
+	 * @return the level
+	 */
+	double level(int more) {
+		return (double) (this.running + more) / this.weight;
+	}
+
+	/**
+	 * Counts the orders that start below a given level.
+	 * @param limit the level
+	 * @return the number
+	 */
+	int startingBelow(double limit) {
+		int count = 0;
+		while (count < this.waiting.size() && level(count) < limit) {
+			count++;
+		}
+		return count;
+	}
+
+}
