Configure adapters and the role of a model engine

Change: servers[].adapters (name, model, version) and servers[].role in the schema and the loader. The cross-reference check requires that the model of an adapter is a model of the same server, that an adapter is not named like a model, and that an adapter has the same model at each server, because the model sets the token bounds. A chat request may name an adapter as its model, the gateway looks for servers by adapter, and GET /v1/models lists adapters.

--- /dev/null
+++ b/core/src/main/java/io/verbenacleat/core/config/AdapterConfig.java
@@ -0,0 +1,11 @@
+package io.verbenacleat.core.config;
+
+/**
+ * An adapter that a model engine serves on top of one of its models. Immutable.
+ *
+ * @param name the name that callers use as the model
+ * @param model the model, which the same server has
+ * @param version the version of the weights of the adapter
+ */
+public record AdapterConfig(String name, String model, String version) {
+}
--- a/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
@@ -50,7 +50,13 @@
 		return new BackendServerConfig(node.path("name").asText(), kind, node.path("url").asText(),
 				node.path("site").asText(), list(node.path("models"), JsonNode::asText),
 				(node.has("service")) ? node.path("service").asText() : null,
-				node.path("checksFencing").asBoolean(false));
+				node.path("checksFencing").asBoolean(false), list(node.path("adapters"), ConfigMapper::adapter),
+				(node.has("role")) ? node.path("role").asText() : null);
+	}
+
+	private static AdapterConfig adapter(JsonNode node) {
+		return new AdapterConfig(node.path("name").asText(), node.path("model").asText(),
+				node.path("version").asText());
 	}
 
 	private static LimitsConfig limits(JsonNode node) {
--- a/core/src/main/java/io/verbenacleat/core/config/CrossReferenceCheck.java
+++ b/core/src/main/java/io/verbenacleat/core/config/CrossReferenceCheck.java
@@ -1,7 +1,9 @@
 package io.verbenacleat.core.config;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -22,6 +24,8 @@
 
 	private final List<ConfigProblem> problems = new ArrayList<>();
 
+	private final Map<String, String> adapterModels = new HashMap<>();
+
 	CrossReferenceCheck(String baseFile, String overlayFile, JsonNode overlay) {
 		this.baseFile = baseFile;
 		this.overlayFile = overlayFile;
@@ -42,6 +46,7 @@
 		config.models().forEach(this::checkModel);
 		config.services().forEach((service) -> checkService(service, config.services()));
 		config.servers().forEach((server) -> checkServer(server, sites, models, services));
+		config.servers().forEach((server) -> checkAdapters(server, models));
 		return this.problems;
 	}
 
@@ -87,6 +92,10 @@
 				add("servers", name, "models", "a list of " + server.models().size(),
 						"nothing for a server of kind service");
 			}
+			String role = server.role();
+			if (role != null) {
+				add("servers", name, "role", "'" + role + "'", "nothing for a server of kind service");
+			}
 			return;
 		}
 		if (server.models().isEmpty()) {
@@ -97,6 +106,23 @@
 		}
 	}
 
+	private void checkAdapters(BackendServerConfig server, Set<String> models) {
+		for (AdapterConfig adapter : server.adapters()) {
+			String path = "adapters[" + adapter.name() + "]";
+			checkReference(server.name(), path + ".model", adapter.model(), new TreeSet<>(server.models()));
+			if (models.contains(adapter.name())) {
+				add("servers", server.name(), path + ".name", "'" + adapter.name() + "'",
+						"a name that is not the name of a model");
+			}
+			// The model sets the token bounds of a request that names the adapter.
+			String model = this.adapterModels.putIfAbsent(adapter.name(), adapter.model());
+			if (model != null && !model.equals(adapter.model())) {
+				add("servers", server.name(), path + ".model", "'" + adapter.model() + "'",
+						model + ", as for this adapter at another server");
+			}
+		}
+	}
+
 	private void checkReference(String server, String key, String value, Set<String> known) {
 		if (!known.contains(value)) {
 			add("servers", server, key, (value.isEmpty()) ? "nothing" : "'" + value + "'",
--- a/core/src/main/java/io/verbenacleat/core/config/ModelConfig.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ModelConfig.java
@@ -12,4 +12,15 @@
  */
 public record ModelConfig(String name, int maxAnswerTokens, int defaultMaxAnswerTokens, int imageTokens,
 		int overrunTokens) {
+
+	/**
+	 * Returns this model under another name.
+	 * @param newName the name
+	 * @return the changed copy
+	 */
+	ModelConfig withName(String newName) {
+		return new ModelConfig(newName, this.maxAnswerTokens, this.defaultMaxAnswerTokens, this.imageTokens,
+				this.overrunTokens);
+	}
+
 }
--- a/core/src/main/java/io/verbenacleat/core/config/OfficeConfig.java
+++ b/core/src/main/java/io/verbenacleat/core/config/OfficeConfig.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The configuration that is in force at one site: the base with the overlay of the site
@@ -37,6 +38,30 @@
 		return this.models.stream().filter((model) -> model.name().equals(name)).findFirst();
 	}
 
+	/**
+	 * Finds what a caller may name as the model: a model, or an adapter with the bounds
+	 * of its model.
+	 * @param name the name that callers use
+	 * @return the model under that name, or empty
+	 */
+	public Optional<ModelConfig> modelOrAdapter(String name) {
+		return model(name).or(() -> adapters().filter((adapter) -> adapter.name().equals(name))
+			.findFirst()
+			.flatMap((adapter) -> model(adapter.model()))
+			.map((model) -> model.withName(name)));
+	}
+
+	/**
+	 * Returns the names that callers may use as the model.
+	 * @return the models in their order, then the adapters in ascending order
+	 */
+	public List<String> modelAndAdapterNames() {
+		return Stream
+			.concat(this.models.stream().map(ModelConfig::name),
+					adapters().map(AdapterConfig::name).distinct().sorted())
+			.toList();
+	}
+
 	/**
 	 * Finds a backend server.
 	 * @param name its name
@@ -46,4 +71,8 @@
 		return this.servers.stream().filter((server) -> server.name().equals(name)).findFirst();
 	}
 
+	private Stream<AdapterConfig> adapters() {
+		return this.servers.stream().flatMap((server) -> server.adapters().stream());
+	}
+
 }
--- a/core/src/test/java/io/verbenacleat/core/config/ConfigLoaderTests.java
+++ b/core/src/test/java/io/verbenacleat/core/config/ConfigLoaderTests.java
@@ -1,5 +1,7 @@
 package io.verbenacleat.core.config;
 
+import java.util.List;
+
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -24,6 +26,20 @@
 		assertEquals(config.models().get(0), new ModelConfig("quotes", 4096, 4096, 2048, 32));
 	}
 
+	// Guards against an adapter that is priced with other bounds than its model.
+	@Test
+	public void findsAnAdapterWithTheBoundsOfItsModel() throws ConfigException {
+		String base = ConfigTexts.BASE.replace("models: [quotes]",
+				"models: [quotes], role: decode, adapters: [{name: brief, model: quotes, version: '2'}]");
+		OfficeConfig config = this.loader.load(3, ConfigTexts.files(base), "austin");
+		BackendServerConfig engine = config.server("engine-1").orElseThrow();
+		assertEquals(engine.adapters(), List.of(new AdapterConfig("brief", "quotes", "2")));
+		assertEquals(engine.role(), "decode");
+		assertTrue(engine.serves("brief"));
+		assertEquals(config.modelOrAdapter("brief").orElseThrow(), new ModelConfig("brief", 4096, 4096, 2048, 32));
+		assertEquals(config.modelAndAdapterNames(), List.of("quotes", "brief"));
+	}
+
 	@Test
 	public void mergesOverlayByNameForItsSiteOnly() throws ConfigException {
 		ConfigFiles files = ConfigTexts.files(ConfigTexts.BASE, """
@@ -89,6 +105,14 @@
 						"base.yaml: servers[engine-1].models: found 'other', allowed is one of quotes" },
 				{ "models: [quotes]", "service: bookings",
 						"base.yaml: servers[engine-1].models: found nothing, allowed" },
+				{ "models: [quotes]", "models: [quotes], adapters: [{name: brief, model: other, version: '1'}]",
+						"base.yaml: servers[engine-1].adapters[brief].model: found 'other', allowed is one of quotes" },
+				{ "models: [quotes]", "models: [quotes], adapters: [{name: quotes, model: quotes, version: '1'}]",
+						"base.yaml: servers[engine-1].adapters[quotes].name: found 'quotes', allowed is a name" },
+				{ "models: [quotes]", "models: [quotes], adapters: [{name: brief, model: quotes}]",
+						"base.yaml: servers[engine-1].adapters[brief].version: found nothing, allowed" },
+				{ "service: bookings}", "service: bookings, role: prefill}",
+						"base.yaml: servers[booking-1].role: found 'prefill', allowed is nothing for" },
 				{ "service: bookings}", "service: payments}",
 						"base.yaml: servers[booking-1].service: found 'payments', allowed is one of bookings" },
 				{ "site: austin, service", "site: dallas, service",
--- a/entry/src/main/java/io/verbenacleat/entry/dispatch/WorkTarget.java
+++ b/entry/src/main/java/io/verbenacleat/entry/dispatch/WorkTarget.java
@@ -6,7 +6,7 @@
  * What a request needs from a backend server. Immutable.
  *
  * @param kind the kind of backend server
- * @param name the model or the plain service
+ * @param name the model, adapter or plain service
  */
 public record WorkTarget(BackendServerConfig.Kind kind, String name) {
 
@@ -19,7 +19,7 @@
 		if (server.kind() != this.kind) {
 			return false;
 		}
-		return (this.kind == BackendServerConfig.Kind.MODEL_ENGINE) ? server.models().contains(this.name)
+		return (this.kind == BackendServerConfig.Kind.MODEL_ENGINE) ? server.serves(this.name)
 				: this.name.equals(server.service());
 	}
 
--- a/entry/src/main/java/io/verbenacleat/entry/http/ChatRequestParser.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/ChatRequestParser.java
@@ -78,7 +78,7 @@
 		if (!name.isTextual()) {
 			throw invalidParameter("'model' must be a string");
 		}
-		Optional<ModelConfig> model = config.model(name.asText());
+		Optional<ModelConfig> model = config.modelOrAdapter(name.asText());
 		return model.orElseThrow(() -> new RequestRejectedException(RefusalCode.MODEL_NOT_FOUND,
 				"The model is not known here; GET /v1/models lists the models"));
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/http/GatewayRoutes.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/GatewayRoutes.java
@@ -167,9 +167,9 @@
 		ObjectNode list = Json.mapper().createObjectNode();
 		list.put("object", "list");
 		ArrayNode data = list.putArray("data");
-		config.models()
-			.forEach((model) -> data.addObject()
-				.put("id", model.name())
+		config.modelAndAdapterNames()
+			.forEach((name) -> data.addObject()
+				.put("id", name)
 				.put("object", "model")
 				.put("created", 0)
 				.put("owned_by", config.office()));
