Let the engine stand-in lose and delay commands

Change: the engine stand-in reports models, adapters with model and version, the role, and loads in progress. The time of a load, lost answers and late commands are set at run time. The fencing number of a late command is checked at its execution.

--- a/standins/src/main/java/io/verbenacleat/standins/EngineSettings.java
+++ b/standins/src/main/java/io/verbenacleat/standins/EngineSettings.java
@@ -39,11 +39,20 @@
 	@Option(name = "--check-fencing", usage = "refuse a Fencing-Token lower than the highest seen")
 	public boolean checkFencing;
 
+	/** The role of the engine at its start. */
+	@Option(name = "--role", metaVar = "ROLE", usage = "role of the engine at its start (default combined)")
+	public String role = "combined";
+
+	/** The time that a load takes. */
+	@Option(name = "--load-ms", metaVar = "MS", usage = "time that a load of a model or adapter takes (default 0)")
+	public long loadMs;
+
 	@Override
 	public void check() throws UsageException {
 		super.check();
 		requireRange("--first-token-ms", this.firstTokenMs, MAX_DELAY_MS);
 		requireRange("--token-interval-ms", this.tokenIntervalMs, MAX_DELAY_MS);
+		requireRange("--load-ms", this.loadMs, MAX_DELAY_MS);
 		requireRange("--answer-tokens", this.answerTokens, 1_000_000);
 		if (modelNames().isEmpty()) {
 			throw new UsageException("--models: found '" + this.models + "', allowed is at least one name");
--- a/standins/src/main/java/io/verbenacleat/standins/EngineStandin.java
+++ b/standins/src/main/java/io/verbenacleat/standins/EngineStandin.java
@@ -1,20 +1,19 @@
 package io.verbenacleat.standins;
 
+import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicLong;
 
-import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.jooby.Context;
 import io.jooby.Jooby;
 import io.jooby.Route;
+import io.jooby.StatusCode;
 import io.verbenacleat.core.json.JsonFormatException;
-import org.jspecify.annotations.Nullable;
 
 /**
  * A model engine by the chat completions protocol, whose answers are a function of the
@@ -28,13 +27,11 @@
 
 	private final List<Generation> generations = new CopyOnWriteArrayList<>();
 
-	private final List<EngineOrder> orders = new CopyOnWriteArrayList<>();
-
 	private final AtomicLong completions = new AtomicLong();
 
 	private final EngineSettings settings;
 
-	private final Set<String> models;
+	private final EngineCommands commands;
 
 	private final FencingGate fencing;
 
@@ -42,7 +39,7 @@
 
 	private EngineStandin(EngineSettings settings) {
 		this.settings = settings;
-		this.models = new ConcurrentSkipListSet<>(settings.modelNames());
+		this.commands = new EngineCommands(settings, this.timers);
 		this.fencing = new FencingGate(settings.checkFencing);
 		EngineRoutes routes = new EngineRoutes();
 		this.server = StandinServer.start(settings.port, this.timers, routes::addTo);
@@ -74,11 +71,19 @@
 	}
 
 	/**
-	 * Returns the accepted orders.
-	 * @return the orders
+	 * Returns the executed commands.
+	 * @return the commands in the order of their execution
 	 */
 	public List<EngineOrder> orders() {
-		return List.copyOf(this.orders);
+		return this.commands.executed();
+	}
+
+	/**
+	 * Returns what is loaded, and the faults of commands.
+	 * @return the commands
+	 */
+	public EngineCommands commands() {
+		return this.commands;
 	}
 
 	@Override
@@ -93,7 +98,7 @@
 
 	private Context complete(Context ctx) throws JsonFormatException {
 		ChatRequest request = ChatRequest.of(StandinServer.body(ctx, JsonNode.class), this.settings.answerTokens);
-		if (!this.models.contains(request.model())) {
+		if (!this.commands.serves(request.model())) {
 			return StandinServer.answer(ctx, 404, StandinServer.ErrorBody.of("No model " + request.model(), 404));
 		}
 		String id = "chatcmpl-" + this.completions.incrementAndGet();
@@ -107,13 +112,31 @@
 	private Context order(Context ctx) throws JsonFormatException {
 		EngineOrder order = StandinServer.body(ctx, EngineOrder.class)
 			.withFencingToken(FencingGate.number(fencingHeader(ctx)));
-		@Nullable
-		String loaded = order.loadedName();
-		if (loaded != null) {
-			this.models.add(loaded);
+		order.loadedName();
+		Duration lateness = this.commands.takeLateness();
+		if (lateness != null) {
+			// The number is checked at the execution, as for a command that the network
+			// delays.
+			String fence = fencingHeader(ctx);
+			StandinServer.after(this.timers, lateness, () -> executeLate(order, fence));
+			return ctx;
+		}
+		if (!this.fencing.admit(fencingHeader(ctx))) {
+			return refuse(ctx);
+		}
+		this.commands.execute(order);
+		return (this.commands.takeLostAnswer()) ? ctx : StandinServer.answer(ctx, 200, order);
+	}
+
+	private void executeLate(EngineOrder order, String fence) {
+		if (this.fencing.admit(fence)) {
+			this.commands.execute(order);
 		}
-		this.orders.add(order);
-		return StandinServer.answer(ctx, 200, order);
+	}
+
+	private static Context refuse(Context ctx) {
+		return StandinServer.answer(ctx, 409,
+				StandinServer.ErrorBody.of("The fencing number is lower than one seen before", 409));
 	}
 
 	private static EngineRecord record(Context ctx, ChatRequest request) {
@@ -133,24 +156,27 @@
 
 		private void addTo(Jooby app) {
 			app.post("/v1/chat/completions", fenced(EngineStandin.this::complete));
-			app.post("/v1/engine/orders", fenced(EngineStandin.this::order));
+			app.post("/v1/engine/orders", EngineStandin.this::order);
 			app.get("/v1/models", (ctx) -> StandinServer.answer(ctx, 200, models()));
+			app.post("/standin/commands", (ctx) -> {
+				EngineStandin.this.commands.change(StandinServer.body(ctx, EngineCommands.Change.class));
+				return ctx.send(StatusCode.NO_CONTENT);
+			});
 			app.get("/standin/records", (ctx) -> StandinServer.answer(ctx, 200, new Records(records(), orders())));
 		}
 
 		private Route.Handler fenced(Route.Handler handler) {
 			return (ctx) -> {
 				if (!EngineStandin.this.fencing.admit(fencingHeader(ctx))) {
-					return StandinServer.answer(ctx, 409,
-							StandinServer.ErrorBody.of("The fencing number is lower than one seen before", 409));
+					return refuse(ctx);
 				}
 				return handler.apply(ctx);
 			};
 		}
 
 		private ModelList models() {
-			return new ModelList("list",
-					EngineStandin.this.models.stream().map((name) -> new Model(name, "model", "standin")).toList());
+			EngineCommands state = EngineStandin.this.commands;
+			return new ModelList("list", state.role(), state.models());
 		}
 
 	}
@@ -159,26 +185,17 @@
 	 * The answer to a list of models.
 	 *
 	 * @param object {@code list}
-	 * @param data the models
-	 */
-	record ModelList(String object, List<Model> data) {
-	}
-
-	/**
-	 * One model of a list.
-	 *
-	 * @param id the name
-	 * @param object {@code model}
-	 * @param ownedBy the owner
+	 * @param role the role of the engine
+	 * @param data the models and adapters
 	 */
-	record Model(String id, String object, @JsonProperty("owned_by") String ownedBy) {
+	record ModelList(String object, String role, Collection<EngineCommands.LoadedModel> data) {
 	}
 
 	/**
 	 * The log of the engine.
 	 *
 	 * @param requests chat completions in order of arrival
-	 * @param orders accepted orders
+	 * @param orders executed commands
 	 */
 	record Records(List<EngineRecord> requests, List<EngineOrder> orders) {
 	}
--- a/standins/src/test/java/io/verbenacleat/standins/EngineAndBookingTests.java
+++ b/standins/src/test/java/io/verbenacleat/standins/EngineAndBookingTests.java
@@ -4,6 +4,7 @@
 import java.util.List;
 
 import okhttp3.Call;
+import okhttp3.Callback;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
 import okhttp3.Request;
@@ -87,6 +88,53 @@
 		}
 	}
 
+	// Guards against tests of commands that pass because the engine lost or reordered
+	// nothing.
+	@Test
+	public void lateCommandIsExecutedAfterALaterOneAndALostAnswerIsExecuted() throws Exception {
+		try (EngineStandin engine = EngineStandin.start(new EngineSettings())) {
+			String url = engine.url() + "/v1/engine/orders";
+			String adapter = "{\"kind\":\"load-adapter\",\"model\":\"model-a\",\"adapter\":\"brief\",\"version\":\"%s\"}";
+			engine.commands().executeNextLate(1, 2_000);
+			post(url, adapter.formatted("1"), "1").enqueue(new IgnoredAnswer());
+			awaitLateCommandTaken(engine);
+			engine.commands().loseNextAnswers(1);
+			post(url, adapter.formatted("2"), "2").enqueue(new IgnoredAnswer());
+			awaitExecuted(engine, 2);
+			assertEquals(engine.orders().stream().map(EngineOrder::version).toList(), List.of("2", "1"));
+			String models = text(
+					this.http.newCall(new Request.Builder().url(engine.url() + "/v1/models").build()).execute());
+			assertTrue(models.contains("\"parent\":\"model-a\"") && models.contains("\"role\":\"combined\""), models);
+		}
+	}
+
+	// Guards against a model that is reported as loaded before its load has ended.
+	@Test
+	public void loadTakesItsTime() throws IOException {
+		EngineSettings settings = new EngineSettings();
+		settings.loadMs = 500_000;
+		try (EngineStandin engine = EngineStandin.start(settings)) {
+			text(post(engine.url() + "/v1/engine/orders", "{\"kind\":\"load-model\",\"model\":\"model-b\"}", "1")
+				.execute());
+			assertEquals(engine.commands().models().stream().map(EngineCommands.LoadedModel::status).toList(),
+					List.of("loaded", "loading"));
+		}
+	}
+
+	private static void awaitLateCommandTaken(EngineStandin engine) {
+		long deadline = System.nanoTime() + 20_000_000_000L;
+		while (engine.commands().hasLateCommands() && System.nanoTime() < deadline) {
+			Thread.onSpinWait();
+		}
+	}
+
+	private static void awaitExecuted(EngineStandin engine, int count) {
+		long deadline = System.nanoTime() + 20_000_000_000L;
+		while (engine.orders().size() < count && System.nanoTime() < deadline) {
+			Thread.onSpinWait();
+		}
+	}
+
 	@Test
 	public void bookingRecordsEveryCallAndSharesNoPort() throws IOException {
 		try (BookingStandin booking = BookingStandin.start(new BookingSettings())) {
@@ -102,4 +150,18 @@
 		}
 	}
 
+	private static final class IgnoredAnswer implements Callback {
+
+		@Override
+		public void onFailure(Call call, IOException ex) {
+			// The engine stopped without an answer.
+		}
+
+		@Override
+		public void onResponse(Call call, Response response) {
+			response.close();
+		}
+
+	}
+
 }
