Bring engines to their configured models, adapters and role

Change: EngineReconciler on the control thread reads the state of the engine, sends the command for the first difference and reads again. Commands carry the fencing number. Before each command the agent reads the row of its server: a newer agent there, or a 409 of the engine, ends the commands of this agent and its readiness. A load needs a permit of the weight store; after a 429 the agent waits for the Retry-After plus jitter of up to the same time. An order for a model or adapter that the engine does not report as configured is refused with MODEL_NOT_SERVED. Counters for each kind of command and each retry reason.

Ruled out: refusing to send while the row cannot be read, since an engine that restarts during an outage of the table service would stay empty. Fencing numbers alone, since an engine that ignores them follows two agents in turn.

FakeBackend now answers GET /v1/models for tests of the whole agent and does not list these reads; the assertions on other requests are unchanged.

Conclusion: AgentDaemonTests and the 11 EngineReconcilerTests pass. On a scratch copy, each of these changes failed at least one of them: no check of the row, a 409 taken as an ordinary refusal, no periodic read, a command repeated without a read, no hold after a lost answer, no repetition after a lost answer, no jitter, versions not compared, one model without weights blocking the others.

--- a/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentDaemon.java
@@ -25,6 +25,7 @@
 import io.verbenacleat.core.member.RegistrationException;
 import io.verbenacleat.core.platform.HostList;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.WeightStore;
 import io.verbenacleat.core.rpc.Channels;
 import io.verbenacleat.core.rpc.FleetSecret;
 import io.verbenacleat.core.rpc.RpcServer;
@@ -36,7 +37,7 @@
  * One running agent. Safe for use by several threads.
  *
  * <pre>{@code
- * try (AgentDaemon agent = AgentDaemon.start(settings, tables, hosts, registry)) {
+ * try (AgentDaemon agent = AgentDaemon.start(settings, tables, hosts, weights, registry)) {
  *     agent.stopGracefully();
  * }
  * }</pre>
@@ -79,13 +80,13 @@
 	private volatile long lastContactMs;
 
 	private AgentDaemon(AgentSettings settings, FleetSecret secret, TableStore store, HostList hosts,
-			ConfigSource configSource, PrometheusRegistry registry) {
+			WeightStore weights, ConfigSource configSource, PrometheusRegistry registry) {
 		this.settings = settings;
 		SecureRandom random = new SecureRandom();
 		this.incarnation = Incarnations.create(settings.name, this.control.clock(), random);
 		this.registrar = new FleetRegistrar(store, PLATFORM_TIMEOUT, random);
-		this.parts = new AgentParts(settings, this.incarnation, this.control, store, configSource, new Channels(secret),
-				registry);
+		this.parts = new AgentParts(settings, this.incarnation, this.control, store, weights, configSource,
+				new Channels(secret), registry);
 		this.poller = new HeadPoller(store, this.control, POLL_INTERVAL);
 		this.drainWatch = new DrainWatch(this.control, store, hosts, this.parts.drain(), settings.server,
 				settings.host);
@@ -103,20 +104,21 @@
 	 * @param settings the settings, checked
 	 * @param store the table store
 	 * @param hosts the host list
+	 * @param weights the weight store
 	 * @param registry the metrics
 	 * @return the running agent
 	 * @throws AgentStartException when a port is taken or the platform does not answer
 	 * @throws UsageException when the fleet secret is missing or too short
 	 */
-	public static AgentDaemon start(AgentSettings settings, TableStore store, HostList hosts,
+	public static AgentDaemon start(AgentSettings settings, TableStore store, HostList hosts, WeightStore weights,
 			PrometheusRegistry registry) throws AgentStartException, UsageException {
-		return start(settings, store, hosts, new StoredConfigSource(store, settings.site), registry);
+		return start(settings, store, hosts, weights, new StoredConfigSource(store, settings.site), registry);
 	}
 
-	static AgentDaemon start(AgentSettings settings, TableStore store, HostList hosts, ConfigSource configSource,
-			PrometheusRegistry registry) throws AgentStartException, UsageException {
+	static AgentDaemon start(AgentSettings settings, TableStore store, HostList hosts, WeightStore weights,
+			ConfigSource configSource, PrometheusRegistry registry) throws AgentStartException, UsageException {
 		FleetSecret secret = settings.secret();
-		AgentDaemon daemon = new AgentDaemon(settings, secret, store, hosts, configSource, registry);
+		AgentDaemon daemon = new AgentDaemon(settings, secret, store, hosts, weights, configSource, registry);
 		try {
 			daemon.bind(secret, registry);
 			daemon.register();
@@ -131,12 +133,12 @@
 
 	/**
 	 * Returns whether the agent is registered, has a configuration with its backend
-	 * server, knows members, and does not stop.
+	 * server, knows members and what its engine has loaded, is not superseded by a newer
+	 * agent, and does not stop.
 	 * @return {@code true} when it takes orders
 	 */
 	public boolean ready() {
-		return this.registered && !this.stopping && this.parts.config().backend() != null
-				&& this.parts.members().known();
+		return this.registered && !this.stopping && this.parts.config().ready() && this.parts.members().known();
 	}
 
 	/**
--- a/agent/src/main/java/io/verbenacleat/agent/AgentMain.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentMain.java
@@ -27,7 +27,8 @@
 
 	private static AgentDaemon start(AgentSettings settings) throws AgentStartException, UsageException {
 		PlatformClient platform = PlatformClient.builder(settings.platformUrl).token(settings.platformToken).build();
-		return AgentDaemon.start(settings, platform.tables(), platform.hosts(), new PrometheusRegistry());
+		return AgentDaemon.start(settings, platform.tables(), platform.hosts(), platform.weights(),
+				new PrometheusRegistry());
 	}
 
 }
--- a/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.agent;
 
+import java.util.SplittableRandom;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.SynchronousQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -10,6 +11,9 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.agent.backend.BackendCalls;
 import io.verbenacleat.agent.backend.BackendProbe;
+import io.verbenacleat.agent.command.CommandMetrics;
+import io.verbenacleat.agent.command.EngineReconciler;
+import io.verbenacleat.agent.command.Ownership;
 import io.verbenacleat.agent.drain.DrainSequence;
 import io.verbenacleat.agent.drain.DrainState;
 import io.verbenacleat.agent.order.AdmissionRules;
@@ -23,6 +27,7 @@
 import io.verbenacleat.agent.receipt.ReceiptReporter;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.WeightStore;
 import io.verbenacleat.core.rpc.Channels;
 import io.verbenacleat.proto.v1.ExecuteRequest;
 
@@ -42,6 +47,8 @@
 
 	private final ExecutorService workers;
 
+	private final EngineReconciler reconciler;
+
 	private final ConfigFollower config;
 
 	private final BackendProbe probe;
@@ -58,12 +65,14 @@
 
 	private final DrainSequence sequence;
 
-	AgentParts(AgentSettings settings, String incarnation, ControlThread control, TableStore store,
+	AgentParts(AgentSettings settings, String incarnation, ControlThread control, TableStore store, WeightStore weights,
 			ConfigSource configSource, Channels channels, PrometheusRegistry registry) {
 		this.channels = channels;
 		this.workers = new ThreadPoolExecutor(0, settings.maxInProgress, WORKER_IDLE_SECONDS, TimeUnit.SECONDS,
 				new SynchronousQueue<>(), AgentParts::worker);
-		this.config = new ConfigFollower(control, configSource, this.calls, settings);
+		this.reconciler = new EngineReconciler(control, Ownership.of(store, settings.server, incarnation), weights,
+				new CommandMetrics(registry), new SplittableRandom());
+		this.config = new ConfigFollower(control, configSource, this.calls, settings, this.reconciler);
 		this.members = new MemberWatch(control, store);
 		this.probe = new BackendProbe(this.config::url);
 		this.receipts = new ReceiptReporter(control, new GrpcSettleClient(channels), store);
@@ -81,6 +90,9 @@
 				() -> (this.drain.draining()) ? 1 : 0);
 		addGauge(registry, "verbena_agent_backend_reachable", "1 while the backend server takes connections",
 				() -> (this.probe.reachable()) ? 1 : 0);
+		addGauge(registry, "verbena_agent_superseded",
+				"1 when a newer agent of the same backend server exists and no commands are sent",
+				() -> (this.reconciler.isSuperseded()) ? 1 : 0);
 		addGauge(registry, "verbena_agent_orders_exhausted",
 				"1 when the agent must be restarted because it has seen too many processes",
 				() -> (this.table.exhausted()) ? 1 : 0);
@@ -116,6 +128,7 @@
 
 	@Override
 	public void close() {
+		this.reconciler.close();
 		this.receipts.close();
 		this.probe.close();
 		this.workers.shutdownNow();
--- a/agent/src/main/java/io/verbenacleat/agent/ConfigFollower.java
+++ b/agent/src/main/java/io/verbenacleat/agent/ConfigFollower.java
@@ -4,6 +4,9 @@
 
 import io.verbenacleat.agent.backend.BackendCalls;
 import io.verbenacleat.agent.backend.BackendTarget;
+import io.verbenacleat.agent.command.DesiredState;
+import io.verbenacleat.agent.command.EngineReconciler;
+import io.verbenacleat.agent.command.HttpEngineControl;
 import io.verbenacleat.agent.engine.ChatEngineClient;
 import io.verbenacleat.agent.order.Backend;
 import io.verbenacleat.agent.service.PlainServiceClient;
@@ -31,17 +34,21 @@
 
 	private final AgentSettings settings;
 
+	private final EngineReconciler reconciler;
+
 	private long fence;
 
 	private String lastFailure = "";
 
 	private volatile @Nullable Current current;
 
-	ConfigFollower(ControlThread control, ConfigSource source, BackendCalls calls, AgentSettings settings) {
+	ConfigFollower(ControlThread control, ConfigSource source, BackendCalls calls, AgentSettings settings,
+			EngineReconciler reconciler) {
 		this.control = control;
 		this.source = source;
 		this.calls = calls;
 		this.settings = settings;
+		this.reconciler = reconciler;
 	}
 
 	/**
@@ -91,6 +98,21 @@
 		return (present != null) ? present.version() : 0;
 	}
 
+	/**
+	 * Returns whether the state of the backend server is known, and no newer agent serves
+	 * it.
+	 * @return {@code true} when orders can be run
+	 */
+	boolean ready() {
+		Current present = this.current;
+		BackendServerConfig server = (present != null) ? present.server() : null;
+		if (server == null) {
+			return false;
+		}
+		return server.kind() == BackendServerConfig.Kind.SERVICE
+				|| (this.reconciler.isKnown() && !this.reconciler.isSuperseded());
+	}
+
 	/**
 	 * Returns whether the backend server serves the model or service of an order.
 	 * @param order the order
@@ -103,7 +125,7 @@
 			return false;
 		}
 		if (server.kind() == BackendServerConfig.Kind.MODEL_ENGINE) {
-			return order.hasChat() && server.models().contains(order.getChat().getModel());
+			return order.hasChat() && this.reconciler.isServed(order.getChat().getModel());
 		}
 		return order.hasHttp() && order.getHttp().getService().equals(server.service());
 	}
@@ -117,13 +139,21 @@
 		if (server == null) {
 			logger.warn("Configuration {} has no backend server {}", config.version(), this.settings.server);
 			this.current = new Current(config.version(), null, null, null);
+			this.reconciler.clear();
 			return;
 		}
 		String url = (this.settings.backendUrl.isEmpty()) ? server.url() : this.settings.backendUrl;
 		BackendTarget target = new BackendTarget(url, this.fence);
-		Backend backend = (server.kind() == BackendServerConfig.Kind.MODEL_ENGINE)
-				? new ChatEngineClient(this.calls, target) : new PlainServiceClient(this.calls, target);
+		boolean engine = server.kind() == BackendServerConfig.Kind.MODEL_ENGINE;
+		Backend backend = (engine) ? new ChatEngineClient(this.calls, target)
+				: new PlainServiceClient(this.calls, target);
 		this.current = new Current(config.version(), server, backend, target.url());
+		if (engine) {
+			this.reconciler.apply(DesiredState.of(server), new HttpEngineControl(this.calls, target));
+		}
+		else {
+			this.reconciler.clear();
+		}
 		logger.info("Configuration {} in use, backend server {} at {}", config.version(), server.name(), target.url());
 	}
 
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/command/EngineCommand.java
@@ -0,0 +1,43 @@
+package io.verbenacleat.agent.command;
+
+import com.fasterxml.jackson.annotation.JsonIgnore;
+import com.fasterxml.jackson.annotation.JsonInclude;
+import io.verbenacleat.core.config.AdapterConfig;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A command to an engine, in the form of its JSON body. Immutable.
+ *
+ * @param kind {@code load-model}, {@code load-adapter} or {@code change-role}
+ * @param model the model to load or the model of the adapter, {@code null} for a role
+ * @param adapter the adapter to load, or {@code null}
+ * @param version the version of the adapter, or {@code null}
+ * @param role the new role, or {@code null}
+ */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+public record EngineCommand(String kind, @Nullable String model, @Nullable String adapter, @Nullable String version,
+		@Nullable String role) {
+
+	static EngineCommand loadModel(String model) {
+		return new EngineCommand("load-model", model, null, null, null);
+	}
+
+	static EngineCommand loadAdapter(AdapterConfig adapter) {
+		return new EngineCommand("load-adapter", adapter.model(), adapter.name(), adapter.version(), null);
+	}
+
+	static EngineCommand changeRole(String role) {
+		return new EngineCommand("change-role", null, null, null, role);
+	}
+
+	/**
+	 * Returns the name whose weights the engine fetches for this command.
+	 * @return the model or adapter, {@code null} when nothing is fetched
+	 */
+	@JsonIgnore
+	@Nullable
+	String weights() {
+		return (this.adapter != null) ? this.adapter : this.model;
+	}
+
+}
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/command/Ownership.java
@@ -0,0 +1,44 @@
+package io.verbenacleat.agent.command;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.member.ServerRow;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+
+/**
+ * Finds out whether a newer agent has registered for the same backend server. Safe for
+ * use by several threads.
+ */
+@FunctionalInterface
+public interface Ownership {
+
+	/**
+	 * Reads whether a newer agent exists.
+	 * @return {@code true} when there is one; fails when that cannot be read
+	 */
+	CompletableFuture<Boolean> isSuperseded();
+
+	/**
+	 * Returns the ownership by the row of a backend server.
+	 * @param store the table store
+	 * @param server the backend server
+	 * @param incarnation the agent that asks, registered
+	 * @return the ownership
+	 */
+	static Ownership of(TableStore store, String server, String incarnation) {
+		return () -> store.read(ServerRow.key(server)).thenApply((row) -> isOther(row, incarnation));
+	}
+
+	private static boolean isOther(Row row, String incarnation) {
+		try {
+			return row.version() > 0 && !Json.read(row.json(), ServerRow.class).agentIncarnation().equals(incarnation);
+		}
+		catch (JsonFormatException ex) {
+			throw new IllegalStateException("the row of the server is malformed", ex);
+		}
+	}
+
+}
--- a/agent/src/test/java/io/verbenacleat/agent/AgentDaemonTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/AgentDaemonTests.java
@@ -25,6 +25,7 @@
 import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WeightsOutcome;
 import io.verbenacleat.core.rpc.Channels;
 import io.verbenacleat.core.rpc.FleetSecret;
 import io.verbenacleat.proto.v1.AgentServiceGrpc;
@@ -75,7 +76,7 @@
 		this.release = new CountDownLatch(1);
 		this.store = new InMemoryTableStore();
 		this.holder = new FakeHolder(FleetSecret.of(SECRET));
-		this.backend = new FakeBackend(this::answer);
+		this.backend = new FakeBackend(this::answer).withModels("small");
 		this.channels = new Channels(FleetSecret.of(SECRET));
 		Head head = new Head(Map.of(Head.CONFIG, 1L, Members.key("z"), 1L));
 		Members entries = new Members(List.of(entry("gateway"), entry("asker")));
@@ -184,6 +185,15 @@
 		assertEquals(processRow().state(), ProcessRow.State.CLOSED);
 	}
 
+	// Guards against an order that reaches an engine which would fail it.
+	@Test
+	public void refusesAModelThatTheEngineHasNotLoaded() throws Exception {
+		this.backend.withModels("other");
+		startAgent(BackendServerConfig.Kind.MODEL_ENGINE);
+		assertEquals(execute(chat(1)).next().getRefused().getReason(), RefusalReason.MODEL_NOT_SERVED);
+		assertEquals(this.backend.received().size(), 0);
+	}
+
 	@Test
 	public void drainsByTheRowOfAnOperator() throws Exception {
 		startAgent(BackendServerConfig.Kind.MODEL_ENGINE);
@@ -203,7 +213,8 @@
 		second.rpcPort = this.agent.rpcPort();
 		AgentStartException failure = expectThrows(AgentStartException.class,
 				() -> AgentDaemon.start(second, this.store, () -> CompletableFuture.completedFuture(List.of()),
-						() -> config(BackendServerConfig.Kind.MODEL_ENGINE), new PrometheusRegistry()));
+						AgentDaemonTests::fetch, () -> config(BackendServerConfig.Kind.MODEL_ENGINE),
+						new PrometheusRegistry()));
 		assertTrue(String.valueOf(failure.getMessage()).contains("another agent"), failure.getMessage());
 		assertTrue(this.agent.ready());
 	}
@@ -228,9 +239,13 @@
 		}
 	}
 
+	private static CompletableFuture<WeightsOutcome> fetch(String model) {
+		return CompletableFuture.completedFuture(new WeightsOutcome.RateLimited(1_000));
+	}
+
 	private void startAgent(BackendServerConfig.Kind kind) throws Exception {
 		this.agent = AgentDaemon.start(settings(), this.store, () -> CompletableFuture.completedFuture(List.of()),
-				() -> config(kind), new PrometheusRegistry());
+				AgentDaemonTests::fetch, () -> config(kind), new PrometheusRegistry());
 		long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
 		while (!this.agent.ready() && System.nanoTime() < deadline) {
 			Thread.onSpinWait();
--- a/agent/src/test/java/io/verbenacleat/agent/backend/FakeBackend.java
+++ b/agent/src/test/java/io/verbenacleat/agent/backend/FakeBackend.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.stream.Collectors;
 
 import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
@@ -23,6 +24,8 @@
 
 	private final ExecutorService executor = Executors.newCachedThreadPool();
 
+	private volatile List<String> models = List.of();
+
 	private final List<Received> received = new CopyOnWriteArrayList<>();
 
 	/**
@@ -34,6 +37,10 @@
 		this.server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
 		this.server.setExecutor(this.executor);
 		this.server.createContext("/", (exchange) -> {
+			if (exchange.getRequestURI().getPath().equals("/v1/models") && !this.models.isEmpty()) {
+				writeModels(exchange);
+				return;
+			}
 			byte[] body = exchange.getRequestBody().readAllBytes();
 			this.received.add(new Received(exchange.getRequestMethod(), exchange.getRequestURI().toString(),
 					exchange.getRequestHeaders(), new String(body, StandardCharsets.UTF_8)));
@@ -47,6 +54,16 @@
 		this.server.start();
 	}
 
+	/**
+	 * Makes the server report loaded models; these reads are not among the requests.
+	 * @param names the models
+	 * @return this server
+	 */
+	public FakeBackend withModels(String... names) {
+		this.models = List.of(names);
+		return this;
+	}
+
 	/**
 	 * Writes the head of a chunked answer and some events.
 	 * @param exchange the exchange
@@ -95,6 +112,14 @@
 		this.executor.shutdownNow();
 	}
 
+	private void writeModels(HttpExchange exchange) throws IOException {
+		String data = this.models.stream().map("{\"id\":\"%s\"}"::formatted).collect(Collectors.joining(","));
+		byte[] body = ("{\"object\":\"list\",\"data\":[" + data + "]}").getBytes(StandardCharsets.UTF_8);
+		exchange.sendResponseHeaders(200, body.length);
+		exchange.getResponseBody().write(body);
+		exchange.close();
+	}
+
 	/**
 	 * Writes an answer.
 	 */
--- /dev/null
+++ b/agent/src/test/java/io/verbenacleat/agent/command/EngineReconcilerTests.java
@@ -0,0 +1,224 @@
+package io.verbenacleat.agent.command;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.config.AdapterConfig;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.platform.WeightsMetadata;
+import io.verbenacleat.core.platform.WeightsOutcome;
+import org.jspecify.annotations.Nullable;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against engines that end with what an old agent wanted, and against loads that
+ * are repeated although they worked.
+ */
+@SuppressWarnings("NullAway.Init")
+public class EngineReconcilerTests {
+
+	private final List<String> fetches = new ArrayList<>();
+
+	private ManualControlThread control;
+
+	private FakeEngine engine;
+
+	private CommandMetrics metrics;
+
+	private WeightsOutcome weights;
+
+	private long newestFence;
+
+	private boolean rowReadable;
+
+	private long seed;
+
+	@BeforeMethod
+	public void start() {
+		this.control = new ManualControlThread(Instant.EPOCH);
+		this.engine = new FakeEngine();
+		this.metrics = new CommandMetrics(new PrometheusRegistry());
+		this.weights = new WeightsOutcome.Found(new WeightsMetadata("any", "1", 1, ""));
+		this.fetches.clear();
+		this.newestFence = 1;
+		this.rowReadable = true;
+	}
+
+	@Test
+	public void bringsAnEmptyEngineToTheDesiredState() {
+		EngineReconciler agent = agent(1);
+		agent.apply(new DesiredState(List.of("base"), List.of(adapter("1")), "decode"), this.engine.as(1));
+		this.control.runPending();
+		assertEquals(this.engine.executed.stream().map(EngineCommand::kind).toList(),
+				List.of("change-role", "load-model", "load-adapter"));
+		assertTrue(agent.isServed("base") && agent.isServed("brief"));
+		assertEquals(this.fetches, List.of("base", "brief"));
+	}
+
+	// Guards against an answer by the weights of another version.
+	@Test
+	public void doesNotServeAnAdapterOfAnotherVersion() {
+		EngineReconciler agent = agent(1);
+		agent.apply(adapterState("1"), this.engine.as(1));
+		this.control.runPending();
+		this.engine.refuses = true;
+		agent.apply(adapterState("2"), this.engine.as(1));
+		this.control.runPending();
+		assertFalse(agent.isServed("brief"));
+		assertTrue(agent.isServed("base"));
+		assertEquals(this.metrics.retries(RetryReason.COMMAND_REFUSED), 1);
+	}
+
+	@Test
+	public void onlyTheNewestAgentLastsAtAnEngineThatIgnoresNumbers() {
+		newestAgentLasts();
+	}
+
+	@Test
+	public void onlyTheNewestAgentLastsAtAnEngineThatChecksNumbers() {
+		this.engine.checksFencing = true;
+		this.rowReadable = false;
+		newestAgentLasts();
+	}
+
+	private void newestAgentLasts() {
+		EngineReconciler old = agent(1);
+		old.apply(adapterState("1"), this.engine.as(1));
+		this.control.runPending();
+		this.newestFence = 2;
+		EngineReconciler newest = agent(2);
+		newest.apply(adapterState("2"), this.engine.as(2));
+		this.control.runPending();
+		int executed = this.engine.executed.size();
+		this.control.advance(Duration.ofMinutes(5));
+		assertEquals(this.engine.executed.size(), executed);
+		assertEquals(version(), "2");
+		assertTrue(old.isSuperseded());
+		assertFalse(newest.isSuperseded());
+	}
+
+	@Test
+	public void oldCommandThatArrivesLateIsRepairedAtTheNextRead() {
+		this.engine.models.put("base", new EngineState.LoadedModel(null, null, false));
+		this.engine.delays = true;
+		EngineReconciler old = agent(1);
+		old.apply(adapterState("1"), this.engine.as(1));
+		this.control.runPending();
+		old.clear();
+		this.engine.delays = false;
+		this.newestFence = 2;
+		agent(2).apply(adapterState("2"), this.engine.as(2));
+		this.control.advance(Duration.ofSeconds(15));
+		this.engine.deliver();
+		assertEquals(version(), "1");
+		this.control.advance(EngineReconciler.READ_INTERVAL);
+		assertEquals(version(), "2");
+		assertEquals(this.metrics.retries(RetryReason.STATE_REVERTED), 1);
+	}
+
+	@Test
+	public void lostAnswerDoesNotLoadAgain() {
+		this.engine.losesAnswers = true;
+		EngineReconciler agent = agent(1);
+		agent.apply(new DesiredState(List.of("base"), List.of(), null), this.engine.as(1));
+		this.control.advance(Duration.ofMinutes(5));
+		assertEquals(this.engine.executed.size(), 1);
+		assertTrue(agent.isServed("base"));
+		assertEquals(this.metrics.retries(RetryReason.ANSWER_LOST), 1);
+	}
+
+	// Guards against a second load while the engine works on the first and does not say.
+	@Test
+	public void lostAnswerDoesNotRepeatALoadThatIsNotReportedYet() {
+		this.engine.losesAnswers = true;
+		this.engine.hidesLoads = true;
+		EngineReconciler agent = agent(1);
+		agent.apply(new DesiredState(List.of("base"), List.of(), null), this.engine.as(1));
+		this.control.advance(EngineReconciler.RESEND_DELAY.minusSeconds(5));
+		this.engine.finishLoads();
+		this.control.advance(Duration.ofMinutes(5));
+		assertEquals(this.engine.executed.size(), 1);
+	}
+
+	// Guards against a command that is given up when it did not reach the engine.
+	@Test
+	public void lostCommandIsSentAgain() {
+		this.engine.delays = true;
+		EngineReconciler agent = agent(1);
+		agent.apply(new DesiredState(List.of("base"), List.of(), null), this.engine.as(1));
+		this.control.runPending();
+		this.engine.delays = false;
+		this.control.advance(EngineReconciler.RESEND_DELAY.plusSeconds(2));
+		assertEquals(this.engine.executed.size(), 1);
+		assertTrue(agent.isServed("base"));
+	}
+
+	// Guards against agents that were refused together and return together.
+	@Test
+	public void waitsForTheRetryAfterAndJitter() {
+		this.weights = new WeightsOutcome.RateLimited(20_000);
+		for (int i = 0; i < 10; i++) {
+			agent(1).apply(new DesiredState(List.of("base"), List.of(), null), this.engine.as(1));
+		}
+		this.control.advance(Duration.ofSeconds(19));
+		assertEquals(this.fetches.size(), 10);
+		this.control.advance(Duration.ofSeconds(11));
+		assertTrue(this.fetches.size() > 10 && this.fetches.size() < 20, "fetches: " + this.fetches.size());
+		this.weights = new WeightsOutcome.Found(new WeightsMetadata("any", "1", 1, ""));
+		this.control.advance(Duration.ofMinutes(2));
+		assertTrue(this.engine.models.containsKey("base"));
+	}
+
+	// Guards against one model without weights that keeps all others from being loaded.
+	@Test
+	public void modelWithoutWeightsDoesNotBlockAnother() {
+		this.weights = new WeightsOutcome.Absent();
+		agent(1).apply(new DesiredState(List.of("absent", "base"), List.of(), null), this.engine.as(1));
+		this.control.runPending();
+		assertEquals(this.fetches, List.of("absent", "base"));
+		assertEquals(this.metrics.retries(RetryReason.WEIGHTS_ABSENT), 2);
+	}
+
+	@Test
+	public void countsAnEngineThatDoesNotReport() {
+		EngineReconciler agent = agent(1);
+		agent.apply(new DesiredState(List.of("base"), List.of(), null), FakeEngine.unreachable());
+		this.control.advance(EngineReconciler.SHORT_INTERVAL);
+		assertFalse(agent.isKnown());
+		assertEquals(this.metrics.retries(RetryReason.STATE_UNREADABLE), 2);
+	}
+
+	private EngineReconciler agent(long fence) {
+		Ownership ownership = () -> (this.rowReadable) ? CompletableFuture.completedFuture(this.newestFence > fence)
+				: CompletableFuture.failedFuture(new IOException("the table service is down"));
+		return new EngineReconciler(this.control, ownership, (model) -> {
+			this.fetches.add(model);
+			return CompletableFuture.completedFuture(this.weights);
+		}, this.metrics, new SplittableRandom(++this.seed));
+	}
+
+	private @Nullable String version() {
+		EngineState.LoadedModel loaded = this.engine.models.get("brief");
+		return (loaded != null) ? loaded.version() : null;
+	}
+
+	private static DesiredState adapterState(String version) {
+		return new DesiredState(List.of("base"), List.of(adapter(version)), null);
+	}
+
+	private static AdapterConfig adapter(String version) {
+		return new AdapterConfig("brief", "base", version);
+	}
+
+}
--- /dev/null
+++ b/agent/src/test/java/io/verbenacleat/agent/command/FakeEngine.java
@@ -0,0 +1,122 @@
+package io.verbenacleat.agent.command;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An engine that several agents can reach, with switches for faults. Not safe for use by
+ * several threads.
+ */
+final class FakeEngine {
+
+	final Map<String, EngineState.LoadedModel> models = new TreeMap<>();
+
+	final List<EngineCommand> executed = new ArrayList<>();
+
+	@Nullable
+	String role;
+
+	boolean checksFencing;
+
+	boolean losesAnswers;
+
+	boolean refuses;
+
+	/** Whether commands stay on their way until {@link #deliver}. */
+	boolean delays;
+
+	/**
+	 * Whether commands take effect only at {@link #finishLoads}, unreported until then.
+	 */
+	boolean hidesLoads;
+
+	private final List<Runnable> delayed = new ArrayList<>();
+
+	private final List<Runnable> loads = new ArrayList<>();
+
+	private long highestFence;
+
+	EngineControl as(long fence) {
+		return new EngineControl() {
+
+			@Override
+			public CompletableFuture<EngineState> readState() {
+				return CompletableFuture.completedFuture(new EngineState(FakeEngine.this.models, FakeEngine.this.role));
+			}
+
+			@Override
+			public CompletableFuture<CommandOutcome> send(EngineCommand command) {
+				return receive(command, fence);
+			}
+
+		};
+	}
+
+	static EngineControl unreachable() {
+		return new EngineControl() {
+
+			@Override
+			public CompletableFuture<EngineState> readState() {
+				return CompletableFuture.failedFuture(new IOException("no connection"));
+			}
+
+			@Override
+			public CompletableFuture<CommandOutcome> send(EngineCommand command) {
+				return CompletableFuture.completedFuture(CommandOutcome.NOT_SENT);
+			}
+
+		};
+	}
+
+	void deliver() {
+		this.delayed.forEach(Runnable::run);
+		this.delayed.clear();
+	}
+
+	void finishLoads() {
+		this.loads.forEach(Runnable::run);
+		this.loads.clear();
+	}
+
+	private CompletableFuture<CommandOutcome> receive(EngineCommand command, long fence) {
+		if (this.delays) {
+			this.delayed.add(() -> execute(command, fence));
+			return CompletableFuture.completedFuture(CommandOutcome.UNKNOWN);
+		}
+		CommandOutcome outcome = execute(command, fence);
+		return CompletableFuture.completedFuture((this.losesAnswers) ? CommandOutcome.UNKNOWN : outcome);
+	}
+
+	private CommandOutcome execute(EngineCommand command, long fence) {
+		if (this.checksFencing && fence < this.highestFence) {
+			return CommandOutcome.FENCED;
+		}
+		this.highestFence = Math.max(this.highestFence, fence);
+		if (this.refuses) {
+			return CommandOutcome.REFUSED;
+		}
+		this.executed.add(command);
+		this.loads.add(() -> apply(command));
+		if (!this.hidesLoads) {
+			finishLoads();
+		}
+		return CommandOutcome.ACCEPTED;
+	}
+
+	private void apply(EngineCommand command) {
+		String name = command.weights();
+		if (name == null) {
+			this.role = command.role();
+			return;
+		}
+		String parent = (command.adapter() != null) ? command.model() : null;
+		this.models.put(name, new EngineState.LoadedModel(parent, command.version(), false));
+	}
+
+}
--- a/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
@@ -268,7 +268,8 @@
 		settings.server = server;
 		FaultyTables way = new FaultyTables(this.tables, 200 + index);
 		this.agentTables.add(way);
-		this.agents.add(AgentDaemon.start(settings, way, this.platformClient.hosts(), new PrometheusRegistry()));
+		this.agents.add(AgentDaemon.start(settings, way, this.platformClient.hosts(), this.platformClient.weights(),
+				new PrometheusRegistry()));
 	}
 
 	private void fill(CommonSettings settings, String name, String host) {
