Let the first copy of each model go first at the weight store

Cause: after a zone restart 100 agents share a rate of 10 to 60 fetches a minute, and with own retries a model that few servers have gets its first server late.

Change: PermitPolicy with OwnRetries (Retry-After plus jitter) and FirstCopyClaims. The agent that claims the row weights/<zone>/<model> asks at once and after a refusal as soon as the store allows; the others give way for 6 s once. A claim is a hint: without the table service an agent asks at once. The experiment "weights" runs the reconcilers of 100 agents in virtual time and compares this with own retries and with slots that a row hands out.

Conclusion: claims are used by the agent.

--- a/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
@@ -13,7 +13,10 @@
 import io.verbenacleat.agent.backend.BackendProbe;
 import io.verbenacleat.agent.command.CommandMetrics;
 import io.verbenacleat.agent.command.EngineReconciler;
+import io.verbenacleat.agent.command.FirstCopyClaims;
+import io.verbenacleat.agent.command.OwnRetries;
 import io.verbenacleat.agent.command.Ownership;
+import io.verbenacleat.agent.command.PermitPolicy;
 import io.verbenacleat.agent.drain.DrainSequence;
 import io.verbenacleat.agent.drain.DrainState;
 import io.verbenacleat.agent.order.AdmissionRules;
@@ -70,8 +73,11 @@
 		this.channels = channels;
 		this.workers = new ThreadPoolExecutor(0, settings.maxInProgress, WORKER_IDLE_SECONDS, TimeUnit.SECONDS,
 				new SynchronousQueue<>(), AgentParts::worker);
-		this.reconciler = new EngineReconciler(control, Ownership.of(store, settings.server, incarnation), weights,
-				new CommandMetrics(registry), new SplittableRandom());
+		SplittableRandom random = new SplittableRandom();
+		PermitPolicy permits = new FirstCopyClaims(settings.zone, incarnation, store, control,
+				new OwnRetries(weights, random.split()), random);
+		this.reconciler = new EngineReconciler(control, Ownership.of(store, settings.server, incarnation), permits,
+				new CommandMetrics(registry));
 		this.config = new ConfigFollower(control, configSource, this.calls, settings, this.reconciler);
 		this.members = new MemberWatch(control, store);
 		this.probe = new BackendProbe(this.config::url);
--- a/agent/src/main/java/io/verbenacleat/agent/command/EngineReconciler.java
+++ b/agent/src/main/java/io/verbenacleat/agent/command/EngineReconciler.java
@@ -3,11 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import java.util.SplittableRandom;
 
 import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
-import io.verbenacleat.core.platform.WeightStore;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -75,16 +73,14 @@
 	 * Creates a reconciler that does nothing until {@link #apply}.
 	 * @param control the control thread
 	 * @param ownership tells whether a newer agent exists
-	 * @param weights gives the permits of loads
+	 * @param policy gives the permits of loads
 	 * @param metrics counts commands and retries
-	 * @param random the random numbers of the jitter
 	 */
-	public EngineReconciler(ControlThread control, Ownership ownership, WeightStore weights, CommandMetrics metrics,
-			SplittableRandom random) {
+	public EngineReconciler(ControlThread control, Ownership ownership, PermitPolicy policy, CommandMetrics metrics) {
 		this.control = control;
 		this.ownership = ownership;
 		this.metrics = metrics;
-		this.permits = new PermitSource(control, weights, metrics, random);
+		this.permits = new PermitSource(control, policy, metrics);
 		this.held = new HeldCommands(control);
 	}
 
--- /dev/null
+++ b/agent/src/main/java/io/verbenacleat/agent/command/FirstCopyClaims.java
@@ -0,0 +1,129 @@
+package io.verbenacleat.agent.command;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WeightsOutcome;
+import io.verbenacleat.core.platform.WriteOutcome;
+
+/**
+ * Lets the first copy of each model in a zone go before further copies. The agent that
+ * claims the row of the model asks the store at once and, after a refusal, as soon as the
+ * store allows; the others first give way for {@link #GIVE_WAY} and then follow their own
+ * policy. A claim is only a hint: without the table service, or when the claimer is lost,
+ * the others go on. Control thread only.
+ */
+public final class FirstCopyClaims implements PermitPolicy {
+
+	/** Longer than the starts of agents differ after a restart of a zone. */
+	static final Duration GIVE_WAY = Duration.ofSeconds(6);
+
+	/** Claims of an earlier restart of the zone do not count. */
+	static final Duration CLAIM_LIFETIME = Duration.ofMinutes(15);
+
+	/** Spreads the few claimers, which wait for no other jitter. */
+	private static final long CLAIMER_JITTER_MS = 1_000;
+
+	private static final String KEY_PREFIX = "weights/";
+
+	private final String zone;
+
+	private final String agent;
+
+	private final TableStore store;
+
+	private final ControlThread control;
+
+	private final PermitPolicy others;
+
+	private final SplittableRandom random;
+
+	private final Map<String, Boolean> first = new HashMap<>();
+
+	/**
+	 * Creates a policy.
+	 * @param zone the zone of the agent
+	 * @param agent the incarnation of the agent
+	 * @param store the table store
+	 * @param control the control thread, with the clock of the claims
+	 * @param others the policy of agents that load further copies
+	 * @param random the random numbers of the jitter
+	 */
+	public FirstCopyClaims(String zone, String agent, TableStore store, ControlThread control, PermitPolicy others,
+			SplittableRandom random) {
+		this.zone = zone;
+		this.agent = agent;
+		this.store = store;
+		this.control = control;
+		this.others = others;
+		this.random = random;
+	}
+
+	@Override
+	public CompletableFuture<WeightsOutcome> fetch(String name) {
+		if (this.first.containsKey(name)) {
+			return this.others.fetch(name);
+		}
+		this.first.put(name, false);
+		String key = KEY_PREFIX + this.zone + "/" + name;
+		return this.store.read(key)
+			.thenCompose((row) -> claim(key, row))
+			.exceptionally((failure) -> true)
+			.thenComposeAsync((claimed) -> {
+				this.first.put(name, claimed);
+				return (claimed) ? this.others.fetch(name)
+						: CompletableFuture.completedFuture(new WeightsOutcome.RateLimited(GIVE_WAY.toMillis()));
+			}, this.control);
+	}
+
+	@Override
+	public Duration retryDelay(String name, long retryAfterMs) {
+		if (this.first.getOrDefault(name, false)) {
+			return Duration.ofMillis(retryAfterMs + this.random.nextLong(CLAIMER_JITTER_MS));
+		}
+		return this.others.retryDelay(name, retryAfterMs);
+	}
+
+	private CompletableFuture<Boolean> claim(String key, Row row) {
+		long nowMs = this.control.clock().millis();
+		if (isHeld(row, nowMs)) {
+			return CompletableFuture.completedFuture(false);
+		}
+		Transaction transaction = Transaction.builder()
+			.putIf(key, row.version(), Json.write(new Claim(this.agent, nowMs)))
+			.build();
+		return this.store.transact(transaction).thenApply((outcome) -> !(outcome instanceof WriteOutcome.Conflict));
+	}
+
+	private static boolean isHeld(Row row, long nowMs) {
+		if (row.version() == 0) {
+			return false;
+		}
+		try {
+			long ageMs = nowMs - Json.read(row.json(), Claim.class).claimedAtMs();
+			return Math.abs(ageMs) < CLAIM_LIFETIME.toMillis();
+		}
+		catch (JsonFormatException ex) {
+			return false;
+		}
+	}
+
+	/**
+	 * The row {@code weights/<zone>/<model>}. Immutable.
+	 *
+	 * @param agent the agent that loads the first copy
+	 * @param claimedAtMs the time of the claim, in milliseconds since the epoch
+	 */
+	record Claim(String agent, long claimedAtMs) {
+	}
+
+}
--- a/agent/src/main/java/io/verbenacleat/agent/command/PermitSource.java
+++ b/agent/src/main/java/io/verbenacleat/agent/command/PermitSource.java
@@ -2,19 +2,15 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
 import io.verbenacleat.core.control.ControlThread;
-import io.verbenacleat.core.platform.WeightStore;
 import io.verbenacleat.core.platform.WeightsOutcome;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Gets the permit of the weight store for one load at a time. An agent that was refused
- * waits for the Retry-After plus jitter of up to the same time, so that agents that were
- * refused together do not return together. A permit lasts until a command that uses it
- * may have been sent. Control thread only.
+ * Gets the permit of the weight store for one load at a time. A permit lasts until a
+ * command that uses it may have been sent. Control thread only.
  */
 final class PermitSource {
 
@@ -22,21 +18,18 @@
 
 	private final ControlThread control;
 
-	private final WeightStore weights;
+	private final PermitPolicy policy;
 
 	private final CommandMetrics metrics;
 
-	private final SplittableRandom random;
-
 	private @Nullable String permit;
 
 	private @Nullable Long notBeforeNanos;
 
-	PermitSource(ControlThread control, WeightStore weights, CommandMetrics metrics, SplittableRandom random) {
+	PermitSource(ControlThread control, PermitPolicy policy, CommandMetrics metrics) {
 		this.control = control;
-		this.weights = weights;
+		this.policy = policy;
 		this.metrics = metrics;
-		this.random = random;
 	}
 
 	boolean has(String name) {
@@ -59,7 +52,7 @@
 	 * completes on the control thread
 	 */
 	CompletableFuture<Boolean> request(String name) {
-		return this.weights.fetch(name)
+		return this.policy.fetch(name)
 			.handleAsync((outcome, failure) -> take(name, Optional.ofNullable(outcome)), this.control);
 	}
 
@@ -74,22 +67,21 @@
 			this.permit = name;
 		}
 		else if (outcome instanceof WeightsOutcome.RateLimited limited) {
-			waitAtLeast(Duration.ofMillis(limited.retryAfterMs()), RetryReason.WEIGHTS_RATE_LIMITED);
+			waitFor(this.policy.retryDelay(name, limited.retryAfterMs()), RetryReason.WEIGHTS_RATE_LIMITED);
 		}
 		else if (outcome instanceof WeightsOutcome.Absent) {
 			this.metrics.retry(RetryReason.WEIGHTS_ABSENT);
 			return false;
 		}
 		else {
-			waitAtLeast(UNREACHABLE_DELAY, RetryReason.WEIGHTS_UNREACHABLE);
+			waitFor(UNREACHABLE_DELAY, RetryReason.WEIGHTS_UNREACHABLE);
 		}
 		return true;
 	}
 
-	private void waitAtLeast(Duration delay, RetryReason reason) {
+	private void waitFor(Duration delay, RetryReason reason) {
 		this.metrics.retry(reason);
-		long jitterNanos = this.random.nextLong(Math.max(1, delay.toNanos()));
-		this.notBeforeNanos = this.control.nanoTime() + delay.toNanos() + jitterNanos;
+		this.notBeforeNanos = this.control.nanoTime() + delay.toNanos();
 	}
 
 }
--- a/agent/src/test/java/io/verbenacleat/agent/command/EngineReconcilerTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/command/EngineReconcilerTests.java
@@ -202,10 +202,11 @@
 	private EngineReconciler agent(long fence) {
 		Ownership ownership = () -> (this.rowReadable) ? CompletableFuture.completedFuture(this.newestFence > fence)
 				: CompletableFuture.failedFuture(new IOException("the table service is down"));
-		return new EngineReconciler(this.control, ownership, (model) -> {
+		PermitPolicy policy = new OwnRetries((model) -> {
 			this.fetches.add(model);
 			return CompletableFuture.completedFuture(this.weights);
-		}, this.metrics, new SplittableRandom(++this.seed));
+		}, new SplittableRandom(++this.seed));
+		return new EngineReconciler(this.control, ownership, policy, this.metrics);
 	}
 
 	private @Nullable String version() {
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/weights/LimitedStore.java
@@ -0,0 +1,57 @@
+package io.verbenacleat.bench.weights;
+
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.platform.WeightStore;
+import io.verbenacleat.core.platform.WeightsMetadata;
+import io.verbenacleat.core.platform.WeightsOutcome;
+
+/**
+ * A weight store with a fixed window of one minute, as the platform stand-in has. Used by
+ * one thread.
+ */
+final class LimitedStore implements WeightStore {
+
+	private static final long WINDOW_MS = 60_000;
+
+	private final ManualControlThread control;
+
+	private final int perMinute;
+
+	private long windowStartMs = Long.MIN_VALUE / 2;
+
+	private int inWindow;
+
+	private long refused;
+
+	LimitedStore(ManualControlThread control, int perMinute) {
+		this.control = control;
+		this.perMinute = perMinute;
+	}
+
+	long refused() {
+		return this.refused;
+	}
+
+	@Override
+	public CompletableFuture<WeightsOutcome> fetch(String model) {
+		return RoundTrip.delayed(this.control, () -> answer(model));
+	}
+
+	private WeightsOutcome answer(String model) {
+		long nowMs = this.control.clock().millis();
+		if (nowMs - this.windowStartMs >= WINDOW_MS) {
+			this.windowStartMs = nowMs;
+			this.inWindow = 0;
+		}
+		if (this.inWindow < this.perMinute) {
+			this.inWindow++;
+			return new WeightsOutcome.Found(new WeightsMetadata(model, "1", 1, ""));
+		}
+		this.refused++;
+		long seconds = Math.max(1, (this.windowStartMs + WINDOW_MS - nowMs + 999) / 1_000);
+		return new WeightsOutcome.RateLimited(seconds * 1_000);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/weights/PlainRetries.java
@@ -0,0 +1,31 @@
+package io.verbenacleat.bench.weights;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.agent.command.PermitPolicy;
+import io.verbenacleat.core.platform.WeightStore;
+import io.verbenacleat.core.platform.WeightsOutcome;
+
+/**
+ * The baseline: an agent asks again exactly when the store says. Used by one thread.
+ */
+final class PlainRetries implements PermitPolicy {
+
+	private final WeightStore weights;
+
+	PlainRetries(WeightStore weights) {
+		this.weights = weights;
+	}
+
+	@Override
+	public CompletableFuture<WeightsOutcome> fetch(String name) {
+		return this.weights.fetch(name);
+	}
+
+	@Override
+	public Duration retryDelay(String name, long retryAfterMs) {
+		return Duration.ofMillis(retryAfterMs);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/weights/SlotQueue.java
@@ -0,0 +1,153 @@
+package io.verbenacleat.bench.weights;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+
+import io.verbenacleat.agent.command.PermitPolicy;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WeightStore;
+import io.verbenacleat.core.platform.WeightsOutcome;
+import io.verbenacleat.core.platform.WriteOutcome;
+
+/**
+ * One row of the table service hands out slots at the rate of the store: an agent enters
+ * itself into the row, waits for its turn and takes itself out when it asks the store. In
+ * the variant with precedence, the first copy of a model is entered before further
+ * copies. Used by one thread.
+ */
+final class SlotQueue implements PermitPolicy {
+
+	private static final String KEY = "weights-slots";
+
+	/** Without a pause, agents that start together conflict again and again. */
+	private static final long MAX_CONFLICT_PAUSE_MS = 500;
+
+	private final String agent;
+
+	private final boolean precedence;
+
+	private final long intervalMs;
+
+	private final ManualControlThread control;
+
+	private final TableStore store;
+
+	private final WeightStore weights;
+
+	private final SplittableRandom random;
+
+	SlotQueue(String agent, boolean precedence, int perMinute, ManualControlThread control, TableStore store,
+			WeightStore weights, SplittableRandom random) {
+		this.agent = agent;
+		this.precedence = precedence;
+		this.intervalMs = 60_000 / perMinute;
+		this.control = control;
+		this.store = store;
+		this.weights = weights;
+		this.random = random;
+	}
+
+	@Override
+	public CompletableFuture<WeightsOutcome> fetch(String name) {
+		return this.store.read(KEY).thenCompose((row) -> step(name, row));
+	}
+
+	@Override
+	public Duration retryDelay(String name, long retryAfterMs) {
+		return Duration.ofMillis(retryAfterMs);
+	}
+
+	private CompletableFuture<WeightsOutcome> step(String name, Row row) {
+		Slots slots = slots(row);
+		int rank = slots.rank(this.agent);
+		if (rank < 0) {
+			Slots entered = slots.enter(new Waiting(this.agent, name), this.precedence);
+			return write(row, entered, () -> limited(entered, entered.rank(this.agent)));
+		}
+		long nowMs = this.control.clock().millis();
+		if (nowMs < slots.nextAtMs() + rank * this.intervalMs) {
+			return limited(slots, rank);
+		}
+		return write(row, slots.leave(rank, Math.max(nowMs, slots.nextAtMs()) + this.intervalMs),
+				() -> this.weights.fetch(name));
+	}
+
+	private CompletableFuture<WeightsOutcome> limited(Slots slots, int rank) {
+		long waitMs = slots.nextAtMs() + rank * this.intervalMs - this.control.clock().millis();
+		return CompletableFuture.completedFuture(new WeightsOutcome.RateLimited(Math.max(1, waitMs)));
+	}
+
+	private CompletableFuture<WeightsOutcome> write(Row row, Slots slots, Next next) {
+		Transaction transaction = Transaction.builder().putIf(KEY, row.version(), Json.write(slots)).build();
+		return this.store.transact(transaction)
+			.thenCompose((outcome) -> (outcome instanceof WriteOutcome.Applied) ? next.run() : CompletableFuture
+				.completedFuture(new WeightsOutcome.RateLimited(1 + this.random.nextLong(MAX_CONFLICT_PAUSE_MS))));
+	}
+
+	private Slots slots(Row row) {
+		try {
+			return (row.version() > 0) ? Json.read(row.json(), Slots.class)
+					: new Slots(this.control.clock().millis(), List.of(), List.of());
+		}
+		catch (JsonFormatException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	@FunctionalInterface
+	private interface Next {
+
+		CompletableFuture<WeightsOutcome> run();
+
+	}
+
+	/**
+	 * The row. Immutable.
+	 *
+	 * @param nextAtMs when the first waiting agent may ask
+	 * @param waiting the waiting agents in their order
+	 * @param models the models that some agent has entered
+	 */
+	record Slots(long nextAtMs, List<Waiting> waiting, List<String> models) {
+
+		private int rank(String agent) {
+			return this.waiting.stream().map(Waiting::agent).toList().indexOf(agent);
+		}
+
+		private Slots enter(Waiting agent, boolean precedence) {
+			boolean first = precedence && !this.models.contains(agent.model());
+			List<Waiting> next = new ArrayList<>(this.waiting);
+			List<String> known = new ArrayList<>(this.models);
+			if (first) {
+				known.add(agent.model());
+			}
+			next.add((first) ? 0 : next.size(), agent);
+			return new Slots(this.nextAtMs, next, known);
+		}
+
+		private Slots leave(int rank, long newNextAtMs) {
+			List<Waiting> next = new ArrayList<>(this.waiting);
+			next.remove(rank);
+			return new Slots(newNextAtMs, next, this.models);
+		}
+
+	}
+
+	/**
+	 * A waiting agent. Immutable.
+	 *
+	 * @param agent the agent
+	 * @param model the model that it loads
+	 */
+	record Waiting(String agent, String model) {
+	}
+
+}
