Bound the jitter after a refusal of the weight store

Cause: with a jitter as long as the Retry-After, agents return late in the next minute, and permits of that minute stay unused for long.

Change: the jitter is at most 10 s. The experiment compares both, with starts within 5 and 60 s, and counts the most fetches in one second. The step of time in waitsForTheRetryAfterAndJitter follows the bound: it still stops in the middle of the jitter and asserts that some agents have returned and some have not.

Conclusion: the agent uses claims with the bounded jitter.

--- a/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
+++ b/agent/src/main/java/io/verbenacleat/agent/AgentParts.java
@@ -75,7 +75,7 @@
 				new SynchronousQueue<>(), AgentParts::worker);
 		SplittableRandom random = new SplittableRandom();
 		PermitPolicy permits = new FirstCopyClaims(settings.zone, incarnation, store, control,
-				new OwnRetries(weights, random.split()), random);
+				new OwnRetries(weights, random.split(), OwnRetries.MAX_JITTER), random);
 		this.reconciler = new EngineReconciler(control, Ownership.of(store, settings.server, incarnation), permits,
 				new CommandMetrics(registry));
 		this.config = new ConfigFollower(control, configSource, this.calls, settings, this.reconciler);
--- a/agent/src/main/java/io/verbenacleat/agent/command/OwnRetries.java
+++ b/agent/src/main/java/io/verbenacleat/agent/command/OwnRetries.java
@@ -9,23 +9,33 @@
 
 /**
  * Each agent asks on its own, and after a refusal again after the Retry-After plus jitter
- * of up to the same time, so that agents that were refused together do not return
- * together. Control thread only.
+ * of up to the same time within a bound, so that agents that were refused together do not
+ * return together. Control thread only.
  */
 public final class OwnRetries implements PermitPolicy {
 
+	/**
+	 * A jitter as long as the Retry-After leaves permits of the next minute unused until
+	 * late in it; docs/results/weights.md has the comparison.
+	 */
+	public static final Duration MAX_JITTER = Duration.ofSeconds(10);
+
 	private final WeightStore weights;
 
 	private final SplittableRandom random;
 
+	private final long maxJitterMs;
+
 	/**
 	 * Creates a policy.
 	 * @param weights the weight store
 	 * @param random the random numbers of the jitter
+	 * @param maxJitter the longest jitter, more than zero
 	 */
-	public OwnRetries(WeightStore weights, SplittableRandom random) {
+	public OwnRetries(WeightStore weights, SplittableRandom random, Duration maxJitter) {
 		this.weights = weights;
 		this.random = random;
+		this.maxJitterMs = maxJitter.toMillis();
 	}
 
 	@Override
@@ -35,7 +45,8 @@
 
 	@Override
 	public Duration retryDelay(String name, long retryAfterMs) {
-		return Duration.ofMillis(retryAfterMs + this.random.nextLong(Math.max(1, retryAfterMs)));
+		return Duration
+			.ofMillis(retryAfterMs + this.random.nextLong(Math.max(1, Math.min(retryAfterMs, this.maxJitterMs))));
 	}
 
 }
--- a/agent/src/test/java/io/verbenacleat/agent/command/EngineReconcilerTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/command/EngineReconcilerTests.java
@@ -173,7 +173,7 @@
 		}
 		this.control.advance(Duration.ofSeconds(19));
 		assertEquals(this.fetches.size(), 10);
-		this.control.advance(Duration.ofSeconds(11));
+		this.control.advance(Duration.ofSeconds(6));
 		assertTrue(this.fetches.size() > 10 && this.fetches.size() < 20, "fetches: " + this.fetches.size());
 		this.weights = new WeightsOutcome.Found(new WeightsMetadata("any", "1", 1, ""));
 		this.control.advance(Duration.ofMinutes(2));
@@ -205,7 +205,7 @@
 		PermitPolicy policy = new OwnRetries((model) -> {
 			this.fetches.add(model);
 			return CompletableFuture.completedFuture(this.weights);
-		}, new SplittableRandom(++this.seed));
+		}, new SplittableRandom(++this.seed), OwnRetries.MAX_JITTER);
 		return new EngineReconciler(this.control, ownership, policy, this.metrics);
 	}
 
--- a/bench/src/main/java/io/verbenacleat/bench/weights/LimitedStore.java
+++ b/bench/src/main/java/io/verbenacleat/bench/weights/LimitedStore.java
@@ -25,6 +25,12 @@
 
 	private long refused;
 
+	private long second;
+
+	private long inSecond;
+
+	private long peakPerSecond;
+
 	LimitedStore(ManualControlThread control, int perMinute) {
 		this.control = control;
 		this.perMinute = perMinute;
@@ -34,6 +40,10 @@
 		return this.refused;
 	}
 
+	long peakPerSecond() {
+		return this.peakPerSecond;
+	}
+
 	@Override
 	public CompletableFuture<WeightsOutcome> fetch(String model) {
 		return RoundTrip.delayed(this.control, () -> answer(model));
@@ -41,6 +51,7 @@
 
 	private WeightsOutcome answer(String model) {
 		long nowMs = this.control.clock().millis();
+		count(nowMs / 1_000);
 		if (nowMs - this.windowStartMs >= WINDOW_MS) {
 			this.windowStartMs = nowMs;
 			this.inWindow = 0;
@@ -54,4 +65,10 @@
 		return new WeightsOutcome.RateLimited(seconds * 1_000);
 	}
 
+	private void count(long nowSecond) {
+		this.inSecond = (nowSecond == this.second) ? this.inSecond + 1 : 1;
+		this.second = nowSecond;
+		this.peakPerSecond = Math.max(this.peakPerSecond, this.inSecond);
+	}
+
 }
--- a/bench/src/main/java/io/verbenacleat/bench/weights/WeightsExperiment.java
+++ b/bench/src/main/java/io/verbenacleat/bench/weights/WeightsExperiment.java
@@ -22,7 +22,7 @@
 public final class WeightsExperiment implements Experiment {
 
 	private static final String HEADER = "fetches_per_minute,starts_within_s,scheme,first_s_median,first_s_max,all_s_median,all_s_max,"
-			+ "refused_median,refused_max,reads_median,writes_median";
+			+ "refused_median,refused_max,peak_per_s_median,reads_median,writes_median";
 
 	private static final List<Integer> RATES = List.of(10, 60);
 
@@ -65,12 +65,13 @@
 	}
 
 	private static String line(String labels, List<ZoneRestart.Result> runs) {
-		return String.format(Locale.ROOT, "%s,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f", labels,
+		return String.format(Locale.ROOT, "%s,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f,%.0f", labels,
 				quantile(runs, ZoneRestart.Result::firstSeconds, 0.5),
 				quantile(runs, ZoneRestart.Result::firstSeconds, 1),
 				quantile(runs, ZoneRestart.Result::allSeconds, 0.5), quantile(runs, ZoneRestart.Result::allSeconds, 1),
 				quantile(runs, ZoneRestart.Result::refused, 0.5), quantile(runs, ZoneRestart.Result::refused, 1),
-				quantile(runs, ZoneRestart.Result::reads, 0.5), quantile(runs, ZoneRestart.Result::writes, 0.5));
+				quantile(runs, ZoneRestart.Result::peakPerSecond, 0.5), quantile(runs, ZoneRestart.Result::reads, 0.5),
+				quantile(runs, ZoneRestart.Result::writes, 0.5));
 	}
 
 	private static double quantile(List<ZoneRestart.Result> runs, ToDoubleFunction<ZoneRestart.Result> figure,
--- a/bench/src/main/java/io/verbenacleat/bench/weights/ZoneRestart.java
+++ b/bench/src/main/java/io/verbenacleat/bench/weights/ZoneRestart.java
@@ -73,7 +73,7 @@
 		long lastFirstMs = this.firstMs.values().stream().mapToLong(Long::longValue).max().orElse(0);
 		long lastMs = this.loadedMs.stream().mapToLong(Long::longValue).max().orElse(0);
 		return new Result(this.loadedMs.size(), this.firstMs.size(), lastFirstMs / 1_000.0, lastMs / 1_000.0,
-				this.store.refused(), this.table.reads(), this.table.writes());
+				this.store.refused(), this.store.peakPerSecond(), this.table.reads(), this.table.writes());
 	}
 
 	private void start(String agent, String model) {
@@ -87,12 +87,14 @@
 	}
 
 	private PermitPolicy policy(String agent) {
-		PermitPolicy own = new OwnRetries(this.store, this.random.split());
+		PermitPolicy longJitter = new OwnRetries(this.store, this.random.split(), Duration.ofHours(1));
+		PermitPolicy shortJitter = new OwnRetries(this.store, this.random.split(), OwnRetries.MAX_JITTER);
 		return switch (this.scheme) {
 			case NO_JITTER -> new PlainRetries(this.store);
-			case OWN_RETRIES -> own;
-			case FIRST_COPY_CLAIMS ->
-				new FirstCopyClaims("zone", agent, this.table, this.control, own, this.random.split());
+			case LONG_JITTER -> longJitter;
+			case SHORT_JITTER -> shortJitter;
+			case CLAIMS_LONG_JITTER -> claims(agent, longJitter);
+			case CLAIMS_SHORT_JITTER -> claims(agent, shortJitter);
 			case SLOTS ->
 				new SlotQueue(agent, false, this.perMinute, this.control, this.table, this.store, this.random.split());
 			case SLOTS_FIRST_COPY ->
@@ -100,6 +102,10 @@
 		};
 	}
 
+	private PermitPolicy claims(String agent, PermitPolicy others) {
+		return new FirstCopyClaims("zone", agent, this.table, this.control, others, this.random.split());
+	}
+
 	private void loaded(String model) {
 		this.loadedMs.add(elapsedMs());
 		this.firstMs.putIfAbsent(model, elapsedMs());
@@ -136,11 +142,17 @@
 		/** Each agent asks again at the end of the Retry-After. */
 		NO_JITTER,
 
-		/** Each agent asks again after the Retry-After and jitter. */
-		OWN_RETRIES,
+		/** After the Retry-After and jitter of up to the same time. */
+		LONG_JITTER,
+
+		/** After the Retry-After and jitter of up to the bound of the product. */
+		SHORT_JITTER,
+
+		/** Long jitter, and the first copy of each model goes first. */
+		CLAIMS_LONG_JITTER,
 
-		/** Own retries, and the first copy of each model goes first. */
-		FIRST_COPY_CLAIMS,
+		/** Short jitter, and the first copy of each model goes first. */
+		CLAIMS_SHORT_JITTER,
 
 		/** Slots from a row, in the order of arrival. */
 		SLOTS,
@@ -158,11 +170,12 @@
 	 * @param firstSeconds when the last model got its first server
 	 * @param allSeconds when the last agent had loaded its model
 	 * @param refused fetches that the store refused
+	 * @param peakPerSecond the most fetches in one second
 	 * @param reads reads of the table service
 	 * @param writes transactions of the table service, conflicts included
 	 */
-	record Result(int loaded, int models, double firstSeconds, double allSeconds, long refused, long reads,
-			long writes) {
+	record Result(int loaded, int models, double firstSeconds, double allSeconds, long refused, long peakPerSecond,
+			long reads, long writes) {
 
 		boolean isComplete() {
 			return this.loaded == AGENTS && this.models == MODELS;
