--- a/agent/src/test/java/io/verbenacleat/agent/PropagationTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/PropagationTests.java
@@ -6,9 +6,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.agent.backend.BackendCalls;
+import io.verbenacleat.agent.command.CommandMetrics;
+import io.verbenacleat.agent.command.EngineReconciler;
+import io.verbenacleat.agent.command.OwnRetries;
 import io.verbenacleat.agent.drain.DrainState;
 import io.verbenacleat.agent.drain.DrainWatch;
 import io.verbenacleat.core.config.ConfigException;
@@ -93,11 +98,14 @@
 		AgentSettings settings = new AgentSettings();
 		settings.server = "engine-1";
 		List<CompletableFuture<OfficeConfig>> answers = new ArrayList<>();
+		EngineReconciler reconciler = new EngineReconciler(this.control, () -> CompletableFuture.completedFuture(false),
+				new OwnRetries((name) -> new CompletableFuture<>(), new SplittableRandom(1), Duration.ZERO),
+				new CommandMetrics(new PrometheusRegistry()));
 		try (BackendCalls calls = new BackendCalls()) {
 			ConfigFollower follower = new ConfigFollower(this.control, () -> {
 				answers.add(new CompletableFuture<>());
 				return answers.get(answers.size() - 1);
-			}, calls, settings);
+			}, calls, settings, reconciler);
 			follower.read();
 			follower.read();
 			answers.get(1).complete(config(2));
