Compare routing policies in virtual time

Cause: gateways select the least loaded agent by old reports and ignore the prefix caches of the engines.

Change: the package entry.routing with RoutingPolicy, PrefixKey, LeastLoadedPolicy, PrefixAffinityPolicy (rendezvous hashing with bounded load) and ServerLoads; bin/experiment routing runs them and the policies of the experiment (random, two choices, least loaded of the first ranked, estimate from own memory or from a directory of cache events) against fake engines with prefix caches, at 50 to 150% load, with a slow and with a lost server. Rows "rounds-" use the status rounds that the product has; the others the planned load reports at the end of orders.

--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/CacheDirectory.java
@@ -0,0 +1,89 @@
+package io.verbenacleat.bench.routing;
+
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.Map;
+
+import io.verbenacleat.entry.routing.PrefixKey;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Which server has cached which block, built from the cache events of the engines. Events
+ * arrive late, and some are lost. Not safe for use by several threads.
+ */
+final class CacheDirectory {
+
+	private static final double LOST_SHARE = 0.1;
+
+	private static final long DELAY_US = 1_000_000;
+
+	private final VirtualTime time;
+
+	private final UniformRandomProvider random;
+
+	private final Map<Long, BitSet> servers = new HashMap<>();
+
+	CacheDirectory(VirtualTime time, UniformRandomProvider random) {
+		this.time = time;
+		this.random = random;
+	}
+
+	/**
+	 * Returns the feed of one engine.
+	 * @param server the index of the server
+	 * @return takes the events of its cache
+	 */
+	PrefixCache.Events feed(int server) {
+		return new PrefixCache.Events() {
+			@Override
+			public void added(long block) {
+				later(() -> CacheDirectory.this.servers.computeIfAbsent(block, (key) -> new BitSet()).set(server));
+			}
+
+			@Override
+			public void evicted(long block) {
+				later(() -> CacheDirectory.this.servers.computeIfPresent(block, (key, set) -> {
+					set.clear(server);
+					return (set.isEmpty()) ? null : set;
+				}));
+			}
+		};
+	}
+
+	/**
+	 * Returns how many blocks of the start of a prompt a server has cached.
+	 * @param prompt the prompt
+	 * @param servers the number of servers
+	 * @return the number of blocks by the index of the server
+	 */
+	int[] cachedBlocks(PrefixKey prompt, int servers) {
+		int[] cached = new int[servers];
+		BitSet left = null;
+		for (int i = 0; i < prompt.size(); i++) {
+			BitSet having = this.servers.get(prompt.block(i));
+			if (having == null) {
+				return cached;
+			}
+			if (left == null) {
+				left = (BitSet) having.clone();
+			}
+			else {
+				left.and(having);
+			}
+			if (left.isEmpty()) {
+				return cached;
+			}
+			for (int server = left.nextSetBit(0); server >= 0; server = left.nextSetBit(server + 1)) {
+				cached[server] = i + 1;
+			}
+		}
+		return cached;
+	}
+
+	private void later(Runnable change) {
+		if (this.random.nextDouble() >= LOST_SHARE) {
+			this.time.after((long) (DELAY_US * (0.5 + this.random.nextDouble())), change);
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/EntryView.java
@@ -0,0 +1,91 @@
+package io.verbenacleat.bench.routing;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+
+import io.verbenacleat.entry.routing.PrefixKey;
+import io.verbenacleat.entry.routing.RoutingCandidate;
+import io.verbenacleat.entry.routing.RoutingPolicy;
+import io.verbenacleat.entry.routing.ServerLoads;
+
+/**
+ * What one entry knows, and its selection: the loads by the product's rules, and which
+ * servers it leaves out. Not safe for use by several threads.
+ */
+final class EntryView {
+
+	/** As in the product's selector. */
+	private static final long PENALTY_US = 2_000_000;
+
+	/** An agent heard within this time is not asked for its status. */
+	private static final long HEARD_MS = 2_000;
+
+	private final List<String> servers;
+
+	private final RoutingPolicy policy;
+
+	private final ServerLoads loads = new ServerLoads();
+
+	private final long[] penalizedUntilUs;
+
+	private final BitSet removed = new BitSet();
+
+	private int next;
+
+	EntryView(List<String> servers, RoutingPolicy policy, int first) {
+		this.servers = servers;
+		this.policy = policy;
+		this.penalizedUntilUs = new long[servers.size()];
+		this.next = first;
+	}
+
+	int select(PrefixKey prompt, long nowUs) {
+		List<RoutingCandidate> candidates = new ArrayList<>(this.servers.size());
+		for (int i = 0; i < this.servers.size(); i++) {
+			if (this.penalizedUntilUs[i] <= nowUs && !this.removed.get(i)) {
+				String server = this.servers.get(i);
+				candidates.add(new RoutingCandidate(server, this.loads.of(server)));
+			}
+		}
+		int selected = ServerNames.index(this.policy.select(prompt, candidates).server());
+		this.loads.started(this.servers.get(selected));
+		return selected;
+	}
+
+	void reported(int server, int inProgress, long nowUs) {
+		this.loads.reported(this.servers.get(server), inProgress, nowUs / 1_000);
+	}
+
+	void ended(int server) {
+		this.loads.ended(this.servers.get(server));
+	}
+
+	void failed(int server, long nowUs) {
+		this.penalizedUntilUs[server] = nowUs + PENALTY_US;
+		this.loads.ended(this.servers.get(server));
+	}
+
+	void removed(int server) {
+		this.removed.set(server);
+	}
+
+	/**
+	 * Returns the servers to ask for their status: not heard of for a while, in turn.
+	 * @param limit the most to ask
+	 * @param nowUs the present time
+	 * @return the servers
+	 */
+	List<Integer> unheard(int limit, long nowUs) {
+		List<Integer> unheard = new ArrayList<>();
+		for (int i = 0; i < this.servers.size() && unheard.size() < limit; i++) {
+			int server = this.next;
+			this.next = (this.next + 1) % this.servers.size();
+			if (!this.removed.get(server) && !this.loads.isHeard(this.servers.get(server), nowUs / 1_000, HEARD_MS)) {
+				unheard.add(server);
+			}
+		}
+		return unheard;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/Policies.java
@@ -0,0 +1,66 @@
+package io.verbenacleat.bench.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.verbenacleat.entry.routing.LeastLoadedPolicy;
+import io.verbenacleat.entry.routing.PrefixAffinityPolicy;
+import io.verbenacleat.entry.routing.RoutingPolicy;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * The policies that the experiment compares. Stateless.
+ */
+final class Policies {
+
+	static final String LEAST_LOADED = "least-loaded";
+
+	/** Blocks that an entry remembers of what it sent to each server. */
+	private static final int OWN_BLOCKS = 500;
+
+	/** Depth in blocks and factor of the mean load. */
+	private static final double[][] AFFINITIES = { { 1, 1.25 }, { 4, 1.1 }, { 4, 1.25 }, { 8, 1.1 }, { 64, 1.25 } };
+
+	private static final int CHOICES = 3;
+
+	/** What an order in progress adds to the time to first token in the estimate. */
+	private static final double ORDER_US = 5_000;
+
+	private Policies() {
+	}
+
+	static Map<String, PolicyFactory> all() {
+		Map<String, PolicyFactory> all = new LinkedHashMap<>();
+		PolicyFactory leastLoaded = PolicyFactory.of((directory, random) -> new LeastLoadedPolicy(random::nextInt));
+		all.put("random", PolicyFactory
+			.of((directory, random) -> (prefix, candidates) -> candidates.get(random.nextInt(candidates.size()))));
+		all.put(LEAST_LOADED, leastLoaded);
+		all.put("rounds-" + LEAST_LOADED, leastLoaded.withStatusRounds());
+		all.put("two-choices", PolicyFactory.of((directory, random) -> new TwoChoicesPolicy(random)));
+		for (double[] affinity : AFFINITIES) {
+			String name = "affinity-" + (int) affinity[0] + "-" + affinity[1];
+			all.put(name, affinity((int) affinity[0], affinity[1]));
+		}
+		all.put("rounds-affinity-4-1.1", affinity(4, 1.1).withStatusRounds());
+		all.put("rounds-affinity-4-1.25", affinity(4, 1.25).withStatusRounds());
+		all.put("ranked-1-" + CHOICES, PolicyFactory.of((directory, random) -> new RankedChoicesPolicy(1, CHOICES)));
+		all.put("own-memory", PolicyFactory.of((directory, random) -> ownMemory(random)));
+		all.put("directory",
+				PolicyFactory
+					.of((directory, random) -> new EstimatePolicy(directory::cachedBlocks, RoutingRun.SERVERS, ORDER_US,
+							random))
+					.withDirectory());
+		return all;
+	}
+
+	private static PolicyFactory affinity(int depth, double factor) {
+		return PolicyFactory
+			.of((directory, random) -> new PrefixAffinityPolicy(depth, factor, new LeastLoadedPolicy(random::nextInt)));
+	}
+
+	private static RoutingPolicy ownMemory(UniformRandomProvider random) {
+		OwnMemory memory = new OwnMemory(RoutingRun.SERVERS, OWN_BLOCKS);
+		return memory.remembering(new EstimatePolicy(memory::cachedBlocks, RoutingRun.SERVERS, ORDER_US, random));
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/PrefixCache.java
@@ -0,0 +1,72 @@
+package io.verbenacleat.bench.routing;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.verbenacleat.entry.routing.PrefixKey;
+
+/**
+ * The prefix cache of a fake engine: blocks, of which the least recently used are
+ * evicted. A text is touched from its end, since a block without those before it is of no
+ * use. Not safe for use by several threads.
+ */
+final class PrefixCache {
+
+	private final int capacity;
+
+	private final Events events;
+
+	private final Map<Long, Boolean> blocks = new LinkedHashMap<>(16, 0.75f, true);
+
+	PrefixCache(int capacity, Events events) {
+		this.capacity = capacity;
+		this.events = events;
+	}
+
+	/**
+	 * Uses the cached start of a prompt.
+	 * @param prompt the prompt
+	 * @return the number of cached blocks
+	 */
+	int use(PrefixKey prompt) {
+		int cached = 0;
+		while (cached < prompt.size() && this.blocks.containsKey(prompt.block(cached))) {
+			cached++;
+		}
+		for (int i = cached - 1; i >= 0; i--) {
+			this.blocks.get(prompt.block(i));
+		}
+		return cached;
+	}
+
+	/**
+	 * Adds the blocks of a text.
+	 * @param text the text
+	 */
+	void add(PrefixKey text) {
+		for (int i = text.size() - 1; i >= 0; i--) {
+			if (this.blocks.put(text.block(i), true) == null) {
+				this.events.added(text.block(i));
+			}
+		}
+		Iterator<Long> oldest = this.blocks.keySet().iterator();
+		for (int i = this.blocks.size(); i > this.capacity; i--) {
+			long block = oldest.next();
+			oldest.remove();
+			this.events.evicted(block);
+		}
+	}
+
+	/**
+	 * Takes the changes of a cache.
+	 */
+	interface Events {
+
+		void added(long block);
+
+		void evicted(long block);
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/PromptGenerator.java
@@ -0,0 +1,161 @@
+package io.verbenacleat.bench.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import com.google.common.hash.Hashing;
+import io.verbenacleat.entry.routing.PrefixKey;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.DiscreteSampler;
+import org.apache.commons.rng.sampling.distribution.LogNormalSampler;
+import org.apache.commons.rng.sampling.distribution.NormalizedGaussianSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Generates the requests of workspaces of very different size. Each workspace has a few
+ * long texts (a manual, an orchard history) with which its prompts begin; a part of the
+ * requests goes on with an earlier conversation. Not safe for use by several threads.
+ */
+final class PromptGenerator {
+
+	/** Tokens per block, of the prefix key and of the engine's cache alike. */
+	static final int BLOCK_TOKENS = 128;
+
+	/** 780 workspaces in 6 zones. */
+	private static final int WORKSPACES = 130;
+
+	private static final int TEXTS_PER_WORKSPACE = 4;
+
+	private static final int MIN_TEXT_TOKENS = 150;
+
+	private static final int MAX_TEXT_TOKENS = 6_000;
+
+	private static final int MIN_PROMPT_TOKENS = 200;
+
+	private static final int MAX_PROMPT_TOKENS = 8_000;
+
+	private static final int MEAN_ANSWER_TOKENS = 371;
+
+	private static final double FOLLOW_UP_SHARE = 0.4;
+
+	/** Callers read an answer before they go on with a conversation. */
+	private static final long FOLLOW_UP_AFTER_US = 20_000_000;
+
+	private final UniformRandomProvider random;
+
+	private final DiscreteSampler workspaces;
+
+	private final DiscreteSampler texts;
+
+	private final ContinuousSampler intervals;
+
+	private final ContinuousSampler ownTokens;
+
+	private final ContinuousSampler answerTokens;
+
+	private final int[] textTokens = new int[WORKSPACES * TEXTS_PER_WORKSPACE];
+
+	private final List<List<Conversation>> conversations = new ArrayList<>();
+
+	private long nextContent = 1L << 32;
+
+	PromptGenerator(long seed) {
+		this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+		this.workspaces = RejectionInversionZipfSampler.of(this.random, WORKSPACES, 1.0);
+		this.texts = RejectionInversionZipfSampler.of(this.random, TEXTS_PER_WORKSPACE, 1.0);
+		this.intervals = ZigguratSampler.Exponential.of(this.random);
+		NormalizedGaussianSampler gaussian = ZigguratSampler.NormalizedGaussian.of(this.random);
+		// Median 250, mean about 340 tokens.
+		this.ownTokens = LogNormalSampler.of(gaussian, Math.log(250), 0.8);
+		// A mean of MEAN_ANSWER_TOKENS: exp(mu + sigma^2 / 2).
+		this.answerTokens = LogNormalSampler.of(gaussian, Math.log(MEAN_ANSWER_TOKENS) - 0.7 * 0.7 / 2, 0.7);
+		double span = Math.log((double) MAX_TEXT_TOKENS / MIN_TEXT_TOKENS);
+		for (int i = 0; i < this.textTokens.length; i++) {
+			this.textTokens[i] = (int) (MIN_TEXT_TOKENS * Math.exp(span * this.random.nextDouble()));
+		}
+		for (int i = 0; i < WORKSPACES; i++) {
+			this.conversations.add(new ArrayList<>());
+		}
+	}
+
+	/**
+	 * Generates requests with exponential intervals.
+	 * @param perSecond the mean rate
+	 * @param durationUs the length of the workload in microseconds
+	 * @param entries the number of entries, which get the requests in equal parts
+	 * @return the requests by arrival
+	 */
+	List<PromptRequest> generate(double perSecond, long durationUs, int entries) {
+		List<PromptRequest> requests = new ArrayList<>();
+		long atUs = interval(perSecond);
+		while (atUs < durationUs) {
+			requests.add(request(atUs, this.random.nextInt(entries)));
+			atUs += interval(perSecond);
+		}
+		return requests;
+	}
+
+	private long interval(double perSecond) {
+		return (long) (this.intervals.sample() / perSecond * 1e6);
+	}
+
+	private PromptRequest request(long atUs, int entry) {
+		int workspace = this.workspaces.sample() - 1;
+		Conversation before = takeConversation(this.conversations.get(workspace), atUs);
+		int text = workspace * TEXTS_PER_WORKSPACE + this.texts.sample() - 1;
+		Chain chain = (before != null) ? before.chain()
+				: new Chain(new long[0], 0, 0).append(text, this.textTokens[text]);
+		int own = Math.max(MIN_PROMPT_TOKENS - chain.tokens(), (int) this.ownTokens.sample());
+		Chain prompt = chain.append(this.nextContent, Math.min(Math.max(1, own), MAX_PROMPT_TOKENS - chain.tokens()));
+		int answer = Math.max(1, (int) this.answerTokens.sample());
+		Chain whole = prompt.append(this.nextContent + 1, answer);
+		this.nextContent += 2;
+		if (whole.tokens() < MAX_PROMPT_TOKENS - MIN_PROMPT_TOKENS) {
+			long readyUs = atUs + (long) (FOLLOW_UP_AFTER_US * (0.5 + this.random.nextDouble()));
+			this.conversations.get(workspace).add(new Conversation(whole, readyUs));
+		}
+		return new PromptRequest(atUs, entry, PrefixKey.of(prompt.blocks()), prompt.tokens(),
+				PrefixKey.of(whole.blocks()), answer);
+	}
+
+	private @Nullable Conversation takeConversation(List<Conversation> open, long atUs) {
+		if (this.random.nextDouble() >= FOLLOW_UP_SHARE || open.isEmpty()) {
+			return null;
+		}
+		// The conversations are in the order of their start, so the first are ready
+		// first.
+		int index = this.random.nextInt(Math.min(open.size(), 20));
+		return (open.get(index).readyUs() <= atUs) ? open.remove(index) : null;
+	}
+
+	private record Conversation(Chain chain, long readyUs) {
+	}
+
+	/**
+	 * A text as the hashes of its whole blocks; {@code rest} stands for the content of
+	 * the last, partial block.
+	 */
+	private record Chain(long[] blocks, int tokens, long rest) {
+
+		private Chain append(long content, int more) {
+			int sum = this.tokens + more;
+			long[] all = Arrays.copyOf(this.blocks, sum / BLOCK_TOKENS);
+			long last = (this.blocks.length > 0) ? this.blocks[this.blocks.length - 1] : 0;
+			long mixed = this.rest;
+			for (int i = this.blocks.length; i < all.length; i++) {
+				last = Hashing.murmur3_128().newHasher().putLong(last).putLong(mixed).putLong(content).hash().asLong();
+				all[i] = last;
+				mixed = 0;
+			}
+			long partial = (all.length > this.blocks.length) ? content : this.rest * 31 + content;
+			return new Chain(all, sum, partial);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/ServerNames.java
@@ -0,0 +1,21 @@
+package io.verbenacleat.bench.routing;
+
+/**
+ * The names of the fake servers. Stateless.
+ */
+final class ServerNames {
+
+	private static final String PREFIX = "engine-";
+
+	private ServerNames() {
+	}
+
+	static String name(int index) {
+		return PREFIX + index;
+	}
+
+	static int index(String name) {
+		return Integer.parseInt(name.substring(PREFIX.length()));
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/VirtualTime.java
@@ -0,0 +1,48 @@
+package io.verbenacleat.bench.routing;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/**
+ * A queue of events in virtual time. Events at the same time run in the order in which
+ * they were added, so a run repeats exactly. Not safe for use by several threads.
+ */
+final class VirtualTime {
+
+	private final PriorityQueue<Event> events = new PriorityQueue<>(
+			Comparator.comparingLong(Event::atUs).thenComparingLong(Event::number));
+
+	private long nowUs;
+
+	private long added;
+
+	long nowUs() {
+		return this.nowUs;
+	}
+
+	/**
+	 * Adds an event.
+	 * @param delayUs the time until it runs, in microseconds, zero or more
+	 * @param action the event
+	 */
+	void after(long delayUs, Runnable action) {
+		this.events.add(new Event(this.nowUs + delayUs, this.added, action));
+		this.added++;
+	}
+
+	/**
+	 * Runs all events, including those that they add.
+	 */
+	void run() {
+		Event next = this.events.poll();
+		while (next != null) {
+			this.nowUs = next.atUs();
+			next.action().run();
+			next = this.events.poll();
+		}
+	}
+
+	private record Event(long atUs, long number, Runnable action) {
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/io/verbenacleat/bench/routing/RoutingRunTests.java
@@ -0,0 +1,40 @@
+package io.verbenacleat.bench.routing;
+
+import java.util.List;
+import java.util.Objects;
+
+import io.verbenacleat.entry.routing.PrefixKey;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Guards against an experiment that would not notice a bad policy, and against runs that
+ * cannot be repeated.
+ */
+public class RoutingRunTests {
+
+	private static final RoutingCase CASE = new RoutingCase("test", 0.1, true, true);
+
+	private static RoutingFigures run(String policy) {
+		List<PromptRequest> requests = new PromptGenerator(3).generate(60, RoutingRun.DURATION_US, RoutingRun.ENTRIES);
+		PolicyFactory factory = Objects.requireNonNull(Policies.all().get(policy));
+		return new RoutingRun(CASE, factory, 3).run(requests);
+	}
+
+	@Test
+	public void runsRepeatAndAffinityShowsInTheCache() {
+		RoutingFigures first = run("affinity-1-1.25");
+		assertEquals(run("affinity-1-1.25").line("test", "same"), first.line("test", "same"));
+		assertTrue(first.hitPercent() > run("random").hitPercent());
+	}
+
+	@Test
+	public void evictsTheEndOfATextBeforeItsStart() {
+		PrefixCache cache = new PrefixCache(2, OwnMemory.IGNORED);
+		cache.add(PrefixKey.of(1, 2, 3));
+		assertEquals(cache.use(PrefixKey.of(1, 2, 3)), 2);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/routing/PrefixKey.java
@@ -0,0 +1,83 @@
+package io.verbenacleat.entry.routing;
+
+import java.util.Arrays;
+
+/**
+ * Hashes of the start of a prompt, one for each block of fixed size. The hash of a block
+ * covers all blocks before it, so two prompts share a hash only if they share the whole
+ * start up to there. The prompt itself is not kept. Immutable.
+ */
+public final class PrefixKey {
+
+	/** The key of a request without a prompt. */
+	public static final PrefixKey NONE = new PrefixKey(new long[0]);
+
+	private final long[] blocks;
+
+	private PrefixKey(long[] blocks) {
+		this.blocks = blocks;
+	}
+
+	/**
+	 * Creates a key from block hashes.
+	 * @param blocks the hashes, the first block first; copied
+	 * @return the key
+	 */
+	public static PrefixKey of(long... blocks) {
+		return (blocks.length == 0) ? NONE : new PrefixKey(blocks.clone());
+	}
+
+	/**
+	 * Returns whether there is no block.
+	 * @return {@code true} for {@link #NONE}
+	 */
+	public boolean isEmpty() {
+		return this.blocks.length == 0;
+	}
+
+	/**
+	 * Returns the number of blocks.
+	 * @return the number, zero or more
+	 */
+	public int size() {
+		return this.blocks.length;
+	}
+
+	/**
+	 * Returns the hash of a block and of all blocks before it.
+	 * @param index the index of the block, from 0 to {@code size() - 1}
+	 * @return the hash
+	 */
+	public long block(int index) {
+		return this.blocks[index];
+	}
+
+	/**
+	 * Returns the hash of the first blocks, or of all blocks when there are fewer.
+	 * @param depth the number of blocks, 1 or more
+	 * @return the hash
+	 * @throws IllegalStateException when there is no block
+	 */
+	public long hashOf(int depth) {
+		if (isEmpty()) {
+			throw new IllegalStateException("The key has no block");
+		}
+		return this.blocks[Math.min(depth, this.blocks.length) - 1];
+	}
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof PrefixKey key && Arrays.equals(this.blocks, key.blocks);
+	}
+
+	@Override
+	public int hashCode() {
+		return Arrays.hashCode(this.blocks);
+	}
+
+	@Override
+	public String toString() {
+		return "PrefixKey of " + this.blocks.length + " blocks";
+	}
+
+}
