Select agents by prompt prefix within a load bound

Change: AgentSelector applies the policy of the configuration to the best group of candidates (reachable and own site first, as before). PromptPrefix hashes model, roles and texts in blocks of 512 bytes. The load is the newest status report plus own orders since; before, an order in the report was counted twice. The rounds of status calls are as before.

Ruled out: load and cached tokens in Finished and Refused and the fewer status calls. Without load reports fewer status calls would only make the view older.

--- a/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
+++ b/core/src/main/java/io/verbenacleat/core/config/ConfigMapper.java
@@ -23,7 +23,7 @@
 		return new OfficeConfig(version, tree.path("office").asText(), tree.path("region").asText(),
 				list(tree.path("models"), ConfigMapper::model), list(tree.path("services"), ConfigMapper::service),
 				list(tree.path("servers"), ConfigMapper::server), limits(tree.path("limits")),
-				budget(tree.path("budget")));
+				budget(tree.path("budget")), routing(tree.path("routing")));
 	}
 
 	private static ModelConfig model(JsonNode node) {
@@ -72,6 +72,17 @@
 				(hot) -> new BudgetConfig.HotAccount(hot.path("name").asText(), hot.path("holdersPerSite").asInt())));
 	}
 
+	private static RoutingConfig routing(JsonNode node) {
+		RoutingConfig defaults = RoutingConfig.DEFAULT;
+		RoutingConfig.Policy policy = switch (node.path("policy").asText()) {
+			case "least-loaded" -> RoutingConfig.Policy.LEAST_LOADED;
+			case "prefix-affinity" -> RoutingConfig.Policy.PREFIX_AFFINITY;
+			default -> defaults.policy();
+		};
+		return new RoutingConfig(policy, node.path("prefixBlocks").asInt(defaults.prefixBlocks()),
+				node.path("loadFactor").asDouble(defaults.loadFactor()));
+	}
+
 	private static <T> List<T> list(JsonNode node, Function<JsonNode, T> mapping) {
 		List<T> values = new ArrayList<>();
 		node.forEach((element) -> values.add(mapping.apply(element)));
--- a/core/src/main/java/io/verbenacleat/core/config/OfficeConfig.java
+++ b/core/src/main/java/io/verbenacleat/core/config/OfficeConfig.java
@@ -15,9 +15,11 @@
  * @param servers the backend servers
  * @param limits the limits
  * @param budget how budgets are held
+ * @param routing how backend servers are selected
  */
 public record OfficeConfig(long version, String office, String region, List<ModelConfig> models,
-		List<ServiceConfig> services, List<BackendServerConfig> servers, LimitsConfig limits, BudgetConfig budget) {
+		List<ServiceConfig> services, List<BackendServerConfig> servers, LimitsConfig limits, BudgetConfig budget,
+		RoutingConfig routing) {
 
 	/**
 	 * Creates a configuration from copies of the lists.
@@ -28,6 +30,22 @@
 		servers = List.copyOf(servers);
 	}
 
+	/**
+	 * Creates a configuration with the default routing.
+	 * @param version the stored version, from 1; 0 when it was read from files
+	 * @param office the name of the office
+	 * @param region the region
+	 * @param models the models that callers may name
+	 * @param services the plain services
+	 * @param servers the backend servers
+	 * @param limits the limits
+	 * @param budget how budgets are held
+	 */
+	public OfficeConfig(long version, String office, String region, List<ModelConfig> models,
+			List<ServiceConfig> services, List<BackendServerConfig> servers, LimitsConfig limits, BudgetConfig budget) {
+		this(version, office, region, models, services, servers, limits, budget, RoutingConfig.DEFAULT);
+	}
+
 	/**
 	 * Finds a model.
 	 * @param name the name that callers use
--- a/core/src/test/java/io/verbenacleat/core/config/ConfigLoaderTests.java
+++ b/core/src/test/java/io/verbenacleat/core/config/ConfigLoaderTests.java
@@ -21,6 +21,7 @@
 		assertEquals(config.version(), 3);
 		assertEquals(config.limits(), LimitsConfig.DEFAULT);
 		assertEquals(config.budget(), BudgetConfig.DEFAULT);
+		assertEquals(config.routing(), RoutingConfig.DEFAULT);
 		assertEquals(config.models().get(0), new ModelConfig("quotes", 4096, 4096, 2048, 32));
 	}
 
@@ -43,6 +44,18 @@
 		assertEquals(sanAntonio.servers().get(0).url(), "http://127.0.0.1:7101");
 	}
 
+	@Test
+	public void readsRoutingAndRefusesBoundsBelowTheMean() throws ConfigException {
+		ConfigFiles files = ConfigTexts.files(ConfigTexts.BASE,
+				"routing: {policy: least-loaded, prefixBlocks: 8, loadFactor: 1.5}\n");
+		assertEquals(this.loader.load(0, files, "austin").routing(),
+				new RoutingConfig(RoutingConfig.Policy.LEAST_LOADED, 8, 1.5));
+		ConfigFiles bad = ConfigTexts.files(ConfigTexts.BASE, "routing: {policy: random, loadFactor: 0.9}\n");
+		ConfigException ex = expectThrows(ConfigException.class, () -> this.loader.loadAll(bad));
+		assertEquals(ex.problems().stream().map(ConfigProblem::path).sorted().toList().toString(),
+				"[routing.loadFactor, routing.policy]");
+	}
+
 	@Test
 	public void reportsAllProblemsWithOneLineEach() {
 		ConfigFiles files = ConfigTexts.files(
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -53,6 +53,7 @@
 import io.verbenacleat.entry.request.DefaultRequestRunner;
 import io.verbenacleat.entry.request.Refusal;
 import io.verbenacleat.entry.request.ReserveRefusals;
+import io.verbenacleat.entry.routing.ServerLoads;
 import io.verbenacleat.proto.v1.ReserveRequest;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -102,6 +103,8 @@
 
 	private final SingleControlThread control = new SingleControlThread("control");
 
+	private final ServerLoads loads = new ServerLoads();
+
 	private final Channels channels;
 
 	private final Member self;
@@ -274,6 +277,7 @@
 			.control(this.control, this.blackboard)
 			.budget(this.router)
 			.agents(this.channels, lostAgents)
+			.loads(this.loads)
 			.tables(this.tables)
 			.registry(this.registry)
 			.build();
@@ -290,7 +294,7 @@
 		new MembershipController(this.tables, this.control, this.blackboard, poller);
 		new DrainController(this.tables, this.control, this.blackboard, poller);
 		new CallersController(this.tables, this.control, this.ledger, poller);
-		new AgentStatusController(this.control, this.blackboard, this.channels, this.self.site());
+		new AgentStatusController(this.control, this.blackboard, this.channels, this.self.site(), this.loads);
 		PeerMonitor peers = new PeerMonitor(this.self, this.control, this.blackboard, this.channels, hostWatch, closer,
 				this.registry);
 		poller.onContact(this::platformSeen);
--- a/entry/src/main/java/io/verbenacleat/entry/dispatch/AgentSelector.java
+++ b/entry/src/main/java/io/verbenacleat/entry/dispatch/AgentSelector.java
@@ -1,31 +1,38 @@
 package io.verbenacleat.entry.dispatch;
 
 import java.time.Clock;
-import java.util.Comparator;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 
 import io.verbenacleat.core.config.BackendServerConfig;
 import io.verbenacleat.core.config.OfficeConfig;
+import io.verbenacleat.core.config.RoutingConfig;
 import io.verbenacleat.core.control.Blackboard;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.Membership;
 import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.routing.LeastLoadedPolicy;
+import io.verbenacleat.entry.routing.PrefixAffinityPolicy;
+import io.verbenacleat.entry.routing.PrefixKey;
+import io.verbenacleat.entry.routing.RoutingCandidate;
+import io.verbenacleat.entry.routing.RoutingPolicy;
+import io.verbenacleat.entry.routing.ServerLoads;
 import io.verbenacleat.proto.v1.GetStatusResponse;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Selects the agent for an order: own site first, then the least work in progress, which
- * is the own count plus the last report of the agent. Safe for use by several threads.
- * <p>
- * It looks at all agents rather than at two random ones: the site preference and the
- * exclusions would leave a random pair without a candidate too often, and 600 agents are
- * few. Agents with equal work are ordered by a hash that changes with each selection, so
- * that the entries do not all pick the same one between two reports.
+ * Selects the agent for an order: agents that could be reached come first, then those of
+ * the own site; among them the policy of the configuration decides. Safe for use by
+ * several threads.
  */
 public final class AgentSelector {
 
@@ -40,7 +47,9 @@
 
 	private final Clock clock;
 
-	private final Map<String, Integer> inProgress = new ConcurrentHashMap<>();
+	private final ServerLoads loads;
+
+	private final RoutingPolicy leastLoaded = new LeastLoadedPolicy(() -> ThreadLocalRandom.current().nextInt());
 
 	private final Map<String, Long> penalizedUntilMs = new ConcurrentHashMap<>();
 
@@ -49,20 +58,33 @@
 	 * @param site the site of this entry
 	 * @param blackboard holds configuration, members, agent status and drained servers
 	 * @param clock the clock of the control thread
+	 * @param loads the loads of the agents, which the status calls report
 	 */
-	public AgentSelector(String site, Blackboard blackboard, Clock clock) {
+	public AgentSelector(String site, Blackboard blackboard, Clock clock, ServerLoads loads) {
 		this.site = site;
 		this.blackboard = blackboard;
 		this.clock = clock;
+		this.loads = loads;
 	}
 
 	/**
-	 * Selects an agent.
+	 * Selects an agent for a request without a prompt.
 	 * @param target what the request needs
 	 * @param excluded agent incarnations that have refused the request
 	 * @return the agent, or empty when none takes orders for the target
 	 */
 	public Optional<Member> select(WorkTarget target, Set<String> excluded) {
+		return select(target, PrefixKey.NONE, excluded);
+	}
+
+	/**
+	 * Selects an agent for a prompt.
+	 * @param target what the request needs
+	 * @param prefix the prefix key of the prompt
+	 * @param excluded agent incarnations that have refused the request
+	 * @return the agent, or empty when none takes orders for the target
+	 */
+	public Optional<Member> select(WorkTarget target, PrefixKey prefix, Set<String> excluded) {
 		OfficeConfig config = this.blackboard.read(EntryBoard.CONFIG);
 		Membership members = this.blackboard.read(EntryBoard.MEMBERS);
 		if (config == null || members == null) {
@@ -71,17 +93,42 @@
 		Map<String, GetStatusResponse> statuses = readOr(EntryBoard.AGENT_STATUS, Map.of());
 		Set<String> drained = readOr(EntryBoard.DRAINED, Set.of());
 		Set<String> serving = serving(target, config, drained);
-		int salt = ThreadLocalRandom.current().nextInt();
-		Comparator<Member> order = Comparator.comparing(this::isPenalized)
-			.thenComparing((agent) -> !agent.site().equals(this.site))
-			.thenComparing((agent) -> work(agent, statuses))
-			.thenComparing((agent) -> (agent.incarnation().hashCode() ^ salt) * 0x9E3779B9);
-		return members.agents()
+		Map<Integer, List<Member>> byRank = members.agents()
 			.stream()
 			.filter((agent) -> !excluded.contains(agent.incarnation()))
 			.filter((agent) -> agent.backendServer() != null && serving.contains(agent.backendServer()))
 			.filter((agent) -> !isDraining(statuses.get(agent.incarnation())))
-			.min(order);
+			.collect(Collectors.groupingBy(this::rank, TreeMap::new, Collectors.toList()));
+		return byRank.values().stream().findFirst().map((agents) -> select(config.routing(), prefix, agents));
+	}
+
+	// Agents that could not be reached come last, and within both groups the own site
+	// first.
+	private int rank(Member agent) {
+		return ((isPenalized(agent)) ? 2 : 0) + ((agent.site().equals(this.site)) ? 0 : 1);
+	}
+
+	private Member select(RoutingConfig config, PrefixKey prefix, List<Member> agents) {
+		Map<String, Member> byServer = new LinkedHashMap<>();
+		List<RoutingCandidate> candidates = new ArrayList<>(agents.size());
+		for (Member agent : agents) {
+			// After a restart the members may list two runs for a moment; the later one
+			// counts.
+			byServer.merge(String.valueOf(agent.backendServer()), agent,
+					(one, other) -> (one.fence() > other.fence()) ? one : other);
+		}
+		byServer.forEach(
+				(server, agent) -> candidates.add(new RoutingCandidate(server, this.loads.of(agent.incarnation()))));
+		String server = policy(config).select(prefix, candidates).server();
+		return Objects.requireNonNull(byServer.get(server));
+	}
+
+	private RoutingPolicy policy(RoutingConfig config) {
+		return switch (config.policy()) {
+			case LEAST_LOADED -> this.leastLoaded;
+			case PREFIX_AFFINITY ->
+				new PrefixAffinityPolicy(config.prefixBlocks(), config.loadFactor(), this.leastLoaded);
+		};
 	}
 
 	/**
@@ -89,7 +136,7 @@
 	 * @param agent the agent
 	 */
 	public void started(Member agent) {
-		this.inProgress.merge(agent.incarnation(), 1, Integer::sum);
+		this.loads.started(agent.incarnation());
 	}
 
 	/**
@@ -97,7 +144,7 @@
 	 * @param agent the agent
 	 */
 	public void ended(Member agent) {
-		this.inProgress.computeIfPresent(agent.incarnation(), (key, count) -> (count > 1) ? count - 1 : null);
+		this.loads.ended(agent.incarnation());
 	}
 
 	/**
@@ -135,10 +182,4 @@
 		return untilMs != null && nowMs < untilMs && untilMs - nowMs <= UNREACHABLE_PENALTY_MS;
 	}
 
-	private int work(Member agent, Map<String, GetStatusResponse> statuses) {
-		GetStatusResponse status = statuses.get(agent.incarnation());
-		int reported = (status != null) ? status.getInProgress() : 0;
-		return reported + this.inProgress.getOrDefault(agent.incarnation(), 0);
-	}
-
 }
--- a/entry/src/main/java/io/verbenacleat/entry/http/ChatCall.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/ChatCall.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.entry.http;
 
+import io.verbenacleat.entry.routing.PrefixKey;
 import io.verbenacleat.proto.v1.ChatWork;
 
 /**
@@ -9,6 +10,7 @@
  * @param reserveTokens the worst case
  * @param stream whether the caller wants server-sent events
  * @param includeUsage whether the caller wants a last chunk with the usage
+ * @param prefix the prefix key of the prompt
  */
-record ChatCall(ChatWork work, long reserveTokens, boolean stream, boolean includeUsage) {
+record ChatCall(ChatWork work, long reserveTokens, boolean stream, boolean includeUsage, PrefixKey prefix) {
 }
--- a/entry/src/main/java/io/verbenacleat/entry/http/ChatRequestParser.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/ChatRequestParser.java
@@ -53,7 +53,7 @@
 		boolean stream = flag(root, "stream");
 		JsonNode options = root.path("stream_options");
 		return new ChatCall(work, promptBound + answerBound + model.overrunTokens(), stream,
-				flag(options, "include_usage"));
+				flag(options, "include_usage"), PromptPrefix.of(root));
 	}
 
 	private static JsonNode readObject(byte[] body) throws RequestRejectedException {
--- a/entry/src/main/java/io/verbenacleat/entry/http/GatewayRoutes.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/GatewayRoutes.java
@@ -61,7 +61,7 @@
 		ChatCall call = this.parser.parse(body, config);
 		Duration timeout = CallerHeaders.timeout(context, config.limits());
 		RunRequest request = new RunRequest(requestId, key, call.work(), null, call.reserveTokens(), true, null,
-				fingerprint(context, body), timeout);
+				fingerprint(context, body), timeout, call.prefix());
 		RunListener listener = (call.stream()) ? new StreamedChatListener(exchange, call.includeUsage())
 				: new CollectedChatListener(exchange);
 		run(exchange, request, listener);
--- /dev/null
+++ b/entry/src/main/java/io/verbenacleat/entry/http/PromptPrefix.java
@@ -0,0 +1,103 @@
+package io.verbenacleat.entry.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.hash.Hashing;
+import io.verbenacleat.entry.routing.PrefixKey;
+
+/**
+ * Hashes the start of the prompt of a chat completion: the model (or adapter) name, and
+ * the roles and texts of the messages in order. Only whole blocks count, except in a
+ * prompt that is shorter than one. Not safe for use by several threads.
+ */
+final class PromptPrefix {
+
+	/** About 128 tokens of text. */
+	static final int BLOCK_BYTES = 512;
+
+	/** The most blocks that the configuration can ask for. */
+	static final int MAX_BLOCKS = 64;
+
+	private final byte[] block = new byte[BLOCK_BYTES];
+
+	private int filled;
+
+	private final long[] hashes = new long[MAX_BLOCKS];
+
+	private int count;
+
+	private PromptPrefix() {
+	}
+
+	/**
+	 * Returns the prefix key of a request.
+	 * @param body the request body, an object with an array of messages
+	 * @return the key
+	 */
+	static PrefixKey of(JsonNode body) {
+		PromptPrefix prefix = new PromptPrefix();
+		prefix.add(body.path("model").asText());
+		for (JsonNode message : body.path("messages")) {
+			prefix.add(message.path("role").asText());
+			prefix.addContent(message.path("content"));
+			if (prefix.isFull()) {
+				break;
+			}
+		}
+		if (prefix.count == 0) {
+			prefix.endBlock();
+		}
+		return PrefixKey.of(Arrays.copyOf(prefix.hashes, prefix.count));
+	}
+
+	private boolean isFull() {
+		return this.count == MAX_BLOCKS;
+	}
+
+	private void addContent(JsonNode content) {
+		if (content.isTextual()) {
+			add(content.textValue());
+		}
+		for (JsonNode part : content) {
+			add(part.path("text").asText());
+			add(part.path("image_url").path("url").asText());
+		}
+	}
+
+	private void add(String text) {
+		// Each character has at least one byte, so no more of them can fit.
+		int room = (MAX_BLOCKS - this.count) * BLOCK_BYTES - this.filled;
+		byte[] bytes = text.substring(0, Math.min(text.length(), room)).getBytes(StandardCharsets.UTF_8);
+		for (byte next : bytes) {
+			addByte(next);
+		}
+		// Separates the texts, so that moving a text into the next one changes the hash.
+		addByte((byte) 0);
+	}
+
+	private void addByte(byte next) {
+		if (isFull()) {
+			return;
+		}
+		this.block[this.filled] = next;
+		this.filled++;
+		if (this.filled == BLOCK_BYTES) {
+			endBlock();
+		}
+	}
+
+	private void endBlock() {
+		long before = (this.count > 0) ? this.hashes[this.count - 1] : 0;
+		this.hashes[this.count] = Hashing.murmur3_128()
+			.newHasher()
+			.putLong(before)
+			.putBytes(this.block, 0, this.filled)
+			.hash()
+			.asLong();
+		this.count++;
+		this.filled = 0;
+	}
+
+}
--- a/entry/src/main/java/io/verbenacleat/entry/member/AgentStatusController.java
+++ b/entry/src/main/java/io/verbenacleat/entry/member/AgentStatusController.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 import io.verbenacleat.core.control.Blackboard;
 import io.verbenacleat.core.control.ControlThread;
@@ -12,6 +13,7 @@
 import io.verbenacleat.core.rpc.Channels;
 import io.verbenacleat.core.rpc.RpcFutures;
 import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.routing.ServerLoads;
 import io.verbenacleat.proto.v1.AgentServiceGrpc;
 import io.verbenacleat.proto.v1.GetStatusRequest;
 import io.verbenacleat.proto.v1.GetStatusResponse;
@@ -38,6 +40,8 @@
 
 	private final String site;
 
+	private final ServerLoads loads;
+
 	private final Map<String, GetStatusResponse> statuses = new HashMap<>();
 
 	private long round;
@@ -48,12 +52,15 @@
 	 * @param blackboard the blackboard of the entry
 	 * @param channels the channels to the fleet
 	 * @param site the site of this entry
+	 * @param loads takes the reported loads
 	 */
-	public AgentStatusController(ControlThread control, Blackboard blackboard, Channels channels, String site) {
+	public AgentStatusController(ControlThread control, Blackboard blackboard, Channels channels, String site,
+			ServerLoads loads) {
 		this.control = control;
 		this.blackboard = blackboard;
 		this.channels = channels;
 		this.site = site;
+		this.loads = loads;
 		control.scheduleWithFixedDelay(ROUND_INTERVAL, this::askAll);
 		blackboard.onChange(EntryBoard.MEMBERS, this::membersChanged);
 	}
@@ -65,6 +72,7 @@
 
 	private void membersChanged(Membership members) {
 		this.statuses.keySet().removeIf((incarnation) -> members.find(incarnation).isEmpty());
+		this.loads.retain(members.agents().stream().map(Member::incarnation).collect(Collectors.toSet()));
 		members.agents().stream().filter((agent) -> !this.statuses.containsKey(agent.incarnation())).forEach(this::ask);
 	}
 
@@ -91,6 +99,7 @@
 		}
 		else if (status.getIncarnation().equals(agent.incarnation())) {
 			this.statuses.put(agent.incarnation(), status);
+			this.loads.reported(agent.incarnation(), status.getInProgress(), this.control.clock().millis());
 		}
 		publish();
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/request/DefaultRequestRunner.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/DefaultRequestRunner.java
@@ -14,6 +14,7 @@
 import io.verbenacleat.entry.dispatch.OrderSequences;
 import io.verbenacleat.entry.dispatch.RetryBudget;
 import io.verbenacleat.entry.dispatch.RunMetrics;
+import io.verbenacleat.entry.routing.ServerLoads;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -58,8 +59,8 @@
 	}
 
 	/**
-	 * Collects what a runner needs; every part is required. Not safe for use by several
-	 * threads.
+	 * Collects what a runner needs; every part but the loads is required. Not safe for
+	 * use by several threads.
 	 */
 	public static final class Builder {
 
@@ -81,6 +82,8 @@
 
 		private @Nullable PrometheusRegistry registry;
 
+		private ServerLoads loads = new ServerLoads();
+
 		private Builder(String gateway, String site) {
 			this.gateway = gateway;
 			this.site = site;
@@ -120,6 +123,16 @@
 			return this;
 		}
 
+		/**
+		 * Sets the loads of the agents; without, only the orders of this runner count.
+		 * @param newLoads the loads, which the status calls report
+		 * @return this builder
+		 */
+		public Builder loads(ServerLoads newLoads) {
+			this.loads = newLoads;
+			return this;
+		}
+
 		/**
 		 * Sets the table store of the claims.
 		 * @param newTables the table store
@@ -151,7 +164,7 @@
 			Channels agents = require(this.channels, "agents");
 			RunMetrics metrics = new RunMetrics(require(this.registry, "registry"));
 			RunnerParts parts = new RunnerParts(board, timers, require(this.budget, "budget"),
-					new AgentSelector(this.site, board, timers.clock()), new OrderSequences(this.gateway),
+					new AgentSelector(this.site, board, timers.clock(), this.loads), new OrderSequences(this.gateway),
 					new OrderSender(agents),
 					new OrderResolver(agents, timers, require(this.lostAgents, "lostAgents"), metrics),
 					new RetryBudget(timers.clock(), metrics),
--- a/entry/src/main/java/io/verbenacleat/entry/request/RequestRun.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RequestRun.java
@@ -156,7 +156,7 @@
 	}
 
 	private Optional<Member> select() {
-		return this.parts.selector().select(WorkTargets.of(this.request), this.excluded);
+		return this.parts.selector().select(WorkTargets.of(this.request), this.request.prefix(), this.excluded);
 	}
 
 	private void send(Reservation granted, Member agent, OrderId orderId) {
--- a/entry/src/main/java/io/verbenacleat/entry/request/RunRequest.java
+++ b/entry/src/main/java/io/verbenacleat/entry/request/RunRequest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 
 import io.verbenacleat.core.account.CallerKey;
+import io.verbenacleat.entry.routing.PrefixKey;
 import io.verbenacleat.proto.v1.ChatWork;
 import io.verbenacleat.proto.v1.HttpWork;
 import org.jspecify.annotations.Nullable;
@@ -20,7 +21,29 @@
  * @param idempotencyKey the Idempotency-Key, not {@code null} when not repeatable
  * @param fingerprint the SHA-256 of method, path and body, lower-case hex
  * @param timeout how long the request may take
+ * @param prefix the prefix key of the prompt, NONE without a prompt
  */
 public record RunRequest(String requestId, CallerKey key, @Nullable ChatWork chat, @Nullable HttpWork http,
-		long reserveTokens, boolean repeatable, @Nullable String idempotencyKey, String fingerprint, Duration timeout) {
+		long reserveTokens, boolean repeatable, @Nullable String idempotencyKey, String fingerprint, Duration timeout,
+		PrefixKey prefix) {
+
+	/**
+	 * Creates a request without a prefix key.
+	 * @param requestId the request id
+	 * @param key the key of the caller
+	 * @param chat the chat completion, or {@code null}
+	 * @param http the call to a plain service, or {@code null}
+	 * @param reserveTokens the worst case to reserve, zero or more
+	 * @param repeatable whether the request may run more than once
+	 * @param idempotencyKey the Idempotency-Key, not {@code null} when not repeatable
+	 * @param fingerprint the SHA-256 of method, path and body, lower-case hex
+	 * @param timeout how long the request may take
+	 */
+	public RunRequest(String requestId, CallerKey key, @Nullable ChatWork chat, @Nullable HttpWork http,
+			long reserveTokens, boolean repeatable, @Nullable String idempotencyKey, String fingerprint,
+			Duration timeout) {
+		this(requestId, key, chat, http, reserveTokens, repeatable, idempotencyKey, fingerprint, timeout,
+				PrefixKey.NONE);
+	}
+
 }
--- a/entry/src/test/java/io/verbenacleat/entry/dispatch/AgentSelectorTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/dispatch/AgentSelectorTests.java
@@ -15,10 +15,13 @@
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.member.Membership;
 import io.verbenacleat.entry.EntryBoard;
+import io.verbenacleat.entry.routing.PrefixKey;
+import io.verbenacleat.entry.routing.ServerLoads;
 import io.verbenacleat.proto.v1.GetStatusResponse;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
 
 /**
  * Guards against orders to agents that do not serve the target or leave, and against
@@ -38,7 +41,8 @@
 
 	private final Blackboard blackboard = board(NEAR, NEAR_TOO, FAR);
 
-	private final AgentSelector selector = new AgentSelector("site", this.blackboard, this.control.clock());
+	private final AgentSelector selector = new AgentSelector("site", this.blackboard, this.control.clock(),
+			new ServerLoads());
 
 	private String select(String... excluded) {
 		return this.selector.select(TARGET, Set.of(excluded)).map(Member::incarnation).orElse("none");
@@ -46,7 +50,7 @@
 
 	@Test
 	public void ownSiteComesFirstThenLeastInProgress() {
-		AgentSelector fresh = new AgentSelector("site", this.blackboard, this.control.clock());
+		AgentSelector fresh = new AgentSelector("site", this.blackboard, this.control.clock(), new ServerLoads());
 		fresh.started(NEAR);
 		assertEquals(fresh.select(TARGET, Set.of()).orElseThrow(), NEAR_TOO);
 		fresh.started(NEAR_TOO);
@@ -57,11 +61,33 @@
 		assertEquals(fresh.select(TARGET, Set.of()).orElseThrow(), NEAR_TOO);
 	}
 
+	@Test
+	public void reportReplacesTheCountOfOwnOrders() {
+		ServerLoads loads = new ServerLoads();
+		AgentSelector fresh = new AgentSelector("site", this.blackboard, this.control.clock(), loads);
+		fresh.started(NEAR);
+		loads.reported(NEAR.incarnation(), 0, 0);
+		loads.reported(NEAR_TOO.incarnation(), 1, 0);
+		assertEquals(fresh.select(TARGET, Set.of()).orElseThrow(), NEAR);
+	}
+
+	@Test
+	public void promptsWithTheSameStartGoToTheSameAgent() {
+		PrefixKey key = PrefixKey.of(5);
+		Member first = this.selector.select(TARGET, key, Set.of()).orElseThrow();
+		this.selector.started(first);
+		// 1.1 times the mean, rounded up, lets one of two agents have one order more.
+		assertEquals(this.selector.select(TARGET, key, Set.of()).orElseThrow(), first);
+		this.selector.started(first);
+		this.selector.started(first);
+		assertNotEquals(this.selector.select(TARGET, key, Set.of()).orElseThrow(), first);
+	}
+
 	@Test
 	public void leavingAndForeignServersAreLeftOut() {
 		assertEquals(select("near", "near-too", "far"), "none");
 		Blackboard board = board(NEAR, FAR);
-		AgentSelector own = new AgentSelector("site", board, this.control.clock());
+		AgentSelector own = new AgentSelector("site", board, this.control.clock(), new ServerLoads());
 		board.write(EntryBoard.DRAINED, Set.of("near"));
 		assertEquals(own.select(TARGET, Set.of()).orElseThrow(), FAR);
 		board.write(EntryBoard.AGENT_STATUS, Map.of("far", GetStatusResponse.newBuilder().setDraining(true).build()));
--- /dev/null
+++ b/entry/src/test/java/io/verbenacleat/entry/http/PromptPrefixTests.java
@@ -0,0 +1,40 @@
+package io.verbenacleat.entry.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.entry.routing.PrefixKey;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotEquals;
+
+/**
+ * Guards against prompts with the same start that get different keys, and against keys
+ * that mix up models, roles or texts.
+ */
+public class PromptPrefixTests {
+
+	private static PrefixKey key(String model, String role, String text) {
+		ObjectNode body = Json.mapper().createObjectNode();
+		body.put("model", model).putArray("messages").addObject().put("role", role).put("content", text);
+		return PromptPrefix.of(body);
+	}
+
+	@Test
+	public void sameStartGivesTheSameFirstBlocks() {
+		String manual = "m".repeat(2 * PromptPrefix.BLOCK_BYTES);
+		PrefixKey one = key("quotes", "system", manual + "a".repeat(1_000));
+		PrefixKey other = key("quotes", "system", manual + "b".repeat(1_000));
+		assertEquals(one.block(1), other.block(1));
+		assertNotEquals(one.block(2), other.block(2));
+		assertNotEquals(key("drafts", "system", manual).block(0), one.block(0));
+		assertNotEquals(key("quotes", "user", manual).block(0), one.block(0));
+	}
+
+	@Test
+	public void sizeIsBoundedAndAShortPromptHasOneBlock() {
+		assertEquals(key("quotes", "user", "hi").size(), 1);
+		assertEquals(key("quotes", "user", "\u00e9".repeat(100_000)).size(), PromptPrefix.MAX_BLOCKS);
+	}
+
+}
