--- a/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
+++ b/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
@@ -9,6 +9,7 @@
 import io.verbenacleat.bench.grants.GrantsExperiment;
 import io.verbenacleat.bench.hop.HopExperiment;
 import io.verbenacleat.bench.limits.LimitsExperiment;
+import io.verbenacleat.bench.routing.RoutingExperiment;
 import io.verbenacleat.bench.weights.WeightsExperiment;
 import io.verbenacleat.core.daemon.ExitCode;
 import io.verbenacleat.core.daemon.SettingsParser;
@@ -20,9 +21,9 @@
  */
 public final class ExperimentMain {
 
-	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(
-			Map.of("control", new ControlExperiment(), "grants", new GrantsExperiment(), "hop", new HopExperiment(),
-					"limits", new LimitsExperiment(), "weights", new WeightsExperiment()));
+	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(Map.of("control", new ControlExperiment(),
+			"grants", new GrantsExperiment(), "hop", new HopExperiment(), "limits", new LimitsExperiment(), "routing",
+			new RoutingExperiment(), "weights", new WeightsExperiment()));
 
 	private ExperimentMain() {
 	}
