Search for a holder in the grants experiment as the product does

Cause: the experiment asked home holders and then the holders they named, while HolderSearch asks home holders of the own and of other sites to renew when the table service is out of reach. The variant with its own search was close to that, not the same.

Tests: ReplayTests pass.

--- a/bench/src/main/java/io/verbenacleat/bench/grants/GrantsExperiment.java
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/GrantsExperiment.java
@@ -23,9 +23,7 @@
 
 /**
  * Compares schemes of budget grants on the same requests and faults: overspend, false
- * refusals, tokens out of reach and the load on the table service. The schemes named
- * "variant" use the presets with a search that renews at other sites, which the product
- * does not have. Stateless.
+ * refusals, tokens out of reach and the load on the table service. Stateless.
  */
 public final class GrantsExperiment implements Experiment {
 
@@ -138,20 +136,17 @@
 		schemes.put("table-check", TableCheckScheme::new);
 		schemes.put("static-split", StaticSplitScheme::new);
 		for (long tokens : List.of(4_000L, 20_000L, 100_000L)) {
-			schemes.put("fixed-" + tokens, ledger(new FixedGrantPolicy(tokens), false));
+			schemes.put("fixed-" + tokens, ledger(new FixedGrantPolicy(tokens)));
 		}
 		for (BudgetConfig.Preset preset : BudgetConfig.Preset.values()) {
 			String name = preset.name().toLowerCase(Locale.ROOT);
-			GrantPolicy policy = AdaptiveGrantPolicy.of(preset);
-			schemes.put("adaptive-" + name, ledger(policy, false));
-			schemes.put("variant-" + name, ledger(policy, true));
+			schemes.put("adaptive-" + name, ledger(AdaptiveGrantPolicy.of(preset)));
 		}
 		return schemes;
 	}
 
-	private static BiFunction<Work, ManualControlThread, BudgetScheme> ledger(GrantPolicy policy,
-			boolean renewsElsewhere) {
-		return (work, control) -> new LedgerScheme(work, control, policy, renewsElsewhere);
+	private static BiFunction<Work, ManualControlThread, BudgetScheme> ledger(GrantPolicy policy) {
+		return (work, control) -> new LedgerScheme(work, control, policy);
 	}
 
 	private record Outcome(String name, Tally tally, TableLoad load) {
--- a/bench/src/main/java/io/verbenacleat/bench/grants/LedgerScheme.java
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerScheme.java
@@ -27,10 +27,7 @@
 
 	private final LedgerFleet fleet;
 
-	private final boolean renewsElsewhere;
-
-	LedgerScheme(Work work, ManualControlThread control, GrantPolicy policy, boolean renewsElsewhere) {
-		this.renewsElsewhere = renewsElsewhere;
+	LedgerScheme(Work work, ManualControlThread control, GrantPolicy policy) {
 		this.work = work;
 		this.control = control;
 		this.fleet = new LedgerFleet(work, control, policy);
@@ -48,7 +45,7 @@
 			.setKeySha256(OfficeRows.KEY_SHA256)
 			.setTokens(request.reservedTokens())
 			.build();
-		new LedgerSearch(this.fleet, request.site(), message, answer, this.renewsElsewhere).start();
+		new LedgerSearch(this.fleet, request.site(), message, answer).start();
 	}
 
 	@Override
--- a/bench/src/main/java/io/verbenacleat/bench/grants/LedgerSearch.java
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerSearch.java
@@ -14,16 +14,17 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The search of one request for a holder, with the order and the limits of the search in
- * the entry: up to three home holders, then up to six that the first refusal names. The
- * variant of the search that may renew elsewhere asks these holders, and then the home
- * holders of other sites, to renew when the home holder cannot reach the table service.
- * Used by one thread.
+ * The search of one request for a holder, with the order and the limits of the product's
+ * {@code HolderSearch}: up to three home holders of the site, one home holder of each of
+ * up to three other sites if the first refusal is for want of the table store, then up to
+ * six holders that each refusal names. Used by one thread.
  */
 final class LedgerSearch {
 
 	private static final int MAX_HOME_HOLDERS = 3;
 
+	private static final int MAX_OTHER_SITES = 3;
+
 	private static final int MAX_ALTERNATIVES = 6;
 
 	private final LedgerFleet fleet;
@@ -34,8 +35,6 @@
 
 	private final Consumer<Decision> answer;
 
-	private final boolean renewsElsewhere;
-
 	private final Deque<LedgerHolder> homes = new ArrayDeque<>();
 
 	private final Deque<LedgerHolder> alternatives = new ArrayDeque<>();
@@ -44,13 +43,11 @@
 
 	private @Nullable ReserveRefusal refusal;
 
-	LedgerSearch(LedgerFleet fleet, int site, ReserveRequest request, Consumer<Decision> answer,
-			boolean renewsElsewhere) {
+	LedgerSearch(LedgerFleet fleet, int site, ReserveRequest request, Consumer<Decision> answer) {
 		this.fleet = fleet;
 		this.site = site;
 		this.request = request;
 		this.answer = answer;
-		this.renewsElsewhere = renewsElsewhere;
 	}
 
 	void start() {
@@ -60,7 +57,7 @@
 	}
 
 	private void askNext() {
-		boolean forwarded = this.refusal != null;
+		boolean forwarded = this.homes.isEmpty() || !searchesTableStore();
 		LedgerHolder holder = (forwarded) ? this.alternatives.poll() : this.homes.poll();
 		if (holder == null) {
 			this.answer.accept(Decision.refused((this.refusal != null) ? this.refusal.name() : "HOLDER_NOT_OPEN"));
@@ -69,8 +66,7 @@
 			askNext();
 		}
 		else {
-			boolean renews = this.renewsElsewhere && this.refusal == ReserveRefusal.TABLE_UNREACHABLE;
-			holder.ledger.reserve(this.request.toBuilder().setForwarded(forwarded && !renews).build())
+			holder.ledger.reserve(this.request.toBuilder().setForwarded(forwarded).build())
 				.whenComplete((response, failure) -> answered(holder, response));
 		}
 	}
@@ -93,19 +89,30 @@
 	}
 
 	private void take(ReserveResponse response) {
-		if (this.refusal == null && response.getRefusal() != ReserveRefusal.HOLDER_NOT_OPEN
-				&& response.getRefusal() != ReserveRefusal.JOURNAL_FULL) {
-			this.refusal = response.getRefusal();
-			response.getAlternativesList()
-				.stream()
-				.limit(MAX_ALTERNATIVES)
-				.map((grant) -> this.fleet.find(grant.getHolderIncarnation()))
-				.filter((found) -> found != null)
-				.forEach(this.alternatives::add);
-			if (this.renewsElsewhere && this.refusal == ReserveRefusal.TABLE_UNREACHABLE) {
-				this.alternatives.addAll(this.fleet.otherHomes(this.site, this.request.getAccount()));
-			}
+		if (!saysMore(response.getRefusal())) {
+			return;
 		}
+		if (this.refusal == null && response.getRefusal() == ReserveRefusal.TABLE_UNREACHABLE) {
+			List<LedgerHolder> elsewhere = this.fleet.otherHomes(this.site, this.request.getAccount());
+			this.homes.addAll(elsewhere.subList(0, Math.min(MAX_OTHER_SITES, elsewhere.size())));
+		}
+		this.refusal = response.getRefusal();
+		response.getAlternativesList()
+			.stream()
+			.limit(MAX_ALTERNATIVES)
+			.map((grant) -> this.fleet.find(grant.getHolderIncarnation()))
+			.filter((found) -> found != null)
+			.forEach(this.alternatives::add);
+	}
+
+	private boolean searchesTableStore() {
+		return this.refusal == null || this.refusal == ReserveRefusal.TABLE_UNREACHABLE;
+	}
+
+	private boolean saysMore(ReserveRefusal reason) {
+		boolean holderStops = reason == ReserveRefusal.HOLDER_NOT_OPEN || reason == ReserveRefusal.JOURNAL_FULL;
+		return !holderStops
+				&& (this.refusal == null || (searchesTableStore() && reason != ReserveRefusal.TABLE_UNREACHABLE));
 	}
 
 }
--- a/bench/src/test/java/io/verbenacleat/bench/grants/ReplayTests.java
+++ b/bench/src/test/java/io/verbenacleat/bench/grants/ReplayTests.java
@@ -53,7 +53,7 @@
 		Work work = new WorkGenerator(3, Duration.ofMinutes(10).toMillis()).generate();
 		AdaptiveGrantPolicy policy = AdaptiveGrantPolicy.of(BudgetConfig.Preset.COOPERATIVE);
 		List<BiFunction<Work, ManualControlThread, BudgetScheme>> schemes = List.of(TableCheckScheme::new,
-				StaticSplitScheme::new, (made, control) -> new LedgerScheme(made, control, policy, true));
+				StaticSplitScheme::new, (made, control) -> new LedgerScheme(made, control, policy));
 		for (BiFunction<Work, ManualControlThread, BudgetScheme> scheme : schemes) {
 			Tally first = new Replay(work, scheme).run();
 			Tally second = new Replay(work, scheme).run();
