Measure structures that find the most frequent keys

Change: bin/experiment hot-keys compares an exact map, Space Saving with an ordinary heap and with the quasi-heap of Wu et al., and a Caffeine cache, on 26,000 accounts and 1,000,000 prefixes with shifting Zipf popularity. Meter is public, so that memory is measured in the same way as for control. A jqwik property checks both heaps against exact counts.

Tests: SpaceSavingPropertyTests, HotKeysExperimentTests, ExperimentMainTests pass.

--- a/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
+++ b/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
@@ -8,6 +8,7 @@
 import io.verbenacleat.bench.control.ControlExperiment;
 import io.verbenacleat.bench.grants.GrantsExperiment;
 import io.verbenacleat.bench.hop.HopExperiment;
+import io.verbenacleat.bench.hotkeys.HotKeysExperiment;
 import io.verbenacleat.core.daemon.ExitCode;
 import io.verbenacleat.core.daemon.SettingsParser;
 import io.verbenacleat.core.daemon.UsageException;
@@ -18,8 +19,8 @@
  */
 public final class ExperimentMain {
 
-	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(
-			Map.of("control", new ControlExperiment(), "grants", new GrantsExperiment(), "hop", new HopExperiment()));
+	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(Map.of("control", new ControlExperiment(),
+			"grants", new GrantsExperiment(), "hop", new HopExperiment(), "hot-keys", new HotKeysExperiment()));
 
 	private ExperimentMain() {
 	}
--- a/bench/src/main/java/io/verbenacleat/bench/control/Meter.java
+++ b/bench/src/main/java/io/verbenacleat/bench/control/Meter.java
@@ -12,7 +12,7 @@
  * Measures CPU time of the calling thread and memory retained by an object graph.
  * Stateless.
  */
-final class Meter {
+public final class Meter {
 
 	private static final int STEADY_COLLECTIONS = 6;
 
@@ -30,7 +30,7 @@
 	 * @param task the task
 	 * @return the time, in microseconds
 	 */
-	static double cpuMicros(Runnable task) {
+	public static double cpuMicros(Runnable task) {
 		long startNanos = ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
 		task.run();
 		return (ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime() - startNanos) / 1_000.0;
@@ -58,7 +58,7 @@
 	 * @param maker makes the graph
 	 * @return the median of several measurements, in bytes
 	 */
-	static double retainedBytes(Supplier<Object> maker) {
+	public static double retainedBytes(Supplier<Object> maker) {
 		return LongStream.range(0, REPETITIONS)
 			.map((i) -> retainedOnce(maker))
 			.sorted()
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/hotkeys/Accuracy.java
@@ -0,0 +1,95 @@
+package io.verbenacleat.bench.hotkeys;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/**
+ * How well a structure finds the most frequent keys, averaged over several times of one
+ * stream. Used by one thread.
+ */
+final class Accuracy {
+
+	private static final int SAMPLES = 12;
+
+	private final KeyStream stream;
+
+	private final int limit;
+
+	private int samples;
+
+	private double precisionSum;
+
+	private double recallSum;
+
+	private double errorSum;
+
+	private Accuracy(KeyStream stream, int limit) {
+		this.stream = stream;
+		this.limit = limit;
+	}
+
+	/**
+	 * Feeds a stream to a structure and to exact counts, and compares them.
+	 * @param stream the stream
+	 * @param structure the structure
+	 * @param limits the numbers of most frequent keys to look for
+	 * @return one result for each limit
+	 */
+	static List<Accuracy> measure(KeyStream stream, Structure structure, List<Integer> limits) {
+		List<Accuracy> results = limits.stream().map((limit) -> new Accuracy(stream, limit)).toList();
+		FrequentKeys measured = structure.maker().apply(stream.decay());
+		FrequentKeys exact = new ExactKeys(stream.decay());
+		int length = stream.keys().length;
+		int fedTo = 0;
+		// The samples leave out the first quarter, when no shift has taken effect.
+		for (int sample = 1; sample <= SAMPLES; sample++) {
+			int to = length / 4 + (int) (3L * length / 4 * sample / SAMPLES);
+			stream.feed(measured, fedTo, to);
+			stream.feed(exact, fedTo, to);
+			fedTo = to;
+			long nowMs = stream.timeMs(to - 1);
+			results.forEach((result) -> result.compare(measured, exact, nowMs));
+		}
+		return results;
+	}
+
+	private void compare(FrequentKeys measured, FrequentKeys exact, long nowMs) {
+		List<Counter> found = measured.top(this.limit, this.stream.decay(), nowMs);
+		Map<Long, Double> trueCounts = new HashMap<>();
+		exact.counters()
+			.forEach((counter) -> trueCounts.put(counter.key, counter.copyAt(this.stream.decay(), nowMs).count));
+		Set<Long> wanted = exact.top(this.limit, this.stream.decay(), nowMs)
+			.stream()
+			.map((counter) -> counter.key)
+			.collect(Collectors.toCollection(HashSet::new));
+		double hits = found.stream().filter((counter) -> wanted.contains(counter.key)).count();
+		this.samples++;
+		this.precisionSum += hits / Math.max(1, found.size());
+		this.recallSum += hits / wanted.size();
+		this.errorSum += found.stream()
+			.mapToDouble((counter) -> Math.abs(counter.count / trueCounts.getOrDefault(counter.key, counter.count) - 1))
+			.average()
+			.orElse(0);
+	}
+
+	double precision() {
+		return this.precisionSum / this.samples;
+	}
+
+	double recall() {
+		return this.recallSum / this.samples;
+	}
+
+	/**
+	 * Returns the mean relative error of the counts of the keys that were found.
+	 * @return the error, 0 or more
+	 */
+	double countError() {
+		return this.errorSum / this.samples;
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/hotkeys/Counter.java
@@ -0,0 +1,61 @@
+package io.verbenacleat.bench.hotkeys;
+
+/**
+ * The decayed count of one key and the most by which it may be too high. Not safe for use
+ * by several threads.
+ */
+final class Counter {
+
+	final long key;
+
+	double count;
+
+	double error;
+
+	/** Time to which the count and the error are decayed, in milliseconds. */
+	long atMs;
+
+	/** Place in the heap, if there is one. */
+	int position;
+
+	/** Whether the counter has grown since it was last compared with its children. */
+	boolean delayed;
+
+	Counter(long key, double count, double error, long atMs) {
+		this.key = key;
+		this.count = count;
+		this.error = error;
+		this.atMs = atMs;
+	}
+
+	void decayTo(Decay decay, long nowMs) {
+		if (nowMs != this.atMs) {
+			double factor = decay.factor(nowMs - this.atMs);
+			this.count *= factor;
+			this.error *= factor;
+			this.atMs = nowMs;
+		}
+	}
+
+	void add(Decay decay, long nowMs) {
+		decayTo(decay, nowMs);
+		this.count++;
+	}
+
+	Counter copyAt(Decay decay, long nowMs) {
+		Counter copy = new Counter(this.key, this.count, this.error, this.atMs);
+		copy.decayTo(decay, nowMs);
+		return copy;
+	}
+
+	/**
+	 * Returns whether this counter is replaced before another one: it has the lower
+	 * count, or the same count and the larger error.
+	 * @param other the other counter, decayed to the same time
+	 * @return {@code true} when it belongs nearer to the root
+	 */
+	boolean isBefore(Counter other) {
+		return this.count < other.count || (this.count == other.count && this.error > other.error);
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/hotkeys/KeyStream.java
@@ -0,0 +1,61 @@
+package io.verbenacleat.bench.hotkeys;
+
+import com.google.common.hash.Hashing;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.SharedStateDiscreteSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * A stream of keys with Zipf popularity at a steady rate. The popularity shifts at fixed
+ * intervals: the most popular keys become the least popular ones. Immutable once it is
+ * made; the array must not be changed.
+ *
+ * @param name the name in the results
+ * @param keys the keys in order of arrival
+ * @param perSecond arrivals per second
+ * @param decay the decay of the counts
+ */
+record KeyStream(String name, long[] keys, double perSecond, Decay decay) {
+
+	private static final double EXPONENT = 1.0;
+
+	private static final int SHIFTS = 16;
+
+	/** Keys that lose their popularity at each shift. */
+	private static final int SHIFTED_KEYS = 20;
+
+	/**
+	 * Generates a stream.
+	 * @param name the name in the results
+	 * @param seed the seed of all random choices
+	 * @param distinct the number of distinct keys
+	 * @param arrivals the number of arrivals
+	 * @param perSecond arrivals per second
+	 * @param decay the decay of the counts
+	 * @return the stream
+	 */
+	static KeyStream generate(String name, long seed, int distinct, int arrivals, double perSecond, Decay decay) {
+		UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+		SharedStateDiscreteSampler ranks = RejectionInversionZipfSampler.of(random, distinct, EXPONENT);
+		long[] keys = new long[arrivals];
+		for (int i = 0; i < arrivals; i++) {
+			long shift = (long) i * SHIFTS / arrivals * SHIFTED_KEYS;
+			long key = (ranks.sample() - 1 + shift) % distinct;
+			// Consecutive numbers would give hash maps a better locality than real keys.
+			keys[i] = Hashing.murmur3_128().hashLong(key).asLong();
+		}
+		return new KeyStream(name, keys, perSecond, decay);
+	}
+
+	long timeMs(int arrival) {
+		return (long) (arrival * 1_000L / this.perSecond);
+	}
+
+	void feed(FrequentKeys counter, int from, int to) {
+		for (int i = from; i < to; i++) {
+			counter.add(this.keys[i], timeMs(i));
+		}
+	}
+
+}
--- /dev/null
+++ b/bench/src/main/java/io/verbenacleat/bench/hotkeys/Structure.java
@@ -0,0 +1,40 @@
+package io.verbenacleat.bench.hotkeys;
+
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * A structure that is compared. Immutable.
+ *
+ * @param name the name in the results
+ * @param maker makes an empty one
+ */
+record Structure(String name, Function<Decay, FrequentKeys> maker) {
+
+	/**
+	 * Returns the structures: the exact map, and the others with several numbers of
+	 * counters.
+	 * @return the structures
+	 */
+	static List<Structure> all() {
+		return List.of(new Structure("exact", ExactKeys::new), bounded("heap", 2_000, HeapKeys::new),
+				bounded("quasi-heap", 2_000, QuasiHeapKeys::new), bounded("cache", 2_000, CachedKeys::new),
+				bounded("heap", 16_000, HeapKeys::new), bounded("quasi-heap", 16_000, QuasiHeapKeys::new),
+				bounded("cache", 16_000, CachedKeys::new));
+	}
+
+	private static Structure bounded(String name, int capacity, Bounded maker) {
+		return new Structure(name + "-" + capacity, (decay) -> maker.make(decay, capacity));
+	}
+
+	/**
+	 * Makes a structure with a limited number of counters.
+	 */
+	@FunctionalInterface
+	private interface Bounded {
+
+		FrequentKeys make(Decay decay, int capacity);
+
+	}
+
+}
--- /dev/null
+++ b/bench/src/test/java/io/verbenacleat/bench/hotkeys/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Tests of the experiment on frequent keys.
+ */
+@NullMarked
+package io.verbenacleat.bench.hotkeys;
+
+import org.jspecify.annotations.NullMarked;
