Give back shares of a budget that are too small for a request

Cause: near the end of a budget each holder keeps its share of the rest.

Change: AdaptiveGrantPolicy has the component minimumKeptTokens, 8,192 in both presets; a smaller share is given back. The constructor without it keeps the earlier behavior, so that the present tests stand unchanged.

Tests: GrantPolicyTests, Budget*Tests, ReplayTests, FleetBudgetRouterTests, ProcessCloserTests, ProcessRetentionTests pass; itest was not run.

--- a/entry/src/main/java/io/verbenacleat/entry/budget/AdaptiveGrantPolicy.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/AdaptiveGrantPolicy.java
@@ -5,17 +5,37 @@
 /**
  * Sizes a grant by the spending rate over a horizon, with a minimum, and limits it to a
  * share of the ungranted tokens. The same share limits what a holder keeps, so that the
- * last tokens of a budget come back to where one request can find them together. The
- * shortfall of waiting requests is always covered. Immutable.
+ * last tokens of a budget come back to where one request can find them together; a share
+ * too small for a large request is not kept at all. The shortfall of waiting requests is
+ * always covered. Immutable.
  *
  * @param horizonSeconds for how long a grant should last, in seconds
  * @param minimumTokens the smallest grant while the share allows it
  * @param share the largest part of the ungranted tokens in one renewal, 0 to 1
  * @param idleFactor a grant with more free tokens than this many times the wanted ones
  * gives back the surplus, 1 or more
+ * @param minimumKeptTokens a share smaller than this is given back, since the small rests
+ * of several holders add up to tokens that no request can use
  */
-public record AdaptiveGrantPolicy(double horizonSeconds, long minimumTokens, double share,
-		double idleFactor) implements GrantPolicy {
+public record AdaptiveGrantPolicy(double horizonSeconds, long minimumTokens, double share, double idleFactor,
+		long minimumKeptTokens) implements GrantPolicy {
+
+	/**
+	 * The largest reservation of a usual request; a smaller rest does not cover it alone.
+	 */
+	private static final long LARGE_REQUEST_TOKENS = 8_192;
+
+	/**
+	 * Creates a policy that may keep a share of any size.
+	 * @param horizonSeconds for how long a grant should last, in seconds
+	 * @param minimumTokens the smallest grant while the share allows it
+	 * @param share the largest part of the ungranted tokens in one renewal, 0 to 1
+	 * @param idleFactor a grant with more free tokens than this many times the wanted
+	 * ones gives back the surplus, 1 or more
+	 */
+	public AdaptiveGrantPolicy(double horizonSeconds, long minimumTokens, double share, double idleFactor) {
+		this(horizonSeconds, minimumTokens, share, idleFactor, 0);
+	}
 
 	/**
 	 * Returns the policy of a preset. The horizons outlast short partitions from the
@@ -26,8 +46,8 @@
 	 */
 	public static AdaptiveGrantPolicy of(BudgetConfig.Preset preset) {
 		return switch (preset) {
-			case GUILD -> new AdaptiveGrantPolicy(1_800, 50_000, 0.1, 2);
-			case COOPERATIVE -> new AdaptiveGrantPolicy(300, 4_000, 0.02, 1.5);
+			case GUILD -> new AdaptiveGrantPolicy(1_800, 50_000, 0.1, 2, LARGE_REQUEST_TOKENS);
+			case COOPERATIVE -> new AdaptiveGrantPolicy(300, 4_000, 0.02, 1.5, LARGE_REQUEST_TOKENS);
 		};
 	}
 
@@ -40,7 +60,7 @@
 	@Override
 	public long returnedTokens(GrantDemand demand) {
 		long spareTokens = (long) (this.share * (demand.ungrantedTokens() + demand.freeTokens()));
-		long wantedTokens = Math.min(wantedTokens(demand), spareTokens);
+		long wantedTokens = (spareTokens < this.minimumKeptTokens) ? 0 : Math.min(wantedTokens(demand), spareTokens);
 		boolean idle = demand.freeTokens() > this.idleFactor * wantedTokens;
 		return (idle) ? demand.freeTokens() - wantedTokens : 0;
 	}
--- a/entry/src/test/java/io/verbenacleat/entry/budget/GrantPolicyTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/GrantPolicyTests.java
@@ -39,6 +39,14 @@
 		assertEquals(policy.returnedTokens(new GrantDemand(60, 200, 0, 1_000)), 0);
 	}
 
+	// Guards against rests of several holders that are each too small for a request.
+	@Test
+	void givesBackShareThatIsTooSmall() {
+		AdaptiveGrantPolicy policy = new AdaptiveGrantPolicy(10, 100, 0.1, 2, 8_192);
+		assertEquals(policy.returnedTokens(new GrantDemand(60, 1_000, 0, 10_000)), 1_000);
+		assertEquals(policy.returnedTokens(new GrantDemand(60, 1_000, 0, 1_000_000)), 0);
+	}
+
 	// Guards against presets that are mixed up.
 	@Test
 	void grantsMoreInTheGuildPreset() {
