--- a/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
+++ b/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
@@ -8,6 +8,7 @@
 import io.verbenacleat.bench.control.ControlExperiment;
 import io.verbenacleat.bench.grants.GrantsExperiment;
 import io.verbenacleat.bench.hop.HopExperiment;
+import io.verbenacleat.bench.hotkeys.HotKeysExperiment;
 import io.verbenacleat.bench.limits.LimitsExperiment;
 import io.verbenacleat.bench.routing.RoutingExperiment;
 import io.verbenacleat.bench.weights.WeightsExperiment;
@@ -22,8 +23,8 @@
 public final class ExperimentMain {
 
 	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(Map.of("control", new ControlExperiment(),
-			"grants", new GrantsExperiment(), "hop", new HopExperiment(), "limits", new LimitsExperiment(), "routing",
-			new RoutingExperiment(), "weights", new WeightsExperiment()));
+			"grants", new GrantsExperiment(), "hop", new HopExperiment(), "hot-keys", new HotKeysExperiment(), "limits",
+			new LimitsExperiment(), "routing", new RoutingExperiment(), "weights", new WeightsExperiment()));
 
 	private ExperimentMain() {
 	}
