End callers that stop in the middle of a body or an answer

Cause: an entry had no idle timeout for callers. The pause of the answer above 64 KiB unsent already bounded memory and delayed no other caller, but the request of a stalled caller stayed in progress for as long as its connection did, also after its own timeout, because the end of the answer waited behind unsent parts. Half a body kept its connection for ever.

Ruled out: WriteTimeoutHandler of Netty, which limits each whole write and would end a slow but steady caller of a large answer. Netty's idle state observes progress instead.

The failed write cancels the order as for a caller that left. Connections between requests and callers that wait for an answer stay open. Netty creates its pipeline extension without arguments, so the timeout is looked up by port.

Not covered: half of a request head, and a body that comes byte by byte, keep their connection; neither costs tokens. A whole (not streamed) answer counts as ended when it is handed to the connection, as before.

--- a/core/src/main/java/io/verbenacleat/core/daemon/HttpChannelExtension.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/HttpChannelExtension.java
@@ -1,12 +1,17 @@
 package io.verbenacleat.core.daemon;
 
+import java.net.InetSocketAddress;
+import java.time.Duration;
+
 import io.netty.bootstrap.ChannelInitializerExtension;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelPipeline;
 
 /**
- * Adds {@link RequestSequencer} to each connection of an {@link HttpServer}. Loaded by
- * Netty as a service.
+ * Adds {@link RequestSequencer} to each connection of an {@link HttpServer}, and
+ * {@link IdleConnectionHandler} when the server has an idle timeout. Loaded by Netty as a
+ * service. Safe for use by several threads.
  */
 public final class HttpChannelExtension extends ChannelInitializerExtension {
 
@@ -18,9 +23,17 @@
 		channel.pipeline().addLast(new ChannelInitializer<>() {
 			@Override
 			protected void initChannel(Channel initialized) {
-				if (initialized.pipeline().get(REQUEST_HANDLER) != null) {
-					initialized.pipeline().addBefore(REQUEST_HANDLER, "request-sequencer", new RequestSequencer());
+				ChannelPipeline pipeline = initialized.pipeline();
+				if (pipeline.get(REQUEST_HANDLER) == null) {
+					return;
+				}
+				if (initialized.localAddress() instanceof InetSocketAddress address) {
+					Duration idleTimeout = HttpServer.idleTimeout(address.getPort());
+					if (!idleTimeout.isZero()) {
+						pipeline.addBefore(REQUEST_HANDLER, "idle-connection", new IdleConnectionHandler(idleTimeout));
+					}
 				}
+				pipeline.addBefore(REQUEST_HANDLER, "request-sequencer", new RequestSequencer());
 			}
 		});
 	}
--- a/core/src/main/java/io/verbenacleat/core/daemon/HttpServer.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/HttpServer.java
@@ -4,6 +4,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
 
 import io.jooby.Jooby;
@@ -32,6 +34,9 @@
 
 	private static final Duration RELEASE_POLL = Duration.ofMillis(5);
 
+	/** By port, as Netty creates the extension that reads it and passes it nothing. */
+	private static final Map<Integer, Duration> IDLE_TIMEOUTS = new ConcurrentHashMap<>();
+
 	static {
 		// Has Netty load HttpChannelExtension.
 		System.setProperty(ChannelInitializerExtension.EXTENSIONS_SYSTEM_PROPERTY, "serviceload");
@@ -54,13 +59,26 @@
 	 * @throws IOException when the port cannot be bound
 	 */
 	public static HttpServer start(Jooby app, ServerOptions options) throws IOException {
+		return start(app, options, Duration.ZERO);
+	}
+
+	/**
+	 * Starts a server that closes connections whose peers stop in the middle of a body or
+	 * of a response.
+	 * @param app the application
+	 * @param options the options, with host and port; port 0 for any free one
+	 * @param idleTimeout how long a peer may stop, zero for any time
+	 * @return the running server
+	 * @throws IOException when the port cannot be bound
+	 */
+	public static HttpServer start(Jooby app, ServerOptions options, Duration idleTimeout) throws IOException {
 		boolean anyPort = options.getPort() == 0;
 		for (int attempt = 1;; attempt++) {
 			try {
 				if (anyPort) {
 					options.setPort(freePort(options.getHost()));
 				}
-				return startOnce(app, options);
+				return startOnce(app, options, idleTimeout);
 			}
 			catch (IOException ex) {
 				if (!anyPort || attempt == FREE_PORT_ATTEMPTS) {
@@ -81,6 +99,7 @@
 	@Override
 	public void close() {
 		this.server.stop();
+		IDLE_TIMEOUTS.remove(this.options.getPort());
 		long deadlineNanos = System.nanoTime() + RELEASE_TIMEOUT.toNanos();
 		while (System.nanoTime() < deadlineNanos) {
 			try {
@@ -93,8 +112,18 @@
 		}
 	}
 
-	private static HttpServer startOnce(Jooby app, ServerOptions options) throws IOException {
+	/**
+	 * Returns the idle timeout of the server on a port.
+	 * @param port the port
+	 * @return the timeout, zero without one
+	 */
+	static Duration idleTimeout(int port) {
+		return IDLE_TIMEOUTS.getOrDefault(port, Duration.ZERO);
+	}
+
+	private static HttpServer startOnce(Jooby app, ServerOptions options, Duration idleTimeout) throws IOException {
 		requireFree(options);
+		IDLE_TIMEOUTS.put(options.getPort(), idleTimeout);
 		NettyServer server = new NettyServer();
 		server.setOptions(options);
 		try {
@@ -103,6 +132,7 @@
 		catch (Exception ex) {
 			// The server throws checked exceptions, such as BindException, undeclared.
 			server.stop();
+			IDLE_TIMEOUTS.remove(options.getPort());
 			throw new IOException("Cannot bind " + options.getHost() + ":" + options.getPort(), ex);
 		}
 		return new HttpServer(server, options);
--- a/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntryDaemon.java
@@ -280,6 +280,7 @@
 		return HttpGateway.builder(this.self.incarnation(), this.blackboard, runner, this::checkKey)
 			.clock(this.control.clock())
 			.registry(this.registry)
+			.callerIdleTimeout(Duration.ofMillis(this.settings.callerIdleTimeoutMs))
 			.start(this.settings.httpHost, this.settings.httpPort);
 	}
 
--- a/entry/src/main/java/io/verbenacleat/entry/EntrySettings.java
+++ b/entry/src/main/java/io/verbenacleat/entry/EntrySettings.java
@@ -18,10 +18,19 @@
 	@Option(name = "--http-host", metaVar = "IP", usage = "IP number to bind for callers (default: --host)")
 	public String httpHost = "";
 
+	/** How long a caller may stop in the middle of its body or of its answer. */
+	@Option(name = "--caller-idle-timeout-ms", metaVar = "MS",
+			usage = "ends a caller that sends no more of its body, or takes none of its answer, for this time (default 30000)")
+	public int callerIdleTimeoutMs = 30_000;
+
 	@Override
 	public void check() throws UsageException {
 		super.check();
 		requirePort("--http-port", this.httpPort);
+		if (this.callerIdleTimeoutMs < 1) {
+			throw new UsageException(
+					"--caller-idle-timeout-ms: found " + this.callerIdleTimeoutMs + ", allowed is 1 or more");
+		}
 		if (this.rpcPort == 0) {
 			throw new UsageException("--rpc-port is missing; an entry is known to the fleet by its port");
 		}
--- a/entry/src/main/java/io/verbenacleat/entry/http/HttpGateway.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/HttpGateway.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.time.Clock;
+import java.time.Duration;
 
 import io.jooby.Context;
 import io.jooby.Jooby;
@@ -42,7 +43,7 @@
 		this.metrics = new GatewayMetrics(builder.registry, this.admission);
 		this.routes = new GatewayRoutes(builder.runner, builder.keyCheck, this.metrics);
 		this.requestIds = new RequestIds(builder.incarnation);
-		this.server = start(host, port);
+		this.server = start(host, port, builder.callerIdleTimeout);
 	}
 
 	/**
@@ -78,7 +79,7 @@
 		this.server.close();
 	}
 
-	private HttpServer start(String host, int port) throws IOException {
+	private HttpServer start(String host, int port, Duration callerIdleTimeout) throws IOException {
 		ServerOptions options = new ServerOptions();
 		options.setHost(host);
 		options.setPort(port);
@@ -96,7 +97,7 @@
 		for (String method : Router.METHODS) {
 			app.route(method, "/*", (context) -> handle(context, this.routes::service));
 		}
-		return HttpServer.start(app, options);
+		return HttpServer.start(app, options, callerIdleTimeout);
 	}
 
 	private Object handle(Context context, Route route) throws Exception {
@@ -161,6 +162,8 @@
 
 		private PrometheusRegistry registry = new PrometheusRegistry();
 
+		private Duration callerIdleTimeout = Duration.ZERO;
+
 		private Builder(String incarnation, Blackboard blackboard, RequestRunner runner, KeyCheck keyCheck) {
 			this.incarnation = incarnation;
 			this.blackboard = blackboard;
@@ -188,6 +191,17 @@
 			return this;
 		}
 
+		/**
+		 * Sets how long a caller may stop in the middle of its body or of its answer, any
+		 * time by default.
+		 * @param newTimeout the timeout, zero for any time
+		 * @return this builder
+		 */
+		public Builder callerIdleTimeout(Duration newTimeout) {
+			this.callerIdleTimeout = newTimeout;
+			return this;
+		}
+
 		/**
 		 * Starts the gateway.
 		 * @param host the IP number to bind
--- a/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
@@ -56,6 +56,8 @@
 
 	static final String ACCOUNT = "pans";
 
+	private static final int CALLER_IDLE_TIMEOUT_MS = 2_000;
+
 	private static final Duration PATIENCE = Duration.ofSeconds(20);
 
 	final InMemoryTableStore tables = new InMemoryTableStore();
@@ -152,6 +154,7 @@
 		settings.rpcPort = freePort(settings.host);
 		settings.httpPort = 0;
 		settings.httpHost = "127.0.0.1";
+		settings.callerIdleTimeoutMs = CALLER_IDLE_TIMEOUT_MS;
 		FaultyTables way = new FaultyTables(this.tables, 100 + index);
 		this.entryTables.add(way);
 		this.entries.add(EntryDaemon.start(settings, way, this.platformClient.hosts(), this.exits::add));
