Free reservations that a lost agent cannot have run

Cause: for a closed gateway, the reconciler held every open reservation as soon as any agent was lost, also reservations granted after the holder had learned that the agent was replaced at its address. The closer of a holder already leaves such agents out (AgentAccounting).

Ruled out: leaving out only agents that are accounted for as a whole. One older open reservation would keep all later ones held.

Change: the reconciler passes the lost agents, and the ledger asks AgentAccounting for each reservation. An agent that is only absent from the host list still counts, as it may be cut off and receive orders.

The calls of closedGateway in BudgetLedgerTests pass an empty list for false, and a list with one agent for true; what they check is the same.

--- a/entry/src/main/java/io/verbenacleat/entry/budget/AgentAccounting.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/AgentAccounting.java
@@ -39,6 +39,9 @@
 	/** Reservations that were open when the end of the agent was learned, by agent. */
 	private final Map<String, Set<String>> openRequests = new HashMap<>();
 
+	/** All agents whose end was learned; an entry sees about a hundred a day. */
+	private final Set<String> ended = new HashSet<>();
+
 	AgentAccounting(LedgerState ledger, ReceiptJournal journal) {
 		this.ledger = ledger;
 		this.journal = journal;
@@ -49,7 +52,19 @@
 	 * @param agent the agent incarnation
 	 */
 	void ended(String agent) {
-		this.openRequests.putIfAbsent(agent, reservedRequests());
+		if (this.ended.add(agent)) {
+			this.openRequests.put(agent, reservedRequests());
+		}
+	}
+
+	/**
+	 * Returns whether an agent may have run a request whose reservation is open.
+	 * @param agent the agent incarnation
+	 * @param requestId the request
+	 * @return {@code false} when the reservation was granted after the agent had ended
+	 */
+	boolean mayHaveRun(String agent, String requestId) {
+		return !this.ended.contains(agent) || this.openRequests.getOrDefault(agent, Set.of()).contains(requestId);
 	}
 
 	/**
--- a/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/BudgetLedger.java
@@ -144,13 +144,15 @@
 	 * @param gateway the gateway incarnation, closed at all agents
 	 * @param executedRequestIds requests that an agent executed and whose receipts are
 	 * still to come; their reservations stay
-	 * @param agentLost whether an agent was lost, so that the other reservations become
-	 * held instead of free
+	 * @param lostAgents the agents that were lost; a reservation that one of them may
+	 * have run becomes held instead of free
 	 * @return completes when it is done
 	 */
-	public CompletableFuture<Void> closedGateway(String gateway, Set<String> executedRequestIds, boolean agentLost) {
+	public CompletableFuture<Void> closedGateway(String gateway, Set<String> executedRequestIds,
+			List<String> lostAgents) {
 		return this.control.submit(() -> {
-			this.settlement.closedGateway(gateway, executedRequestIds, agentLost);
+			this.settlement.closedGateway(gateway, executedRequestIds, (requestId) -> lostAgents.stream()
+				.anyMatch((agent) -> this.agentAccounting.mayHaveRun(agent, requestId)));
 			return null;
 		});
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/budget/GatewayReconciler.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/GatewayReconciler.java
@@ -94,7 +94,7 @@
 				result.responses.stream()
 					.map(CloseProcessResponse::getExecutedRequestIdsList)
 					.forEach(executed::addAll);
-				this.ledger.closedGateway(gateway, executed, !result.lost.isEmpty());
+				this.ledger.closedGateway(gateway, executed, result.lost);
 			}
 		}, this.control);
 	}
--- a/entry/src/main/java/io/verbenacleat/entry/budget/Settlement.java
+++ b/entry/src/main/java/io/verbenacleat/entry/budget/Settlement.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Predicate;
 
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.journal.JournalReceipt;
@@ -169,7 +170,7 @@
 		}
 	}
 
-	void closedGateway(String gateway, Set<String> executedRequestIds, boolean agentLost) {
+	void closedGateway(String gateway, Set<String> executedRequestIds, Predicate<String> lost) {
 		this.ledger.closedGateways.add(gateway);
 		for (AccountState state : new ArrayList<>(this.ledger.accounts.values())) {
 			List<Reservation> left = state.reservations.values()
@@ -182,13 +183,13 @@
 				.map((waiter) -> waiter.reservation.requestId())
 				.toList();
 			waiting.forEach((requestId) -> this.admission.withdraw(state, requestId));
-			left.forEach((reservation) -> end(state, reservation, agentLost));
+			left.forEach((reservation) -> end(state, reservation, lost.test(reservation.requestId())));
 			this.admission.serve(state);
 		}
 	}
 
-	private void end(AccountState state, Reservation reservation, boolean agentLost) {
-		if (agentLost) {
+	private void end(AccountState state, Reservation reservation, boolean held) {
+		if (held) {
 			bill(state, takenOver(reservation));
 		}
 		else {
--- a/entry/src/test/java/io/verbenacleat/entry/budget/BudgetLedgerTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/BudgetLedgerTests.java
@@ -211,12 +211,12 @@
 	void endsReservationsOfClosedGateways() {
 		assertTrue(reserve("r1", 300).getGranted());
 		assertTrue(reserve("r2", 300).getGranted());
-		this.holder.ledger.closedGateway("gateway", Set.of("r1"), false);
+		this.holder.ledger.closedGateway("gateway", Set.of("r1"), List.of());
 		this.holder.advanceMs(0);
 		assertEquals(reserve("r3", 1).getRefusal(), ReserveRefusal.HOLDER_NOT_OPEN);
 		ReserveRequest other = TestOffice.request("r4", "a", 700).toBuilder().setGatewayIncarnation("g2").build();
 		assertTrue(reserve(this.holder, other).getGranted());
-		this.holder.ledger.closedGateway("g2", Set.of(), true);
+		this.holder.ledger.closedGateway("g2", Set.of(), List.of("lost-agent"));
 		settle("r1", 200);
 		this.holder.advanceMs(20_000);
 		assertEquals(grant().heldTokens(), 700);
