Keep all streams running in the stalled caller test

Cause: the test stopped all its streams once the first caller was gone.

Change: the streams go on until every caller has ended. The checks are the same.

The whole module was not run again.

--- a/entry/src/test/java/io/verbenacleat/entry/http/SlowCallerTests.java
+++ b/entry/src/test/java/io/verbenacleat/entry/http/SlowCallerTests.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -85,7 +87,7 @@
 
 	@Test
 	public void stalledCallersDelayNoOtherAndEnd() throws Exception {
-		this.runner.script = this::streamUntilOneIsGone;
+		this.runner.script = this::streamWithoutEnd;
 		for (int i = 0; i < STALLED_CALLERS; i++) {
 			post(CHAT + ",\"stream\":true}", CHAT.length() + 15);
 		}
@@ -129,14 +131,19 @@
 		waiting.close();
 	}
 
-	private void streamUntilOneIsGone(RunListener listener) {
+	// Counts until the first caller is gone. The other streams go on until they stall
+	// too; those whose callers are gone do so slowly.
+	private void streamWithoutEnd(RunListener listener) {
+		boolean allThere = this.runner.callerGone.getCount() > 0;
 		listener.onChatChunk(CHUNK);
-		this.chunks.incrementAndGet();
+		this.chunks.addAndGet((allThere) ? 1 : 0);
+		Executor next = (allThere) ? ForkJoinPool.commonPool()
+				: CompletableFuture.delayedExecutor(1, TimeUnit.MILLISECONDS);
 		listener.ready().thenRunAsync(() -> {
-			if (this.runner.callerGone.getCount() > 0) {
-				streamUntilOneIsGone(listener);
+			if (gateway().requestsInProgress() > 0) {
+				streamWithoutEnd(listener);
 			}
-		});
+		}, next);
 	}
 
 	private Socket post(String body, int length) throws IOException {
