Join the text of a collected answer in linear time

Cause: ChunkCollector joined the text of a not streamed answer by copying all of it with each chunk, so that a long answer held a thread for a time that grows with the square of its length.

Change: the text is collected in a StringBuilder.

The joined completion is the same.

--- a/entry/src/main/java/io/verbenacleat/entry/http/ChunkCollector.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/ChunkCollector.java
@@ -18,6 +18,9 @@
 
 	private final ObjectNode message = Json.mapper().createObjectNode();
 
+	/** The text of the answer; joining nodes would copy it with each chunk. */
+	private final StringBuilder content = new StringBuilder();
+
 	private final ArrayNode logprobs = Json.mapper().createArrayNode();
 
 	private String finishReason = "";
@@ -28,7 +31,7 @@
 	}
 
 	/**
-	 * Adds a chunk.
+	 * Adds a chunk and takes the text out of it.
 	 * @param chunk the chunk
 	 */
 	void add(JsonNode chunk) {
@@ -38,6 +41,9 @@
 			}
 		}
 		JsonNode choice = chunk.path("choices").path(0);
+		if (choice.path("delta") instanceof ObjectNode delta && delta.path("content").isTextual()) {
+			this.content.append(delta.remove("content").textValue());
+		}
 		appendObject(this.message, choice.path("delta"));
 		choice.path("logprobs").path("content").forEach(this.logprobs::add);
 		if (choice.hasNonNull("finish_reason")) {
@@ -52,6 +58,7 @@
 	 */
 	ObjectNode toCompletion(String defaultFinishReason) {
 		ObjectNode choice = Json.mapper().createObjectNode();
+		this.message.put("content", this.content.toString());
 		choice.put("index", 0);
 		choice.set("message", this.message);
 		choice.set("logprobs",
