Bound the bytes of the requests at an agent

Cause: an agent keeps the body of each order that runs or waits, up to 4 MiB. With the queue 128 orders are usual, so large requests could use up its heap of 128 MB.

Before: OrderTableTests.refusesRequestsThatTakeTooManyBytesTogether fails, the third order starts. After: it passes, with all tests of the order table and executor.

--- a/agent/src/main/java/io/verbenacleat/agent/order/OrderMemory.java
+++ b/agent/src/main/java/io/verbenacleat/agent/order/OrderMemory.java
@@ -32,6 +32,8 @@
 
 	private long keptBytes;
 
+	private long requestBytes;
+
 	private boolean exhausted;
 
 	private long reclaimAtMs = Long.MIN_VALUE;
@@ -110,6 +112,7 @@
 		gateway.put(order.request().getOrderId().getSequence(), new OrderSlot.Running(order));
 		this.slotCount++;
 		this.keptBytes += reservedBytes(order.request());
+		this.requestBytes += order.request().getSerializedSize();
 	}
 
 	/**
@@ -121,6 +124,7 @@
 		OrderId id = order.request().getOrderId();
 		GatewayOrders gateway = this.gateways.get(id.getGatewayIncarnation());
 		this.keptBytes -= reservedBytes(order.request());
+		this.requestBytes -= order.request().getSerializedSize();
 		if (gateway == null) {
 			return;
 		}
@@ -136,11 +140,13 @@
 	/**
 	 * Returns whether there is no room for one more order.
 	 * @param request the order
-	 * @return {@code true} when the slots or the kept responses are used up
+	 * @return {@code true} when the slots, the kept responses or the requests take all
+	 * their room
 	 */
 	boolean full(ExecuteRequest request) {
 		return this.slotCount >= this.limits.maxSlots()
-				|| this.keptBytes + reservedBytes(request) > this.limits.maxKeptBytes();
+				|| this.keptBytes + reservedBytes(request) > this.limits.maxKeptBytes()
+				|| this.requestBytes + request.getSerializedSize() > this.limits.maxRequestBytes();
 	}
 
 	/**
--- a/agent/src/test/java/io/verbenacleat/agent/order/OrderTablePropertyTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderTablePropertyTests.java
@@ -63,7 +63,8 @@
 		return Combinators
 			.combine(Arbitraries.integers().between(1, 6), Arbitraries.integers().between(1, 20),
 					Arbitraries.integers().between(1, 4), Arbitraries.of(0L, 100_000L, 1_000_000L))
-			.as(OrderLimits::new);
+			.as((running, slots, processes, keptBytes) -> new OrderLimits(running, slots, processes, keptBytes,
+					Long.MAX_VALUE));
 	}
 
 	@Provide
--- a/agent/src/test/java/io/verbenacleat/agent/order/OrderTableTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/order/OrderTableTests.java
@@ -33,7 +33,7 @@
 
 	private boolean room;
 
-	private OrderTable table = table(new OrderLimits(2, 10, 3, KeptResponse.MAX_BYTES));
+	private OrderTable table = table(new OrderLimits(2, 10, 3, KeptResponse.MAX_BYTES, Long.MAX_VALUE));
 
 	@BeforeMethod
 	public void reset() {
@@ -41,7 +41,7 @@
 		this.serves = true;
 		this.room = true;
 		this.unknown = "";
-		this.table = table(new OrderLimits(2, 10, 3, KeptResponse.MAX_BYTES));
+		this.table = table(new OrderLimits(2, 10, 3, KeptResponse.MAX_BYTES, Long.MAX_VALUE));
 	}
 
 	@Test
@@ -129,6 +129,19 @@
 		assertEquals(deniedFor(other.setOrderId(other.getOrderIdBuilder().setSequence(1))), RefusalReason.TOMBSTONED);
 	}
 
+	// Guards against large requests that wait until the heap is used up.
+	@Test
+	public void refusesRequestsThatTakeTooManyBytesTogether() {
+		long bytes = order(1).build().getSerializedSize();
+		this.table = table(new OrderLimits(10, 10, 3, KeptResponse.MAX_BYTES, 2 * bytes));
+		RunningOrder first = start(order(1));
+		start(order(2));
+		assertEquals(deniedFor(order(3)), RefusalReason.OVERLOADED);
+		this.table.notRun(first);
+		start(order(4));
+		assertEquals(deniedFor(order(5)), RefusalReason.OVERLOADED);
+	}
+
 	@Test
 	public void startsNothingOnceTooManyProcessesWereSeen() {
 		this.table.close("a");
