Do not bill an order that was cancelled before its request was sent

Ruled out: an execution that the engine did not record. The engine writes its record when it has the body, before it answers.

Change: an order that is cancelled before the whole body was handed to the connection is reported as not run and tombstoned, since an engine cannot run a part of a JSON body. Plain services are left as they are: a service may act on the first part of a body.

Before: ChatEngineClientTests.reportsAnOrderThatWasCancelledBeforeItWasSent AsNotRun fails, the order is billed. After: it passes, with all tests of the agent.

--- a/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
+++ b/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
@@ -79,8 +79,8 @@
 	}
 
 	/**
-	 * Notes whether a call found a connection, before anything is sent over it. Used by
-	 * the thread that runs the call.
+	 * Notes whether a call found a connection, before anything is sent over it, and
+	 * whether the whole body was sent. Used by the thread that runs the call.
 	 */
 	public static final class Attempt extends EventListener {
 
@@ -88,6 +88,8 @@
 
 		private volatile boolean connected;
 
+		private volatile boolean bodySent;
+
 		/**
 		 * Creates a note.
 		 * @param onConnected called once, before the request is sent
@@ -104,6 +106,20 @@
 			return this.connected;
 		}
 
+		/**
+		 * Returns whether the body was handed to the connection as a whole. Before that
+		 * the server cannot have the whole request.
+		 * @return {@code true} when the server may have the whole request
+		 */
+		public boolean bodySent() {
+			return this.bodySent;
+		}
+
+		@Override
+		public void requestBodyEnd(Call call, long byteCount) {
+			this.bodySent = true;
+		}
+
 		@Override
 		public void connectionAcquired(Call call, Connection connection) {
 			if (!this.connected) {
--- a/agent/src/main/java/io/verbenacleat/agent/engine/ChatEngineClient.java
+++ b/agent/src/main/java/io/verbenacleat/agent/engine/ChatEngineClient.java
@@ -75,6 +75,10 @@
 			if (!attempt.connected()) {
 				return BackendOutcome.notRun(RefusalReason.BACKEND_UNREACHABLE, "no connection to the engine: " + ex);
 			}
+			if (cancellation.isCancelled() && !attempt.bodySent()) {
+				return BackendOutcome.notRun(RefusalReason.TOMBSTONED,
+						"the order was cancelled before the engine had the whole request");
+			}
 			return count.bill(broken(ex, cancellation));
 		}
 	}
--- a/agent/src/test/java/io/verbenacleat/agent/backend/CollectingSink.java
+++ b/agent/src/test/java/io/verbenacleat/agent/backend/CollectingSink.java
@@ -15,6 +15,10 @@
 	/** The number of starts. */
 	public int starts;
 
+	/** Runs at each start. */
+	public Runnable onStart = () -> {
+	};
+
 	/** The chunks of a chat completion. */
 	public final List<String> chunks = new ArrayList<>();
 
@@ -27,6 +31,7 @@
 	@Override
 	public void started() {
 		this.starts++;
+		this.onStart.run();
 	}
 
 	@Override
--- a/agent/src/test/java/io/verbenacleat/agent/engine/ChatEngineClientTests.java
+++ b/agent/src/test/java/io/verbenacleat/agent/engine/ChatEngineClientTests.java
@@ -109,13 +109,32 @@
 		assertEquals(collected.starts, 0);
 	}
 
+	// Guards against a bill for a prompt that the engine never received.
+	@Test
+	public void reportsAnOrderThatWasCancelledBeforeItWasSentAsNotRun() throws IOException {
+		try (FakeBackend engine = new FakeBackend((exchange) -> FakeBackend.events(exchange, "[DONE]"))) {
+			Cancellation cancellation = new Cancellation();
+			CollectingSink collected = new CollectingSink();
+			collected.onStart = cancellation::cancel;
+			BackendOutcome outcome = run(engine.url(), 10, collected, cancellation);
+			assertEquals(collected.starts, 1);
+			assertEquals(outcome.refusal(), RefusalReason.TOMBSTONED);
+			assertEquals(engine.received().size(), 0);
+		}
+	}
+
 	private static BackendOutcome run(String url, long answerBoundTokens, CollectingSink collected) {
+		return run(url, answerBoundTokens, collected, new Cancellation());
+	}
+
+	private static BackendOutcome run(String url, long answerBoundTokens, CollectingSink collected,
+			Cancellation cancellation) {
 		ExecuteRequest order = TestOrders.order("g", "a", 1)
 			.setPriority(3)
 			.setChat(TestOrders.chat(answerBoundTokens))
 			.build();
 		try (BackendCalls calls = new BackendCalls()) {
-			return new ChatEngineClient(calls, new BackendTarget(url, 3)).run(order, collected, new Cancellation());
+			return new ChatEngineClient(calls, new BackendTarget(url, 3)).run(order, collected, cancellation);
 		}
 	}
 
