--- a/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
@@ -22,7 +22,7 @@
  * Sends requests to the platform and reads whole answers. Safe for use by several
  * threads.
  */
-final class HttpCalls {
+public final class HttpCalls {
 
 	private static final MediaType JSON = MediaType.get("application/json");
 
@@ -47,7 +47,7 @@
 	 * @param pathSegments the path, without a leading slash
 	 * @return a builder for the rest of the URL
 	 */
-	HttpUrl.Builder url(String pathSegments) {
+	public HttpUrl.Builder url(String pathSegments) {
 		return this.baseUrl.newBuilder().addPathSegments(pathSegments);
 	}
 
@@ -56,7 +56,7 @@
 	 * @param url the URL
 	 * @return the answer; fails with {@link CallFailedException}
 	 */
-	CompletableFuture<Answer> get(HttpUrl url) {
+	public CompletableFuture<Answer> get(HttpUrl url) {
 		return send(new Request.Builder().url(url).get());
 	}
 
@@ -66,7 +66,7 @@
 	 * @param body the value to write as JSON
 	 * @return the answer; fails with {@link CallFailedException}
 	 */
-	CompletableFuture<Answer> post(String pathSegments, Object body) {
+	public CompletableFuture<Answer> post(String pathSegments, Object body) {
 		byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
 		return send(new Request.Builder().url(url(pathSegments).build()).post(new OneShotBody(JSON, bytes)));
 	}
@@ -77,7 +77,7 @@
 	 * @param bytes the body
 	 * @return the answer; fails with {@link CallFailedException}
 	 */
-	CompletableFuture<Answer> put(HttpUrl url, byte[] bytes) {
+	public CompletableFuture<Answer> put(HttpUrl url, byte[] bytes) {
 		return send(new Request.Builder().url(url).put(new OneShotBody(BYTES, bytes)));
 	}
 
@@ -99,7 +99,7 @@
 	 * @param body the body
 	 * @param retryAfterMs the value of Retry-After in milliseconds, -1 without one
 	 */
-	record Answer(int status, byte[] body, long retryAfterMs) {
+	public record Answer(int status, byte[] body, long retryAfterMs) {
 
 		/**
 		 * Reads the body as JSON.
@@ -108,7 +108,7 @@
 		 * @return the value
 		 * @throws PlatformProtocolException when the body does not fit the type
 		 */
-		<T> T json(Class<T> type) throws PlatformProtocolException {
+		public <T> T json(Class<T> type) throws PlatformProtocolException {
 			try {
 				return Json.read(text(), type);
 			}
@@ -122,7 +122,7 @@
 		 * Returns the failure that a status other than the expected ones stands for.
 		 * @return the failure
 		 */
-		PlatformException failure() {
+		public PlatformException failure() {
 			if (this.status >= 500 || this.status == 429 || this.status == 408) {
 				return new PlatformUnavailableException("The platform answered " + this.status, null);
 			}
@@ -138,7 +138,7 @@
 	/**
 	 * A call without an answer.
 	 */
-	static final class CallFailedException extends Exception {
+	public static final class CallFailedException extends Exception {
 
 		private static final long serialVersionUID = 1L;
 
@@ -153,7 +153,7 @@
 		 * Returns whether the server may have seen the request.
 		 * @return {@code false} only when it certainly has not
 		 */
-		boolean sent() {
+		public boolean sent() {
 			return this.sent;
 		}
 
@@ -161,7 +161,7 @@
 		 * Returns the failure for users of the client.
 		 * @return the failure
 		 */
-		PlatformUnavailableException failure() {
+		public PlatformUnavailableException failure() {
 			String state = this.sent ? "did not answer" : "could not be reached";
 			return new PlatformUnavailableException("The platform " + state + ": " + getCause(), getCause());
 		}
--- a/core/src/main/java/io/verbenacleat/core/platform/HttpReads.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpReads.java
@@ -9,7 +9,7 @@
  * Turns answers to calls without doubtful effects into values or a
  * {@link PlatformException}.
  */
-final class HttpReads {
+public final class HttpReads {
 
 	private HttpReads() {
 	}
@@ -21,7 +21,7 @@
 	 * @param conversion reads the value
 	 * @return the value; fails with a {@link PlatformException}
 	 */
-	static <T> CompletableFuture<T> value(CompletableFuture<HttpCalls.Answer> call, Conversion<T> conversion) {
+	public static <T> CompletableFuture<T> value(CompletableFuture<HttpCalls.Answer> call, Conversion<T> conversion) {
 		CompletableFuture<T> result = new CompletableFuture<>();
 		call.whenComplete((answer, failure) -> {
 			if (failure != null) {
@@ -49,7 +49,7 @@
 	 * @param type the type of the value
 	 * @return the value; fails with a {@link PlatformException}
 	 */
-	static <T> CompletableFuture<T> json(CompletableFuture<HttpCalls.Answer> call, Class<T> type) {
+	public static <T> CompletableFuture<T> json(CompletableFuture<HttpCalls.Answer> call, Class<T> type) {
 		return value(call, (answer) -> {
 			if (answer.status() != 200) {
 				throw answer.failure();
@@ -63,7 +63,7 @@
 	 * @param failure what the future carried
 	 * @return the failure
 	 */
-	static PlatformException failure(Throwable failure) {
+	public static PlatformException failure(Throwable failure) {
 		Throwable cause = unwrap(failure);
 		if (cause instanceof HttpCalls.CallFailedException failed) {
 			return failed.failure();
@@ -76,7 +76,7 @@
 	 * @param failure what the future carried
 	 * @return {@code false} only when it certainly has not
 	 */
-	static boolean sent(Throwable failure) {
+	public static boolean sent(Throwable failure) {
 		return !(unwrap(failure) instanceof HttpCalls.CallFailedException failed) || failed.sent();
 	}
 
@@ -92,7 +92,7 @@
 	 * @param <T> the type of the value
 	 */
 	@FunctionalInterface
-	interface Conversion<T> {
+	public interface Conversion<T> {
 
 		/**
 		 * Reads the value.
--- a/core/src/main/java/io/verbenacleat/core/platform/PlatformClient.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/PlatformClient.java
@@ -35,6 +35,10 @@
 
 	private final ExecutorService executor;
 
+	private final HttpUrl baseUrl;
+
+	private final String token;
+
 	private final HttpTableStore tables;
 
 	private final HttpHostList hosts;
@@ -59,6 +63,8 @@
 			.eventListenerFactory(SendMark::listener)
 			.build();
 		HttpCalls calls = new HttpCalls(this.client, builder.baseUrl, builder.token);
+		this.baseUrl = builder.baseUrl;
+		this.token = builder.token;
 		this.tables = new HttpTableStore(calls);
 		this.hosts = new HttpHostList(calls);
 		this.objects = new HttpObjectStore(calls);
@@ -107,6 +113,20 @@
 		return this.weights;
 	}
 
+	/**
+	 * Returns calls to paths of the platform that this client has no service for.
+	 * @param callTimeout the timeout of a whole call, connecting included, more than zero
+	 * @return calls that share the threads and connections of this client
+	 */
+	public HttpCalls calls(Duration callTimeout) {
+		OkHttpClient derived = this.client.newBuilder()
+			.callTimeout(callTimeout)
+			.readTimeout(callTimeout)
+			.writeTimeout(callTimeout)
+			.build();
+		return new HttpCalls(derived, this.baseUrl, this.token);
+	}
+
 	/**
 	 * Cancels the calls in progress and releases all threads and connections.
 	 */
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/AdminEndpoint.java
@@ -0,0 +1,151 @@
+package io.verbenacleat.router;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.BooleanSupplier;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/**
+ * Answers readiness checks and serves metrics. Safe for use by several threads.
+ */
+final class AdminEndpoint implements AutoCloseable {
+
+	private static final int MAX_BODY_BYTES = 4_096;
+
+	private final Channel channel;
+
+	private AdminEndpoint(Channel channel) {
+		this.channel = channel;
+	}
+
+	/**
+	 * Starts an endpoint that answers 200 while the router is ready, else 503.
+	 * @param loop the event loop
+	 * @param host the IP number
+	 * @param port the port, 0 for any free one
+	 * @param ready whether the router takes requests
+	 * @return the running endpoint
+	 */
+	static AdminEndpoint readiness(EventLoopGroup loop, String host, int port, BooleanSupplier ready) {
+		return start(loop, host, port, () -> {
+			HttpResponseStatus status = ready.getAsBoolean() ? HttpResponseStatus.OK
+					: HttpResponseStatus.SERVICE_UNAVAILABLE;
+			return new Page(status, "text/plain", new byte[0]);
+		});
+	}
+
+	/**
+	 * Starts an endpoint that serves metrics.
+	 * @param loop the event loop
+	 * @param host the IP number
+	 * @param port the port, 0 for any free one
+	 * @param registry the metrics
+	 * @return the running endpoint
+	 */
+	static AdminEndpoint metrics(EventLoopGroup loop, String host, int port, PrometheusRegistry registry) {
+		PrometheusTextFormatWriter writer = new PrometheusTextFormatWriter(false);
+		return start(loop, host, port, () -> {
+			ByteArrayOutputStream out = new ByteArrayOutputStream();
+			writer.write(out, registry.scrape());
+			return new Page(HttpResponseStatus.OK, writer.getContentType(), out.toByteArray());
+		});
+	}
+
+	int port() {
+		return ((InetSocketAddress) this.channel.localAddress()).getPort();
+	}
+
+	@Override
+	public void close() {
+		this.channel.close().syncUninterruptibly();
+	}
+
+	private static AdminEndpoint start(EventLoopGroup loop, String host, int port, PageSource source) {
+		Channel channel = new ServerBootstrap().group(loop)
+			.channel(NioServerSocketChannel.class)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel accepted) {
+					accepted.pipeline()
+						.addLast(new HttpServerCodec())
+						.addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
+						.addLast(new PageHandler(source));
+				}
+			})
+			.bind(host, port)
+			.syncUninterruptibly()
+			.channel();
+		return new AdminEndpoint(channel);
+	}
+
+	/**
+	 * Makes a page.
+	 */
+	private interface PageSource {
+
+		Page page() throws IOException;
+
+	}
+
+	/**
+	 * A page.
+	 *
+	 * @param status the status
+	 * @param contentType the type of the body
+	 * @param body the body, not changed
+	 */
+	private record Page(HttpResponseStatus status, String contentType, byte[] body) {
+	}
+
+	private static final class PageHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+		private final PageSource source;
+
+		private PageHandler(PageSource source) {
+			this.source = source;
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) throws IOException {
+			Page page = this.source.page();
+			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, page.status(),
+					Unpooled.wrappedBuffer(page.body()));
+			response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
+			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, page.body().length);
+			boolean keep = HttpUtil.isKeepAlive(request);
+			HttpUtil.setKeepAlive(response, keep);
+			var written = context.writeAndFlush(response);
+			if (!keep) {
+				written.addListener(ChannelFutureListener.CLOSE);
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+			context.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -0,0 +1,203 @@
+package io.verbenacleat.router;
+
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.router.budget.PrepaidLedger;
+import io.verbenacleat.router.config.RoutingTable;
+import io.verbenacleat.router.log.DecisionLog;
+import io.verbenacleat.router.relay.CallerServer;
+import io.verbenacleat.router.relay.LoadReporter;
+import io.verbenacleat.router.relay.Relay;
+import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.ServerDirectory;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A running router. Safe for use by several threads.
+ */
+public final class RouterDaemon implements FleetFeed.Listener, AutoCloseable {
+
+	/** The time that the process needs to end after its last request. */
+	private static final long EXIT_MS = 400;
+
+	/** The time for giving tokens back at the end. */
+	private static final long GIVE_BACK_MS = 500;
+
+	private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+	private final RouterOptions options;
+
+	private final ControlThread control;
+
+	private final FleetFeed feed;
+
+	private final DecisionLog log;
+
+	private final NioEventLoopGroup loop = new NioEventLoopGroup(1, new DefaultThreadFactory("traffic"));
+
+	private final PrepaidLedger ledger;
+
+	private final Relay relay;
+
+	private final LoadReporter reporter;
+
+	private final ServerDirectory directory;
+
+	private final CallerServer callers;
+
+	private final AdminEndpoint readiness;
+
+	private final AdminEndpoint metrics;
+
+	private @Nullable RoutingTable table;
+
+	private volatile boolean configured;
+
+	private volatile boolean serversRead;
+
+	private volatile boolean stopping;
+
+	/**
+	 * Starts a router.
+	 * @param options the settings
+	 * @param store the table service for shared state
+	 * @param feed the configuration and the registrations of servers
+	 * @param reports how servers report their load
+	 * @param control the control thread
+	 * @param log gets a line for each decision
+	 */
+	public RouterDaemon(RouterOptions options, TableStore store, FleetFeed feed, LoadReports reports,
+			ControlThread control, DecisionLog log) {
+		this.options = options;
+		this.control = control;
+		this.feed = feed;
+		this.log = log;
+		PrometheusRegistry registry = new PrometheusRegistry();
+		String incarnation = options.name() + "/" + Long.toString(control.clock().millis(), Character.MAX_RADIX);
+		this.ledger = new PrepaidLedger(incarnation, store, control, log);
+		this.relay = new Relay(this.loop.next(), options.relay(), this.ledger, log, registry);
+		this.reporter = new LoadReporter(this.relay, reports, this.loop.next());
+		this.directory = new ServerDirectory(control, log, this.relay::updateServers);
+		this.callers = CallerServer.start(this.loop, this.relay, options.host(), options.callerPort());
+		this.readiness = AdminEndpoint.readiness(this.loop, options.readyHost(), options.readyPort(), this::isReady);
+		this.metrics = AdminEndpoint.metrics(this.loop, options.host(), options.metricsPort(), registry);
+		log.event("process.started").with("incarnation", incarnation).with("port", this.callers.port()).emit();
+		control.execute(() -> feed.start(this));
+	}
+
+	/**
+	 * Returns whether the router takes requests.
+	 * @return {@code true} with a configuration and a list of servers, until it stops
+	 */
+	public boolean isReady() {
+		return this.configured && this.serversRead && !this.stopping;
+	}
+
+	/**
+	 * Returns the port for callers.
+	 * @return the port
+	 */
+	public int callerPort() {
+		return this.callers.port();
+	}
+
+	/**
+	 * Returns the port for the readiness check.
+	 * @return the port
+	 */
+	public int readyPort() {
+		return this.readiness.port();
+	}
+
+	/**
+	 * Returns the port for metrics.
+	 * @return the port
+	 */
+	public int metricsPort() {
+		return this.metrics.port();
+	}
+
+	@Override
+	public void onConfiguration(RoutingTable read) {
+		RoutingTable before = this.table;
+		if (before != null && read.version() <= before.version()) {
+			if (read.version() < before.version()) {
+				this.log.event("config.ignored")
+					.with("version", read.version())
+					.with("in_force", before.version())
+					.with("reason", "older than the one in force")
+					.emit();
+			}
+			return;
+		}
+		this.table = read;
+		this.relay.configure(read);
+		this.ledger.configure(read);
+		this.configured = true;
+		this.log.event("config.in_force").with("version", read.version()).emit();
+	}
+
+	@Override
+	public void onServers(Map<String, BackendServer> servers, boolean afterOutage) {
+		this.directory.replaceAll(servers, afterOutage);
+		this.serversRead = true;
+	}
+
+	@Override
+	public void onServerChange(String id, @Nullable BackendServer server, boolean afterOutage) {
+		this.directory.change(id, server, afterOutage);
+	}
+
+	/**
+	 * Stops: takes no new requests, lets those in progress end within the time that the
+	 * settings allow, and gives unspent tokens back.
+	 */
+	public void stopGracefully() {
+		this.stopping = true;
+		this.log.event("process.stopping").with("in_progress", this.relay.inProgress()).emit();
+		this.relay.stop();
+		long deadlineNanos = System.nanoTime()
+				+ TimeUnit.MILLISECONDS.toNanos(this.options.stopTimeoutMs() - EXIT_MS - GIVE_BACK_MS);
+		while (System.nanoTime() < deadlineNanos && !this.relay.isDrained()) {
+			LockSupport.parkNanos(POLL_NANOS);
+		}
+		boolean returned = false;
+		try {
+			returned = this.ledger.giveBack().get(GIVE_BACK_MS, TimeUnit.MILLISECONDS);
+		}
+		catch (TimeoutException | ExecutionException ex) {
+			this.log.event("grants.kept").with("reason", String.valueOf(ex.getMessage())).emit();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		this.log.event("process.stopped")
+			.with("in_progress", this.relay.inProgress())
+			.with("grants_returned", returned)
+			.emit();
+		close();
+	}
+
+	@Override
+	public void close() {
+		this.feed.close();
+		this.reporter.close();
+		this.callers.close();
+		this.readiness.close();
+		this.metrics.close();
+		this.ledger.close();
+		this.relay.close();
+		this.loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+		this.control.close();
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -0,0 +1,130 @@
+package io.verbenacleat.router.balance;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.ServerList;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses backend servers by what this router has seen of them. Not safe for use by
+ * several threads.
+ */
+public final class ServerStates {
+
+	private final String zone;
+
+	private final SelectionPolicy plain;
+
+	private final SelectionPolicy affinity;
+
+	private final Map<String, ServerState> states = new HashMap<>();
+
+	private ServerList servers = ServerList.empty();
+
+	/**
+	 * Creates states without servers.
+	 * @param zone the availability zone of this router
+	 * @param plain chooses among the servers of plain services
+	 * @param affinity chooses among the servers of model services
+	 */
+	public ServerStates(String zone, SelectionPolicy plain, SelectionPolicy affinity) {
+		this.zone = zone;
+		this.plain = plain;
+		this.affinity = affinity;
+	}
+
+	/**
+	 * Takes a new list of servers; what was seen of earlier incarnations is dropped.
+	 * @param list the list
+	 * @return the states that were dropped
+	 */
+	public List<ServerState> update(ServerList list) {
+		this.servers = list;
+		List<ServerState> dropped = new ArrayList<>();
+		Map<String, BackendServer> byId = new HashMap<>();
+		list.all().forEach((server) -> byId.put(server.id(), server));
+		this.states.values().removeIf((state) -> {
+			BackendServer server = byId.get(state.server().id());
+			boolean gone = server == null || !server.isSameIncarnation(state.server());
+			if (gone) {
+				dropped.add(state);
+			}
+			return gone;
+		});
+		return dropped;
+	}
+
+	/**
+	 * Returns the state of a server.
+	 * @param server the server
+	 * @return the state, created at its first use
+	 */
+	public ServerState state(BackendServer server) {
+		return this.states.computeIfAbsent(server.id(), (any) -> new ServerState(server));
+	}
+
+	/**
+	 * Returns all states.
+	 * @return the states
+	 */
+	public Collection<ServerState> all() {
+		return this.states.values();
+	}
+
+	/**
+	 * Returns the servers of a service that may be sent new requests.
+	 * @param service the name of the service
+	 * @return the servers
+	 */
+	public List<BackendServer> usable(String service) {
+		return this.servers.usable(service);
+	}
+
+	/**
+	 * Returns whether a server is still listed in the same incarnation.
+	 * @param server the server
+	 * @return {@code true} when it is
+	 */
+	public boolean isListed(BackendServer server) {
+		@Nullable
+		ServerState state = this.states.get(server.id());
+		return state != null && state.server().isSameIncarnation(server);
+	}
+
+	/**
+	 * Chooses a server.
+	 * @param service the name of the service
+	 * @param modelService whether the service runs language models
+	 * @param affinityKey what requests with a common prompt share, 0 without one
+	 * @param excluded the ids of servers that the request was sent to
+	 * @param nowMs the steady time in milliseconds
+	 * @return the state of a server, empty when none may be used
+	 */
+	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
+			long nowMs) {
+		List<Candidate> available = new ArrayList<>();
+		List<Candidate> suspended = new ArrayList<>();
+		for (BackendServer server : this.servers.usable(service)) {
+			if (excluded.contains(server.id())) {
+				continue;
+			}
+			ServerState state = state(server);
+			(state.isAvailable(nowMs) ? available : suspended).add(state.toCandidate(this.zone));
+		}
+		// A suspended server may have recovered; that is better than a sure refusal.
+		List<Candidate> candidates = available.isEmpty() ? suspended : available;
+		if (candidates.isEmpty()) {
+			return Optional.empty();
+		}
+		Candidate selected = (modelService ? this.affinity : this.plain).select(candidates, affinityKey);
+		return Optional.of(state(selected.server()));
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/config/RoutingTable.java
@@ -0,0 +1,129 @@
+package io.verbenacleat.router.config;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One version of the configuration, with the lookups that requests need. Immutable.
+ */
+public final class RoutingTable {
+
+	private final long version;
+
+	private final Map<String, List<Route>> routesByHost = new HashMap<>();
+
+	private final Map<String, Service> services = new HashMap<>();
+
+	private final Map<String, Workspace> workspaces = new HashMap<>();
+
+	private final Map<String, Workspace> workspacesByKey = new HashMap<>();
+
+	private final CallerLimits limits;
+
+	/**
+	 * Creates a table.
+	 * @param version the version, larger than that of each earlier configuration
+	 * @param routes the routes
+	 * @param services the services
+	 * @param workspaces the workspaces; without any, requests need no key
+	 * @param limits the limits of callers
+	 */
+	public RoutingTable(long version, Collection<Route> routes, Collection<Service> services,
+			Collection<Workspace> workspaces, CallerLimits limits) {
+		this.version = version;
+		this.limits = limits;
+		for (Route route : routes) {
+			this.routesByHost.computeIfAbsent(hostName(route.host()), (any) -> new ArrayList<>()).add(route);
+		}
+		Comparator<Route> longestFirst = Comparator.comparingInt((Route route) -> route.pathPrefix().length())
+			.reversed();
+		this.routesByHost.values().forEach((list) -> list.sort(longestFirst));
+		services.forEach((service) -> this.services.put(service.name(), service));
+		for (Workspace workspace : workspaces) {
+			this.workspaces.put(workspace.name(), workspace);
+			workspace.keys().forEach((key) -> this.workspacesByKey.put(key, workspace));
+		}
+	}
+
+	/**
+	 * Returns the version.
+	 * @return the version
+	 */
+	public long version() {
+		return this.version;
+	}
+
+	/**
+	 * Returns the limits of callers.
+	 * @return the limits
+	 */
+	public CallerLimits limits() {
+		return this.limits;
+	}
+
+	/**
+	 * Finds the route with the longest prefix.
+	 * @param hostHeader the host that the caller named, with or without a port
+	 * @param target the request target: path and query
+	 * @return the route, empty when none matches
+	 */
+	public Optional<Route> findRoute(String hostHeader, String target) {
+		int query = target.indexOf('?');
+		String path = (query >= 0) ? target.substring(0, query) : target;
+		for (Route route : this.routesByHost.getOrDefault(hostName(hostHeader), List.of())) {
+			if (path.startsWith(route.pathPrefix())) {
+				return Optional.of(route);
+			}
+		}
+		return Optional.empty();
+	}
+
+	/**
+	 * Finds a service.
+	 * @param name the name
+	 * @return the service, or {@code null}
+	 */
+	public @Nullable Service service(String name) {
+		return this.services.get(name);
+	}
+
+	/**
+	 * Returns whether requests need a key, unless their route is anonymous.
+	 * @return {@code true} when they do
+	 */
+	public boolean needsKeys() {
+		return !this.workspaces.isEmpty();
+	}
+
+	/**
+	 * Finds the workspace of a key.
+	 * @param key the key
+	 * @return the workspace, or {@code null}
+	 */
+	public @Nullable Workspace workspaceOfKey(String key) {
+		return this.workspacesByKey.get(key);
+	}
+
+	/**
+	 * Returns all workspaces.
+	 * @return the workspaces
+	 */
+	public Collection<Workspace> workspaces() {
+		return this.workspaces.values();
+	}
+
+	private static String hostName(String hostHeader) {
+		int colon = hostHeader.lastIndexOf(':');
+		String name = (colon > hostHeader.lastIndexOf(']')) ? hostHeader.substring(0, colon) : hostHeader;
+		return name.toLowerCase(Locale.ROOT);
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/config/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Routes, services and workspaces in force.
+ */
+@NullMarked
+package io.verbenacleat.router.config;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/log/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Structured log lines.
+ */
+@NullMarked
+package io.verbenacleat.router.log;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * The router daemon.
+ */
+@NullMarked
+package io.verbenacleat.router;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerServer.java
@@ -0,0 +1,128 @@
+package io.verbenacleat.router.relay;
+
+import java.net.InetSocketAddress;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.verbenacleat.router.config.CallerLimits;
+
+/**
+ * Listens for callers. Safe for use by several threads.
+ */
+public final class CallerServer implements AutoCloseable {
+
+	private static final int BACKLOG = 1_024;
+
+	private static final int MAX_CHUNK_BYTES = 16_384;
+
+	/**
+	 * Above the high mark reading from the backend server stops, below the low one it
+	 * goes on.
+	 */
+	private static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(32_768, 131_072);
+
+	private final Channel channel;
+
+	private CallerServer(Channel channel) {
+		this.channel = channel;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @param loop the event loop of the relay
+	 * @param relay handles the requests
+	 * @param host the IP number
+	 * @param port the port, 0 for any free one
+	 * @return the running server
+	 */
+	public static CallerServer start(EventLoopGroup loop, Relay relay, String host, int port) {
+		Channel channel = new ServerBootstrap().group(loop)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childOption(ChannelOption.SO_KEEPALIVE, true)
+			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
+			.childHandler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel accepted) {
+					init(accepted, relay);
+				}
+			})
+			.bind(host, port)
+			.syncUninterruptibly()
+			.channel();
+		return new CallerServer(channel);
+	}
+
+	/**
+	 * Returns the port.
+	 * @return the port
+	 */
+	public int port() {
+		return ((InetSocketAddress) this.channel.localAddress()).getPort();
+	}
+
+	@Override
+	public void close() {
+		this.channel.close().syncUninterruptibly();
+	}
+
+	private static void init(Channel accepted, Relay relay) {
+		CallerLimits limits = relay.limits();
+		CallerConnection connection = new CallerConnection(relay, accepted);
+		accepted.pipeline()
+			.addLast(new ByteWatch(connection))
+			.addLast(new StrictRequestDecoder(limits.headerBytes()))
+			.addLast(new HttpResponseEncoder())
+			.addLast(new HttpObjectAggregator(limits.bodyBytes(), true))
+			.addLast(connection);
+	}
+
+	/**
+	 * Tells a connection that bytes have come.
+	 */
+	private static final class ByteWatch extends ChannelInboundHandlerAdapter {
+
+		private final CallerConnection connection;
+
+		private ByteWatch(CallerConnection connection) {
+			this.connection = connection;
+		}
+
+		@Override
+		public void channelRead(ChannelHandlerContext context, Object message) {
+			this.connection.onBytes();
+			context.fireChannelRead(message);
+		}
+
+	}
+
+	/**
+	 * Refuses requests whose length is ambiguous (RFC 9112, section 6.1).
+	 */
+	private static final class StrictRequestDecoder extends HttpRequestDecoder {
+
+		private StrictRequestDecoder(int headerBytes) {
+			super(headerBytes, headerBytes, MAX_CHUNK_BYTES);
+		}
+
+		@Override
+		protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+			throw new IllegalArgumentException("Both Content-Length and Transfer-Encoding");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/KeepAlive.java
@@ -0,0 +1,41 @@
+package io.verbenacleat.router.relay;
+
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Reads how long a server keeps an idle connection.
+ */
+final class KeepAlive {
+
+	private static final Pattern TIMEOUT = Pattern.compile("timeout\\s*=\\s*([0-9]{1,6})");
+
+	private static final long MS_PER_SECOND = 1_000;
+
+	/** The header has whole seconds, so the true limit may be almost one shorter. */
+	private static final long ROUNDING_MS = 1_000;
+
+	private KeepAlive() {
+	}
+
+	/**
+	 * Returns how long a connection may be idle and still be used.
+	 * @param header the value of Keep-Alive, or {@code null}
+	 * @return the time in milliseconds, less than the time after which the server closes
+	 * it
+	 */
+	static long idleLimitMs(@Nullable String header) {
+		if (header == null) {
+			return ServerConnections.MAX_IDLE_MS;
+		}
+		Matcher matcher = TIMEOUT.matcher(header);
+		if (!matcher.find()) {
+			return ServerConnections.MAX_IDLE_MS;
+		}
+		long limitMs = Long.parseLong(matcher.group(1)) * MS_PER_SECOND - ROUNDING_MS;
+		return Math.max(0, Math.min(ServerConnections.MAX_IDLE_MS, limitMs));
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
@@ -0,0 +1,97 @@
+package io.verbenacleat.router.relay;
+
+import java.util.Locale;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.router.config.RequestKind;
+
+/**
+ * The counters and histograms of the relay. Safe for use by several threads.
+ */
+final class RelayMetrics {
+
+	private static final double MS_PER_SECOND = 1_000;
+
+	private final Counter refusals;
+
+	private final Counter repeats;
+
+	private final Counter sends;
+
+	private final Counter answers;
+
+	private final Counter aborted;
+
+	private final Histogram firstByteSeconds;
+
+	private final Gauge inProgress;
+
+	RelayMetrics(PrometheusRegistry registry) {
+		this.refusals = Counter.builder()
+			.name("verbena_router_refusals_total")
+			.help("Requests that the router answered itself, by reason")
+			.labelNames("reason")
+			.register(registry);
+		this.repeats = Counter.builder()
+			.name("verbena_router_repeats_total")
+			.help("Requests that were sent to one more backend server, by reason")
+			.labelNames("reason")
+			.register(registry);
+		this.sends = Counter.builder()
+			.name("verbena_router_sends_total")
+			.help("Requests that were sent to a backend server, repeats included")
+			.register(registry);
+		this.answers = Counter.builder()
+			.name("verbena_router_answers_total")
+			.help("Answers of backend servers that were relayed whole, by class of status")
+			.labelNames("status")
+			.register(registry);
+		this.aborted = Counter.builder()
+			.name("verbena_router_aborted_total")
+			.help("Answers that ended early, by reason")
+			.labelNames("reason")
+			.register(registry);
+		this.firstByteSeconds = Histogram.builder()
+			.name("verbena_router_first_byte_seconds")
+			.help("Time from the request of the caller to the first byte of the answer, by kind of request")
+			.labelNames("kind")
+			.classicOnly()
+			.register(registry);
+		this.inProgress = Gauge.builder()
+			.name("verbena_router_requests_in_progress")
+			.help("Requests in progress")
+			.register(registry);
+	}
+
+	void refused(Refusal refusal) {
+		this.refusals.labelValues(refusal.name().toLowerCase(Locale.ROOT)).inc();
+	}
+
+	void repeated(String reason) {
+		this.repeats.labelValues(reason).inc();
+	}
+
+	void sent() {
+		this.sends.inc();
+	}
+
+	void answered(int status) {
+		this.answers.labelValues(status / 100 + "xx").inc();
+	}
+
+	void aborted(String reason) {
+		this.aborted.labelValues(reason).inc();
+	}
+
+	void firstByte(RequestKind kind, long elapsedMs) {
+		this.firstByteSeconds.labelValues(kind.name().toLowerCase(Locale.ROOT)).observe(elapsedMs / MS_PER_SECOND);
+	}
+
+	void setInProgress(int count) {
+		this.inProgress.set(count);
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
@@ -0,0 +1,14 @@
+package io.verbenacleat.router.relay;
+
+/**
+ * The settings of the relay. Immutable.
+ *
+ * @param headerNames the names of headers
+ * @param zone the availability zone of this router
+ * @param retryRatio the repeats for each request, of all routers
+ * @param retryExtra the repeats beyond the ratio for each window, of this router
+ * @param retryWindowMs the window of the retry budget in milliseconds
+ */
+public record RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra,
+		long retryWindowMs) {
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
@@ -0,0 +1,241 @@
+package io.verbenacleat.router.relay;
+
+import java.io.IOException;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One connection to a backend server, used by one request at a time. Used on its event
+ * loop.
+ * <p>
+ * An answer that names another request is skipped. After such an answer, after surplus
+ * bytes, and when the answer came before the request was written, the connection is not
+ * used again.
+ */
+final class ServerConnection extends ChannelInboundHandlerAdapter {
+
+	private static final int SUCCESS = 200;
+
+	private static final int REDIRECTION = 300;
+
+	private final ServerConnections owner;
+
+	private final String serverKey;
+
+	private final String requestIdHeader;
+
+	private final Channel channel;
+
+	private @Nullable ServerExchange exchange;
+
+	private long idleSinceMs;
+
+	private long idleLimitMs = ServerConnections.MAX_IDLE_MS;
+
+	private boolean requestWritten;
+
+	private boolean answering;
+
+	private boolean skipping;
+
+	private boolean framed = true;
+
+	private boolean reset;
+
+	private boolean reusable = true;
+
+	ServerConnection(ServerConnections owner, String serverKey, String requestIdHeader, Channel channel) {
+		this.owner = owner;
+		this.serverKey = serverKey;
+		this.requestIdHeader = requestIdHeader;
+		this.channel = channel;
+	}
+
+	/**
+	 * Returns what identifies the incarnation of the server in the pool.
+	 * @return the key
+	 */
+	String serverKey() {
+		return this.serverKey;
+	}
+
+	/**
+	 * Writes a request.
+	 * @param user takes the answer
+	 * @param request the request, released by the write
+	 */
+	void send(ServerExchange user, FullHttpRequest request) {
+		this.exchange = user;
+		this.requestWritten = false;
+		this.answering = false;
+		this.channel.writeAndFlush(request).addListener((written) -> this.requestWritten = written.isSuccess());
+	}
+
+	/**
+	 * Gives up on the answer; the connection is closed, which tells the server.
+	 */
+	void abandon() {
+		this.exchange = null;
+		this.channel.close();
+	}
+
+	/**
+	 * Starts or stops reading, when the caller reads slower than the server writes.
+	 * @param reading whether to read
+	 */
+	void setReading(boolean reading) {
+		this.channel.config().setAutoRead(reading);
+	}
+
+	boolean isUsable(long nowMs) {
+		return this.channel.isActive() && this.reusable && nowMs - this.idleSinceMs < this.idleLimitMs;
+	}
+
+	void close() {
+		this.channel.close();
+	}
+
+	@Override
+	public void channelRead(ChannelHandlerContext context, Object message) {
+		try {
+			if (message instanceof HttpResponse response) {
+				head(response);
+			}
+			if (message instanceof HttpContent content) {
+				body(content);
+			}
+		}
+		finally {
+			ReferenceCountUtil.release(message);
+		}
+	}
+
+	@Override
+	public void channelReadComplete(ChannelHandlerContext context) {
+		if (this.exchange != null) {
+			this.exchange.onReadComplete();
+		}
+	}
+
+	@Override
+	public void channelInactive(ChannelHandlerContext context) {
+		this.owner.closed(this);
+		broken(this.reset ? "connection reset" : "connection closed");
+	}
+
+	@Override
+	public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+		if (cause instanceof IOException) {
+			this.reset = true;
+			context.close();
+		}
+		else {
+			broken("answer cannot be read: " + cause.getMessage());
+			context.close();
+		}
+	}
+
+	private void head(HttpResponse response) {
+		ServerExchange user = this.exchange;
+		if (user == null) {
+			this.reusable = false;
+			this.channel.close();
+			return;
+		}
+		if (response.decoderResult().isFailure()) {
+			broken("answer is not HTTP");
+			this.channel.close();
+			return;
+		}
+		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+			this.skipping = true;
+			return;
+		}
+		HttpHeaders headers = response.headers();
+		String echoed = headers.get(this.requestIdHeader);
+		boolean success = response.status().code() >= SUCCESS && response.status().code() < REDIRECTION;
+		boolean anonymous = echoed == null && (!success || user.requestId().isEmpty());
+		if (!anonymous && !user.requestId().equals(echoed)) {
+			this.skipping = true;
+			this.reusable = false;
+			return;
+		}
+		this.skipping = false;
+		this.answering = true;
+		this.framed = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
+		if (!HttpUtil.isKeepAlive(response) || !this.framed) {
+			this.reusable = false;
+		}
+		this.idleLimitMs = KeepAlive.idleLimitMs(headers.get(HttpHeaderNames.KEEP_ALIVE.toString()));
+		user.onHead(response);
+	}
+
+	private void body(HttpContent content) {
+		if (content.decoderResult().isFailure()) {
+			broken("answer is damaged");
+			this.channel.close();
+			return;
+		}
+		boolean last = content instanceof LastHttpContent;
+		if (this.skipping) {
+			this.skipping = !last;
+			return;
+		}
+		ServerExchange user = this.exchange;
+		if (user == null || !this.answering) {
+			return;
+		}
+		if (content.content().isReadable()) {
+			user.onContent(content.content());
+		}
+		if (last && this.exchange == user) {
+			end(user);
+		}
+	}
+
+	private void end(ServerExchange user) {
+		if (!this.framed && this.reset) {
+			broken("connection reset");
+			return;
+		}
+		this.exchange = null;
+		if (!this.requestWritten) {
+			this.reusable = false;
+		}
+		this.owner.release(this);
+		user.onEnd();
+	}
+
+	void markIdle(long nowMs) {
+		this.idleSinceMs = nowMs;
+		this.answering = false;
+		if (!this.channel.config().isAutoRead()) {
+			this.channel.config().setAutoRead(true);
+		}
+	}
+
+	boolean isReusable() {
+		return this.reusable && this.channel.isActive();
+	}
+
+	private void broken(String reason) {
+		ServerExchange user = this.exchange;
+		this.exchange = null;
+		if (user != null) {
+			user.onBroken(reason);
+		}
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
@@ -0,0 +1,164 @@
+package io.verbenacleat.router.relay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.ServerList;
+
+/**
+ * The connections to backend servers, kept for each incarnation. Used on one event loop.
+ */
+final class ServerConnections {
+
+	/** Idle connections are used for this long when the server states nothing. */
+	static final long MAX_IDLE_MS = 4_000;
+
+	/** A lost opening packet is repeated after a second; another server is faster. */
+	private static final int CONNECT_TIMEOUT_MS = 350;
+
+	private static final int MAX_LINE_BYTES = 8_192;
+
+	private static final int MAX_HEADER_BYTES = 65_536;
+
+	private static final int MAX_CHUNK_BYTES = 65_536;
+
+	private final Bootstrap bootstrap;
+
+	private final String requestIdHeader;
+
+	private final LongSupplier nowMs;
+
+	private final Map<String, Deque<ServerConnection>> idle = new HashMap<>();
+
+	private final Map<String, Integer> open = new HashMap<>();
+
+	ServerConnections(EventLoop loop, String requestIdHeader, LongSupplier nowMs) {
+		this.requestIdHeader = requestIdHeader;
+		this.nowMs = nowMs;
+		this.bootstrap = new Bootstrap().group(loop)
+			.channel(NioSocketChannel.class)
+			.option(ChannelOption.TCP_NODELAY, true)
+			.option(ChannelOption.SO_KEEPALIVE, true)
+			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+			.handler(new ChannelInitializer<Channel>() {
+				@Override
+				protected void initChannel(Channel channel) {
+					channel.pipeline()
+						.addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES, false));
+				}
+			});
+	}
+
+	/**
+	 * Hands a connection to an exchange, a kept one if there is one.
+	 * @param server the server
+	 * @param maxConnections the most connections to it
+	 * @param user takes the connection
+	 */
+	void acquire(BackendServer server, int maxConnections, ServerExchange user) {
+		String key = key(server);
+		Deque<ServerConnection> kept = this.idle.get(key);
+		while (kept != null && !kept.isEmpty()) {
+			ServerConnection connection = kept.pop();
+			if (connection.isUsable(this.nowMs.getAsLong())) {
+				user.onConnected(connection);
+				return;
+			}
+			connection.close();
+		}
+		if (this.open.getOrDefault(key, 0) >= maxConnections) {
+			user.onNotConnected("all " + maxConnections + " connections are in use");
+			return;
+		}
+		connect(server, key, user);
+	}
+
+	/**
+	 * Closes the connections to incarnations that are no longer listed.
+	 * @param list the servers
+	 */
+	void update(ServerList list) {
+		Set<String> keys = list.all().stream().map(ServerConnections::key).collect(Collectors.toSet());
+		List<ServerConnection> unused = new ArrayList<>();
+		this.idle.entrySet().removeIf((entry) -> {
+			boolean gone = !keys.contains(entry.getKey());
+			if (gone) {
+				unused.addAll(entry.getValue());
+			}
+			return gone;
+		});
+		unused.forEach(ServerConnection::close);
+	}
+
+	/**
+	 * Closes idle connections that have reached their limit.
+	 */
+	void closeExpired() {
+		long now = this.nowMs.getAsLong();
+		for (Deque<ServerConnection> kept : this.idle.values()) {
+			List<ServerConnection> expired = new ArrayList<>();
+			kept.removeIf((connection) -> {
+				boolean unusable = !connection.isUsable(now);
+				if (unusable) {
+					expired.add(connection);
+				}
+				return unusable;
+			});
+			expired.forEach(ServerConnection::close);
+		}
+	}
+
+	void release(ServerConnection connection) {
+		if (!connection.isReusable()) {
+			connection.close();
+			return;
+		}
+		connection.markIdle(this.nowMs.getAsLong());
+		this.idle.computeIfAbsent(connection.serverKey(), (any) -> new ArrayDeque<>()).push(connection);
+	}
+
+	void closed(ServerConnection connection) {
+		this.open.computeIfPresent(connection.serverKey(), (key, count) -> (count > 1) ? count - 1 : null);
+		Deque<ServerConnection> kept = this.idle.get(connection.serverKey());
+		if (kept != null) {
+			kept.remove(connection);
+		}
+	}
+
+	private void connect(BackendServer server, String key, ServerExchange user) {
+		this.open.merge(key, 1, Integer::sum);
+		ChannelFuture connecting = this.bootstrap.connect(server.host(), server.port());
+		ServerConnection connection = new ServerConnection(this, key, this.requestIdHeader, connecting.channel());
+		connecting.addListener((result) -> {
+			if (result.isSuccess()) {
+				connecting.channel().pipeline().addLast(connection);
+				user.onConnected(connection);
+			}
+			else {
+				closed(connection);
+				user.onNotConnected("connection failed: " + result.cause().getMessage());
+			}
+		});
+	}
+
+	private static String key(BackendServer server) {
+		return server.id() + "@" + server.startedAtMs() + "@" + server.host() + ":" + server.port();
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
@@ -0,0 +1,208 @@
+package io.verbenacleat.router.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpResponse;
+import io.verbenacleat.router.balance.ServerState;
+import io.verbenacleat.router.config.Route;
+import io.verbenacleat.router.config.Service;
+import io.verbenacleat.router.repeat.SendResult;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One send of a request to one backend server. Used on the event loop.
+ */
+final class ServerSend implements ServerExchange {
+
+	/** A silent server is given up for requests that can go elsewhere after this. */
+	private static final long STALL_MS = 700;
+
+	private final RequestRun run;
+
+	private final ServerState state;
+
+	private final Service service;
+
+	private final Route route;
+
+	private @Nullable ServerConnection connection;
+
+	private @Nullable SendResult verdict;
+
+	private boolean ranBefore;
+
+	private boolean counted;
+
+	private boolean over;
+
+	private long sentAtMs;
+
+	private long lastBytesAtMs;
+
+	private int status;
+
+	ServerSend(RequestRun run, ServerState state, Service service, Route route) {
+		this.run = run;
+		this.state = state;
+		this.service = service;
+		this.route = route;
+	}
+
+	String serverId() {
+		return this.state.server().id();
+	}
+
+	@Override
+	public String requestId() {
+		return this.run.requestId();
+	}
+
+	@Override
+	public void onConnected(ServerConnection opened) {
+		if (this.over) {
+			this.run.relay().connections().release(opened);
+			return;
+		}
+		Relay relay = this.run.relay();
+		if (!relay.states().isListed(this.state.server())) {
+			relay.connections().release(opened);
+			this.over = true;
+			this.run.onSendFailed(this, SendResult.NOT_SENT, "server has left", this.ranBefore);
+			return;
+		}
+		this.connection = opened;
+		this.sentAtMs = relay.nowMs();
+		this.lastBytesAtMs = this.sentAtMs;
+		this.counted = true;
+		this.state.onSend(this.sentAtMs);
+		this.ranBefore = this.run.markSent(this.state);
+		opened.send(this, this.run.requestFor(this.state, this.route));
+		opened.setReading(this.run.isCallerWritable());
+	}
+
+	@Override
+	public void onNotConnected(String reason) {
+		if (this.over) {
+			return;
+		}
+		this.over = true;
+		this.state.onConnectFailure(this.run.relay().nowMs());
+		this.run.onSendFailed(this, SendResult.NOT_SENT, reason, this.run.mayHaveRun());
+	}
+
+	@Override
+	public void onHead(HttpResponse response) {
+		bytes();
+		this.status = response.status().code();
+		this.state.onFirstByte(this.lastBytesAtMs - this.sentAtMs);
+		this.verdict = this.run.judge(response);
+		if (this.verdict == null) {
+			this.run.forwardHead(response);
+		}
+	}
+
+	@Override
+	public void onContent(ByteBuf content) {
+		bytes();
+		if (this.verdict == null) {
+			this.run.forwardContent(content);
+		}
+	}
+
+	@Override
+	public void onReadComplete() {
+		if (!this.over && this.verdict == null) {
+			this.run.flush();
+		}
+	}
+
+	@Override
+	public void onEnd() {
+		this.over = true;
+		SendResult failure = this.verdict;
+		if (failure == null) {
+			this.state.onSuccess();
+			this.run.onAnswerEnd(this.state, this.status);
+			return;
+		}
+		if (failure == SendResult.NOT_RUN) {
+			this.state.onRefusal(this.run.relay().nowMs());
+		}
+		else {
+			this.state.onSuccess();
+		}
+		this.run.onSendFailed(this, failure, "server answered " + this.status, this.ranBefore);
+	}
+
+	@Override
+	public void onBroken(String reason) {
+		if (this.over) {
+			return;
+		}
+		this.over = true;
+		this.state.onFailure(this.run.relay().nowMs());
+		this.run.onSendFailed(this, SendResult.UNKNOWN, reason, this.ranBefore);
+	}
+
+	/**
+	 * Gives up on a silent server.
+	 * @param reason why
+	 */
+	void fail(String reason) {
+		closeConnection();
+		this.over = true;
+		if (this.counted) {
+			this.state.onFailure(this.run.relay().nowMs());
+		}
+		SendResult result = this.counted ? SendResult.UNKNOWN : SendResult.NOT_SENT;
+		this.run.onSendFailed(this, result, reason, this.counted ? this.ranBefore : this.run.mayHaveRun());
+	}
+
+	/**
+	 * Gives up because the caller is gone or its time is over.
+	 */
+	void abandon() {
+		if (this.over) {
+			return;
+		}
+		closeConnection();
+		this.over = true;
+		if (this.counted) {
+			this.state.onAbandoned();
+		}
+	}
+
+	void setReading(boolean reading) {
+		ServerConnection current = this.connection;
+		if (current != null && !this.over) {
+			current.setReading(reading);
+		}
+	}
+
+	/**
+	 * Returns whether the server sends nothing for longer than it should.
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code true} when another server would be faster
+	 */
+	boolean isStalled(long nowMs) {
+		if (!this.counted || this.over || !this.run.isCallerWritable()) {
+			return false;
+		}
+		long silentMs = nowMs - this.lastBytesAtMs;
+		long limitMs = this.service.modelService() ? STALL_MS : Math.min(STALL_MS, this.route.targetLatencyMs());
+		return silentMs > limitMs;
+	}
+
+	private void bytes() {
+		this.lastBytesAtMs = this.run.relay().nowMs();
+		this.state.onBytes(this.lastBytesAtMs);
+	}
+
+	private void closeConnection() {
+		ServerConnection current = this.connection;
+		this.connection = null;
+		if (current != null) {
+			current.abandon();
+		}
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/TokenBill.java
@@ -0,0 +1,118 @@
+package io.verbenacleat.router.relay;
+
+import io.verbenacleat.router.budget.PrepaidLedger;
+import io.verbenacleat.router.budget.Wallet;
+
+/**
+ * The prepaid tokens of one request: reserved before it is sent, billed once when it has
+ * ended. Not safe for use by several threads, except {@link #granted} and
+ * {@link #refused}.
+ */
+final class TokenBill implements Wallet.Waiter {
+
+	private final Relay relay;
+
+	private final Wallet wallet;
+
+	private final long promptTokens;
+
+	private final long maxOutputTokens;
+
+	private final Listener listener;
+
+	private boolean reserved;
+
+	private boolean waiting;
+
+	private boolean closed;
+
+	TokenBill(Relay relay, Wallet wallet, TokenUsage usage, Listener listener) {
+		this.relay = relay;
+		this.wallet = wallet;
+		this.promptTokens = usage.promptTokens();
+		this.maxOutputTokens = usage.maxOutputTokens();
+		this.listener = listener;
+	}
+
+	/**
+	 * Reserves the tokens, or waits for them.
+	 */
+	void open() {
+		if (this.wallet.tryReserve(tokens())) {
+			this.reserved = true;
+			this.listener.onTokens();
+			return;
+		}
+		this.waiting = true;
+		this.wallet.await(this);
+		PrepaidLedger ledger = this.relay.ledger();
+		ledger.wake();
+	}
+
+	/**
+	 * Bills the tokens that were used; later calls do nothing.
+	 * @param mayHaveRun whether a backend server may have run the request
+	 * @param deliveredTokens the output tokens that went to the caller
+	 */
+	void settle(boolean mayHaveRun, long deliveredTokens) {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		if (this.waiting && this.wallet.cancel(this)) {
+			return;
+		}
+		if (this.reserved) {
+			long used = mayHaveRun ? this.promptTokens + Math.min(this.maxOutputTokens, deliveredTokens) : 0;
+			this.wallet.settle(tokens(), used);
+		}
+	}
+
+	@Override
+	public long tokens() {
+		return this.promptTokens + this.maxOutputTokens;
+	}
+
+	@Override
+	public void granted() {
+		this.relay.executor().execute(() -> {
+			this.waiting = false;
+			if (this.closed) {
+				this.wallet.settle(tokens(), 0);
+				return;
+			}
+			this.reserved = true;
+			this.listener.onTokens();
+		});
+	}
+
+	@Override
+	public void refused(boolean allowanceUsedUp) {
+		this.relay.executor().execute(() -> {
+			this.waiting = false;
+			if (!this.closed) {
+				this.closed = true;
+				this.listener.onNoTokens(allowanceUsedUp);
+			}
+		});
+	}
+
+	/**
+	 * Learns whether the tokens are there.
+	 */
+	interface Listener {
+
+		/**
+		 * The tokens are reserved.
+		 */
+		void onTokens();
+
+		/**
+		 * There are no tokens now.
+		 * @param allowanceUsedUp whether the allowance does not cover the request
+		 */
+		void onNoTokens(boolean allowanceUsedUp);
+
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Connections of callers and to backend servers.
+ */
+@NullMarked
+package io.verbenacleat.router.relay;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/repeat/RepeatPolicy.java
@@ -0,0 +1,25 @@
+package io.verbenacleat.router.repeat;
+
+import io.verbenacleat.router.config.RequestKind;
+
+/**
+ * Decides whether a request may be sent to one more backend server. Stateless.
+ */
+public final class RepeatPolicy {
+
+	private RepeatPolicy() {
+	}
+
+	/**
+	 * Decides by what is known of the sends before.
+	 * @param kind what may be repeated
+	 * @param sends how many times the request was sent, those that never left excluded
+	 * @param maxAttempts the most sends
+	 * @param mayHaveRun whether a server may have run the request
+	 * @return {@code true} when the request may be sent again
+	 */
+	public static boolean mayRepeat(RequestKind kind, int sends, int maxAttempts, boolean mayHaveRun) {
+		return sends < maxAttempts && (!mayHaveRun || kind.isRepeatable());
+	}
+
+}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/repeat/RetryAllowance.java
@@ -0,0 +1,114 @@
+package io.verbenacleat.router.repeat;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Queue;
+import java.util.function.LongSupplier;
+
+/**
+ * The share of one router in the retry budget that all routers have for a service. In
+ * each sliding window it allows repeats up to a ratio of the requests for the service,
+ * plus a fixed number. The shares add up to the budget without messages between routers,
+ * so it holds while they are cut off from each other. Not safe for use by several
+ * threads.
+ */
+public final class RetryAllowance {
+
+	/**
+	 * Part of the ratio that is used: requests shift between windows of other routers.
+	 */
+	private static final double USED_RATIO = 0.8;
+
+	private static final int SLICES = 10;
+
+	private final double ratio;
+
+	private final double extra;
+
+	private final long sliceMs;
+
+	private final LongSupplier nowMs;
+
+	private final Map<String, Window> windows = new HashMap<>();
+
+	/**
+	 * Creates an allowance.
+	 * @param ratio the repeats for each request, of all routers
+	 * @param extra the repeats beyond the ratio for each window, of this router
+	 * @param windowMs the length of the window in milliseconds
+	 * @param nowMs the steady time in milliseconds
+	 */
+	public RetryAllowance(double ratio, double extra, long windowMs, LongSupplier nowMs) {
+		this.ratio = ratio * USED_RATIO;
+		this.extra = extra;
+		this.sliceMs = Math.max(1, windowMs / SLICES);
+		this.nowMs = nowMs;
+	}
+
+	/**
+	 * Counts a request, without its repeats.
+	 * @param service the name of the service
+	 */
+	public void onRequest(String service) {
+		window(service).current().requests++;
+	}
+
+	/**
+	 * Takes one repeat out of the budget.
+	 * @param service the name of the service
+	 * @return {@code false} when the budget is used up
+	 */
+	public boolean tryRepeat(String service) {
+		Window window = window(service);
+		long requests = 0;
+		long repeats = 0;
+		for (Slice slice : window.slices) {
+			requests += slice.requests;
+			repeats += slice.repeats;
+		}
+		if (repeats + 1 > this.ratio * requests + this.extra) {
+			return false;
+		}
+		window.current().repeats++;
+		return true;
+	}
+
+	private Window window(String service) {
+		return this.windows.computeIfAbsent(service, (any) -> new Window());
+	}
+
+	private final class Window {
+
+		private final Queue<Slice> slices = new ArrayDeque<>();
+
+		private Slice newest = new Slice(Long.MIN_VALUE);
+
+		private Slice current() {
+			long index = RetryAllowance.this.nowMs.getAsLong() / RetryAllowance.this.sliceMs;
+			if (this.newest.index != index) {
+				this.newest = new Slice(index);
+				this.slices.add(this.newest);
+			}
+			// One slice more than the window, since the newest one has just begun.
+			this.slices.removeIf((slice) -> slice.index < index - SLICES);
+			return this.newest;
+		}
+
+	}
+
+	private static final class Slice {
+
+		private final long index;
+
+		private int requests;
+
+		private int repeats;
+
+		private Slice(long index) {
+			this.index = index;
+		}
+
+	}
+
+}
