Size grants by the demand of each router

Cause: a router got an equal share of what is left, but one of the four takes 70% of the callers, so it ran out first while the store was cut off. Ruled out: larger equal shares, which strand tokens at idle routers. The shared row now names the demand of each router, and a router holds its part of it, for 12 s.

--- a/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
@@ -34,6 +34,17 @@
 		return sum;
 	}
 
+	// The tokens that the requests at other routers ask for in a second.
+	double demandOfOthers(String incarnation) {
+		double sum = 0;
+		for (Map.Entry<String, Holding> entry : this.routers.entrySet()) {
+			if (!entry.getKey().equals(incarnation)) {
+				sum += entry.getValue().demandPerS();
+			}
+		}
+		return sum;
+	}
+
 	GrantRow with(String incarnation, Holding holding, long givenDelta, long allowance, long version) {
 		Map<String, Holding> changed = new TreeMap<>(this.routers);
 		changed.put(incarnation, holding);
@@ -51,10 +62,11 @@
 	 *
 	 * @param givenTokens the tokens that it took, less those that it gave back
 	 * @param spentTokens the tokens that it had spent when it wrote last
+	 * @param demandPerS the tokens that its requests asked for in a second
 	 * @param write the number of its last write, which tells whether a write without an
 	 * answer took effect
 	 */
-	record Holding(long givenTokens, long spentTokens, long write) {
+	record Holding(long givenTokens, long spentTokens, long demandPerS, long write) {
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
@@ -5,19 +5,14 @@
  */
 final class GrantSizing {
 
-	/** Bridges a cut of the store of about nine seconds. */
+	/** Bridges a cut of the store of about nine seconds, with demand that grows. */
 	private static final double HOLD_S = 12;
 
-	/**
-	 * Routers that are assumed at least; more are counted by their entries in the row.
-	 */
-	private static final int MIN_ROUTERS = 4;
-
-	/** All routers together hold at most half of what is left, which bounds a loss. */
-	private static final double HELD_PART = 0.5;
+	/** All routers together hold at most this part of what is left. */
+	private static final double HELD_PART = 0.8;
 
-	/** Held by a router without known demand, as a part of its largest share. */
-	private static final double INITIAL_PART = 0.25;
+	/** A router without known demand holds this part of what is left. */
+	private static final double IDLE_PART = 0.02;
 
 	private GrantSizing() {
 	}
@@ -27,16 +22,21 @@
 	 * @param pool the tokens of the allowance that no router holds, below zero after a
 	 * cut of the allowance
 	 * @param available the tokens that the router holds unspent
+	 * @param heldByOthers the tokens that other routers hold unspent
 	 * @param waiting the tokens that its waiting requests need
 	 * @param demandPerS the tokens that its requests ask for in a second
-	 * @param routers the routers in the row
+	 * @param othersDemandPerS the same of the other routers
 	 * @return the tokens, at most those of the pool and the available ones
 	 */
-	static long target(long pool, long available, long waiting, double demandPerS, int routers) {
+	static long target(long pool, long available, long heldByOthers, long waiting, double demandPerS,
+			double othersDemandPerS) {
 		long left = Math.max(0, pool + available);
-		double share = left * HELD_PART / Math.max(MIN_ROUTERS, routers);
-		double wanted = Math.max(demandPerS * HOLD_S, share * INITIAL_PART);
-		return Math.min(left, Math.max(waiting, (long) Math.min(wanted, share)));
+		double unspent = left + Math.max(0, heldByOthers);
+		double allDemandPerS = demandPerS + othersDemandPerS;
+		double share = (allDemandPerS > 0) ? demandPerS / allDemandPerS : 1;
+		double wanted = Math.min(demandPerS * HOLD_S, unspent * HELD_PART * share);
+		double target = Math.max(wanted, unspent * IDLE_PART);
+		return Math.min(left, Math.max(waiting, (long) target));
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -46,10 +46,10 @@
 	private static final Duration MAX_ROW_AGE = Duration.ofMillis(500);
 
 	/** A router refills when it holds less than this part of its target. */
-	private static final double REFILL_PART = 0.6;
+	private static final double REFILL_PART = 0.85;
 
 	/** A router gives back what it holds beyond this multiple of its target. */
-	private static final double SURPLUS_FACTOR = 2;
+	private static final double SURPLUS_FACTOR = 1.5;
 
 	private static final double NANOS_PER_SECOND = 1e9;
 
@@ -334,8 +334,8 @@
 			long pool = allowance(current) - current.givenTokens();
 			long available = this.wallet.available();
 			long waiting = this.wallet.waitingTokens();
-			long target = GrantSizing.target(pool, available, waiting, this.wallet.demandPerS(),
-					current.routers().size());
+			long target = GrantSizing.target(pool, available, current.heldByOthers(PrepaidLedger.this.incarnation),
+					waiting, this.wallet.demandPerS(), current.demandOfOthers(PrepaidLedger.this.incarnation));
 			if (available < Math.max(waiting, target * REFILL_PART)) {
 				return Math.max(0, Math.min(pool, target - available));
 			}
@@ -400,7 +400,8 @@
 			// Withdrawn tokens are out of the wallet already, taken ones are not yet in
 			// it.
 			long given = this.wallet.given() + Math.max(0, delta);
-			GrantRow.Holding holding = new GrantRow.Holding(given, this.wallet.spent(), number);
+			GrantRow.Holding holding = new GrantRow.Holding(given, this.wallet.spent(), (long) this.wallet.demandPerS(),
+					number);
 			long known = Math.max(current.configVersion(), this.configVersion);
 			GrantWrite write = new GrantWrite(
 					current.with(PrepaidLedger.this.incarnation, holding, delta, allowance(current), known), number,
