State in a row of each router what it may have spent, and free the rest when it is back

Ruled out: smaller grants, which do not last through a cut of nine seconds. A router now keeps to a stated limit unless it was out of contact for 3 s, and the next process at its address frees the rest of its grants.

--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -12,6 +12,7 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.router.budget.PrepaidLedger;
+import io.verbenacleat.router.budget.StoreClock;
 import io.verbenacleat.router.config.RoutingTable;
 import io.verbenacleat.router.log.DecisionLog;
 import io.verbenacleat.router.relay.CallerServer;
@@ -70,20 +71,23 @@
 	 * Starts a router.
 	 * @param options the settings
 	 * @param store the table service for shared state
+	 * @param storeClock the clock of the table service
 	 * @param feed the configuration and the registrations of servers
 	 * @param reports how servers report their load
 	 * @param control the control thread
 	 * @param log gets a line for each decision
 	 */
-	public RouterDaemon(RouterOptions options, TableStore store, FleetFeed feed, LoadReports reports,
-			ControlThread control, DecisionLog log) {
+	public RouterDaemon(RouterOptions options, TableStore store, StoreClock storeClock, FleetFeed feed,
+			LoadReports reports, ControlThread control, DecisionLog log) {
 		this.options = options;
 		this.control = control;
 		this.feed = feed;
 		this.log = log;
 		PrometheusRegistry registry = new PrometheusRegistry();
 		String incarnation = options.name() + "/" + Long.toString(control.clock().millis(), Character.MAX_RADIX);
-		this.ledger = new PrepaidLedger(incarnation, store, control, log);
+		this.ledger = new PrepaidLedger(
+				new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(), incarnation), store, storeClock,
+				control, log);
 		this.relay = new Relay(this.loop.next(), options.relay(), this.ledger, log, registry);
 		this.reporter = new LoadReporter(this.relay, reports, this.loop.next());
 		this.directory = new ServerDirectory(control, log, this.relay::updateServers);
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -0,0 +1,145 @@
+package io.verbenacleat.router.budget;
+
+import io.verbenacleat.core.platform.Row;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One workspace in the ledger of this router: its wallet and the shared row as it was
+ * read or written last. Used on the control thread.
+ */
+final class GrantAccount {
+
+	/** A router refills when it holds less than this part of its target. */
+	private static final double REFILL_PART = 0.85;
+
+	/** A router gives back what it holds beyond this multiple of its target. */
+	private static final double SURPLUS_FACTOR = 1.5;
+
+	/**
+	 * Spent without a write in between: until the wallet is unlocked, and one more write.
+	 */
+	private static final double OPEN_S = 3.6;
+
+	private final Wallet wallet;
+
+	private final String address;
+
+	private long allowance;
+
+	private long configVersion = -1;
+
+	private @Nullable GrantRow row;
+
+	private long version;
+
+	GrantAccount(Wallet wallet, String address) {
+		this.wallet = wallet;
+		this.address = address;
+	}
+
+	Wallet wallet() {
+		return this.wallet;
+	}
+
+	String key() {
+		return PrepaidLedger.GRANT_PREFIX + this.wallet.workspace();
+	}
+
+	@Nullable
+	GrantRow row() {
+		return this.row;
+	}
+
+	long version() {
+		return this.version;
+	}
+
+	void configure(long newAllowance, long newConfigVersion) {
+		this.allowance = newAllowance;
+		this.configVersion = newConfigVersion;
+	}
+
+	void read(GrantRow newRow, Row read) {
+		this.row = newRow;
+		this.version = read.version();
+	}
+
+	void written(GrantRow newRow, long newVersion) {
+		this.row = newRow;
+		this.version = newVersion;
+	}
+
+	void forget() {
+		this.row = null;
+	}
+
+	/**
+	 * Returns how many tokens the router should take.
+	 * @return the tokens, below zero for those that it should give back, 0 for no change
+	 */
+	long planDelta() {
+		GrantRow current = this.row;
+		if (current == null) {
+			return 0;
+		}
+		long pool = allowanceFor(current) - current.givenTokens();
+		long held = this.wallet.held();
+		long waiting = this.wallet.waitingTokens();
+		long target = GrantSizing.target(pool, held, current.heldByOthers(this.address), waiting,
+				this.wallet.demandPerS(), current.demandOfOthers(this.address));
+		if (held < Math.max(waiting, target * REFILL_PART)) {
+			return Math.max(0, Math.min(pool, target - held));
+		}
+		if (held > target * SURPLUS_FACTOR) {
+			return target - held;
+		}
+		return 0;
+	}
+
+	/**
+	 * Returns the shared row after a change.
+	 * @param delta the tokens that the router takes
+	 * @return the row, based on the one that was read last
+	 */
+	GrantRow rowAfter(long delta) {
+		GrantRow current = (this.row != null) ? this.row : GrantRow.empty();
+		GrantRow.Holding holding = new GrantRow.Holding(this.wallet.held() + Math.max(0, delta),
+				(long) this.wallet.demandPerS());
+		return current.with(this.address, holding, delta, allowanceFor(current),
+				Math.max(current.configVersion(), this.configVersion));
+	}
+
+	/**
+	 * Returns the limit that the router states in its next write.
+	 * @param delta the tokens that the router takes in that write
+	 * @return the limit
+	 */
+	RouterRow.Limit nextLimit(long delta) {
+		long given = this.wallet.given() + Math.max(0, delta);
+		long open = (long) (this.wallet.demandPerS() * OPEN_S) + this.wallet.waitingTokens();
+		// With little left, all of it is open: a small limit would stall large requests.
+		long floor = (long) (given * GrantSizing.IDLE_PART);
+		long limit = Math.min(given, this.wallet.committed() + Math.max(open, floor));
+		return new RouterRow.Limit(given, limit);
+	}
+
+	/**
+	 * Returns whether the allowance cannot cover the waiting requests, whoever holds it.
+	 * @return {@code true} when it cannot
+	 */
+	boolean isExhausted() {
+		GrantRow current = this.row;
+		if (current == null) {
+			return false;
+		}
+		long unspent = allowanceFor(current) - current.givenTokens() + this.wallet.held()
+				+ current.heldByOthers(this.address);
+		return unspent < this.wallet.waitingTokens();
+	}
+
+	// The allowance of the newest configuration that any router knows.
+	private long allowanceFor(GrantRow current) {
+		return (current.configVersion() > this.configVersion) ? current.allowanceTokens() : this.allowance;
+	}
+
+}
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
@@ -8,10 +8,10 @@
  * Immutable.
  *
  * @param givenTokens the tokens that routers took, less those that they gave back; those
- * of lost routers stay counted
+ * that a lost router may have spent stay counted
  * @param allowanceTokens the allowance in the newest configuration that a writer knew
  * @param configVersion the version of that configuration
- * @param routers what the living routers hold, by incarnation
+ * @param routers what routers hold, by their address
  */
 record GrantRow(long givenTokens, long allowanceTokens, long configVersion, Map<String, Holding> routers) {
 
@@ -24,49 +24,47 @@
 	}
 
 	// The tokens that other routers hold and had not spent when they wrote last.
-	long heldByOthers(String incarnation) {
+	long heldByOthers(String address) {
 		long sum = 0;
 		for (Map.Entry<String, Holding> entry : this.routers.entrySet()) {
-			if (!entry.getKey().equals(incarnation)) {
-				sum += entry.getValue().givenTokens() - entry.getValue().spentTokens();
+			if (!entry.getKey().equals(address)) {
+				sum += entry.getValue().unspentTokens();
 			}
 		}
 		return sum;
 	}
 
 	// The tokens that the requests at other routers ask for in a second.
-	double demandOfOthers(String incarnation) {
+	double demandOfOthers(String address) {
 		double sum = 0;
 		for (Map.Entry<String, Holding> entry : this.routers.entrySet()) {
-			if (!entry.getKey().equals(incarnation)) {
+			if (!entry.getKey().equals(address)) {
 				sum += entry.getValue().demandPerS();
 			}
 		}
 		return sum;
 	}
 
-	GrantRow with(String incarnation, Holding holding, long givenDelta, long allowance, long version) {
+	GrantRow with(String address, Holding holding, long givenDelta, long allowance, long version) {
 		Map<String, Holding> changed = new TreeMap<>(this.routers);
-		changed.put(incarnation, holding);
+		changed.put(address, holding);
 		return new GrantRow(this.givenTokens + givenDelta, allowance, version, changed);
 	}
 
-	GrantRow without(String incarnation, long returnedTokens) {
+	GrantRow without(String address, long returnedTokens) {
 		Map<String, Holding> changed = new TreeMap<>(this.routers);
-		changed.remove(incarnation);
+		changed.remove(address);
 		return new GrantRow(this.givenTokens - returnedTokens, this.allowanceTokens, this.configVersion, changed);
 	}
 
 	/**
-	 * What one router took.
+	 * What one router held and asked for when it wrote the row last; used for the sizes
+	 * of grants only.
 	 *
-	 * @param givenTokens the tokens that it took, less those that it gave back
-	 * @param spentTokens the tokens that it had spent when it wrote last
+	 * @param unspentTokens the tokens that it held unspent
 	 * @param demandPerS the tokens that its requests asked for in a second
-	 * @param write the number of its last write, which tells whether a write without an
-	 * answer took effect
 	 */
-	record Holding(long givenTokens, long spentTokens, long demandPerS, long write) {
+	record Holding(long unspentTokens, long demandPerS) {
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
@@ -12,7 +12,7 @@
 	private static final double HELD_PART = 0.8;
 
 	/** A router without known demand holds this part of what is left. */
-	private static final double IDLE_PART = 0.02;
+	static final double IDLE_PART = 0.02;
 
 	private GrantSizing() {
 	}
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/budget/LedgerWrite.java
@@ -0,0 +1,100 @@
+package io.verbenacleat.router.budget;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.verbenacleat.core.json.Json;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.Transaction;
+
+/**
+ * One transaction of the ledger, kept until its outcome is known. It is repeated as it
+ * is, so that it takes effect at most once. Used on the control thread.
+ */
+final class LedgerWrite {
+
+	private final RouterRow routerRow;
+
+	private final long sentAtNanos;
+
+	private final Map<String, Long> conditions = new HashMap<>();
+
+	private final List<Change> changes = new ArrayList<>();
+
+	private final Transaction.Builder transaction = Transaction.builder();
+
+	private boolean maybeApplied;
+
+	LedgerWrite(String routerKey, long routerVersion, RouterRow routerRow, long sentAtNanos) {
+		this.routerRow = routerRow;
+		this.sentAtNanos = sentAtNanos;
+		this.conditions.put(routerKey, routerVersion);
+		this.transaction.putIf(routerKey, routerVersion, Json.write(routerRow));
+	}
+
+	void add(GrantAccount account, GrantRow row, long delta) {
+		this.changes.add(new Change(account, row, delta));
+		this.conditions.put(account.key(), account.version());
+		this.transaction.putIf(account.key(), account.version(), Json.write(row));
+	}
+
+	/**
+	 * Notes that a try had no known outcome.
+	 */
+	void markMaybeApplied() {
+		this.maybeApplied = true;
+	}
+
+	/**
+	 * Returns whether an earlier try may have taken effect, or may still do so.
+	 * @return {@code true} when one had no known outcome
+	 */
+	boolean isMaybeApplied() {
+		return this.maybeApplied;
+	}
+
+	RouterRow routerRow() {
+		return this.routerRow;
+	}
+
+	long sentAtNanos() {
+		return this.sentAtNanos;
+	}
+
+	List<Change> changes() {
+		return this.changes;
+	}
+
+	Transaction transaction() {
+		return this.transaction.build();
+	}
+
+	/**
+	 * Returns whether the transaction may still take effect.
+	 * @param rows the rows as they are now
+	 * @return {@code false} when a condition fails for good
+	 */
+	boolean isPossible(List<Row> rows) {
+		for (Row row : rows) {
+			Long expected = this.conditions.get(row.key());
+			if (expected != null && expected != row.version()) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	/**
+	 * A change of one shared row.
+	 *
+	 * @param account the account
+	 * @param row the row as it is to be
+	 * @param delta the tokens that the router takes, below zero for those that it gives
+	 * back
+	 */
+	record Change(GrantAccount account, GrantRow row, long delta) {
+	}
+
+}
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +14,6 @@
 import io.verbenacleat.core.json.JsonFormatException;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
-import io.verbenacleat.core.platform.Transaction;
 import io.verbenacleat.core.platform.WriteOutcome;
 import io.verbenacleat.router.config.RoutingTable;
 import io.verbenacleat.router.config.Workspace;
@@ -28,68 +26,112 @@
  * cut off or lost. Wallets may be used on any thread; everything else runs on the control
  * thread.
  * <p>
- * A write without a known outcome is repeated with the same condition on the version of
- * the row, so that it takes effect at most once; the row then tells by the number of the
- * write whether it did.
+ * The router also states in a row of its own how much it may have spent at most, and
+ * keeps to that until it was out of contact for {@link #UNLOCK_AFTER}. A process that
+ * starts at the same address within that time frees what its predecessor cannot have
+ * spent.
+ * <p>
+ * All rows are written in one transaction. One without a known outcome is repeated as it
+ * is until the rows tell what became of it.
  */
 public final class PrepaidLedger implements AutoCloseable {
 
 	/** The keys of the shared rows begin with this. */
-	static final String KEY_PREFIX = "grant/";
+	static final String GRANT_PREFIX = "ledger/grant/";
+
+	/** The keys of the rows of routers begin with this. */
+	static final String ROUTER_PREFIX = "ledger/router/";
+
+	/**
+	 * A router that was out of contact for this time spends beyond its stated limit.
+	 * Processes that are killed are back within it.
+	 */
+	static final Duration UNLOCK_AFTER = Duration.ofMillis(3_000);
 
 	private static final Duration INTERVAL = Duration.ofMillis(250);
 
+	/** The row of a router is written this often at least while it holds tokens. */
+	private static final Duration MAX_WRITE_AGE = Duration.ofMillis(1_000);
+
 	/** Requests do not wait for tokens longer than this while a call is not answered. */
-	private static final Duration MAX_WAIT = Duration.ofSeconds(1);
+	private static final Duration MAX_WAIT = Duration.ofMillis(700);
 
-	/** A request is refused by a row that was read within this time. */
+	/** A request is refused by rows that were read within this time. */
 	private static final Duration MAX_ROW_AGE = Duration.ofMillis(500);
 
-	/** A router refills when it holds less than this part of its target. */
-	private static final double REFILL_PART = 0.85;
-
-	/** A router gives back what it holds beyond this multiple of its target. */
-	private static final double SURPLUS_FACTOR = 1.5;
-
 	private static final double NANOS_PER_SECOND = 1e9;
 
-	private final String incarnation;
+	private final Identity identity;
+
+	private final String routerKey;
 
 	private final TableStore store;
 
+	private final StoreClock storeClock;
+
 	private final ControlThread control;
 
 	private final DecisionLog log;
 
+	private final long startedAtNanos;
+
 	private final Map<String, Wallet> wallets = new ConcurrentHashMap<>();
 
-	private final Map<String, Account> accounts = new HashMap<>();
+	private final Map<String, GrantAccount> accounts = new HashMap<>();
 
 	private final Cancellable timer;
 
 	private @Nullable RoutingTable config;
 
+	private @Nullable LedgerWrite pending;
+
+	private @Nullable RouterRow predecessor;
+
+	private Map<String, RouterRow.Limit> statedLimits = Map.of();
+
+	private long routerVersion = -1;
+
+	private long writes;
+
 	private boolean busy;
 
 	private boolean soon;
 
+	private boolean readNeeded = true;
+
+	private boolean stopped;
+
 	private long updatedAtNanos;
 
 	private long callStartedAtNanos;
 
+	private long readAtNanos;
+
+	private long statedAtNanos;
+
+	private long statedBeforeNanos;
+
+	private boolean storeLost;
+
 	/**
 	 * Creates a ledger and starts its timer.
-	 * @param incarnation the identity of this run of the router
+	 * @param identity this router
 	 * @param store the table service
+	 * @param storeClock the clock of the table service
 	 * @param control the control thread
 	 * @param log gets a line for each change of a grant
 	 */
-	public PrepaidLedger(String incarnation, TableStore store, ControlThread control, DecisionLog log) {
-		this.incarnation = incarnation;
+	public PrepaidLedger(Identity identity, TableStore store, StoreClock storeClock, ControlThread control,
+			DecisionLog log) {
+		this.identity = identity;
+		this.routerKey = ROUTER_PREFIX + identity.address();
 		this.store = store;
+		this.storeClock = storeClock;
 		this.control = control;
 		this.log = log;
-		this.updatedAtNanos = control.nanoTime();
+		this.startedAtNanos = control.nanoTime();
+		this.updatedAtNanos = this.startedAtNanos;
+		this.statedAtNanos = this.startedAtNanos;
 		this.timer = control.scheduleWithFixedDelay(INTERVAL, this::tick);
 	}
 
@@ -107,7 +149,10 @@
 	 */
 	public void wake() {
 		this.control.execute(() -> {
-			if (!this.soon) {
+			if (this.storeLost) {
+				refuseWaiting();
+			}
+			else if (!this.soon) {
 				this.soon = true;
 				this.control.execute(this::round);
 			}
@@ -124,12 +169,13 @@
 	}
 
 	/**
-	 * Gives all unspent tokens back.
-	 * @return completes when they were given back, or could not be
+	 * Gives all unspent tokens back; nothing is taken afterwards.
+	 * @return completes with whether they were given back
 	 */
 	public CompletableFuture<Boolean> giveBack() {
 		CompletableFuture<Boolean> done = new CompletableFuture<>();
 		this.control.execute(() -> {
+			this.stopped = true;
 			this.timer.cancel();
 			giveBack(done);
 		});
@@ -146,313 +192,303 @@
 		double elapsedS = (nowNanos - this.updatedAtNanos) / NANOS_PER_SECOND;
 		this.updatedAtNanos = nowNanos;
 		this.wallets.values().forEach((wallet) -> wallet.updateDemand(elapsedS));
+		if (nowNanos - this.statedAtNanos > UNLOCK_AFTER.toNanos()) {
+			this.wallets.values().forEach(Wallet::unlock);
+		}
 		if (this.busy && nowNanos - this.callStartedAtNanos > MAX_WAIT.toNanos()) {
 			refuseWaiting();
 		}
 		round();
 	}
 
-	// One round of reads and writes at a time; the rows of all workspaces go together.
+	// One round of reads and writes at a time.
 	private void round() {
 		this.soon = false;
 		RoutingTable table = this.config;
-		if (this.busy || table == null) {
+		if (this.busy || table == null || this.stopped) {
 			return;
 		}
-		List<Account> due = new ArrayList<>();
 		for (Workspace workspace : table.workspaces()) {
 			Wallet wallet = this.wallets.get(workspace.name());
-			if (wallet == null || !workspace.isPrepaid()) {
-				continue;
+			if (wallet != null && workspace.isPrepaid()) {
+				this.accounts
+					.computeIfAbsent(workspace.name(), (name) -> new GrantAccount(wallet, this.identity.address()))
+					.configure(workspace.prepaidTokens(), table.version());
 			}
-			Account account = this.accounts.computeIfAbsent(workspace.name(), (name) -> new Account(wallet));
-			account.allowance = workspace.prepaidTokens();
-			account.configVersion = table.version();
-			account.dropStaleRow();
-			if (account.pending != null || account.row == null || account.plan() != 0
-					|| account.wallet.waitingTokens() > 0) {
-				due.add(account);
-			}
-		}
-		if (due.isEmpty()) {
-			return;
 		}
 		this.busy = true;
 		this.callStartedAtNanos = this.control.nanoTime();
-		if (due.stream().anyMatch((account) -> account.row == null)) {
-			read(due);
+		if (needsRead()) {
+			read();
 		}
 		else {
-			write(due);
+			write();
 		}
 	}
 
-	private void read(List<Account> due) {
-		List<String> keys = due.stream().map(Account::key).toList();
+	private boolean needsRead() {
+		if (this.readNeeded || this.routerVersion < 0) {
+			return true;
+		}
+		boolean old = this.control.nanoTime() - this.readAtNanos > MAX_ROW_AGE.toNanos();
+		for (GrantAccount account : this.accounts.values()) {
+			boolean refusing = account.wallet().waitingTokens() > 0 && account.planDelta() == 0;
+			if (account.row() == null
+					|| (old && refusing && account.wallet().held() < account.wallet().waitingTokens())) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	private void read() {
+		List<String> keys = new ArrayList<>();
+		keys.add(this.routerKey);
+		this.accounts.values().forEach((account) -> keys.add(account.key()));
 		this.store.read(keys).whenCompleteAsync((rows, failure) -> {
 			if (failure != null) {
-				this.log.event("grants.unread").with("reason", String.valueOf(failure.getMessage())).emit();
-				this.busy = false;
-				refuseWaiting();
+				failed("grants.unread", String.valueOf(failure.getMessage()));
+				return;
+			}
+			try {
+				onRows(rows);
+			}
+			catch (JsonFormatException ex) {
+				failed("grants.unreadable", String.valueOf(ex.getMessage()));
 				return;
 			}
-			for (int i = 0; i < due.size(); i++) {
-				due.get(i).take(rows.get(i));
+			if (this.stopped) {
+				this.busy = false;
+			}
+			else {
+				write();
 			}
-			write(due);
 		}, this.control);
 	}
 
-	private void write(List<Account> due) {
-		Transaction.Builder transaction = Transaction.builder();
-		List<Account> written = new ArrayList<>();
-		for (Account account : due) {
-			GrantWrite write = account.nextWrite();
-			if (write != null) {
-				transaction.putIf(account.key(), account.version, Json.write(write.row()));
-				written.add(account);
-			}
+	private void onRows(List<Row> rows) throws JsonFormatException {
+		Row own = rows.get(0);
+		RouterRow ownRow = own.exists() ? Json.read(own.json(), RouterRow.class) : null;
+		Map<String, Row> byKey = new HashMap<>();
+		rows.forEach((row) -> byKey.put(row.key(), row));
+		Map<GrantAccount, GrantRow> read = new HashMap<>();
+		for (GrantAccount account : this.accounts.values()) {
+			Row row = byKey.getOrDefault(account.key(), Row.absent(account.key()));
+			read.put(account, row.exists() ? Json.read(row.json(), GrantRow.class) : GrantRow.empty());
+		}
+		this.readNeeded = false;
+		this.storeLost = false;
+		this.readAtNanos = this.control.nanoTime();
+		boolean mine = ownRow != null && ownRow.incarnation().equals(this.identity.incarnation());
+		LedgerWrite unknown = this.pending;
+		if (unknown != null && mine && ownRow != null && ownRow.number() >= unknown.routerRow().number()) {
+			this.pending = null;
+			applied(unknown);
+		}
+		else if (unknown != null && !unknown.isPossible(rows)) {
+			this.pending = null;
+			undo(unknown);
+		}
+		this.predecessor = (ownRow != null && !mine) ? ownRow : null;
+		this.routerVersion = own.version();
+		for (GrantAccount account : this.accounts.values()) {
+			Row row = byKey.getOrDefault(account.key(), Row.absent(account.key()));
+			account.read(read.getOrDefault(account, GrantRow.empty()), row);
+		}
+	}
+
+	private void write() {
+		LedgerWrite write = this.pending;
+		if (write == null) {
+			RouterRow old = this.predecessor;
+			write = (old != null) ? takeOver(old) : nextWrite();
 		}
-		if (written.isEmpty()) {
+		if (write == null) {
 			this.busy = false;
 			return;
 		}
-		this.store.transact(transaction.build())
-			.whenCompleteAsync((outcome, failure) -> finish(written, outcome), this.control);
+		LedgerWrite sent = write;
+		this.pending = sent;
+		this.store.transact(sent.transaction())
+			.whenCompleteAsync((outcome, failure) -> finish(sent, outcome), this.control);
 	}
 
-	private void finish(List<Account> written, @Nullable WriteOutcome outcome) {
-		this.busy = false;
-		if (outcome instanceof WriteOutcome.Applied applied) {
-			for (Account account : written) {
-				account.applied(applied.versions().getOrDefault(account.key(), 0L));
+	// Frees what the process before, at the same address, cannot have spent.
+	private @Nullable LedgerWrite takeOver(RouterRow old) {
+		long latestMs = this.storeClock.latestMs();
+		long upMs = Duration.ofNanos(this.control.nanoTime() - this.startedAtNanos).toMillis();
+		boolean inTime = old.atMs() >= 0 && latestMs >= 0 && (latestMs - upMs) - old.atMs() <= UNLOCK_AFTER.toMillis();
+		for (String workspace : old.limits().keySet()) {
+			if (!this.accounts.containsKey(workspace)) {
+				wallet(workspace);
+				this.readNeeded = true;
+				this.accounts.put(workspace, new GrantAccount(wallet(workspace), this.identity.address()));
 			}
 		}
-		else if (outcome instanceof WriteOutcome.Conflict) {
-			written.forEach((account) -> account.row = null);
+		if (this.readNeeded) {
 			this.control.execute(this::round);
+			return null;
 		}
-		else if (outcome instanceof WriteOutcome.NotApplied notApplied) {
-			written.forEach(Account::notApplied);
-			refuseWaiting();
-			this.log.event("grants.unwritten").with("reason", String.valueOf(notApplied.cause().getMessage())).emit();
+		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion, routerRow(Map.of()),
+				this.control.nanoTime());
+		old.limits().forEach((workspace, limit) -> {
+			GrantAccount account = this.accounts.get(workspace);
+			GrantRow row = (account != null) ? account.row() : null;
+			if (account != null && row != null) {
+				long freed = inTime ? limit.givenTokens() - Math.min(limit.givenTokens(), limit.limitTokens()) : 0;
+				write.add(account, row.without(this.identity.address(), freed), 0);
+				this.log.event("grant.freed")
+					.with("workspace", workspace)
+					.with("tokens", freed)
+					.with("lost_at_most", limit.givenTokens() - freed)
+					.with("predecessor", old.incarnation())
+					.with("in_time", inTime)
+					.with("stated_at_ms", old.atMs())
+					.with("lost_before_ms", latestMs - upMs)
+					.emit();
+			}
+		});
+		return write;
+	}
+
+	private @Nullable LedgerWrite nextWrite() {
+		Map<String, RouterRow.Limit> limits = new HashMap<>();
+		Map<GrantAccount, Long> deltas = new HashMap<>();
+		for (GrantAccount account : this.accounts.values()) {
+			long delta = account.planDelta();
+			if (delta == 0 && account.wallet().waitingTokens() > account.wallet().held()) {
+				account.wallet().refuseWaiting(account.isExhausted());
+			}
+			if (delta < 0) {
+				delta = -account.wallet().withdraw(-delta);
+			}
+			if (delta != 0) {
+				deltas.put(account, delta);
+			}
+			limits.put(account.wallet().workspace(), account.nextLimit(delta));
 		}
-		else {
-			// Read again before the repeat: the write may have taken effect.
-			written.forEach((account) -> account.row = null);
-			refuseWaiting();
-			this.log.event("grants.unknown").with("workspaces", written.size()).emit();
+		boolean old = this.control.nanoTime() - this.statedAtNanos >= MAX_WRITE_AGE.toNanos();
+		if (deltas.isEmpty() && (limits.isEmpty() || (limits.equals(this.statedLimits) && !old))) {
+			return null;
 		}
+		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion, routerRow(limits),
+				this.control.nanoTime());
+		deltas.forEach((account, delta) -> write.add(account, account.rowAfter(delta), delta));
+		this.statedBeforeNanos = this.statedAtNanos;
+		this.statedAtNanos = write.sentAtNanos();
+		limits.forEach((workspace, limit) -> wallet(workspace).announceLimit(limit.limitTokens()));
+		return write;
 	}
 
-	private void refuseWaiting() {
-		this.wallets.values().forEach((wallet) -> wallet.refuseWaiting(false));
+	private RouterRow routerRow(Map<String, RouterRow.Limit> limits) {
+		return new RouterRow(this.identity.incarnation(), ++this.writes, this.storeClock.earliestMs(), limits);
 	}
 
-	private void giveBack(CompletableFuture<Boolean> done) {
-		if (this.busy) {
-			this.control.schedule(INTERVAL, () -> giveBack(done));
-			return;
+	private void finish(LedgerWrite write, @Nullable WriteOutcome outcome) {
+		this.busy = false;
+		if (outcome instanceof WriteOutcome.Applied applied) {
+			this.pending = null;
+			this.predecessor = null;
+			this.routerVersion = applied.versions().getOrDefault(this.routerKey, -1L);
+			write.changes()
+				.forEach((change) -> change.account()
+					.written(change.row(), applied.versions().getOrDefault(change.account().key(), 0L)));
+			applied(write);
+		}
+		else if (outcome instanceof WriteOutcome.Conflict) {
+			this.readNeeded = true;
+			this.control.execute(this::round);
 		}
-		Collection<Account> open = this.accounts.values();
-		Transaction.Builder transaction = Transaction.builder();
-		int count = 0;
-		for (Account account : open) {
-			GrantRow row = account.row;
-			if (row == null || account.pending != null || account.version == 0) {
-				continue;
+		else if (outcome instanceof WriteOutcome.NotApplied notApplied) {
+			this.readNeeded = true;
+			if (!write.isMaybeApplied()) {
+				this.pending = null;
+				this.statedAtNanos = this.statedBeforeNanos;
+				undo(write);
 			}
-			long returned = account.wallet.withdraw(Long.MAX_VALUE);
-			transaction.putIf(account.key(), account.version, Json.write(row.without(this.incarnation, returned)));
-			count++;
+			failed("grants.unwritten", String.valueOf(notApplied.cause().getMessage()));
 		}
-		if (count == 0) {
-			done.complete(true);
-			return;
+		else {
+			this.readNeeded = true;
+			write.markMaybeApplied();
+			failed("grants.unknown", "no answer to the write");
 		}
-		this.store.transact(transaction.build()).whenCompleteAsync((outcome, failure) -> {
-			boolean applied = outcome instanceof WriteOutcome.Applied;
-			this.log.event("grants.returned").with("applied", applied).emit();
-			done.complete(applied);
-		}, this.control);
-	}
-
-	/**
-	 * A write that was sent or is about to be.
-	 *
-	 * @param row the row as it is to be
-	 * @param number the number of the write
-	 * @param delta the tokens that it takes, below zero for those that it gives back
-	 */
-	private record GrantWrite(GrantRow row, long number, long delta) {
 	}
 
-	private final class Account {
-
-		private final Wallet wallet;
-
-		private long allowance;
-
-		private long configVersion;
-
-		private @Nullable GrantRow row;
-
-		private long version;
-
-		private @Nullable GrantWrite pending;
-
-		private long writes;
-
-		private long readAtNanos;
-
-		private Account(Wallet wallet) {
-			this.wallet = wallet;
+	private void applied(LedgerWrite write) {
+		this.statedLimits = write.routerRow().limits();
+		boolean recent = this.control.nanoTime() - write.sentAtNanos() <= UNLOCK_AFTER.toNanos();
+		for (LedgerWrite.Change change : write.changes()) {
+			change.account().wallet().deposit(Math.max(0, change.delta()));
+			this.log.event("grant.changed")
+				.with("workspace", change.account().wallet().workspace())
+				.with("tokens", change.delta())
+				.with("given_to_all", change.row().givenTokens())
+				.with("allowance", change.row().allowanceTokens())
+				.with("config_version", change.row().configVersion())
+				.emit();
 		}
-
-		private String key() {
-			return KEY_PREFIX + this.wallet.workspace();
+		if (recent) {
+			this.statedLimits.forEach((workspace, limit) -> wallet(workspace).confirmLimit(limit.limitTokens()));
 		}
-
-		// The allowance of the newest configuration that any router knows.
-		private long allowance(GrantRow current) {
-			return (current.configVersion() > this.configVersion) ? current.allowanceTokens() : this.allowance;
+		if (this.accounts.values().stream().anyMatch((account) -> account.wallet().waitingTokens() > 0)) {
+			wake();
 		}
+	}
 
-		// Requests are refused only by a fresh row; others may have given tokens back.
-		private void dropStaleRow() {
-			long ageNanos = PrepaidLedger.this.control.nanoTime() - this.readAtNanos;
-			if (this.wallet.waitingTokens() > 0 && plan() == 0 && ageNanos > MAX_ROW_AGE.toNanos()) {
-				this.row = null;
-			}
-		}
+	// Tokens that were to be given back go back into their wallets.
+	private static void undo(LedgerWrite write) {
+		write.changes().forEach((change) -> change.account().wallet().deposit(Math.max(0, -change.delta())));
+	}
 
-		private long plan() {
-			GrantRow current = this.row;
-			if (current == null) {
-				return 0;
-			}
-			long pool = allowance(current) - current.givenTokens();
-			long available = this.wallet.available();
-			long waiting = this.wallet.waitingTokens();
-			long target = GrantSizing.target(pool, available, current.heldByOthers(PrepaidLedger.this.incarnation),
-					waiting, this.wallet.demandPerS(), current.demandOfOthers(PrepaidLedger.this.incarnation));
-			if (available < Math.max(waiting, target * REFILL_PART)) {
-				return Math.max(0, Math.min(pool, target - available));
-			}
-			if (available > target * SURPLUS_FACTOR) {
-				return target - available;
-			}
-			return 0;
-		}
+	private void failed(String event, String reason) {
+		this.busy = false;
+		this.storeLost = true;
+		this.log.event(event).with("reason", reason).emit();
+		refuseWaiting();
+	}
 
-		private void take(Row read) {
-			GrantWrite before = this.pending;
-			GrantRow current = GrantRow.empty();
-			try {
-				if (read.exists()) {
-					current = Json.read(read.json(), GrantRow.class);
-				}
-			}
-			catch (JsonFormatException ex) {
-				PrepaidLedger.this.log.event("grant.unreadable")
-					.with("workspace", this.wallet.workspace())
-					.with("reason", String.valueOf(ex.getMessage()))
-					.emit();
-				return;
-			}
-			this.row = current;
-			GrantRow.Holding mine = current.routers().get(PrepaidLedger.this.incarnation);
-			if (before != null && mine != null && mine.write() >= before.number()) {
-				this.pending = null;
-				take(before);
-			}
-			else if (before != null && read.version() != this.version) {
-				// Another write came first: the condition of the pending one fails for
-				// good.
-				this.pending = null;
-				undo(before);
-			}
-			this.version = read.version();
-			this.readAtNanos = PrepaidLedger.this.control.nanoTime();
-		}
+	private void refuseWaiting() {
+		this.wallets.values().forEach((wallet) -> wallet.refuseWaiting(false));
+	}
 
-		private @Nullable GrantWrite nextWrite() {
-			GrantRow current = this.row;
-			if (current == null) {
-				return null;
-			}
-			GrantWrite repeated = this.pending;
-			if (repeated != null) {
-				return repeated;
-			}
-			long delta = plan();
-			if (delta == 0) {
-				refuse(current);
-				return null;
-			}
-			if (delta < 0) {
-				delta = -this.wallet.withdraw(-delta);
-				if (delta == 0) {
-					return null;
-				}
-			}
-			long number = ++this.writes;
-			// Withdrawn tokens are out of the wallet already, taken ones are not yet in
-			// it.
-			long given = this.wallet.given() + Math.max(0, delta);
-			GrantRow.Holding holding = new GrantRow.Holding(given, this.wallet.spent(), (long) this.wallet.demandPerS(),
-					number);
-			long known = Math.max(current.configVersion(), this.configVersion);
-			GrantWrite write = new GrantWrite(
-					current.with(PrepaidLedger.this.incarnation, holding, delta, allowance(current), known), number,
-					delta);
-			this.pending = write;
-			return write;
+	private void giveBack(CompletableFuture<Boolean> done) {
+		if (this.busy) {
+			this.control.schedule(INTERVAL, () -> giveBack(done));
+			return;
 		}
-
-		private void refuse(GrantRow current) {
-			if (this.wallet.waitingTokens() == 0) {
-				return;
-			}
-			long unspent = allowance(current) - current.givenTokens() + this.wallet.available()
-					+ current.heldByOthers(PrepaidLedger.this.incarnation);
-			this.wallet.refuseWaiting(unspent < this.wallet.waitingTokens());
+		if (this.pending != null || this.readNeeded || this.routerVersion < 0) {
+			done.complete(this.accounts.isEmpty());
+			return;
 		}
-
-		private void applied(long newVersion) {
-			GrantWrite write = this.pending;
-			this.pending = null;
-			this.version = newVersion;
-			if (write != null) {
-				this.row = write.row();
-				take(write);
+		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion, routerRow(Map.of()),
+				this.control.nanoTime());
+		for (GrantAccount account : this.accounts.values()) {
+			GrantRow row = account.row();
+			if (row != null) {
+				long returned = account.wallet().withdraw(Long.MAX_VALUE);
+				write.add(account, row.without(this.identity.address(), returned), 0);
 			}
 		}
-
-		private void notApplied() {
-			GrantWrite write = this.pending;
-			this.pending = null;
-			if (write != null) {
-				undo(write);
+		this.store.transact(write.transaction()).whenCompleteAsync((outcome, failure) -> {
+			if (outcome instanceof WriteOutcome.Conflict) {
+				done.complete(false);
+				return;
 			}
-		}
-
-		private void take(GrantWrite write) {
-			PrepaidLedger.this.log.event("grant.changed")
-				.with("workspace", this.wallet.workspace())
-				.with("tokens", write.delta())
-				.with("given_by_all", write.row().givenTokens())
-				.with("allowance", write.row().allowanceTokens())
-				.with("config_version", write.row().configVersion())
-				.emit();
-			this.wallet.deposit(Math.max(0, write.delta()));
-		}
-
-		// Tokens that were to be given back go back into the wallet.
-		private void undo(GrantWrite write) {
-			this.wallet.deposit(Math.max(0, -write.delta()));
-		}
+			boolean returned = outcome instanceof WriteOutcome.Applied;
+			this.log.event("grants.returned").with("applied", returned).emit();
+			done.complete(returned);
+		}, this.control);
+	}
 
+	/**
+	 * Who a router is.
+	 *
+	 * @param address where it listens for callers, as {@code ip:port}; at most one
+	 * process has it at a time
+	 * @param incarnation this run
+	 */
+	public record Identity(String address, String incarnation) {
 	}
 
 }
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterRow.java
@@ -0,0 +1,32 @@
+package io.verbenacleat.router.budget;
+
+import java.util.Map;
+
+/**
+ * The row in which one router states what it may have spent at most. The next process at
+ * the same address frees the rest. Immutable.
+ *
+ * @param incarnation the run of the router that wrote the row
+ * @param number the number of the write, which tells whether a write without an answer
+ * took effect
+ * @param atMs when the write was sent at the earliest, by the clock of the store, -1 when
+ * it was not known
+ * @param limits the limits by workspace
+ */
+record RouterRow(String incarnation, long number, long atMs, Map<String, Limit> limits) {
+
+	RouterRow {
+		limits = Map.copyOf(limits);
+	}
+
+	/**
+	 * Tokens that this run of a router may spend of one workspace.
+	 *
+	 * @param givenTokens the tokens that it took, less those that it gave back
+	 * @param limitTokens the tokens that it spends at most within
+	 * {@link PrepaidLedger#UNLOCK_AFTER} of the write, at most the given ones
+	 */
+	record Limit(long givenTokens, long limitTokens) {
+	}
+
+}
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -8,6 +8,10 @@
 /**
  * The tokens of one workspace that this router may spend. Safe for use by several
  * threads.
+ * <p>
+ * Of the tokens that the router took, it spends only up to a limit that the store knows,
+ * so that the rest can be freed when the router is lost. Without contact to the store for
+ * some time, the limit falls and all tokens can be spent.
  */
 public final class Wallet {
 
@@ -20,6 +24,10 @@
 
 	private long givenTokens;
 
+	private long limitTokens;
+
+	private boolean unlocked;
+
 	private long spentTokens;
 
 	private long reservedTokens;
@@ -28,8 +36,6 @@
 
 	private double demandPerS;
 
-	private boolean exhausted;
-
 	Wallet(String workspace) {
 		this.workspace = workspace;
 	}
@@ -45,10 +51,10 @@
 	/**
 	 * Reserves tokens if they are there.
 	 * @param tokens the most that the request may use, zero or more
-	 * @return {@code false} when the router does not hold enough
+	 * @return {@code false} when the router may not spend as much now
 	 */
 	public synchronized boolean tryReserve(long tokens) {
-		if (!this.waiters.isEmpty() || available() < tokens) {
+		if (!this.waiters.isEmpty() || spendable() < tokens) {
 			return false;
 		}
 		this.demandedTokens += tokens;
@@ -85,23 +91,20 @@
 	}
 
 	/**
-	 * Returns whether the allowance does not cover more requests.
-	 * @return {@code true} when all tokens of the allowance are used up
+	 * Returns the tokens that were spent and that running requests may spend.
+	 * @return the tokens
 	 */
-	public synchronized boolean isExhausted() {
-		return this.exhausted;
-	}
-
-	synchronized long available() {
-		return this.givenTokens - this.spentTokens - this.reservedTokens;
+	synchronized long committed() {
+		return this.spentTokens + this.reservedTokens;
 	}
 
 	synchronized long given() {
 		return this.givenTokens;
 	}
 
-	synchronized long spent() {
-		return this.spentTokens;
+	// What the router holds and no request has reserved, whether spendable now or not.
+	synchronized long held() {
+		return this.givenTokens - committed();
 	}
 
 	synchronized long waitingTokens() {
@@ -128,38 +131,67 @@
 	// Taken out before the write that gives them back, so that they are not spent
 	// meanwhile.
 	synchronized long withdraw(long tokens) {
-		long taken = Math.max(0, Math.min(tokens, available()));
+		long taken = Math.max(0, Math.min(tokens, held()));
 		this.givenTokens -= taken;
 		return taken;
 	}
 
 	void deposit(long tokens) {
-		List<Waiter> served = new ArrayList<>();
 		synchronized (this) {
 			this.givenTokens += tokens;
-			Waiter next = this.waiters.peek();
-			while (next != null && available() >= next.tokens()) {
-				this.waiters.remove();
-				this.reservedTokens += next.tokens();
-				served.add(next);
-				next = this.waiters.peek();
+		}
+		serve();
+	}
+
+	// While the write that states it is under way, the lower of both limits holds.
+	synchronized void announceLimit(long limit) {
+		this.limitTokens = this.unlocked ? limit : Math.min(this.limitTokens, limit);
+		this.unlocked = false;
+	}
+
+	void confirmLimit(long limit) {
+		synchronized (this) {
+			this.limitTokens = limit;
+		}
+		serve();
+	}
+
+	void unlock() {
+		synchronized (this) {
+			if (this.unlocked) {
+				return;
 			}
+			this.unlocked = true;
 		}
-		served.forEach(Waiter::granted);
+		serve();
 	}
 
 	void refuseWaiting(boolean allowanceUsedUp) {
 		List<Waiter> refused;
 		synchronized (this) {
-			this.exhausted = allowanceUsedUp;
 			refused = new ArrayList<>(this.waiters);
 			this.waiters.clear();
 		}
 		refused.forEach((waiter) -> waiter.refused(allowanceUsedUp));
 	}
 
-	synchronized void setExhausted(boolean exhausted) {
-		this.exhausted = exhausted;
+	private void serve() {
+		List<Waiter> served = new ArrayList<>();
+		synchronized (this) {
+			Waiter next = this.waiters.peek();
+			while (next != null && spendable() >= next.tokens()) {
+				this.waiters.remove();
+				this.reservedTokens += next.tokens();
+				served.add(next);
+				next = this.waiters.peek();
+			}
+		}
+		served.forEach(Waiter::granted);
+	}
+
+	private long spendable() {
+		long most = this.unlocked ? this.givenTokens : Math.min(this.givenTokens, this.limitTokens);
+		return most - this.spentTokens - this.reservedTokens;
 	}
 
 	/**
