--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -85,9 +85,8 @@
 		this.log = log;
 		PrometheusRegistry registry = new PrometheusRegistry();
 		String incarnation = options.name() + "/" + Long.toString(control.clock().millis(), Character.MAX_RADIX);
-		this.ledger = new PrepaidLedger(
-				new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(), incarnation), store, storeClock,
-				control, log);
+		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(),
+				incarnation, options.startedAtNanos()), store, storeClock, control, log);
 		this.relay = new Relay(this.loop.next(), options.relay(), this.ledger, log, registry);
 		this.reporter = new LoadReporter(this.relay, reports, this.loop.next());
 		this.directory = new ServerDirectory(control, log, this.relay::updateServers);
--- a/router/src/main/java/io/verbenacleat/router/RouterOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterOptions.java
@@ -12,8 +12,9 @@
  * @param readyPort the port for the readiness check
  * @param metricsPort the port for metrics
  * @param stopTimeoutMs the time from SIGTERM to the end of the process in milliseconds
+ * @param startedAtNanos when the process had started at the latest, by the steady clock
  * @param relay the settings of the relay
  */
 public record RouterOptions(String name, String host, int callerPort, String readyHost, int readyPort, int metricsPort,
-		long stopTimeoutMs, RelayOptions relay) {
+		long stopTimeoutMs, long startedAtNanos, RelayOptions relay) {
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -129,9 +129,9 @@
 		this.storeClock = storeClock;
 		this.control = control;
 		this.log = log;
-		this.startedAtNanos = control.nanoTime();
-		this.updatedAtNanos = this.startedAtNanos;
-		this.statedAtNanos = this.startedAtNanos;
+		this.startedAtNanos = identity.startedAtNanos();
+		this.updatedAtNanos = control.nanoTime();
+		this.statedAtNanos = this.updatedAtNanos;
 		this.timer = control.scheduleWithFixedDelay(INTERVAL, this::tick);
 	}
 
@@ -487,8 +487,10 @@
 	 * @param address where it listens for callers, as {@code ip:port}; at most one
 	 * process has it at a time
 	 * @param incarnation this run
+	 * @param startedAtNanos when the process had started at the latest, by the steady
+	 * clock
 	 */
-	public record Identity(String address, String incarnation) {
+	public record Identity(String address, String incarnation, long startedAtNanos) {
 	}
 
 }
