Give tokens back while stopping, and state smaller limits

Cause: a router that stopped while the store was slow gave nothing back, as its single write had half a second; a lost router kept 3.6 s of its demand, which counted refused requests twice. The unlock time is 2.4 s (a killed process is back 1.4 s after its last statement, 2.3 s with a slow store).

--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -31,7 +31,7 @@
 	private static final long EXIT_MS = 400;
 
 	/** The time for giving tokens back at the end. */
-	private static final long GIVE_BACK_MS = 500;
+	private static final long GIVE_BACK_MS = 1_000;
 
 	private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -170,7 +170,12 @@
 		this.relay.stop();
 		long deadlineNanos = System.nanoTime()
 				+ TimeUnit.MILLISECONDS.toNanos(this.options.stopTimeoutMs() - EXIT_MS - GIVE_BACK_MS);
+		boolean givingBack = false;
 		while (System.nanoTime() < deadlineNanos && !this.relay.isDrained()) {
+			if (!givingBack && this.relay.refusesAll()) {
+				givingBack = true;
+				this.ledger.startGiveBack();
+			}
 			LockSupport.parkNanos(POLL_NANOS);
 		}
 		boolean returned = false;
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -18,7 +18,7 @@
 	/**
 	 * Spent without a write in between: until the wallet is unlocked, and one more write.
 	 */
-	private static final double OPEN_S = 3.6;
+	private static final double OPEN_S = 2.7;
 
 	private final Wallet wallet;
 
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -46,13 +46,15 @@
 	 * A router that was out of contact for this time spends beyond its stated limit.
 	 * Processes that are killed are back within it.
 	 */
-	static final Duration UNLOCK_AFTER = Duration.ofMillis(3_000);
+	static final Duration UNLOCK_AFTER = Duration.ofMillis(2_400);
 
 	private static final Duration INTERVAL = Duration.ofMillis(250);
 
 	/** The row of a router is written this often at least while it holds tokens. */
 	private static final Duration MAX_WRITE_AGE = Duration.ofMillis(1_000);
 
+	private static final Duration GIVE_BACK_POLL = Duration.ofMillis(20);
+
 	/** Requests do not wait for tokens longer than this while a call is not answered. */
 	private static final Duration MAX_WAIT = Duration.ofMillis(700);
 
@@ -99,7 +101,7 @@
 
 	private boolean readNeeded = true;
 
-	private boolean stopped;
+	private boolean givingBack;
 
 	private long updatedAtNanos;
 
@@ -169,15 +171,24 @@
 	}
 
 	/**
-	 * Gives all unspent tokens back; nothing is taken afterwards.
-	 * @return completes with whether they were given back
+	 * Gives unspent tokens back as they become free; nothing is taken any more.
+	 */
+	public void startGiveBack() {
+		this.control.execute(() -> {
+			this.givingBack = true;
+			round();
+		});
+	}
+
+	/**
+	 * Gives the last unspent tokens back, after {@link #startGiveBack}.
+	 * @return completes with {@code true} when the store knows that none are held
 	 */
 	public CompletableFuture<Boolean> giveBack() {
 		CompletableFuture<Boolean> done = new CompletableFuture<>();
 		this.control.execute(() -> {
-			this.stopped = true;
-			this.timer.cancel();
-			giveBack(done);
+			this.givingBack = true;
+			awaitGivenBack(done);
 		});
 		return done;
 	}
@@ -205,7 +216,7 @@
 	private void round() {
 		this.soon = false;
 		RoutingTable table = this.config;
-		if (this.busy || table == null || this.stopped) {
+		if (this.busy || table == null) {
 			return;
 		}
 		for (Workspace workspace : table.workspaces()) {
@@ -257,12 +268,7 @@
 				failed("grants.unreadable", String.valueOf(ex.getMessage()));
 				return;
 			}
-			if (this.stopped) {
-				this.busy = false;
-			}
-			else {
-				write();
-			}
+			write();
 		}, this.control);
 	}
 
@@ -355,7 +361,7 @@
 		Map<String, RouterRow.Limit> limits = new HashMap<>();
 		Map<GrantAccount, Long> deltas = new HashMap<>();
 		for (GrantAccount account : this.accounts.values()) {
-			long delta = account.planDelta();
+			long delta = this.givingBack ? -Math.max(0, account.wallet().held()) : account.planDelta();
 			if (delta == 0 && account.wallet().waitingTokens() > account.wallet().held()) {
 				account.wallet().refuseWaiting(account.isExhausted());
 			}
@@ -452,33 +458,15 @@
 		this.wallets.values().forEach((wallet) -> wallet.refuseWaiting(false));
 	}
 
-	private void giveBack(CompletableFuture<Boolean> done) {
-		if (this.busy) {
-			this.control.schedule(INTERVAL, () -> giveBack(done));
+	private void awaitGivenBack(CompletableFuture<Boolean> done) {
+		boolean given = this.pending == null
+				&& this.accounts.values().stream().allMatch((account) -> account.wallet().held() <= 0);
+		if (given) {
+			done.complete(true);
 			return;
 		}
-		if (this.pending != null || this.readNeeded || this.routerVersion < 0) {
-			done.complete(this.accounts.isEmpty());
-			return;
-		}
-		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion, routerRow(Map.of()),
-				this.control.nanoTime());
-		for (GrantAccount account : this.accounts.values()) {
-			GrantRow row = account.row();
-			if (row != null) {
-				long returned = account.wallet().withdraw(Long.MAX_VALUE);
-				write.add(account, row.without(this.identity.address(), returned), 0);
-			}
-		}
-		this.store.transact(write.transaction()).whenCompleteAsync((outcome, failure) -> {
-			if (outcome instanceof WriteOutcome.Conflict) {
-				done.complete(false);
-				return;
-			}
-			boolean returned = outcome instanceof WriteOutcome.Applied;
-			this.log.event("grants.returned").with("applied", returned).emit();
-			done.complete(returned);
-		}, this.control);
+		round();
+		this.control.schedule(GIVE_BACK_POLL, () -> awaitGivenBack(done));
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -67,7 +67,6 @@
 	 * @param waiter takes the tokens, or learns that there are none
 	 */
 	public synchronized void await(Waiter waiter) {
-		this.demandedTokens += waiter.tokens();
 		this.waiters.add(waiter);
 	}
 
@@ -182,6 +181,7 @@
 			while (next != null && spendable() >= next.tokens()) {
 				this.waiters.remove();
 				this.reservedTokens += next.tokens();
+				this.demandedTokens += next.tokens();
 				served.add(next);
 				next = this.waiters.peek();
 			}
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -221,7 +221,12 @@
 		return this.stoppingSinceMs >= 0;
 	}
 
-	boolean refusesAll() {
+	/**
+	 * Returns whether new requests are refused because the router stops; may be called on
+	 * any thread.
+	 * @return {@code true} some time after {@link #stop}
+	 */
+	public boolean refusesAll() {
 		long since = this.stoppingSinceMs;
 		return since >= 0 && nowMs() - since > ACCEPT_AFTER_STOP_MS;
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -87,6 +87,8 @@
 
 	private boolean mayHaveRun;
 
+	private long billedTokens;
+
 	private boolean ended;
 
 	private boolean headForwarded;
@@ -174,13 +176,13 @@
 		if (this.ended) {
 			return;
 		}
-		logEnd("request.abandoned", "caller is gone").emit();
 		this.relay.metrics().aborted("caller_gone");
 		ServerSend running = this.send;
 		if (running != null) {
 			running.abandon();
 		}
 		close();
+		logEnd("request.abandoned", "caller is gone").emit();
 	}
 
 	void onCallerWritable(boolean writable) {
@@ -417,8 +419,8 @@
 		sendPartialEvent();
 		this.send = null;
 		this.relay.metrics().answered(status);
-		logEnd("request.answered", "complete").with("server", state.server().id()).with("status", status).emit();
 		close();
+		logEnd("request.answered", "complete").with("server", state.server().id()).with("status", status).emit();
 		this.caller.end();
 	}
 
@@ -445,17 +447,17 @@
 	}
 
 	private void abort(String reason) {
-		logEnd("request.aborted", reason).emit();
 		this.relay.metrics().aborted("answer_broken");
 		close();
+		logEnd("request.aborted", reason).emit();
 		this.caller.flush();
 		this.caller.abort();
 	}
 
 	private void refuse(Refusal refusal) {
-		logEnd("request.refused", Relay.code(refusal)).emit();
 		this.relay.metrics().refused(refusal);
 		close();
+		logEnd("request.refused", Relay.code(refusal)).emit();
 		String retryAfter = "";
 		if (refusal.isTemporary()) {
 			double seconds = MIN_RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * ThreadLocalRandom.current().nextDouble();
@@ -473,7 +475,7 @@
 		TokenBill opened = this.bill;
 		Service target = this.service;
 		if (opened != null && target != null) {
-			opened.settle(this.mayHaveRun, (long) this.events.events() * target.tokensPerEvent());
+			this.billedTokens = opened.settle(this.mayHaveRun, (long) this.events.events() * target.tokensPerEvent());
 		}
 		this.request.release();
 	}
@@ -494,7 +496,8 @@
 			.with("reason", reason)
 			.with("elapsed_ms", this.relay.nowMs() - this.startedAtMs)
 			.with("left_ms", this.endsAtMs - this.relay.nowMs())
-			.with("sends", this.sends);
+			.with("sends", this.sends)
+			.with("billed_tokens", this.billedTokens);
 		Route matched = this.route;
 		if (matched != null) {
 			line.with("route", matched.name());
--- a/router/src/main/java/io/verbenacleat/router/relay/TokenBill.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/TokenBill.java
@@ -53,19 +53,22 @@
 	 * Bills the tokens that were used; later calls do nothing.
 	 * @param mayHaveRun whether a backend server may have run the request
 	 * @param deliveredTokens the output tokens that went to the caller
+	 * @return the billed tokens
 	 */
-	void settle(boolean mayHaveRun, long deliveredTokens) {
+	long settle(boolean mayHaveRun, long deliveredTokens) {
 		if (this.closed) {
-			return;
+			return 0;
 		}
 		this.closed = true;
 		if (this.waiting && this.wallet.cancel(this)) {
-			return;
+			return 0;
 		}
-		if (this.reserved) {
-			long used = mayHaveRun ? this.promptTokens + Math.min(this.maxOutputTokens, deliveredTokens) : 0;
-			this.wallet.settle(tokens(), used);
+		if (!this.reserved) {
+			return 0;
 		}
+		long used = mayHaveRun ? this.promptTokens + Math.min(this.maxOutputTokens, deliveredTokens) : 0;
+		this.wallet.settle(tokens(), used);
+		return used;
 	}
 
 	@Override
