--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -20,6 +20,11 @@
 	 */
 	private static final double OPEN_S = 2.7;
 
+	/**
+	 * The stated limits of all routers leave at most this part of what is unspent open.
+	 */
+	private static final double MAX_OPEN_PART = 0.08;
+
 	private final Wallet wallet;
 
 	private final String address;
@@ -116,25 +121,33 @@
 	 */
 	RouterRow.Limit nextLimit(long delta) {
 		long given = this.wallet.given() + Math.max(0, delta);
-		long open = (long) (this.wallet.demandPerS() * OPEN_S) + this.wallet.waitingTokens();
-		// With little left, all of it is open: a small limit would stall large requests.
-		long floor = (long) (given * GrantSizing.IDLE_PART);
-		long limit = Math.min(given, this.wallet.committed() + Math.max(open, floor));
+		double open = Math.min(this.wallet.demandPerS() * OPEN_S, unspentByAll() * share() * MAX_OPEN_PART);
+		long limit = Math.min(given, this.wallet.committed() + this.wallet.waitingTokens() + (long) open);
 		return new RouterRow.Limit(given, limit);
 	}
 
+	private double share() {
+		GrantRow current = this.row;
+		double others = (current != null) ? current.demandOfOthers(this.address) : 0;
+		double own = this.wallet.demandPerS();
+		return (own + others > 0) ? own / (own + others) : 1;
+	}
+
+	private long unspentByAll() {
+		GrantRow current = this.row;
+		if (current == null) {
+			return 0;
+		}
+		return Math.max(0, allowanceFor(current) - current.givenTokens() + this.wallet.held()
+				+ current.heldByOthers(this.address));
+	}
+
 	/**
 	 * Returns whether the allowance cannot cover the waiting requests, whoever holds it.
 	 * @return {@code true} when it cannot
 	 */
 	boolean isExhausted() {
-		GrantRow current = this.row;
-		if (current == null) {
-			return false;
-		}
-		long unspent = allowanceFor(current) - current.givenTokens() + this.wallet.held()
-				+ current.heldByOthers(this.address);
-		return unspent < this.wallet.waitingTokens();
+		return this.row != null && unspentByAll() < this.wallet.waitingTokens();
 	}
 
 	// The allowance of the newest configuration that any router knows.
