--- /dev/null
+++ b/router/src/test/java/io/verbenacleat/router/relay/FakeServer.java
@@ -0,0 +1,142 @@
+package io.verbenacleat.router.relay;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+import io.verbenacleat.router.server.BackendServer;
+
+/**
+ * A backend server whose answers are scripts of raw bytes. Safe for use by several
+ * threads.
+ */
+final class FakeServer implements AutoCloseable {
+
+	final List<String> requests = new CopyOnWriteArrayList<>();
+
+	final List<Socket> connections = new CopyOnWriteArrayList<>();
+
+	private final ServerSocket socket;
+
+	private final String id;
+
+	private final Script script;
+
+	FakeServer(String id, Script script) throws IOException {
+		this.id = id;
+		this.script = script;
+		this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		Thread acceptor = new Thread(this::accept, "fake-server");
+		acceptor.setDaemon(true);
+		acceptor.start();
+	}
+
+	BackendServer registration() {
+		return new BackendServer(this.id, 1, "s", "127.0.0.1", this.socket.getLocalPort(), "z", 8, false);
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.socket.close();
+		for (Socket connection : this.connections) {
+			connection.close();
+		}
+	}
+
+	/**
+	 * Returns a whole answer that echoes the id of a request.
+	 * @param request the request
+	 * @param status the status line after the protocol
+	 * @param body the body
+	 * @return the bytes as text
+	 */
+	static String answer(String request, String status, String body) {
+		return "HTTP/1.1 " + status + "\r\nTest-Id: " + header(request, "test-id") + "\r\nContent-Length: "
+				+ body.length() + "\r\n\r\n" + body;
+	}
+
+	/**
+	 * Returns the head of a chunked answer.
+	 * @param request the request
+	 * @return the bytes as text
+	 */
+	static String streamHead(String request) {
+		return "HTTP/1.1 200 OK\r\nTest-Id: " + header(request, "test-id")
+				+ "\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\r\n";
+	}
+
+	static String chunk(String text) {
+		return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+	}
+
+	static String header(String request, String name) {
+		for (String line : request.split("\r\n", -1)) {
+			if (line.toLowerCase(Locale.ROOT).startsWith(name + ":")) {
+				return line.substring(name.length() + 1).strip();
+			}
+		}
+		return "";
+	}
+
+	private void accept() {
+		while (!this.socket.isClosed()) {
+			try {
+				Socket connection = this.socket.accept();
+				this.connections.add(connection);
+				Thread reader = new Thread(() -> serve(connection), "fake-server-connection");
+				reader.setDaemon(true);
+				reader.start();
+			}
+			catch (IOException ex) {
+				return;
+			}
+		}
+	}
+
+	private void serve(Socket connection) {
+		try (connection) {
+			String request = read(connection.getInputStream());
+			while (!request.isEmpty()) {
+				this.requests.add(request);
+				this.script.answer(request, connection, connection.getOutputStream());
+				connection.getOutputStream().flush();
+				request = read(connection.getInputStream());
+			}
+		}
+		catch (IOException ex) {
+			// The connection is gone, which scripts and the relay cause on purpose.
+			this.connections.remove(connection);
+		}
+	}
+
+	private static String read(InputStream in) throws IOException {
+		StringBuilder head = new StringBuilder();
+		while (head.indexOf("\r\n\r\n") < 0) {
+			int next = in.read();
+			if (next < 0) {
+				return "";
+			}
+			head.append((char) next);
+		}
+		String length = header(head.toString(), "content-length");
+		byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+		return head + new String(body, StandardCharsets.ISO_8859_1);
+	}
+
+	/**
+	 * Answers one request.
+	 */
+	interface Script {
+
+		void answer(String request, Socket connection, OutputStream out) throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -0,0 +1,171 @@
+package io.verbenacleat.router.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.control.SingleControlThread;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.router.budget.PrepaidLedger;
+import io.verbenacleat.router.budget.StoreClock;
+import io.verbenacleat.router.config.CallerLimits;
+import io.verbenacleat.router.config.RequestKind;
+import io.verbenacleat.router.config.Route;
+import io.verbenacleat.router.config.RoutingTable;
+import io.verbenacleat.router.config.Service;
+import io.verbenacleat.router.config.Workspace;
+import io.verbenacleat.router.log.DecisionLog;
+import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.ServerList;
+
+/**
+ * A relay on loopback with scripted backend servers.
+ */
+final class RelayFixture implements AutoCloseable {
+
+	static final String KEY = "secret";
+
+	private static final int TIMEOUT_MS = 5_000;
+
+	final List<FakeServer> servers = new ArrayList<>();
+
+	final PrepaidLedger ledger;
+
+	final Relay relay;
+
+	private final NioEventLoopGroup loop = new NioEventLoopGroup(1);
+
+	private final SingleControlThread control = new SingleControlThread("control");
+
+	private final CallerServer callers;
+
+	RelayFixture(FakeServer.Script... scripts) throws IOException {
+		DecisionLog log = new DecisionLog(System::currentTimeMillis);
+		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "r/1", System.nanoTime()),
+				new InMemoryTableStore(), new UnknownClock(), this.control, log);
+		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 10_000);
+		this.relay = new Relay(this.loop.next(), options, this.ledger, log, new PrometheusRegistry());
+		configure(1_000_000);
+		for (FakeServer.Script script : scripts) {
+			this.servers.add(new FakeServer("i-" + this.servers.size(), script));
+		}
+		List<BackendServer> list = this.servers.stream().map(FakeServer::registration).toList();
+		this.relay.updateServers(ServerList.of(list));
+		this.callers = CallerServer.start(this.loop, this.relay, "127.0.0.1", 0);
+	}
+
+	void configure(long prepaidTokens) {
+		List<Route> routes = List.of(route("once", RequestKind.NOT_REPEATABLE, 1),
+				route("again", RequestKind.IDEMPOTENT, 2), route("stream", RequestKind.STREAM, 1),
+				route("resume", RequestKind.RESUMABLE_STREAM, 2));
+		RoutingTable table = new RoutingTable(1, routes, List.of(new Service("s", 100, false, 4)),
+				List.of(new Workspace("office", List.of(KEY), 3, prepaidTokens)),
+				new CallerLimits(4_096, 65_536, 500, 3_000));
+		this.relay.configure(table);
+		this.ledger.configure(table);
+	}
+
+	/**
+	 * Opens a connection of a caller.
+	 * @return the connection
+	 * @throws IOException when it cannot be opened
+	 */
+	Socket connect() throws IOException {
+		Socket socket = new Socket("127.0.0.1", this.callers.port());
+		socket.setSoTimeout(TIMEOUT_MS);
+		return socket;
+	}
+
+	/**
+	 * Sends a request on a connection of its own and reads until the connection ends.
+	 * @param path the path
+	 * @param headers more headers, each with its line end
+	 * @return what came back
+	 * @throws IOException when the connection fails
+	 */
+	String call(String path, String headers) throws IOException {
+		try (Socket socket = connect()) {
+			write(socket, request(path, headers + "Connection: close\r\n", ""));
+			return readAll(socket);
+		}
+	}
+
+	static String request(String path, String headers, String body) {
+		return "POST " + path + " HTTP/1.1\r\nHost: h\r\nTest-Id: 77\r\nTest-Key: " + KEY + "\r\nContent-Length: "
+				+ body.length() + "\r\n" + headers + "\r\n" + body;
+	}
+
+	static void write(Socket socket, String text) throws IOException {
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+		socket.getOutputStream().flush();
+	}
+
+	static String readAll(Socket socket) throws IOException {
+		return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+	}
+
+	static String readUntil(Socket socket, String end) throws IOException {
+		StringBuilder text = new StringBuilder();
+		while (text.indexOf(end) < 0) {
+			int next = socket.getInputStream().read();
+			if (next < 0) {
+				throw new IOException("ended after: " + text);
+			}
+			text.append((char) next);
+		}
+		return text.toString();
+	}
+
+	static boolean await(BooleanSupplier condition) {
+		long deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+		while (!condition.getAsBoolean() && System.nanoTime() < deadlineNanos) {
+			LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
+		}
+		return condition.getAsBoolean();
+	}
+
+	@Override
+	public void close() throws IOException {
+		this.callers.close();
+		this.relay.close();
+		this.ledger.close();
+		this.control.close();
+		for (FakeServer server : this.servers) {
+			server.close();
+		}
+		this.loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+	}
+
+	private static Route route(String name, RequestKind kind, int maxAttempts) {
+		return Route.builder(name, "h", "/" + name + "/")
+			.kind(kind)
+			.times(2_000, 300)
+			.maxAttempts(maxAttempts)
+			.target("s", 1)
+			.affinity(kind.isStream())
+			.build();
+	}
+
+	private static final class UnknownClock implements StoreClock {
+
+		@Override
+		public long earliestMs() {
+			return -1;
+		}
+
+		@Override
+		public long latestMs() {
+			return -1;
+		}
+
+	}
+
+}
