--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.router;
 
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -27,12 +28,6 @@
  */
 public final class RouterDaemon implements FleetFeed.Listener, AutoCloseable {
 
-	/** The time that the process needs to end after its last request. */
-	private static final long EXIT_MS = 400;
-
-	/** The time for giving tokens back at the end. */
-	private static final long GIVE_BACK_MS = 1_000;
-
 	private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private final RouterOptions options;
@@ -162,14 +157,15 @@
 
 	/**
 	 * Stops: takes no new requests, lets those in progress end within the time that the
-	 * settings allow, and gives unspent tokens back.
+	 * settings allow, and gives unspent tokens back. Connections stay open until
+	 * {@link #close} or the end of the process.
 	 */
 	public void stopGracefully() {
 		this.stopping = true;
 		this.log.event("process.stopping").with("in_progress", this.relay.inProgress()).emit();
 		this.relay.stop();
-		long deadlineNanos = System.nanoTime()
-				+ TimeUnit.MILLISECONDS.toNanos(this.options.stopTimeoutMs() - EXIT_MS - GIVE_BACK_MS);
+		StopSchedule schedule = StopSchedule.of(Duration.ofMillis(this.options.stopTimeoutMs()));
+		long deadlineNanos = System.nanoTime() + schedule.drain().toNanos();
 		boolean givingBack = false;
 		while (System.nanoTime() < deadlineNanos && !this.relay.isDrained()) {
 			if (!givingBack && this.relay.refusesAll()) {
@@ -180,7 +176,7 @@
 		}
 		boolean returned = false;
 		try {
-			returned = this.ledger.giveBack().get(GIVE_BACK_MS, TimeUnit.MILLISECONDS);
+			returned = this.ledger.giveBack().get(schedule.giveBack().toMillis(), TimeUnit.MILLISECONDS);
 		}
 		catch (TimeoutException | ExecutionException ex) {
 			this.log.event("grants.kept").with("reason", String.valueOf(ex.getMessage())).emit();
@@ -192,7 +188,6 @@
 			.with("in_progress", this.relay.inProgress())
 			.with("grants_returned", returned)
 			.emit();
-		close();
 	}
 
 	@Override
--- a/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
+++ b/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
@@ -4,9 +4,10 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeSet;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 
+import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.router.log.DecisionLog;
 import org.jspecify.annotations.Nullable;
@@ -22,7 +23,7 @@
 public final class ServerDirectory {
 
 	/** Registrations that lapsed in an outage are back about two seconds after it. */
-	static final Duration LAPSE_GRACE = Duration.ofMillis(2_200);
+	static final Duration LAPSE_GRACE = Duration.ofMillis(2_000);
 
 	private final ControlThread control;
 
@@ -32,9 +33,7 @@
 
 	private final Map<String, BackendServer> servers = new HashMap<>();
 
-	private final Set<String> lapsed = new TreeSet<>();
-
-	private long grace;
+	private final Map<String, Cancellable> lapsed = new TreeMap<>();
 
 	/**
 	 * Creates a directory without servers.
@@ -59,18 +58,13 @@
 				continue;
 			}
 			if (afterOutage) {
-				this.lapsed.add(id);
+				lapse(id);
 			}
-			else if (!this.lapsed.contains(id)) {
+			else if (!this.lapsed.containsKey(id)) {
 				remove(id, "registration is gone");
 			}
 		}
 		found.values().forEach(this::put);
-		if (!this.lapsed.isEmpty()) {
-			this.log.event("servers.lapsed").with("ids", String.join(",", this.lapsed)).emit();
-			long current = ++this.grace;
-			this.control.schedule(LAPSE_GRACE, () -> endGrace(current));
-		}
 		publish();
 	}
 
@@ -85,9 +79,7 @@
 			put(server);
 		}
 		else if (afterOutage && this.servers.containsKey(id)) {
-			this.lapsed.add(id);
-			long current = ++this.grace;
-			this.control.schedule(LAPSE_GRACE, () -> endGrace(current));
+			lapse(id);
 		}
 		else {
 			remove(id, "registration is gone");
@@ -95,18 +87,20 @@
 		publish();
 	}
 
-	private void endGrace(long ending) {
-		if (ending != this.grace) {
+	// Each registration has its own time, so that later ones do not extend it.
+	private void lapse(String id) {
+		if (this.lapsed.containsKey(id)) {
 			return;
 		}
-		for (String id : Set.copyOf(this.lapsed)) {
+		this.log.event("server.lapsed").with("server", id).emit();
+		this.lapsed.put(id, this.control.schedule(LAPSE_GRACE, () -> {
 			remove(id, "registration did not come back after an outage of the registry");
-		}
-		publish();
+			publish();
+		}));
 	}
 
 	private void put(BackendServer server) {
-		this.lapsed.remove(server.id());
+		endLapse(server.id());
 		BackendServer before = this.servers.put(server.id(), server);
 		if (before == null || !before.equals(server)) {
 			this.log.event("server.registered")
@@ -118,8 +112,15 @@
 		}
 	}
 
+	private void endLapse(String id) {
+		Cancellable timer = this.lapsed.remove(id);
+		if (timer != null) {
+			timer.cancel();
+		}
+	}
+
 	private void remove(String id, String reason) {
-		this.lapsed.remove(id);
+		endLapse(id);
 		if (this.servers.remove(id) != null) {
 			this.log.event("server.removed").with("server", id).with("reason", reason).emit();
 		}
--- a/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
+++ b/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
@@ -64,11 +64,20 @@
 		assertEquals(usable(), Set.of("b"));
 	}
 
+	@Test
+	public void aLaterLapseDoesNotExtendTheTimeOfAnEarlierOne() {
+		this.directory.change("a", null, true);
+		this.control.advance(Duration.ofMillis(1_500));
+		this.directory.change("b", null, true);
+		this.control.advance(Duration.ofMillis(501));
+		assertEquals(usable(), Set.of("b"));
+	}
+
 	@Test
 	public void aChangeThatReportsALapseAfterAnOutageWaits() {
 		this.directory.change("a", null, true);
 		assertEquals(usable(), Set.of("a", "b"));
-		this.control.advance(Duration.ofMillis(2_201));
+		this.control.advance(ServerDirectory.LAPSE_GRACE.plusMillis(1));
 		assertEquals(usable(), Set.of("b"));
 	}
 
