--- a/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
@@ -6,6 +6,7 @@
 import io.verbenacleat.router.config.Route;
 import io.verbenacleat.router.config.Service;
 import io.verbenacleat.router.repeat.SendResult;
+import io.verbenacleat.router.repeat.StallPolicy;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -13,9 +14,6 @@
  */
 final class ServerSend implements ServerExchange {
 
-	/** A silent server is given up for requests that can go elsewhere after this. */
-	private static final long STALL_MS = 700;
-
 	private final RequestRun run;
 
 	private final ServerState state;
@@ -187,9 +185,8 @@
 		if (!this.counted || this.over || !this.run.isCallerWritable()) {
 			return false;
 		}
-		long silentMs = nowMs - this.lastBytesAtMs;
-		long limitMs = this.service.modelService() ? STALL_MS : Math.min(STALL_MS, this.route.targetLatencyMs());
-		return silentMs > limitMs;
+		return StallPolicy.isStalled(nowMs - this.lastBytesAtMs, this.state.isSilent(nowMs),
+				this.service.modelService(), this.route.targetLatencyMs());
 	}
 
 	private void bytes() {
