--- /dev/null
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -0,0 +1,158 @@
+package io.verbenacleat.router;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+
+import io.verbenacleat.core.control.SingleControlThread;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.router.budget.StoreClock;
+import io.verbenacleat.router.config.CallerLimits;
+import io.verbenacleat.router.config.Route;
+import io.verbenacleat.router.config.RoutingTable;
+import io.verbenacleat.router.log.DecisionLog;
+import io.verbenacleat.router.relay.HeaderNames;
+import io.verbenacleat.router.relay.RelayOptions;
+import org.jspecify.annotations.Nullable;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class RouterDaemonTests {
+
+	private static final long STOP_TIMEOUT_MS = 1_000;
+
+	@Test
+	public void aRouterIsReadyWithAConfigurationAndServersUntilItStops() throws IOException {
+		ManualFeed feed = new ManualFeed();
+		try (RouterDaemon daemon = daemon(feed)) {
+			assertTrue(await(() -> feed.listener != null));
+			assertEquals(status(daemon.readyPort(), "/ready"), 503);
+			assertEquals(status(daemon.callerPort(), "/a/"), 503);
+			feed.configure(daemon, 5, "/a/");
+			assertEquals(status(daemon.readyPort(), "/ready"), 503);
+			feed.run(daemon, () -> daemon.onServers(Map.of(), false));
+			assertEquals(status(daemon.readyPort(), "/ready"), 200);
+			daemon.stopGracefully();
+			assertEquals(status(daemon.readyPort(), "/ready"), 503);
+		}
+	}
+
+	@Test
+	public void aConfigurationNeverGoesBack() throws IOException {
+		ManualFeed feed = new ManualFeed();
+		try (RouterDaemon daemon = daemon(feed)) {
+			assertTrue(await(() -> feed.listener != null));
+			feed.configure(daemon, 7, "/new/");
+			feed.configure(daemon, 6, "/old/");
+			assertEquals(status(daemon.callerPort(), "/old/"), 404);
+			assertEquals(status(daemon.callerPort(), "/new/"), 503);
+		}
+	}
+
+	@Test
+	public void metricsCountRefusalsByReason() throws IOException {
+		ManualFeed feed = new ManualFeed();
+		try (RouterDaemon daemon = daemon(feed)) {
+			assertEquals(status(daemon.callerPort(), "/a/"), 503);
+			String metrics = body(daemon.metricsPort(), "/metrics");
+			assertTrue(metrics.contains("verbena_router_refusals_total{reason=\"not_configured\"} 1.0"), metrics);
+		}
+	}
+
+	private static RouterDaemon daemon(ManualFeed feed) {
+		HeaderNames names = new HeaderNames("Test-Id", "Test-Deadline", "Test-Key", "Test-Workspace", "Test-Target",
+				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Priority", Set.of());
+		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, STOP_TIMEOUT_MS,
+				System.nanoTime(), new RelayOptions(names, "z", 0.2, 5, 10_000));
+		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), feed, new NoReports(),
+				new SingleControlThread("control"), new DecisionLog(System::currentTimeMillis));
+	}
+
+	private static int status(int port, String path) throws IOException {
+		return connection(port, path).getResponseCode();
+	}
+
+	private static String body(int port, String path) throws IOException {
+		return new String(connection(port, path).getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+	}
+
+	private static HttpURLConnection connection(int port, String path) throws IOException {
+		return (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+	}
+
+	private static boolean await(BooleanSupplier condition) {
+		long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+		while (!condition.getAsBoolean() && System.nanoTime() < deadlineNanos) {
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(5));
+		}
+		return condition.getAsBoolean();
+	}
+
+	private static final class ManualFeed implements FleetFeed {
+
+		private volatile @Nullable Listener listener;
+
+		@Override
+		public void start(Listener newListener) {
+			this.listener = newListener;
+		}
+
+		@Override
+		public void close() {
+			this.listener = null;
+		}
+
+		void configure(RouterDaemon daemon, long version, String prefix) {
+			Route route = Route.builder("r", "127.0.0.1", prefix).target("s", 1).build();
+			run(daemon, () -> daemon.onConfiguration(new RoutingTable(version, List.of(route), List.of(), List.of(),
+					new CallerLimits(4_096, 4_096, 1_000, 1_000))));
+		}
+
+		// The relay takes both at once; there is no request in between.
+		void run(RouterDaemon daemon, Runnable change) {
+			synchronized (daemon) {
+				change.run();
+			}
+		}
+
+	}
+
+	private static final class NoReports implements LoadReports {
+
+		@Override
+		public String path() {
+			return "/";
+		}
+
+		@Override
+		public OptionalInt requests(byte[] body) {
+			return OptionalInt.empty();
+		}
+
+	}
+
+	private static final class UnknownClock implements StoreClock {
+
+		@Override
+		public long earliestMs() {
+			return -1;
+		}
+
+		@Override
+		public long latestMs() {
+			return -1;
+		}
+
+	}
+
+}
