--- a/core/src/main/java/io/verbenacleat/core/platform/PlatformException.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/PlatformException.java
@@ -1,5 +1,7 @@
 package io.verbenacleat.core.platform;
 
+import java.util.concurrent.CompletionException;
+
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,4 +20,16 @@
 		super(message, cause);
 	}
 
+	/**
+	 * Returns why a call failed, for a log line.
+	 * @param failure what the future of the call carried, or {@code null} when it is not
+	 * known
+	 * @return the message of the cause
+	 */
+	public static String reason(@Nullable Throwable failure) {
+		@Nullable
+		Throwable cause = (failure instanceof CompletionException) ? failure.getCause() : failure;
+		return (cause != null) ? String.valueOf(cause.getMessage()) : "unknown";
+	}
+
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -12,6 +12,7 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.core.json.JsonFormatException;
+import io.verbenacleat.core.platform.PlatformException;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.core.platform.WriteOutcome;
@@ -258,7 +259,7 @@
 		this.accounts.values().forEach((account) -> keys.add(account.key()));
 		this.store.read(keys).whenCompleteAsync((rows, failure) -> {
 			if (failure != null) {
-				failed("grants.unread", String.valueOf(failure.getMessage()));
+				failed("grants.unread", PlatformException.reason(failure));
 				return;
 			}
 			try {
@@ -417,7 +418,7 @@
 				this.statedAtNanos = this.statedBeforeNanos;
 				undo(write);
 			}
-			failed("grants.unwritten", String.valueOf(notApplied.cause().getMessage()));
+			failed("grants.unwritten", PlatformException.reason(notApplied.cause()));
 		}
 		else {
 			this.readNeeded = true;
