--- a/entry/src/main/java/io/verbenacleat/entry/http/HopByHopHeaders.java
+++ b/entry/src/main/java/io/verbenacleat/entry/http/HopByHopHeaders.java
@@ -3,15 +3,16 @@
 import java.util.Locale;
 import java.util.Set;
 
+import io.verbenacleat.core.daemon.ConnectionHeaders;
+
 /**
  * Tells which headers belong to one connection only (RFC 9110, section 7.6.1), with those
  * that the gateway sets or uses itself.
  */
 final class HopByHopHeaders {
 
-	private static final Set<String> NOT_FORWARDED = Set.of("connection", "proxy-connection", "keep-alive", "te",
-			"trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization", "host",
-			"content-length", "expect", "authorization", "verbena-request-id", "verbena-timeout-ms");
+	private static final Set<String> OWN_HEADERS = Set.of("host", "authorization", "verbena-request-id",
+			"verbena-timeout-ms");
 
 	private HopByHopHeaders() {
 	}
@@ -22,7 +23,7 @@
 	 * @return {@code true} when it is passed on
 	 */
 	static boolean isEndToEnd(String name) {
-		return !NOT_FORWARDED.contains(name.toLowerCase(Locale.ROOT));
+		return !ConnectionHeaders.contains(name) && !OWN_HEADERS.contains(name.toLowerCase(Locale.ROOT));
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/FleetFeed.java
+++ b/router/src/main/java/io/verbenacleat/router/FleetFeed.java
@@ -46,12 +46,6 @@
 		 */
 		void onServerChange(String id, @Nullable BackendServer server, boolean afterOutage);
 
-		/**
-		 * All changes of one answer were passed on.
-		 */
-		default void onServerChangesEnd() {
-		}
-
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/config/Route.java
+++ b/router/src/main/java/io/verbenacleat/router/config/Route.java
@@ -13,8 +13,6 @@
  * @param kind what may be repeated
  * @param timeoutMs the longest time that a request is kept waiting, in milliseconds
  * @param targetLatencyMs the time within which an answer is on time, in milliseconds
- * @param maxGapMs the longest pause between events that is on time, in milliseconds, 0
- * without streams
  * @param priority the rank, 0 is the most urgent
  * @param targets the services that take its requests
  * @param maxAttempts the most backend servers that a request is sent to, 1 or more
@@ -22,8 +20,7 @@
  * @param affinity whether requests carry prompt prefixes
  */
 public record Route(String name, String host, String pathPrefix, RequestKind kind, long timeoutMs, long targetLatencyMs,
-		long maxGapMs, int priority, List<WeightedTarget> targets, int maxAttempts, boolean anonymous,
-		boolean affinity) {
+		int priority, List<WeightedTarget> targets, int maxAttempts, boolean anonymous, boolean affinity) {
 
 	/**
 	 * Creates a route from a copy of the list.
@@ -85,8 +82,6 @@
 
 		private long targetLatencyMs = DEFAULT_TIMEOUT_MS;
 
-		private long maxGapMs;
-
 		private int priority;
 
 		private int maxAttempts = 1;
@@ -124,16 +119,6 @@
 			return this;
 		}
 
-		/**
-		 * Sets the longest pause between events.
-		 * @param maxGapMs the pause in milliseconds
-		 * @return this builder
-		 */
-		public Builder maxGapMs(long maxGapMs) {
-			this.maxGapMs = maxGapMs;
-			return this;
-		}
-
 		/**
 		 * Sets the rank.
 		 * @param priority the rank, 0 is the most urgent
@@ -191,7 +176,7 @@
 		 */
 		public Route build() {
 			return new Route(this.name, this.host, this.pathPrefix, this.kind, this.timeoutMs, this.targetLatencyMs,
-					this.maxGapMs, this.priority, this.targets, this.maxAttempts, this.anonymous, this.affinity);
+					this.priority, this.targets, this.maxAttempts, this.anonymous, this.affinity);
 		}
 
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/HeaderRules.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/HeaderRules.java
@@ -7,16 +7,13 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.verbenacleat.core.daemon.ConnectionHeaders;
 
 /**
  * Copies the headers that are passed on (RFC 9110, section 7.6.1). Immutable.
  */
 final class HeaderRules {
 
-	private static final Set<String> CONNECTION_HEADERS = Set.of("connection", "proxy-connection", "keep-alive", "te",
-			"trailer", "transfer-encoding", "upgrade", "proxy-authenticate", "proxy-authorization", "content-length",
-			"expect");
-
 	private final Set<String> notFromCallers = new HashSet<>();
 
 	HeaderRules(HeaderNames names) {
@@ -45,7 +42,7 @@
 		}
 		for (Map.Entry<String, String> header : from) {
 			String name = lower(header.getKey());
-			if (!CONNECTION_HEADERS.contains(name) && !named.contains(name) && !removed.contains(name)) {
+			if (!ConnectionHeaders.contains(name) && !named.contains(name) && !removed.contains(name)) {
 				to.add(header.getKey(), header.getValue());
 			}
 		}
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -40,7 +40,7 @@
 			assertEquals(status(daemon.callerPort(), "/a/"), 503);
 			feed.configure(daemon, 5, "/a/");
 			assertEquals(status(daemon.readyPort(), "/ready"), 503);
-			feed.run(daemon, () -> daemon.onServers(Map.of(), false));
+			daemon.onServers(Map.of(), false);
 			assertEquals(status(daemon.readyPort(), "/ready"), 200);
 			daemon.stopGracefully();
 			assertEquals(status(daemon.readyPort(), "/ready"), 503);
@@ -114,15 +114,8 @@
 
 		void configure(RouterDaemon daemon, long version, String prefix) {
 			Route route = Route.builder("r", "127.0.0.1", prefix).target("s", 1).build();
-			run(daemon, () -> daemon.onConfiguration(new RoutingTable(version, List.of(route), List.of(), List.of(),
-					new CallerLimits(4_096, 4_096, 1_000, 1_000))));
-		}
-
-		// The relay takes both at once; there is no request in between.
-		void run(RouterDaemon daemon, Runnable change) {
-			synchronized (daemon) {
-				change.run();
-			}
+			daemon.onConfiguration(new RoutingTable(version, List.of(route), List.of(), List.of(),
+					new CallerLimits(4_096, 4_096, 1_000, 1_000)));
 		}
 
 	}
