Fix what is known of earlier sends when a send begins

Cause, found by reading: a server that left while a repeat was connecting set the request back to not run, although an earlier server may have run it. Only requests that may be repeated could meet it.

--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -344,7 +344,7 @@
 			if (account != null && row != null) {
 				long freed = inTime ? limit.givenTokens() - Math.min(limit.givenTokens(), limit.limitTokens()) : 0;
 				write.add(account, row.without(this.identity.address(), freed), 0);
-				this.log.event("grant.freed")
+				this.log.event("grant.takeover")
 					.with("workspace", workspace)
 					.with("tokens", freed)
 					.with("lost_at_most", limit.givenTokens() - freed)
--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -182,7 +182,7 @@
 			running.abandon();
 		}
 		close();
-		logEnd("request.abandoned", "caller is gone").emit();
+		logLine("request.abandoned", "caller is gone").emit();
 	}
 
 	void onCallerWritable(boolean writable) {
@@ -283,19 +283,16 @@
 	/**
 	 * Notes that the request is about to be sent.
 	 * @param state the server
-	 * @return whether it may have run before
 	 */
-	boolean markSent(ServerState state) {
-		boolean ranBefore = this.mayHaveRun;
+	void markSent(ServerState state) {
 		this.sends++;
 		this.mayHaveRun = true;
 		this.tried.add(state.server().id());
 		this.relay.metrics().sent();
-		logEnd("request.sent", "selected").with("server", state.server().id())
+		logLine("request.sent", "selected").with("server", state.server().id())
 			.with("load", (long) state.load())
 			.with("own_load", state.inProgress())
 			.emit();
-		return ranBefore;
 	}
 
 	/**
@@ -314,7 +311,7 @@
 			this.mayHaveRun = ranBefore;
 		}
 		this.tried.add(ended.serverId());
-		logEnd("request.send_failed", reason).with("server", ended.serverId()).with("result", result.name()).emit();
+		logLine("request.send_failed", reason).with("server", ended.serverId()).with("result", result.name()).emit();
 		Service target = this.service;
 		if (target != null && mayRepeat(this.mayHaveRun)
 				&& (this.sends == 0 || this.relay.retries().tryRepeat(target.name()))) {
@@ -420,7 +417,7 @@
 		this.send = null;
 		this.relay.metrics().answered(status);
 		close();
-		logEnd("request.answered", "complete").with("server", state.server().id()).with("status", status).emit();
+		logLine("request.answered", "complete").with("server", state.server().id()).with("status", status).emit();
 		this.caller.end();
 	}
 
@@ -449,7 +446,7 @@
 	private void abort(String reason) {
 		this.relay.metrics().aborted("answer_broken");
 		close();
-		logEnd("request.aborted", reason).emit();
+		logLine("request.aborted", reason).emit();
 		this.caller.flush();
 		this.caller.abort();
 	}
@@ -457,7 +454,7 @@
 	private void refuse(Refusal refusal) {
 		this.relay.metrics().refused(refusal);
 		close();
-		logEnd("request.refused", Relay.code(refusal)).emit();
+		logLine("request.refused", Relay.code(refusal)).emit();
 		String retryAfter = "";
 		if (refusal.isTemporary()) {
 			double seconds = MIN_RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * ThreadLocalRandom.current().nextDouble();
@@ -489,7 +486,7 @@
 		return Long.parseLong(header);
 	}
 
-	private DecisionLog.Line logEnd(String event, String reason) {
+	private DecisionLog.Line logLine(String event, String reason) {
 		DecisionLog.Line line = this.relay.log()
 			.event(event)
 			.with("request", this.requestId)
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
@@ -26,7 +26,7 @@
 
 	private @Nullable SendResult verdict;
 
-	private boolean ranBefore;
+	private final boolean ranBefore;
 
 	private boolean counted;
 
@@ -43,6 +43,7 @@
 		this.state = state;
 		this.service = service;
 		this.route = route;
+		this.ranBefore = run.mayHaveRun();
 	}
 
 	String serverId() {
@@ -72,7 +73,7 @@
 		this.lastBytesAtMs = this.sentAtMs;
 		this.counted = true;
 		this.state.onSend(this.sentAtMs);
-		this.ranBefore = this.run.markSent(this.state);
+		this.run.markSent(this.state);
 		opened.send(this, this.run.requestFor(this.state, this.route));
 		opened.setReading(this.run.isCallerWritable());
 	}
@@ -84,7 +85,7 @@
 		}
 		this.over = true;
 		this.state.onConnectFailure(this.run.relay().nowMs());
-		this.run.onSendFailed(this, SendResult.NOT_SENT, reason, this.run.mayHaveRun());
+		this.run.onSendFailed(this, SendResult.NOT_SENT, reason, this.ranBefore);
 	}
 
 	@Override
@@ -152,7 +153,7 @@
 			this.state.onFailure(this.run.relay().nowMs());
 		}
 		SendResult result = this.counted ? SendResult.UNKNOWN : SendResult.NOT_SENT;
-		this.run.onSendFailed(this, result, reason, this.counted ? this.ranBefore : this.run.mayHaveRun());
+		this.run.onSendFailed(this, result, reason, this.ranBefore);
 	}
 
 	/**
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayTests.java
@@ -4,6 +4,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.testng.annotations.Test;
 
@@ -127,6 +128,25 @@
 		}
 	}
 
+	// The second server refuses; the first may have run the request all the same.
+	@Test
+	public void aRefusalAfterALostAnswerIsNotCalledNotRun() throws IOException {
+		AtomicInteger sends = new AtomicInteger();
+		FakeServer.Script lostThenRefused = (request, connection, out) -> {
+			if (sends.incrementAndGet() == 1) {
+				RESET.answer(request, connection, out);
+			}
+			else {
+				NOT_RUN.answer(request, connection, out);
+			}
+		};
+		try (RelayFixture fixture = new RelayFixture(lostThenRefused, lostThenRefused)) {
+			String answer = fixture.call("/again/", "");
+			assertTrue(answer.startsWith("HTTP/1.1 502"), answer);
+			assertTrue(answer.contains("\"outcome\":\"unknown\""), answer);
+		}
+	}
+
 	@Test
 	public void anAnswerOfAnotherRequestIsSkipped() throws IOException {
 		FakeServer.Script extra = (request, connection, out) -> out
