Share the fixed part of the retry budget among all routers in the store

Cause, found by reckoning: the grown deployments have 28 and 25 routers; a tenth of the fixed part each would allow 268 repeats of 96. The routers' rows in the store are counted every 8 s; the flag is the least count.

--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.ControlThread;
+import io.verbenacleat.core.platform.PlatformException;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.StoreClock;
@@ -28,12 +29,19 @@
  */
 public final class RouterDaemon implements FleetFeed.Listener, AutoCloseable {
 
+	/** Shorter than the window of the retry budget; one call of the store. */
+	private static final Duration CENSUS_INTERVAL = Duration.ofSeconds(8);
+
+	private static final int MAX_ROUTERS = 1_000;
+
 	private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
 	private final RouterOptions options;
 
 	private final ControlThread control;
 
+	private final TableStore store;
+
 	private final FleetFeed feed;
 
 	private final DecisionLog log;
@@ -76,6 +84,7 @@
 			LoadReports reports, ControlThread control, DecisionLog log) {
 		this.options = options;
 		this.control = control;
+		this.store = store;
 		this.feed = feed;
 		this.log = log;
 		PrometheusRegistry registry = new PrometheusRegistry();
@@ -90,6 +99,7 @@
 		this.metrics = AdminEndpoint.metrics(this.loop, options.host(), options.metricsPort(), registry);
 		log.event("process.started").with("incarnation", incarnation).with("port", this.callers.port()).emit();
 		control.execute(() -> feed.start(this));
+		control.scheduleWithFixedDelay(CENSUS_INTERVAL, this::countRouters);
 	}
 
 	/**
@@ -190,6 +200,16 @@
 			.emit();
 	}
 
+	private void countRouters() {
+		this.store.scan(PrepaidLedger.ROUTER_PREFIX, "", MAX_ROUTERS).whenComplete((rows, failure) -> {
+			if (failure != null) {
+				this.log.event("routers.uncounted").with("reason", PlatformException.reason(failure)).emit();
+				return;
+			}
+			this.relay.setRouters(rows.size());
+		});
+	}
+
 	@Override
 	public void close() {
 		this.feed.close();
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -41,7 +41,7 @@
 	static final String GRANT_PREFIX = "ledger/grant/";
 
 	/** The keys of the rows of routers begin with this. */
-	static final String ROUTER_PREFIX = "ledger/router/";
+	public static final String ROUTER_PREFIX = "ledger/router/";
 
 	/**
 	 * A router that was out of contact for this time spends beyond its stated limit.
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -106,8 +106,8 @@
 		LeastLoadedSelection plain = new LeastLoadedSelection(() -> ThreadLocalRandom.current().nextDouble());
 		this.states = new ServerStates(options.zone(), plain, new PrefixAffinitySelection(plain));
 		this.connections = new ServerConnections(loop, this.names.requestId(), this::nowMs);
-		this.retries = new RetryAllowance(options.retryRatio(), options.retryExtra(), options.retryWindowMs(),
-				this::nowMs);
+		this.retries = new RetryAllowance(options.retryRatio(), options.retryExtra(), options.minRouters(),
+				options.retryWindowMs(), this::nowMs);
 		this.sweeper = loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
 	}
 
@@ -130,6 +130,14 @@
 		});
 	}
 
+	/**
+	 * Takes how many routers share the retry budget; may be called on any thread.
+	 * @param count the count, lost ones included
+	 */
+	public void setRouters(int count) {
+		this.retries.setRouters(count);
+	}
+
 	/**
 	 * Stops taking requests; may be called on any thread.
 	 */
--- a/router/src/main/java/io/verbenacleat/router/repeat/RetryAllowance.java
+++ b/router/src/main/java/io/verbenacleat/router/repeat/RetryAllowance.java
@@ -11,7 +11,7 @@
  * each sliding window it allows repeats up to a ratio of the requests for the service,
  * plus a fixed number. The shares add up to the budget without messages between routers,
  * so it holds while they are cut off from each other. Not safe for use by several
- * threads.
+ * threads, except {@link #setRouters}.
  */
 public final class RetryAllowance {
 
@@ -24,28 +24,42 @@
 
 	private final double ratio;
 
-	private final double extra;
+	private final double extraOfAll;
+
+	private final int minRouters;
 
 	private final long sliceMs;
 
 	private final LongSupplier nowMs;
 
+	private volatile int routers;
+
 	private final Map<String, Window> windows = new HashMap<>();
 
 	/**
 	 * Creates an allowance.
 	 * @param ratio the repeats for each request, of all routers
-	 * @param extra the repeats beyond the ratio for each window, of this router
+	 * @param extraOfAll the repeats beyond the ratio for each window, of all routers
+	 * @param minRouters the routers that share it at least, 1 or more
 	 * @param windowMs the length of the window in milliseconds
 	 * @param nowMs the steady time in milliseconds
 	 */
-	public RetryAllowance(double ratio, double extra, long windowMs, LongSupplier nowMs) {
+	public RetryAllowance(double ratio, double extraOfAll, int minRouters, long windowMs, LongSupplier nowMs) {
 		this.ratio = ratio * USED_RATIO;
-		this.extra = extra;
+		this.extraOfAll = extraOfAll;
+		this.minRouters = minRouters;
 		this.sliceMs = Math.max(1, windowMs / SLICES);
 		this.nowMs = nowMs;
 	}
 
+	/**
+	 * Takes how many routers are known; may be called on any thread.
+	 * @param count the count, lost ones included
+	 */
+	public void setRouters(int count) {
+		this.routers = count;
+	}
+
 	/**
 	 * Counts a request, without its repeats.
 	 * @param service the name of the service
@@ -68,7 +82,7 @@
 			requests += slice.requests;
 			repeats += slice.repeats;
 		}
-		if (repeats + 1 > this.ratio * requests + this.extra) {
+		if (repeats + 1 > this.ratio * requests + this.extraOfAll / Math.max(this.minRouters, this.routers)) {
 			return false;
 		}
 		newest.repeats++;
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -73,7 +73,7 @@
 		HeaderNames names = new HeaderNames("Test-Id", "Test-Deadline", "Test-Key", "Test-Workspace", "Test-Target",
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Priority", Set.of());
 		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, STOP_TIMEOUT_MS,
-				System.nanoTime(), new RelayOptions(names, "z", 0.2, 5, 10_000));
+				System.nanoTime(), new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
 		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), feed, new NoReports(),
 				new SingleControlThread("control"), new DecisionLog(System::currentTimeMillis));
 	}
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -51,7 +51,7 @@
 		DecisionLog log = new DecisionLog(System::currentTimeMillis);
 		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "r/1", System.nanoTime()),
 				new InMemoryTableStore(), new UnknownClock(), this.control, log);
-		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 10_000);
+		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
 		this.relay = new Relay(this.loop.next(), options, this.ledger, log, new PrometheusRegistry());
 		configure(1_000_000);
 		for (FakeServer.Script script : scripts) {
--- a/router/src/test/java/io/verbenacleat/router/repeat/RetryAllowanceTests.java
+++ b/router/src/test/java/io/verbenacleat/router/repeat/RetryAllowanceTests.java
@@ -34,6 +34,21 @@
 		assertTrue(allowance.tryRepeat("t"));
 	}
 
+	// A fleet that has grown: the fixed part is for all routers together.
+	@Test
+	public void moreRoutersShareTheFixedPart() {
+		int routers = 28;
+		int allowed = 0;
+		for (int i = 0; i < routers; i++) {
+			RetryAllowance allowance = new RetryAllowance(RATIO, 96, 8, WINDOW_MS, () -> this.nowMs);
+			allowance.setRouters(routers);
+			while (allowance.tryRepeat("s")) {
+				allowed++;
+			}
+		}
+		assertTrue(allowed <= 96 && allowed > 48, "allowed " + allowed);
+	}
+
 	@Test
 	public void repeatsAreForgottenAfterTheWindow() {
 		RetryAllowance allowance = allowance();
@@ -82,7 +97,7 @@
 	}
 
 	private RetryAllowance allowance() {
-		return new RetryAllowance(RATIO, EXTRA, WINDOW_MS, () -> this.nowMs);
+		return new RetryAllowance(RATIO, EXTRA, 1, WINDOW_MS, () -> this.nowMs);
 	}
 
 }
