Start waiting requests of a connection in their order, keep the account of bodies

Found by reading, tests failed first: a request that was read between an answer and the start of the next waiting one overtook it, and both ran on one connection; a request after the last answer of a connection was still started; a body that was refused memory gave back memory that it never had.

--- a/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
@@ -43,7 +43,7 @@
 
 	private boolean closeAfterAnswer;
 
-	private boolean headSent;
+	private boolean closing;
 
 	private long idleSinceMs;
 
@@ -64,7 +64,7 @@
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		this.headStartedAtMs = -1;
-		if (!(message instanceof FullHttpRequest request)) {
+		if (this.closing || !(message instanceof FullHttpRequest request)) {
 			ReferenceCountUtil.release(message);
 			return;
 		}
@@ -144,7 +144,6 @@
 			this.closeAfterAnswer = true;
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
 		}
-		this.headSent = true;
 		this.channel.write(response, this.channel.voidPromise());
 	}
 
@@ -195,29 +194,30 @@
 
 	private void finish(Object last) {
 		this.run = null;
-		this.headSent = false;
 		this.idleSinceMs = this.relay.nowMs();
 		if (this.closeAfterAnswer) {
+			this.closing = true;
 			this.channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
 			return;
 		}
 		this.channel.writeAndFlush(last, this.channel.voidPromise());
-		FullHttpRequest next = this.waiting.poll();
-		if (this.waiting.isEmpty()) {
-			this.channel.config().setAutoRead(true);
-		}
-		if (next != null) {
-			// Not started in this call stack, which may be that of the run before.
-			this.channel.eventLoop().execute(() -> startIfOpen(next));
+		if (!this.waiting.isEmpty()) {
+			// Not in this call stack, which may be that of the run before; until then
+			// the request stays queued, so that later ones do not overtake it.
+			this.channel.eventLoop().execute(this::startNext);
 		}
 	}
 
-	private void startIfOpen(FullHttpRequest request) {
-		if (this.channel.isActive()) {
-			start(request);
+	private void startNext() {
+		if (this.run != null) {
+			return;
 		}
-		else {
-			request.release();
+		FullHttpRequest next = this.waiting.poll();
+		if (this.waiting.isEmpty() && this.channel.isActive()) {
+			this.channel.config().setAutoRead(true);
+		}
+		if (next != null) {
+			start(next);
 		}
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -251,6 +251,10 @@
 		this.bodyBytes -= bytes;
 	}
 
+	long bodyBytes() {
+		return this.bodyBytes;
+	}
+
 	void opened(CallerConnection caller) {
 		this.callers.add(caller);
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -85,6 +85,8 @@
 
 	private int sends;
 
+	private boolean bodyReserved;
+
 	private boolean mayHaveRun;
 
 	private long billedTokens;
@@ -107,7 +109,8 @@
 
 	void start() {
 		this.relay.started(this);
-		if (!this.relay.reserveBody(this.bodyBytes)) {
+		this.bodyReserved = this.relay.reserveBody(this.bodyBytes);
+		if (!this.bodyReserved) {
 			refuse(Refusal.OVERLOADED);
 			return;
 		}
@@ -468,7 +471,9 @@
 		this.send = null;
 		dropPartialEvent();
 		this.relay.ended(this);
-		this.relay.releaseBody(this.bodyBytes);
+		if (this.bodyReserved) {
+			this.relay.releaseBody(this.bodyBytes);
+		}
 		TokenBill opened = this.bill;
 		Service target = this.service;
 		if (opened != null && target != null) {
--- /dev/null
+++ b/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
@@ -0,0 +1,130 @@
+package io.verbenacleat.router.relay;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.router.budget.PrepaidLedger;
+import io.verbenacleat.router.budget.StoreClock;
+import io.verbenacleat.router.config.CallerLimits;
+import io.verbenacleat.router.config.Route;
+import io.verbenacleat.router.config.RoutingTable;
+import io.verbenacleat.router.config.Service;
+import io.verbenacleat.router.config.Workspace;
+import io.verbenacleat.router.log.DecisionLog;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class CallerConnectionTests {
+
+	// Found by reading: a request that came just after an answer overtook one that had
+	// waited longer, and both ran at the same time.
+	@Test
+	public void aRequestThatComesAfterAnAnswerDoesNotOvertakeAWaitingOne() {
+		Fixture fixture = new Fixture();
+		fixture.store.setAvailable(false);
+		RoutingTable table = new RoutingTable(1, List.of(Route.builder("r", "h", "/paid/").target("s", 1).build()),
+				List.of(new Service("s", 10, true, 1)), List.of(new Workspace("w", List.of("k"), 0, 100)),
+				new CallerLimits(4_096, 4_096, 1_000, 1_000));
+		fixture.relay.configure(table);
+		fixture.ledger.configure(table);
+		fixture.channel.pipeline().fireChannelRead(request("/paid/", "1"));
+		fixture.channel.pipeline().fireChannelRead(request("/none/", "2"));
+		assertTrue(fixture.channel.outboundMessages().isEmpty());
+		fixture.connection.sendWhole(HttpResponseStatus.OK, "", "text/plain",
+				"{\"requestId\":\"1\"}".getBytes(StandardCharsets.UTF_8));
+		fixture.channel.pipeline().fireChannelRead(request("/none/", "3"));
+		fixture.channel.runPendingTasks();
+		assertEquals(answeredIds(fixture.channel), List.of("1", "2", "3"));
+	}
+
+	@Test
+	public void noRequestStartsAfterTheLastAnswerOfAConnection() {
+		Fixture fixture = new Fixture();
+		FullHttpRequest last = request("/none/", "1");
+		last.headers().set("Connection", "close");
+		fixture.channel.pipeline().fireChannelRead(last);
+		fixture.channel.pipeline().fireChannelRead(request("/none/", "2"));
+		fixture.channel.runPendingTasks();
+		assertEquals(answeredIds(fixture.channel), List.of("1"));
+	}
+
+	@Test
+	public void aBodyThatWasRefusedMemoryGivesNoneBack() {
+		Fixture fixture = new Fixture();
+		int tooLarge = 49 << 20;
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/paid/",
+				Unpooled.wrappedBuffer(new byte[tooLarge]));
+		fixture.channel.pipeline().fireChannelRead(request);
+		assertEquals(fixture.relay.bodyBytes(), 0);
+	}
+
+	private static List<String> answeredIds(EmbeddedChannel channel) {
+		List<String> ids = new ArrayList<>();
+		FullHttpResponse response = channel.readOutbound();
+		while (response != null) {
+			String body = response.content().toString(StandardCharsets.UTF_8);
+			ids.add(body.replaceAll(".*\"requestId\":\"([^\"]*)\".*", "$1"));
+			response = channel.readOutbound();
+		}
+		return ids;
+	}
+
+	private static FullHttpRequest request(String path, String id) {
+		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+		request.headers().set("Host", "h").set("Test-Id", id).set("Test-Key", "k").set("Test-Tokens", "10,10");
+		return request;
+	}
+
+	private static final class Fixture {
+
+		private final ManualControlThread control = new ManualControlThread(Instant.EPOCH);
+
+		private final InMemoryTableStore store = new InMemoryTableStore();
+
+		private final EmbeddedChannel channel = new EmbeddedChannel();
+
+		private final PrepaidLedger ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "r/1", 0),
+				this.store, new UnknownClock(), this.control, new DecisionLog(() -> 0));
+
+		private final Relay relay = new Relay(this.channel.eventLoop(),
+				new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000), this.ledger,
+				new DecisionLog(() -> 0), new PrometheusRegistry());
+
+		private final CallerConnection connection = new CallerConnection(this.relay, this.channel);
+
+		private Fixture() {
+			this.channel.pipeline().addLast(this.connection);
+		}
+
+	}
+
+	private static final class UnknownClock implements StoreClock {
+
+		@Override
+		public long earliestMs() {
+			return -1;
+		}
+
+		@Override
+		public long latestMs() {
+			return -1;
+		}
+
+	}
+
+}
