End with a clear line when an address is in use

Found by the check of a new user: the bind failure of the HTTP library is an undeclared IOException, which the main class did not catch; the process printed a stack trace and hung on its event loop.

--- a/router/src/main/java/io/verbenacleat/router/AdminEndpoint.java
+++ b/router/src/main/java/io/verbenacleat/router/AdminEndpoint.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.router.relay.Listeners;
 
 /**
  * Answers readiness checks and serves metrics. Safe for use by several threads.
@@ -46,8 +47,10 @@
 	 * @param port the port, 0 for any free one
 	 * @param ready whether the router takes requests
 	 * @return the running endpoint
+	 * @throws IOException when the address cannot be used
 	 */
-	static AdminEndpoint readiness(EventLoopGroup loop, String host, int port, BooleanSupplier ready) {
+	static AdminEndpoint readiness(EventLoopGroup loop, String host, int port, BooleanSupplier ready)
+			throws IOException {
 		return start(loop, host, port, () -> {
 			HttpResponseStatus status = ready.getAsBoolean() ? HttpResponseStatus.OK
 					: HttpResponseStatus.SERVICE_UNAVAILABLE;
@@ -62,8 +65,10 @@
 	 * @param port the port, 0 for any free one
 	 * @param registry the metrics
 	 * @return the running endpoint
+	 * @throws IOException when the address cannot be used
 	 */
-	static AdminEndpoint metrics(EventLoopGroup loop, String host, int port, PrometheusRegistry registry) {
+	static AdminEndpoint metrics(EventLoopGroup loop, String host, int port, PrometheusRegistry registry)
+			throws IOException {
 		PrometheusTextFormatWriter writer = new PrometheusTextFormatWriter(false);
 		return start(loop, host, port, () -> {
 			ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -81,8 +86,9 @@
 		this.channel.close().syncUninterruptibly();
 	}
 
-	private static AdminEndpoint start(EventLoopGroup loop, String host, int port, PageSource source) {
-		Channel channel = new ServerBootstrap().group(loop)
+	private static AdminEndpoint start(EventLoopGroup loop, String host, int port, PageSource source)
+			throws IOException {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.childHandler(new ChannelInitializer<Channel>() {
 				@Override
@@ -92,11 +98,8 @@
 						.addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
 						.addLast(new PageHandler(source));
 				}
-			})
-			.bind(host, port)
-			.syncUninterruptibly()
-			.channel();
-		return new AdminEndpoint(channel);
+			});
+		return new AdminEndpoint(Listeners.bind(bootstrap, host, port));
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.router;
 
+import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
@@ -79,9 +80,10 @@
 	 * @param reports how servers report their load
 	 * @param control the control thread
 	 * @param log gets a line for each decision
+	 * @throws IOException when an address cannot be used
 	 */
 	public RouterDaemon(RouterOptions options, TableStore store, StoreClock storeClock, FleetFeed feed,
-			LoadReports reports, ControlThread control, DecisionLog log) {
+			LoadReports reports, ControlThread control, DecisionLog log) throws IOException {
 		this.options = options;
 		this.control = control;
 		this.store = store;
--- a/router/src/main/java/io/verbenacleat/router/relay/CallerServer.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerServer.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.router.relay;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -45,9 +46,10 @@
 	 * @param host the IP number
 	 * @param port the port, 0 for any free one
 	 * @return the running server
+	 * @throws IOException when the address cannot be used
 	 */
-	public static CallerServer start(EventLoopGroup loop, Relay relay, String host, int port) {
-		Channel channel = new ServerBootstrap().group(loop)
+	public static CallerServer start(EventLoopGroup loop, Relay relay, String host, int port) throws IOException {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
@@ -59,11 +61,8 @@
 				protected void initChannel(Channel accepted) {
 					init(accepted, relay);
 				}
-			})
-			.bind(host, port)
-			.syncUninterruptibly()
-			.channel();
-		return new CallerServer(channel);
+			});
+		return new CallerServer(Listeners.bind(bootstrap, host, port));
 	}
 
 	/**
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -69,7 +69,7 @@
 		}
 	}
 
-	private static RouterDaemon daemon(ManualFeed feed) {
+	private static RouterDaemon daemon(ManualFeed feed) throws IOException {
 		HeaderNames names = new HeaderNames("Test-Id", "Test-Deadline", "Test-Key", "Test-Workspace", "Test-Target",
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Priority", Set.of());
 		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, STOP_TIMEOUT_MS,
