Pass tokens and the configuration between routers while the store is cut off

Ruled out: larger grants before a cut (held tokens are already up to 80% of what is left); waiting for the store (a cut lasts 8 s, callers wait 5 s).

Change: routers listen for one another (listen.control, seeds of the settings, addresses in their rows). A router without the store borrows tokens by demand; a lender that reaches the store takes them out of the shared row. What was lent counts as spent at the lender for good, so that no row has to be written. A stopping router hands its tokens over. A router without the store takes the configuration and the list of servers of another one, when they are newer.

--- a/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
@@ -42,6 +42,17 @@
 		this.token = token;
 	}
 
+	/**
+	 * Returns calls of another program of the fleet.
+	 * @param newBaseUrl its base URL, such as {@code http://10.0.0.1:8748}
+	 * @return calls that share threads, connections and timeout with these, without the
+	 * token
+	 * @throws IllegalArgumentException when the URL is not a valid HTTP URL
+	 */
+	public HttpCalls to(String newBaseUrl) {
+		return new HttpCalls(this.client, HttpUrl.get(newBaseUrl), "");
+	}
+
 	/**
 	 * Starts a URL below the base URL.
 	 * @param pathSegments the path, without a leading slash
--- a/router/src/main/java/io/verbenacleat/router/AdminEndpoint.java
+++ b/router/src/main/java/io/verbenacleat/router/AdminEndpoint.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -25,14 +27,17 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.router.peer.PeerPages;
 import io.verbenacleat.router.relay.Listeners;
 
 /**
- * Answers readiness checks and serves metrics. Safe for use by several threads.
+ * Answers readiness checks and other routers, and serves metrics. Safe for use by several
+ * threads.
  */
 final class AdminEndpoint implements AutoCloseable {
 
-	private static final int MAX_BODY_BYTES = 4_096;
+	/** Bounds the memory; a question for tokens of 780 workspaces takes some 60 KB. */
+	private static final int MAX_BODY_BYTES = 262_144;
 
 	private final Channel channel;
 
@@ -51,10 +56,10 @@
 	 */
 	static AdminEndpoint readiness(EventLoopGroup loop, String host, int port, BooleanSupplier ready)
 			throws IOException {
-		return start(loop, host, port, () -> {
+		return start(loop, host, port, (path, body) -> {
 			HttpResponseStatus status = ready.getAsBoolean() ? HttpResponseStatus.OK
 					: HttpResponseStatus.SERVICE_UNAVAILABLE;
-			return new Page(status, "text/plain", new byte[0]);
+			return CompletableFuture.completedFuture(new Page(status, "text/plain", new byte[0]));
 		});
 	}
 
@@ -70,13 +75,31 @@
 	static AdminEndpoint metrics(EventLoopGroup loop, String host, int port, PrometheusRegistry registry)
 			throws IOException {
 		PrometheusTextFormatWriter writer = new PrometheusTextFormatWriter(false);
-		return start(loop, host, port, () -> {
+		return start(loop, host, port, (path, body) -> {
 			ByteArrayOutputStream out = new ByteArrayOutputStream();
 			writer.write(out, registry.scrape());
-			return new Page(HttpResponseStatus.OK, writer.getContentType(), out.toByteArray());
+			return CompletableFuture
+				.completedFuture(new Page(HttpResponseStatus.OK, writer.getContentType(), out.toByteArray()));
 		});
 	}
 
+	/**
+	 * Starts an endpoint that answers other routers.
+	 * @param loop the event loop
+	 * @param host the IP number
+	 * @param port the port, 0 for any free one
+	 * @param pages makes the answers
+	 * @return the running endpoint
+	 * @throws IOException when the address cannot be used
+	 */
+	static AdminEndpoint peers(EventLoopGroup loop, String host, int port, PeerPages pages) throws IOException {
+		return start(loop, host, port, (path, body) -> pages.answer(path, body)
+			.handle((answer, failure) -> (failure != null)
+					? new Page(HttpResponseStatus.BAD_REQUEST, "text/plain",
+							String.valueOf(failure.getMessage()).getBytes(StandardCharsets.UTF_8))
+					: new Page(HttpResponseStatus.OK, "application/json", answer.getBytes(StandardCharsets.UTF_8))));
+	}
+
 	int port() {
 		return ((InetSocketAddress) this.channel.localAddress()).getPort();
 	}
@@ -107,7 +130,7 @@
 	 */
 	private interface PageSource {
 
-		Page page() throws IOException;
+		CompletableFuture<Page> page(String path, String body) throws IOException;
 
 	}
 
@@ -131,12 +154,16 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) throws IOException {
-			Page page = this.source.page();
+			boolean keep = HttpUtil.isKeepAlive(request);
+			this.source.page(request.uri(), request.content().toString(StandardCharsets.UTF_8))
+				.thenAcceptAsync((page) -> write(context, page, keep), context.executor());
+		}
+
+		private static void write(ChannelHandlerContext context, Page page, boolean keep) {
 			FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, page.status(),
 					Unpooled.wrappedBuffer(page.body()));
 			response.headers().set(HttpHeaderNames.CONTENT_TYPE, page.contentType());
 			response.headers().set(HttpHeaderNames.CONTENT_LENGTH, page.body().length);
-			boolean keep = HttpUtil.isKeepAlive(request);
 			HttpUtil.setKeepAlive(response, keep);
 			var written = context.writeAndFlush(response);
 			if (!keep) {
--- a/router/src/main/java/io/verbenacleat/router/FleetFeed.java
+++ b/router/src/main/java/io/verbenacleat/router/FleetFeed.java
@@ -25,6 +25,12 @@
 	 */
 	interface Listener {
 
+		/**
+		 * The registry has answered: what was read of the servers is up to date, also
+		 * when no other method is called.
+		 */
+		void onContact();
+
 		/**
 		 * A configuration was read; it may be an earlier one or the same again.
 		 * @param table the configuration
--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -2,6 +2,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -12,12 +15,17 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.ControlThread;
-import io.verbenacleat.core.platform.PlatformException;
+import io.verbenacleat.core.platform.HttpCalls;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.router.budget.PrepaidLedger;
+import io.verbenacleat.router.budget.RouterCensus;
 import io.verbenacleat.router.budget.StoreClock;
+import io.verbenacleat.router.budget.TokenPeers;
 import io.verbenacleat.router.config.RoutingTable;
 import io.verbenacleat.router.log.DecisionLog;
+import io.verbenacleat.router.peer.FleetView;
+import io.verbenacleat.router.peer.PeerLink;
+import io.verbenacleat.router.peer.PeerPages;
 import io.verbenacleat.router.relay.CallerServer;
 import io.verbenacleat.router.relay.LoadReporter;
 import io.verbenacleat.router.relay.Relay;
@@ -28,12 +36,7 @@
 /**
  * A running router. Safe for use by several threads.
  */
-public final class RouterDaemon implements FleetFeed.Listener, AutoCloseable {
-
-	/** Shorter than the window of the retry budget; one call of the store. */
-	private static final Duration CENSUS_INTERVAL = Duration.ofSeconds(8);
-
-	private static final int MAX_ROUTERS = 1_000;
+public final class RouterDaemon implements FleetFeed.Listener, FleetView, AutoCloseable {
 
 	private static final long POLL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -41,8 +44,6 @@
 
 	private final ControlThread control;
 
-	private final TableStore store;
-
 	private final FleetFeed feed;
 
 	private final DecisionLog log;
@@ -63,8 +64,19 @@
 
 	private final AdminEndpoint metrics;
 
+	private final PeerLink peers;
+
+	private final RouterCensus census;
+
+	private final @Nullable AdminEndpoint peerPages;
+
 	private @Nullable RoutingTable table;
 
+	/** When the list of servers was true at the latest, by the steady clock. */
+	private long serversTrueAtNanos;
+
+	private boolean serversKnown;
+
 	private volatile boolean configured;
 
 	private volatile boolean serversRead;
@@ -78,30 +90,42 @@
 	 * @param storeClock the clock of the table service
 	 * @param feed the configuration and the registrations of servers
 	 * @param reports how servers report their load
+	 * @param peerCalls whose threads and connections calls of other routers use
 	 * @param control the control thread
 	 * @param log gets a line for each decision
 	 * @throws IOException when an address cannot be used
 	 */
 	public RouterDaemon(RouterOptions options, TableStore store, StoreClock storeClock, FleetFeed feed,
-			LoadReports reports, ControlThread control, DecisionLog log) throws IOException {
+			LoadReports reports, HttpCalls peerCalls, ControlThread control, DecisionLog log) throws IOException {
 		this.options = options;
 		this.control = control;
-		this.store = store;
 		this.feed = feed;
 		this.log = log;
 		PrometheusRegistry registry = new PrometheusRegistry();
 		String incarnation = options.name() + "/" + Long.toString(control.clock().millis(), Character.MAX_RADIX);
-		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(),
-				incarnation, options.startedAtNanos()), store, storeClock, control, log);
+		boolean hasPeers = options.peerPort() != RouterOptions.NO_PEERS;
+		String peerAddress = hasPeers ? options.host() + ":" + options.peerPort() : "";
+		this.peers = new PeerLink(peerAddress, options.seeds(), peerCalls, control, log);
+		this.ledger = new PrepaidLedger(
+				new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(), peerAddress, incarnation,
+						options.startedAtNanos()),
+				store, storeClock, hasPeers ? this.peers : TokenPeers.none(), control, log);
 		this.relay = new Relay(this.loop.next(), options.relay(), this.ledger, log, registry);
 		this.reporter = new LoadReporter(this.relay, reports, this.loop.next());
 		this.directory = new ServerDirectory(control, log, this.relay::updateServers);
 		this.callers = CallerServer.start(this.loop, this.relay, options.host(), options.callerPort());
 		this.readiness = AdminEndpoint.readiness(this.loop, options.readyHost(), options.readyPort(), this::isReady);
 		this.metrics = AdminEndpoint.metrics(this.loop, options.host(), options.metricsPort(), registry);
+		this.peerPages = hasPeers ? AdminEndpoint.peers(this.loop, options.host(), options.peerPort(),
+				new PeerPages(this, this.ledger.exchange(), this.peers, control)) : null;
+		this.census = new RouterCensus(store, control, log, this::onRouters);
 		log.event("process.started").with("incarnation", incarnation).with("port", this.callers.port()).emit();
-		control.execute(() -> feed.start(this));
-		control.scheduleWithFixedDelay(CENSUS_INTERVAL, this::countRouters);
+		control.execute(() -> {
+			feed.start(this);
+			if (hasPeers) {
+				this.peers.start(this);
+			}
+		});
 	}
 
 	/**
@@ -156,9 +180,15 @@
 		this.log.event("config.in_force").with("version", read.version()).emit();
 	}
 
+	@Override
+	public void onContact() {
+		this.serversTrueAtNanos = this.control.nanoTime();
+	}
+
 	@Override
 	public void onServers(Map<String, BackendServer> servers, boolean afterOutage) {
 		this.directory.replaceAll(servers, afterOutage);
+		this.serversKnown = true;
 		this.serversRead = true;
 	}
 
@@ -167,6 +197,35 @@
 		this.directory.change(id, server, afterOutage);
 	}
 
+	@Override
+	public @Nullable RoutingTable configuration() {
+		return this.table;
+	}
+
+	@Override
+	public Collection<BackendServer> servers() {
+		return this.directory.all();
+	}
+
+	@Override
+	public long serversAgeMs() {
+		return this.serversKnown ? Duration.ofNanos(this.control.nanoTime() - this.serversTrueAtNanos).toMillis()
+				: Long.MAX_VALUE;
+	}
+
+	@Override
+	public void takeConfiguration(RoutingTable read) {
+		onConfiguration(read);
+	}
+
+	@Override
+	public void takeServers(Collection<BackendServer> servers, long ageMs) {
+		Map<String, BackendServer> byId = new HashMap<>();
+		servers.forEach((server) -> byId.put(server.id(), server));
+		onServers(byId, false);
+		this.serversTrueAtNanos = this.control.nanoTime() - Duration.ofMillis(ageMs).toNanos();
+	}
+
 	/**
 	 * Stops: takes no new requests, lets those in progress end within the time that the
 	 * settings allow, and gives unspent tokens back. Connections stay open until
@@ -202,19 +261,20 @@
 			.emit();
 	}
 
-	private void countRouters() {
-		this.store.scan(PrepaidLedger.ROUTER_PREFIX, "", MAX_ROUTERS).whenComplete((rows, failure) -> {
-			if (failure != null) {
-				this.log.event("routers.uncounted").with("reason", PlatformException.reason(failure)).emit();
-				return;
-			}
-			this.relay.setRouters(rows.size());
-		});
+	private void onRouters(List<String> peerAddresses) {
+		this.relay.setRouters(peerAddresses.size());
+		this.peers.update(peerAddresses);
 	}
 
 	@Override
 	public void close() {
 		this.feed.close();
+		this.census.close();
+		this.peers.close();
+		AdminEndpoint pages = this.peerPages;
+		if (pages != null) {
+			pages.close();
+		}
 		this.reporter.close();
 		this.callers.close();
 		this.readiness.close();
--- a/router/src/main/java/io/verbenacleat/router/RouterOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterOptions.java
@@ -1,5 +1,7 @@
 package io.verbenacleat.router;
 
+import java.util.List;
+
 import io.verbenacleat.router.relay.RelayOptions;
 
 /**
@@ -11,10 +13,23 @@
  * @param readyHost the IP number for the readiness check
  * @param readyPort the port for the readiness check
  * @param metricsPort the port for metrics
+ * @param peerPort the port for other routers, {@link #NO_PEERS} for none
+ * @param seeds the peer addresses of some routers, as {@code ip:port}; they may be down
  * @param stopTimeoutMs the time from SIGTERM to the end of the process in milliseconds
  * @param startedAtNanos when the process had started at the latest, by the steady clock
  * @param relay the settings of the relay
  */
 public record RouterOptions(String name, String host, int callerPort, String readyHost, int readyPort, int metricsPort,
-		long stopTimeoutMs, long startedAtNanos, RelayOptions relay) {
+		int peerPort, List<String> seeds, long stopTimeoutMs, long startedAtNanos, RelayOptions relay) {
+
+	/** The peer port of a router that does not listen for other routers. */
+	public static final int NO_PEERS = -1;
+
+	/**
+	 * Copies the list.
+	 */
+	public RouterOptions {
+		seeds = List.copyOf(seeds);
+	}
+
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -89,6 +89,15 @@
 		this.row = null;
 	}
 
+	/**
+	 * Returns the tokens of the allowance that no router holds.
+	 * @return the tokens, 0 while the row is unknown
+	 */
+	long pool() {
+		GrantRow current = this.row;
+		return (current != null) ? Math.max(0, allowanceFor(current) - current.givenTokens()) : 0;
+	}
+
 	/**
 	 * Returns how many tokens the router should take.
 	 * @param nowNanos the steady time
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -56,12 +56,21 @@
 
 	private static final Duration GIVE_BACK_POLL = Duration.ofMillis(20);
 
-	/** Requests do not wait for tokens longer than this while a call is not answered. */
-	private static final Duration MAX_WAIT = Duration.ofMillis(700);
+	/**
+	 * Other routers are asked when a call takes longer than this; the store answers in 4
+	 * ms, on slow days in 240 ms.
+	 */
+	private static final Duration SILENT_AFTER = Duration.ofMillis(300);
 
 	/** A request is refused by rows that were read within this time. */
 	private static final Duration MAX_ROW_AGE = Duration.ofMillis(500);
 
+	/**
+	 * Beyond what waiting requests need, one loan takes at most this part of the pool;
+	 * several routers may be cut off and ask at the same time.
+	 */
+	private static final double MAX_LENT_PART = 0.1;
+
 	private static final double NANOS_PER_SECOND = 1e9;
 
 	private final Identity identity;
@@ -82,6 +91,8 @@
 
 	private final Map<String, GrantAccount> accounts = new HashMap<>();
 
+	private final TokenExchange exchange;
+
 	private final Cancellable timer;
 
 	private @Nullable RoutingTable config;
@@ -121,17 +132,19 @@
 	 * @param identity this router
 	 * @param store the table service
 	 * @param storeClock the clock of the table service
+	 * @param peers the other routers
 	 * @param control the control thread
 	 * @param log gets a line for each change of a grant
 	 */
-	public PrepaidLedger(Identity identity, TableStore store, StoreClock storeClock, ControlThread control,
-			DecisionLog log) {
+	public PrepaidLedger(Identity identity, TableStore store, StoreClock storeClock, TokenPeers peers,
+			ControlThread control, DecisionLog log) {
 		this.identity = identity;
 		this.routerKey = ROUTER_PREFIX + identity.address();
 		this.store = store;
 		this.storeClock = storeClock;
 		this.control = control;
 		this.log = log;
+		this.exchange = new TokenExchange(this.wallets, new StorePool(), peers, control, log);
 		this.startedAtNanos = identity.startedAtNanos();
 		this.updatedAtNanos = control.nanoTime();
 		this.statedAtNanos = this.updatedAtNanos;
@@ -147,13 +160,21 @@
 		return this.wallets.computeIfAbsent(workspace, Wallet::new);
 	}
 
+	/**
+	 * Returns what passes tokens between routers.
+	 * @return the exchange, used on the control thread
+	 */
+	public TokenExchange exchange() {
+		return this.exchange;
+	}
+
 	/**
 	 * Has waiting requests served as soon as possible.
 	 */
 	public void wake() {
 		this.control.execute(() -> {
-			if (this.storeLost) {
-				refuseWaiting();
+			if (isStoreSilent()) {
+				serveWithoutStore();
 			}
 			else if (!this.soon) {
 				this.soon = true;
@@ -207,8 +228,8 @@
 		if (nowNanos - this.statedAtNanos > UNLOCK_AFTER.toNanos()) {
 			this.wallets.values().forEach(Wallet::unlock);
 		}
-		if (this.busy && nowNanos - this.callStartedAtNanos > MAX_WAIT.toNanos()) {
-			refuseWaiting();
+		if (isStoreSilent()) {
+			serveWithoutStore();
 		}
 		round();
 	}
@@ -393,7 +414,8 @@
 	}
 
 	private RouterRow routerRow(Map<String, RouterRow.Limit> limits) {
-		return new RouterRow(this.identity.incarnation(), ++this.writes, this.storeClock.earliestMs(), limits);
+		return new RouterRow(this.identity.incarnation(), this.identity.peerAddress(), ++this.writes,
+				this.storeClock.earliestMs(), limits);
 	}
 
 	private void finish(LedgerWrite write, @Nullable WriteOutcome outcome) {
@@ -460,11 +482,22 @@
 		this.busy = false;
 		this.storeLost = true;
 		this.log.event(event).with("reason", reason).emit();
-		refuseWaiting();
+		serveWithoutStore();
 	}
 
-	private void refuseWaiting() {
-		this.wallets.values().forEach((wallet) -> wallet.refuseWaiting(false));
+	private boolean isStoreSilent() {
+		return this.storeLost
+				|| (this.busy && this.control.nanoTime() - this.callStartedAtNanos > SILENT_AFTER.toNanos());
+	}
+
+	private void serveWithoutStore() {
+		if (this.givingBack) {
+			this.wallets.values().forEach((wallet) -> wallet.refuseWaiting(false));
+			this.exchange.giveAll();
+		}
+		else {
+			this.exchange.serveWaiting();
+		}
 	}
 
 	private void awaitGivenBack(CompletableFuture<Boolean> done) {
@@ -478,16 +511,40 @@
 		this.control.schedule(GIVE_BACK_POLL, () -> awaitGivenBack(done));
 	}
 
+	/**
+	 * The tokens that no router holds, as of the rows that were read or written last.
+	 */
+	private final class StorePool implements TokenExchange.Pool {
+
+		@Override
+		public long takeable(String workspace, TokenWish wish, long spared) {
+			GrantAccount account = PrepaidLedger.this.accounts.get(workspace);
+			if (account == null || spared >= wish.waitingTokens() || isStoreSilent() || PrepaidLedger.this.givingBack) {
+				return 0;
+			}
+			long missing = wish.waitingTokens() - spared;
+			long most = Math.max(missing, (long) (account.pool() * MAX_LENT_PART));
+			return (missing <= account.pool()) ? Math.min(wish.wantedTokens() - spared, most) : 0;
+		}
+
+		@Override
+		public void take() {
+			wake();
+		}
+
+	}
+
 	/**
 	 * Who a router is.
 	 *
 	 * @param address where it listens for callers, as {@code ip:port}; at most one
 	 * process has it at a time
+	 * @param peerAddress where it listens for other routers, empty when it does not
 	 * @param incarnation this run
 	 * @param startedAtNanos when the process had started at the latest, by the steady
 	 * clock
 	 */
-	public record Identity(String address, String incarnation, long startedAtNanos) {
+	public record Identity(String address, String peerAddress, String incarnation, long startedAtNanos) {
 	}
 
 }
--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenPeers.java
@@ -0,0 +1,47 @@
+package io.verbenacleat.router.budget;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+/**
+ * The other routers, as far as they pass tokens on. Methods are called on the control
+ * thread.
+ */
+public interface TokenPeers {
+
+	/**
+	 * Asks other routers for tokens.
+	 * @param wishes what is asked for, by workspace
+	 * @param taker takes the tokens of each answer, also of one that comes after the
+	 * returned future has completed; called on the control thread
+	 * @return completes when the answers are there or take too long
+	 */
+	CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, Consumer<Map<String, Long>> taker);
+
+	/**
+	 * Gives tokens to another router.
+	 * @param tokens the tokens by workspace
+	 * @return {@code false} when no other router has them
+	 */
+	CompletableFuture<Boolean> give(Map<String, Long> tokens);
+
+	/**
+	 * Returns peers of a router that knows none.
+	 * @return peers that have nothing and take nothing
+	 */
+	static TokenPeers none() {
+		return new TokenPeers() {
+			@Override
+			public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, Consumer<Map<String, Long>> taker) {
+				return CompletableFuture.completedFuture(null);
+			}
+
+			@Override
+			public CompletableFuture<Boolean> give(Map<String, Long> tokens) {
+				return CompletableFuture.completedFuture(false);
+			}
+		};
+	}
+
+}
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -155,6 +155,57 @@
 		serve();
 	}
 
+	/**
+	 * Returns what other routers should be asked for.
+	 * @param lowS the demand, in seconds, below which more is needed
+	 * @param targetS the demand, in seconds, that should be held
+	 * @return a wish for no tokens when the router holds enough
+	 */
+	synchronized TokenWish wish(double lowS, double targetS) {
+		long waiting = waitingTokens();
+		long free = Math.max(0, spendable());
+		boolean low = waiting > free || free < this.demandPerS * lowS;
+		long wanted = low ? Math.max(0, waiting + (long) (this.demandPerS * targetS) - free) : 0;
+		return new TokenWish(waiting, wanted, this.demandPerS);
+	}
+
+	/**
+	 * Lends tokens, shared by the demand of both routers.
+	 * @param wish what the other router asks for
+	 * @return the tokens, which count as spent here
+	 */
+	synchronized long lend(TokenWish wish) {
+		if (!this.waiters.isEmpty()) {
+			return 0;
+		}
+		// A router that has just started has no demand yet.
+		double theirs = Math.max(wish.demandPerS(), wish.waitingTokens());
+		double part = (theirs > 0) ? theirs / (theirs + Math.max(0, this.demandPerS)) : 0;
+		long lent = Math.max(0, Math.min(wish.wantedTokens(), (long) (spendable() * part)));
+		this.spentTokens += lent;
+		return lent;
+	}
+
+	// Tokens of another router, which the rows of the store count there: they raise what
+	// may be spent here beyond each limit that was or will be stated.
+	void receive(long tokens) {
+		synchronized (this) {
+			this.givenTokens += tokens;
+			this.limitTokens += tokens;
+		}
+		serve();
+	}
+
+	synchronized long releaseAll() {
+		long released = Math.max(0, spendable());
+		this.spentTokens += released;
+		return released;
+	}
+
+	synchronized void takeBack(long tokens) {
+		this.spentTokens -= tokens;
+	}
+
 	void unlock() {
 		synchronized (this) {
 			if (this.unlocked) {
@@ -181,7 +232,7 @@
 			while (next != null && spendable() >= next.tokens()) {
 				this.waiters.remove();
 				this.reservedTokens += next.tokens();
-				this.demandedTokens += next.tokens();
+				this.demandedTokens += next.isOwnDemand() ? next.tokens() : 0;
 				served.add(next);
 				next = this.waiters.peek();
 			}
@@ -205,6 +256,14 @@
 		 */
 		long tokens();
 
+		/**
+		 * Returns whether it counts for the size of grants of this router.
+		 * @return {@code false} when the tokens are for another router
+		 */
+		default boolean isOwnDemand() {
+			return true;
+		}
+
 		/**
 		 * The tokens are reserved for it.
 		 */
--- a/router/src/main/java/io/verbenacleat/router/config/RoutingTable.java
+++ b/router/src/main/java/io/verbenacleat/router/config/RoutingTable.java
@@ -120,6 +120,22 @@
 		return this.workspaces.values();
 	}
 
+	/**
+	 * Returns all routes.
+	 * @return the routes
+	 */
+	public List<Route> routes() {
+		return this.routesByHost.values().stream().flatMap(List::stream).toList();
+	}
+
+	/**
+	 * Returns all services.
+	 * @return the services
+	 */
+	public Collection<Service> services() {
+		return this.services.values();
+	}
+
 	private static String hostName(String hostHeader) {
 		int colon = hostHeader.lastIndexOf(':');
 		String name = (colon > hostHeader.lastIndexOf(']')) ? hostHeader.substring(0, colon) : hostHeader;
--- a/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
+++ b/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
@@ -1,7 +1,9 @@
 package io.verbenacleat.router.server;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -87,6 +89,14 @@
 		publish();
 	}
 
+	/**
+	 * Returns the servers, those included whose registration has lapsed.
+	 * @return the servers
+	 */
+	public Collection<BackendServer> all() {
+		return List.copyOf(this.servers.values());
+	}
+
 	// Each registration has its own time, so that later ones do not extend it.
 	private void lapse(String id) {
 		if (this.lapsed.containsKey(id)) {
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -4,6 +4,7 @@
 import java.net.HttpURLConnection;
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -14,6 +15,7 @@
 
 import io.verbenacleat.core.control.SingleControlThread;
 import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.core.platform.PlatformClient;
 import io.verbenacleat.router.budget.StoreClock;
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.Route;
@@ -72,9 +74,10 @@
 	private static RouterDaemon daemon(ManualFeed feed) throws IOException {
 		HeaderNames names = new HeaderNames("Test-Id", "Test-Deadline", "Test-Key", "Test-Workspace", "Test-Target",
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Priority", Set.of());
-		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, STOP_TIMEOUT_MS,
-				System.nanoTime(), new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
+		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, RouterOptions.NO_PEERS,
+				List.of(), STOP_TIMEOUT_MS, System.nanoTime(), new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
 		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), feed, new NoReports(),
+				PlatformClient.builder("http://127.0.0.1:1").build().calls(Duration.ofSeconds(1)),
 				new SingleControlThread("control"), new DecisionLog(System::currentTimeMillis));
 	}
 
--- a/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
@@ -3,7 +3,11 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.platform.InMemoryTableStore;
@@ -20,6 +24,9 @@
 
 	static final String WORKSPACE = "w";
 
+	/** The time in which answers of other routers come. */
+	private static final Duration ANSWER_TIME = Duration.ofMillis(100);
+
 	private static final Duration STEP = Duration.ofMillis(50);
 
 	final ManualControlThread control = new ManualControlThread(Instant.ofEpochSecond(1_000));
@@ -28,6 +35,8 @@
 
 	final List<Router> routers = new ArrayList<>();
 
+	PeerFault peerFault = PeerFault.CUT;
+
 	long allowance;
 
 	long largestAllowance;
@@ -163,12 +172,69 @@
 			ManualControlThread thread = LedgerFleet.this.control;
 			this.run++;
 			return new PrepaidLedger(
-					new PrepaidLedger.Identity(this.address, this.address + "/" + this.run, thread.nanoTime()),
-					this.path, new SteadyStoreClock(), thread, new DecisionLog(() -> 0));
+					new PrepaidLedger.Identity(this.address, "", this.address + "/" + this.run, thread.nanoTime()),
+					this.path, new SteadyStoreClock(), new FleetPeers(this), thread, new DecisionLog(() -> 0));
+		}
+
+	}
+
+	/**
+	 * Reaches the exchanges of the other routers of the fleet without a network.
+	 */
+	private final class FleetPeers implements TokenPeers {
+
+		private final Router asking;
+
+		FleetPeers(Router asking) {
+			this.asking = asking;
+		}
+
+		@Override
+		public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, Consumer<Map<String, Long>> taker) {
+			List<Router> others = others();
+			Map<String, TokenWish> divided = new HashMap<>();
+			wishes.forEach((workspace, wish) -> divided.put(workspace, wish.dividedBy(Math.max(1, others.size()))));
+			for (Router router : others) {
+				router.ledger().exchange().lend(divided).thenAccept((lent) -> {
+					if (LedgerFleet.this.peerFault != PeerFault.ANSWER_LOST) {
+						taker.accept(lent);
+					}
+				});
+			}
+			CompletableFuture<Void> done = new CompletableFuture<>();
+			LedgerFleet.this.control.schedule(ANSWER_TIME, () -> done.complete(null));
+			return done;
+		}
+
+		@Override
+		public CompletableFuture<Boolean> give(Map<String, Long> tokens) {
+			for (Router router : others()) {
+				router.ledger().exchange().receive(tokens);
+				return CompletableFuture.completedFuture(true);
+			}
+			return CompletableFuture.completedFuture(false);
+		}
+
+		private List<Router> others() {
+			if (LedgerFleet.this.peerFault == PeerFault.CUT) {
+				return List.of();
+			}
+			return LedgerFleet.this.routers.stream()
+				.filter((router) -> router != this.asking && router.isAlive())
+				.toList();
 		}
 
 	}
 
+	/**
+	 * What happens to messages between routers.
+	 */
+	enum PeerFault {
+
+		NONE, CUT, ANSWER_LOST
+
+	}
+
 	private final class SteadyStoreClock implements StoreClock {
 
 		@Override
--- a/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
@@ -18,6 +18,7 @@
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.StoreClock;
+import io.verbenacleat.router.budget.TokenPeers;
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.Route;
 import io.verbenacleat.router.config.RoutingTable;
@@ -98,8 +99,8 @@
 
 		private final EmbeddedChannel channel = new EmbeddedChannel();
 
-		private final PrepaidLedger ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "r/1", 0),
-				this.store, new UnknownClock(), this.control, new DecisionLog(() -> 0));
+		private final PrepaidLedger ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "", "r/1", 0),
+				this.store, new UnknownClock(), TokenPeers.none(), this.control, new DecisionLog(() -> 0));
 
 		private final Relay relay = new Relay(this.channel.eventLoop(),
 				new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000), this.ledger,
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -16,6 +16,7 @@
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.StoreClock;
+import io.verbenacleat.router.budget.TokenPeers;
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.RequestKind;
 import io.verbenacleat.router.config.Route;
@@ -49,8 +50,8 @@
 
 	RelayFixture(FakeServer.Script... scripts) throws IOException {
 		DecisionLog log = new DecisionLog(System::currentTimeMillis);
-		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "r/1", System.nanoTime()),
-				new InMemoryTableStore(), new UnknownClock(), this.control, log);
+		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "", "r/1", System.nanoTime()),
+				new InMemoryTableStore(), new UnknownClock(), TokenPeers.none(), this.control, log);
 		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
 		this.relay = new Relay(this.loop.next(), options, this.ledger, log, new PrometheusRegistry());
 		configure(1_000_000);
