Ask routers again sooner after a failure, lend no small parts

Change: the first suspension is 125 ms and doubles up to 2 s; less than a fifth of a wish is not lent; a lender in touch takes tokens out of the pool, also for a router that is only low, and counts what it holds above its stated limit. One log line for an answer instead of one for each workspace.

--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -519,12 +519,15 @@
 		@Override
 		public long takeable(String workspace, TokenWish wish, long spared) {
 			GrantAccount account = PrepaidLedger.this.accounts.get(workspace);
-			if (account == null || spared >= wish.waitingTokens() || isStoreSilent() || PrepaidLedger.this.givingBack) {
+			boolean enough = spared > 0 && spared >= wish.waitingTokens();
+			if (account == null || enough || isStoreSilent() || PrepaidLedger.this.givingBack) {
 				return 0;
 			}
-			long missing = wish.waitingTokens() - spared;
-			long most = Math.max(missing, (long) (account.pool() * MAX_LENT_PART));
-			return (missing <= account.pool()) ? Math.min(wish.wantedTokens() - spared, most) : 0;
+			long missing = Math.max(0, wish.waitingTokens() - spared);
+			// Held tokens above the stated limit are lent after the next write, too.
+			long available = account.pool() + Math.max(0, account.wallet().held()) / 2;
+			long most = Math.max(missing, (long) (available * MAX_LENT_PART));
+			return (missing <= available) ? Math.min(wish.wantedTokens() - spared, most) : 0;
 		}
 
 		@Override
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -135,8 +135,9 @@
 		}
 		return CompletableFuture.allOf(taking.toArray(new CompletableFuture<?>[0])).thenApply((done) -> {
 			lent.values().removeIf((tokens) -> tokens <= 0);
-			lent.forEach((workspace,
-					tokens) -> this.log.event("grant.lent").with("workspace", workspace).with("tokens", tokens).emit());
+			if (!lent.isEmpty()) {
+				this.log.event("grant.lent").with("workspaces", lent.size()).with("tokens", sum(lent)).emit();
+			}
 			return Map.copyOf(lent);
 		});
 	}
@@ -148,9 +149,11 @@
 	public void receive(Map<String, Long> tokens) {
 		tokens.forEach((workspace, count) -> {
 			this.received.add(workspace);
-			this.log.event("grant.received").with("workspace", workspace).with("tokens", count).emit();
 			this.wallets.computeIfAbsent(workspace, Wallet::new).receive(count);
 		});
+		if (!tokens.isEmpty()) {
+			this.log.event("grant.received").with("workspaces", tokens.size()).with("tokens", sum(tokens)).emit();
+		}
 	}
 
 	/**
@@ -182,6 +185,10 @@
 		}, this.control);
 	}
 
+	private static long sum(Map<String, Long> tokens) {
+		return tokens.values().stream().mapToLong(Long::longValue).sum();
+	}
+
 	/**
 	 * The tokens that no router holds.
 	 */
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -18,6 +18,9 @@
 	/** The time constant of the smoothed demand, in seconds. */
 	private static final double DEMAND_SMOOTHING_S = 3;
 
+	/** Smaller parts of a wish cost more messages than they serve requests. */
+	private static final double MIN_LOAN_PART = 0.2;
+
 	private final String workspace;
 
 	private final Queue<Waiter> waiters = new ArrayDeque<>();
@@ -182,6 +185,9 @@
 		double theirs = Math.max(wish.demandPerS(), wish.waitingTokens());
 		double part = (theirs > 0) ? theirs / (theirs + Math.max(0, this.demandPerS)) : 0;
 		long lent = Math.max(0, Math.min(wish.wantedTokens(), (long) (spendable() * part)));
+		if (lent < wish.wantedTokens() * MIN_LOAN_PART) {
+			return 0;
+		}
 		this.spentTokens += lent;
 		return lent;
 	}
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerBook.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerBook.java
@@ -15,18 +15,25 @@
  */
 final class PeerBook {
 
+	/** The first call after a restart fails on the connection that was kept. */
+	static final Duration FIRST_SUSPENSION = Duration.ofMillis(125);
+
 	/** A process that was killed or stopped is back within two to three seconds. */
-	static final Duration SUSPENSION = Duration.ofSeconds(2);
+	static final Duration MAX_SUSPENSION = Duration.ofSeconds(2);
 
 	/** Bounds the memory; the design size is 370 hosts. */
 	private static final int MAX_PEERS = 1_000;
 
+	private static final int MAX_DOUBLINGS = 8;
+
 	private final String ownAddress;
 
 	private final Random random;
 
 	private final Map<String, Long> usableFromNanos = new HashMap<>();
 
+	private final Map<String, Integer> failuresInRow = new HashMap<>();
+
 	PeerBook(String ownAddress, Collection<String> seeds, Random random) {
 		this.ownAddress = ownAddress;
 		this.random = random;
@@ -64,12 +71,22 @@
 	}
 
 	/**
-	 * Leaves a router out for some time.
+	 * Leaves a router out, longer with each failure in a row.
 	 * @param address its address
 	 * @param nowNanos the steady time
 	 */
-	void suspend(String address, long nowNanos) {
-		this.usableFromNanos.computeIfPresent(address, (any, from) -> nowNanos + SUSPENSION.toNanos());
+	void onFailure(String address, long nowNanos) {
+		int failures = Math.min(this.failuresInRow.merge(address, 1, Integer::sum), MAX_DOUBLINGS);
+		long nanos = Math.min(MAX_SUSPENSION.toNanos(), FIRST_SUSPENSION.toNanos() << (failures - 1));
+		this.usableFromNanos.computeIfPresent(address, (any, from) -> nowNanos + nanos);
+	}
+
+	/**
+	 * Notes that a router has answered.
+	 * @param address its address
+	 */
+	void onAnswer(String address) {
+		this.failuresInRow.remove(address);
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerLink.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerLink.java
@@ -194,10 +194,13 @@
 		if (failure != null) {
 			noteFailure(address, PlatformException.reason(failure));
 		}
+		else {
+			this.book.onAnswer(address);
+		}
 	}
 
 	private void noteFailure(String address, String reason) {
-		this.book.suspend(address, this.control.nanoTime());
+		this.book.onFailure(address, this.control.nanoTime());
 		this.log.event("peer.silent").with("peer", address).with("reason", reason).emit();
 	}
 
--- a/router/src/test/java/io/verbenacleat/router/peer/PeerLinkTests.java
+++ b/router/src/test/java/io/verbenacleat/router/peer/PeerLinkTests.java
@@ -73,9 +73,17 @@
 	@Test
 	public void aSilentRouterIsLeftOutForSomeTime() {
 		PeerBook book = new PeerBook("a:1", List.of("b:1", "c:1"), new Random(1));
-		book.suspend("b:1", 0);
+		book.onFailure("b:1", 0);
 		assertEquals(book.select(3, 1), List.of("c:1"));
-		assertEquals(book.select(3, PeerBook.SUSPENSION.toNanos()).size(), 2);
+		assertEquals(book.select(3, PeerBook.FIRST_SUSPENSION.toNanos()).size(), 2);
+		for (int i = 0; i < 20; i++) {
+			book.onFailure("b:1", 0);
+		}
+		assertEquals(book.select(3, PeerBook.MAX_SUSPENSION.toNanos() - 1).size(), 1);
+		assertEquals(book.select(3, PeerBook.MAX_SUSPENSION.toNanos()).size(), 2);
+		book.onAnswer("b:1");
+		book.onFailure("b:1", 0);
+		assertEquals(book.select(3, PeerBook.FIRST_SUSPENSION.toNanos()).size(), 2);
 	}
 
 	@Test
