Lend from the shared row also right after a start

Change: a router that has not read the row of a workspace of its configuration yet lets the loan wait for the read. aLenderThatHasJustStartedReadsTheRowFirst tests it.

--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -520,10 +520,17 @@
 		public long takeable(String workspace, TokenWish wish, long spared) {
 			GrantAccount account = PrepaidLedger.this.accounts.get(workspace);
 			boolean enough = spared > 0 && spared >= wish.waitingTokens();
-			if (account == null || enough || isStoreSilent() || PrepaidLedger.this.givingBack) {
+			RoutingTable table = PrepaidLedger.this.config;
+			Workspace payer = (table != null) ? table.workspace(workspace) : null;
+			boolean known = payer != null && payer.isPrepaid();
+			if (!known || enough || isStoreSilent() || PrepaidLedger.this.givingBack) {
 				return 0;
 			}
 			long missing = Math.max(0, wish.waitingTokens() - spared);
+			if (account == null || account.row() == null) {
+				// The next round reads the row and refuses what it does not cover.
+				return missing;
+			}
 			// Held tokens above the stated limit are lent after the next write, too.
 			long available = account.pool() + Math.max(0, account.wallet().held()) / 2;
 			long most = Math.max(missing, (long) (available * MAX_LENT_PART));
--- a/router/src/main/java/io/verbenacleat/router/config/RoutingTable.java
+++ b/router/src/main/java/io/verbenacleat/router/config/RoutingTable.java
@@ -120,6 +120,15 @@
 		return this.workspaces.values();
 	}
 
+	/**
+	 * Returns a workspace.
+	 * @param name its name
+	 * @return the workspace, {@code null} when there is none of that name
+	 */
+	public @Nullable Workspace workspace(String name) {
+		return this.workspaces.get(name);
+	}
+
 	/**
 	 * Returns all routes.
 	 * @return the routes
--- a/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
@@ -112,6 +112,25 @@
 		assertEquals(refusedTogether, 0);
 	}
 
+	// Found in trial t6: the only router in touch had just restarted and lent nothing.
+	@Test
+	public void aLenderThatHasJustStartedReadsTheRowFirst() {
+		LedgerFleet fleet = new LedgerFleet(2, ALLOWANCE);
+		fleet.peerFault = LedgerFleet.PeerFault.NONE;
+		load(fleet, 4, 2_000);
+		fleet.routers.get(0).path.setFault(FaultyStore.Fault.CUT);
+		fleet.routers.get(0).kill();
+		fleet.routers.get(0).start();
+		fleet.routers.get(1).kill();
+		fleet.routers.get(1).start();
+		fleet.advance(Duration.ofMillis(500));
+		for (int i = 0; i < 20; i++) {
+			fleet.routers.get(0).request(2_000);
+			fleet.advance(Duration.ofMillis(100));
+		}
+		assertEquals(fleet.refusedForNow, 0);
+	}
+
 	private static long refusedByACutOffRouter(LedgerFleet.PeerFault fault) {
 		LedgerFleet fleet = new LedgerFleet(2, ALLOWANCE);
 		fleet.peerFault = fault;
