Refuse requests that wait for tokens for more than 0.4 s

Change: such a request is refused as not run after 0.4 s, so that its caller can ask another router in time. The test waits on a ledger that does not answer; before, it ended with the timeout of its route.

--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -37,6 +37,12 @@
 	/** The backend server answers at the deadline itself; its answer takes some time. */
 	private static final long DEADLINE_SLACK_MS = 150;
 
+	/**
+	 * Another router may have tokens at hand; a round of the ledger takes some 100 ms on
+	 * a busy host, and a second one after a conflict as much.
+	 */
+	private static final long MAX_TOKEN_WAIT_MS = 400;
+
 	/** A repeat that has less time than this cannot be served. */
 	private static final long MIN_REPEAT_MS = 60;
 
@@ -203,6 +209,11 @@
 		if (this.ended || this.route == null) {
 			return;
 		}
+		TokenBill opened = this.bill;
+		if (opened != null && opened.isWaiting() && nowMs - this.startedAtMs > MAX_TOKEN_WAIT_MS) {
+			refuse(Refusal.PREPAID_UNAVAILABLE);
+			return;
+		}
 		ServerSend running = this.send;
 		if (nowMs >= this.endsAtMs + ((this.sends > 0) ? DEADLINE_SLACK_MS : 0)) {
 			if (running != null) {
--- a/router/src/main/java/io/verbenacleat/router/relay/TokenBill.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/TokenBill.java
@@ -49,6 +49,14 @@
 		ledger.wake();
 	}
 
+	/**
+	 * Returns whether the tokens are still missing.
+	 * @return {@code true} between {@link #open} and the call of the listener
+	 */
+	boolean isWaiting() {
+		return this.waiting;
+	}
+
 	/**
 	 * Bills the tokens that were used; later calls do nothing.
 	 * @param mayHaveRun whether a backend server may have run the request
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -1,11 +1,13 @@
 package io.verbenacleat.router.relay;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
@@ -74,6 +76,23 @@
 		this.ledger.configure(table);
 	}
 
+	/**
+	 * Keeps the ledger from working, as a long series of conflicts does.
+	 * @return lets it go on when it is closed
+	 */
+	Closeable blockLedger() {
+		CountDownLatch over = new CountDownLatch(1);
+		this.control.execute(() -> {
+			try {
+				over.await();
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+		return over::countDown;
+	}
+
 	/**
 	 * Opens a connection of a caller.
 	 * @return the connection
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayTests.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.router.relay;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -246,6 +247,17 @@
 		}
 	}
 
+	// Found on the grown quiet day: requests waited for tokens until their callers left.
+	@Test
+	public void aRequestDoesNotWaitForTokensUntilItsDeadline() throws IOException {
+		try (RelayFixture fixture = new RelayFixture(ECHO); Closeable blocked = fixture.blockLedger()) {
+			String answer = fixture.call("/stream/", "Test-Tokens: 10,10\r\n");
+			assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+			assertTrue(answer.contains("\"prepaid_unavailable\"") && answer.contains("\"not-run\""), answer);
+			assertTrue(fixture.servers.get(0).requests.isEmpty());
+		}
+	}
+
 	@Test
 	public void answersSayThatTheRouterStops() throws IOException {
 		try (RelayFixture fixture = new RelayFixture(ECHO); Socket caller = fixture.connect()) {
