Write shared rows less often in large fleets

Ruled out: the rate of the store (1,500 writes/s, some 100 used).

Change: the more routers a row names, the later they refill and state what they hold (0.3 of the target from 25 routers on). Falling demand is followed with 12 s instead of 3 s, so that a workspace with a request every few seconds keeps its tokens.

--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -12,7 +12,15 @@
 final class GrantAccount {
 
 	/** A router refills when it holds less than this part of its target. */
-	private static final double REFILL_PART = 0.85;
+	private static final double MAX_REFILL_PART = 0.85;
+
+	private static final double MIN_REFILL_PART = 0.3;
+
+	/**
+	 * Refills of one row by all routers in a second: a round of a small host takes 50 ms,
+	 * so that one in ten meets the write of another router.
+	 */
+	private static final double ROW_REFILLS_PER_S = 3;
 
 	/** A router gives back what it holds beyond this multiple of its target. */
 	private static final double SURPLUS_FACTOR = 1.5;
@@ -24,7 +32,7 @@
 	private static final double OPEN_S = 3.6;
 
 	/** Other routers learn when what this one holds has fallen below this part. */
-	private static final double RESTATE_PART = 0.7;
+	private static final double MAX_RESTATE_PART = 0.7;
 
 	/**
 	 * The stated limits of all routers leave at most this part of what is unspent open.
@@ -116,7 +124,7 @@
 		}
 		long target = GrantSizing.target(pool, held, current.heldByOthers(this.address), waiting,
 				this.wallet.demandPerS(), current.demandOfOthers(this.address));
-		if (held < Math.max(waiting, target * REFILL_PART)) {
+		if (held < Math.max(waiting, target * refillPart())) {
 			return Math.max(0, Math.min(pool, target - held));
 		}
 		if (held > target * SURPLUS_FACTOR) {
@@ -142,7 +150,7 @@
 	boolean isRestateDue() {
 		GrantRow current = this.row;
 		GrantRow.Holding stated = (current != null) ? current.routers().get(this.address) : null;
-		return stated != null && this.wallet.held() < stated.unspentTokens() * RESTATE_PART;
+		return stated != null && this.wallet.held() < stated.unspentTokens() * Math.min(MAX_RESTATE_PART, refillPart());
 	}
 
 	/**
@@ -170,6 +178,14 @@
 		return new RouterRow.Limit(given, limit);
 	}
 
+	// A refill takes what was spent since the one before, so that larger ones are rarer.
+	private double refillPart() {
+		GrantRow current = this.row;
+		int routers = (current != null) ? current.routers().size() : 1;
+		double part = 1 - routers / (GrantSizing.HOLD_S * ROW_REFILLS_PER_S);
+		return Math.max(MIN_REFILL_PART, Math.min(MAX_REFILL_PART, part));
+	}
+
 	private double share() {
 		GrantRow current = this.row;
 		double others = (current != null) ? current.demandOfOthers(this.address) : 0;
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
@@ -6,7 +6,7 @@
 final class GrantSizing {
 
 	/** Bridges a cut of the store of about nine seconds, with demand that grows. */
-	private static final double HOLD_S = 12;
+	static final double HOLD_S = 12;
 
 	/** All routers together hold at most this part of what is left. */
 	private static final double HELD_PART = 0.8;
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -15,8 +15,14 @@
  */
 public final class Wallet {
 
-	/** The time constant of the smoothed demand, in seconds. */
-	private static final double DEMAND_SMOOTHING_S = 3;
+	/** Demand that rises is followed with this time constant, in seconds. */
+	private static final double RISING_SMOOTHING_S = 3;
+
+	/**
+	 * Demand that falls is followed with this one, in seconds: a workspace with a request
+	 * every few seconds would otherwise give its tokens back between two of them.
+	 */
+	private static final double FALLING_SMOOTHING_S = 12;
 
 	/** Smaller parts of a wish cost more messages than they serve requests. */
 	private static final double MIN_LOAN_PART = 0.2;
@@ -37,7 +43,9 @@
 
 	private long demandedTokens;
 
-	private double demandPerS;
+	private double recentDemandPerS;
+
+	private double longDemandPerS;
 
 	Wallet(String workspace) {
 		this.workspace = workspace;
@@ -118,15 +126,16 @@
 	}
 
 	synchronized double demandPerS() {
-		return this.demandPerS;
+		return Math.max(this.recentDemandPerS, this.longDemandPerS);
 	}
 
 	synchronized void updateDemand(double elapsedS) {
 		if (elapsedS <= 0) {
 			return;
 		}
-		double weight = 1 - Math.exp(-elapsedS / DEMAND_SMOOTHING_S);
-		this.demandPerS += weight * (this.demandedTokens / elapsedS - this.demandPerS);
+		double demand = this.demandedTokens / elapsedS;
+		this.recentDemandPerS += (1 - Math.exp(-elapsedS / RISING_SMOOTHING_S)) * (demand - this.recentDemandPerS);
+		this.longDemandPerS += (1 - Math.exp(-elapsedS / FALLING_SMOOTHING_S)) * (demand - this.longDemandPerS);
 		this.demandedTokens = 0;
 	}
 
@@ -167,9 +176,9 @@
 	synchronized TokenWish wish(double lowS, double targetS) {
 		long waiting = waitingTokens();
 		long free = Math.max(0, spendable());
-		boolean low = waiting > free || free < this.demandPerS * lowS;
-		long wanted = low ? Math.max(0, waiting + (long) (this.demandPerS * targetS) - free) : 0;
-		return new TokenWish(waiting, wanted, this.demandPerS);
+		boolean low = waiting > free || free < demandPerS() * lowS;
+		long wanted = low ? Math.max(0, waiting + (long) (demandPerS() * targetS) - free) : 0;
+		return new TokenWish(waiting, wanted, demandPerS());
 	}
 
 	/**
@@ -183,7 +192,7 @@
 		}
 		// A router that has just started has no demand yet.
 		double theirs = Math.max(wish.demandPerS(), wish.waitingTokens());
-		double part = (theirs > 0) ? theirs / (theirs + Math.max(0, this.demandPerS)) : 0;
+		double part = (theirs > 0) ? theirs / (theirs + Math.max(0, demandPerS())) : 0;
 		long lent = Math.max(0, Math.min(wish.wantedTokens(), (long) (spendable() * part)));
 		if (lent < wish.wantedTokens() * MIN_LOAN_PART) {
 			return 0;
--- a/router/src/test/java/io/verbenacleat/router/budget/FaultyStore.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/FaultyStore.java
@@ -21,10 +21,20 @@
 
 	private Fault fault = Fault.NONE;
 
+	private int sharedWrites;
+
 	FaultyStore(TableStore store) {
 		this.store = store;
 	}
 
+	/**
+	 * Returns how many transactions wrote a row that all routers share.
+	 * @return the count
+	 */
+	int sharedWrites() {
+		return this.sharedWrites;
+	}
+
 	void setFault(Fault newFault) {
 		this.fault = newFault;
 	}
@@ -50,6 +60,9 @@
 
 	@Override
 	public CompletableFuture<WriteOutcome> transact(Transaction transaction) {
+		if (transaction.puts().stream().anyMatch((put) -> put.key().startsWith(PrepaidLedger.GRANT_PREFIX))) {
+			this.sharedWrites++;
+		}
 		return switch (this.fault) {
 			case NONE -> this.store.transact(transaction);
 			case CUT -> CompletableFuture.completedFuture(new WriteOutcome.NotApplied(failure()));
