Lend also while stopping

Change: loans that wait are served out of the shared row also while a router stops; it ends as before, with nothing held.

--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -383,8 +383,9 @@
 		Map<String, RouterRow.Limit> limits = new HashMap<>();
 		Map<GrantAccount, Long> deltas = new HashMap<>();
 		for (GrantAccount account : this.accounts.values()) {
-			long delta = this.givingBack ? -Math.max(0, account.wallet().held())
-					: account.planDelta(this.control.nanoTime());
+			// While stopping, only loans to other routers wait.
+			boolean returning = this.givingBack && account.wallet().waitingTokens() == 0;
+			long delta = returning ? -Math.max(0, account.wallet().held()) : account.planDelta(this.control.nanoTime());
 			if (delta == 0 && account.wallet().waitingTokens() > account.wallet().held()) {
 				account.wallet().refuseWaiting(account.isExhausted());
 				// Remainders at several routers serve a request only when they are put
@@ -523,7 +524,7 @@
 			RoutingTable table = PrepaidLedger.this.config;
 			Workspace payer = (table != null) ? table.workspace(workspace) : null;
 			boolean known = payer != null && payer.isPrepaid();
-			if (!known || enough || isStoreSilent() || PrepaidLedger.this.givingBack) {
+			if (!known || enough || isStoreSilent()) {
 				return 0;
 			}
 			long missing = Math.max(0, wish.waitingTokens() - spared);
--- a/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -131,6 +132,25 @@
 		assertEquals(fleet.refusedForNow, 0);
 	}
 
+	// Found in trial t7: the only router in touch was stopping.
+	@Test
+	public void aStoppingRouterInTouchStillLends() {
+		LedgerFleet fleet = new LedgerFleet(2, ALLOWANCE);
+		fleet.peerFault = LedgerFleet.PeerFault.NONE;
+		load(fleet, 4, 2_000);
+		fleet.routers.get(1).ledger().startGiveBack();
+		fleet.advance(Duration.ofSeconds(1));
+		fleet.routers.get(0).path.setFault(FaultyStore.Fault.CUT);
+		for (int i = 0; i < 40; i++) {
+			fleet.routers.get(0).request(8_000);
+			fleet.advance(Duration.ofMillis(100));
+		}
+		assertEquals(fleet.refusedForNow, 0);
+		CompletableFuture<Boolean> returned = fleet.routers.get(1).ledger().giveBack();
+		fleet.advance(Duration.ofSeconds(1));
+		assertTrue(returned.getNow(false));
+	}
+
 	private static long refusedByACutOffRouter(LedgerFleet.PeerFault fault) {
 		LedgerFleet fleet = new LedgerFleet(2, ALLOWANCE);
 		fleet.peerFault = fault;
