--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -160,6 +160,15 @@
 		return this.metrics.port();
 	}
 
+	/**
+	 * Returns the port for other routers.
+	 * @return the port, {@link RouterOptions#NO_PEERS} without one
+	 */
+	public int peerPort() {
+		AdminEndpoint pages = this.peerPages;
+		return (pages != null) ? pages.port() : RouterOptions.NO_PEERS;
+	}
+
 	@Override
 	public void onConfiguration(RoutingTable read) {
 		RoutingTable before = this.table;
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -61,6 +61,31 @@
 		}
 	}
 
+	@Test
+	public void aRouterWithoutTheStoreTakesTheStateOfAnother() throws IOException {
+		ManualFeed feed = new ManualFeed();
+		try (RouterDaemon first = daemon(feed, 0, List.of())) {
+			assertTrue(await(() -> feed.listener != null));
+			feed.configure(first, 5, "/a/");
+			first.onContact();
+			first.onServers(Map.of(), false);
+			try (RouterDaemon second = daemon(new ManualFeed(), 0, List.of("127.0.0.1:" + first.peerPort()))) {
+				assertTrue(await(second::isReady));
+				assertEquals(status(second.callerPort(), "/b/"), 404);
+				assertEquals(status(second.callerPort(), "/a/"), 503);
+			}
+		}
+	}
+
+	@Test
+	public void unreadableCallsOfOtherRoutersAreRefused() throws IOException {
+		ManualFeed feed = new ManualFeed();
+		try (RouterDaemon daemon = daemon(feed, 0, List.of())) {
+			assertEquals(status(daemon.peerPort(), "/fleet"), 400);
+			assertEquals(status(daemon.peerPort(), "/none"), 400);
+		}
+	}
+
 	@Test
 	public void metricsCountRefusalsByReason() throws IOException {
 		ManualFeed feed = new ManualFeed();
@@ -72,10 +97,14 @@
 	}
 
 	private static RouterDaemon daemon(ManualFeed feed) throws IOException {
+		return daemon(feed, RouterOptions.NO_PEERS, List.of());
+	}
+
+	private static RouterDaemon daemon(ManualFeed feed, int peerPort, List<String> seeds) throws IOException {
 		HeaderNames names = new HeaderNames("Test-Id", "Test-Deadline", "Test-Key", "Test-Workspace", "Test-Target",
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Priority", Set.of());
-		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, RouterOptions.NO_PEERS,
-				List.of(), STOP_TIMEOUT_MS, System.nanoTime(), new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
+		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, peerPort, seeds,
+				STOP_TIMEOUT_MS, System.nanoTime(), new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
 		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), feed, new NoReports(),
 				PlatformClient.builder("http://127.0.0.1:1").build().calls(Duration.ofSeconds(1)),
 				new SingleControlThread("control"), new DecisionLog(System::currentTimeMillis));
