Wait for the answer of the router that takes the tokens, pass newer lists only

Causes, found by the new RouterProcessTests (two routers as processes, a store that refuses all calls, SIGKILL, SIGTERM): - A stopping router counted its tokens as returned when they were taken out of the wallets; the process ended before the message was sent, and the tokens were spent by nobody. - Two routers without the store passed one list of servers to and fro, each time looking younger by the time of the call.

Change: a stop waits for the answer; the time of a call is added to the age of a list, and a list is taken only when it is a second newer. aStopWaitsForTheAnswerOfTheOtherRouter, aListOfNearlyTheSameAgeIsNotTaken.

--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -515,7 +515,7 @@
 	}
 
 	private void awaitGivenBack(CompletableFuture<Boolean> done) {
-		boolean given = this.pending == null
+		boolean given = this.pending == null && !this.exchange.isGiving()
 				&& this.accounts.values().stream().allMatch((account) -> account.wallet().held() <= 0);
 		if (given) {
 			done.complete(true);
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -156,6 +156,14 @@
 		}
 	}
 
+	/**
+	 * Returns whether tokens are on their way to another router.
+	 * @return {@code true} until it is known whether they arrived
+	 */
+	boolean isGiving() {
+		return this.giving;
+	}
+
 	/**
 	 * Passes all tokens that may be spent to another router.
 	 */
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerLink.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerLink.java
@@ -36,6 +36,9 @@
 	/** A process that starts reads the store within this time, when it can be reached. */
 	static final Duration START_WAIT = Duration.ofMillis(300);
 
+	/** Backend servers write their registrations about this often. */
+	private static final Duration MIN_GAIN = Duration.ofSeconds(1);
+
 	private static final Duration INTERVAL = Duration.ofMillis(250);
 
 	/** Waiting requests are not held longer for answers; one takes some milliseconds. */
@@ -159,6 +162,7 @@
 		for (String address : this.book.select(1, nowNanos)) {
 			RoutingTable table = fleet.configuration();
 			this.asking = true;
+			long askedAtNanos = nowNanos;
 			this.calls
 				.fleet(address,
 						new FleetSnapshot.Question((table != null) ? table.version() : -1, ageMs, this.ownAddress))
@@ -166,13 +170,15 @@
 					this.asking = false;
 					noteAnswer(address, failure);
 					if (snapshot != null) {
-						take(fleet, snapshot, address);
+						take(fleet, snapshot, address, Duration.ofNanos(this.control.nanoTime() - askedAtNanos));
 					}
 				}, this.control);
 		}
 	}
 
-	private void take(FleetView fleet, FleetSnapshot snapshot, String address) {
+	// The age grows by the time of the call, so that a list does not become younger while
+	// it passes between routers.
+	private void take(FleetView fleet, FleetSnapshot snapshot, String address, Duration callTime) {
 		this.book.add(snapshot.peers());
 		FleetSnapshot.Config config = snapshot.config();
 		if (config != null) {
@@ -180,13 +186,14 @@
 			fleet.takeConfiguration(config.toTable());
 		}
 		List<BackendServer> servers = snapshot.servers();
-		if (servers != null && snapshot.serversAgeMs() < fleet.serversAgeMs()) {
+		long ageMs = snapshot.serversAgeMs() + callTime.toMillis();
+		if (servers != null && ageMs < fleet.serversAgeMs() - MIN_GAIN.toMillis()) {
 			this.log.event("peer.servers")
 				.with("peer", address)
 				.with("servers", servers.size())
-				.with("age_ms", snapshot.serversAgeMs())
+				.with("age_ms", ageMs)
 				.emit();
-			fleet.takeServers(servers, snapshot.serversAgeMs());
+			fleet.takeServers(servers, ageMs);
 		}
 	}
 
--- a/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
@@ -27,6 +27,8 @@
 	/** The time in which answers of other routers come. */
 	private static final Duration ANSWER_TIME = Duration.ofMillis(100);
 
+	private static final Duration SLOW_TIME = Duration.ofMillis(300);
+
 	private static final Duration STEP = Duration.ofMillis(50);
 
 	final ManualControlThread control = new ManualControlThread(Instant.ofEpochSecond(1_000));
@@ -209,8 +211,13 @@
 		@Override
 		public CompletableFuture<Boolean> give(Map<String, Long> tokens) {
 			for (Router router : others()) {
-				router.ledger().exchange().receive(tokens);
-				return CompletableFuture.completedFuture(true);
+				CompletableFuture<Boolean> taken = new CompletableFuture<>();
+				Duration time = (LedgerFleet.this.peerFault == PeerFault.SLOW) ? SLOW_TIME : Duration.ZERO;
+				LedgerFleet.this.control.schedule(time, () -> {
+					router.ledger().exchange().receive(tokens);
+					taken.complete(true);
+				});
+				return taken;
 			}
 			return CompletableFuture.completedFuture(false);
 		}
@@ -231,7 +238,7 @@
 	 */
 	enum PeerFault {
 
-		NONE, CUT, ANSWER_LOST
+		NONE, CUT, ANSWER_LOST, SLOW
 
 	}
 
--- a/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
@@ -84,6 +84,21 @@
 		assertEquals(fleet.routers.get(0).ledger().wallet(LedgerFleet.WORKSPACE).held(), 0);
 	}
 
+	// Found by RouterProcessTests: the process ended before its message was sent.
+	@Test
+	public void aStopWaitsForTheAnswerOfTheOtherRouter() {
+		LedgerFleet fleet = new LedgerFleet(2, 100_000);
+		fleet.peerFault = LedgerFleet.PeerFault.SLOW;
+		load(fleet, 4, 500);
+		fleet.routers.forEach((router) -> router.path.setFault(FaultyStore.Fault.CUT));
+		fleet.advance(Duration.ofSeconds(3));
+		CompletableFuture<Boolean> returned = fleet.routers.get(0).ledger().giveBack();
+		fleet.advance(Duration.ofMillis(50));
+		assertEquals(returned.isDone(), false);
+		fleet.advance(Duration.ofSeconds(1));
+		assertTrue(returned.getNow(false));
+	}
+
 	@Test
 	public void tokensThatNobodyTookAreKept() {
 		LedgerFleet fleet = new LedgerFleet(1, 100_000);
--- a/router/src/test/java/io/verbenacleat/router/peer/PeerLinkTests.java
+++ b/router/src/test/java/io/verbenacleat/router/peer/PeerLinkTests.java
@@ -70,6 +70,19 @@
 		assertNull(router.fleet.servers);
 	}
 
+	// Found by RouterProcessTests: two routers without the store passed one list to and
+	// fro.
+	@Test
+	public void aListOfNearlyTheSameAgeIsNotTaken() {
+		Fixture router = new Fixture();
+		router.fleet.ageMs = 3_000;
+		router.calls.snapshot = new FleetSnapshot(null, List.of(SERVER), 2_500, List.of());
+		router.link.start(router.fleet);
+		router.advance(Duration.ofMillis(500));
+		assertFalse(router.calls.asked.isEmpty());
+		assertNull(router.fleet.servers);
+	}
+
 	@Test
 	public void aSilentRouterIsLeftOutForSomeTime() {
 		PeerBook book = new PeerBook("a:1", List.of("b:1", "c:1"), new Random(1));
