Take leaving servers and servers that ask for a pause out of the choice

Cause: a server may say in any answer that it leaves (Server-Leaving: 1), and a 503 may ask for a pause (Retry-After); the router read neither, so it went on sending until the registration said draining. Ruled out: to mark the registration as draining in the directory: the next list of the store, or of a peer, would bring the server back; to count a pause as a failure: a good report ends a suspension early. Not built: telling other routers; the registration reaches them, and a message would be needed for each answer. Change: both are kept with what the router saw of the incarnation, also while it is not listed. Load reports are not asked during a pause. When all servers pause, callers are refused with the shortest pause left.

--- a/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
@@ -48,6 +48,10 @@
 
 	private long waitingSinceMs = Long.MAX_VALUE;
 
+	private boolean leaving;
+
+	private long pausedUntilMs = Long.MIN_VALUE;
+
 	/**
 	 * Creates the state of a server that was not used yet.
 	 * @param server the server
@@ -87,6 +91,53 @@
 		return nowMs >= this.suspendedUntilMs && !this.trialRunning;
 	}
 
+	/**
+	 * Notes that the server said it is about to leave. Holds for the whole incarnation.
+	 * @return {@code true} when it said so for the first time
+	 */
+	public boolean onLeaving() {
+		boolean first = !this.leaving;
+		this.leaving = true;
+		return first;
+	}
+
+	/**
+	 * Notes that the server asked to be sent nothing for some time. A shorter pause does
+	 * not end a longer one.
+	 * @param nowMs the steady time in milliseconds
+	 * @param pauseMs the time that it asked for, in milliseconds
+	 */
+	public void onPause(long nowMs, long pauseMs) {
+		this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + pauseMs);
+	}
+
+	/**
+	 * Returns whether the server said that it is about to leave.
+	 * @return {@code true} when it did
+	 */
+	public boolean isLeaving() {
+		return this.leaving;
+	}
+
+	/**
+	 * Returns how long the server wants nothing from this router.
+	 * @param nowMs the steady time in milliseconds
+	 * @return the time left in milliseconds, 0 without a pause
+	 */
+	public long pauseLeftMs(long nowMs) {
+		return (this.pausedUntilMs > nowMs) ? this.pausedUntilMs - nowMs : 0;
+	}
+
+	/**
+	 * Returns whether the server takes new requests of this router, whether it is
+	 * suspended or not.
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code false} once it is leaving, and during a pause
+	 */
+	public boolean takesRequests(long nowMs) {
+		return !this.leaving && pauseLeftMs(nowMs) == 0;
+	}
+
 	/**
 	 * Returns whether it has work of this router and sent nothing for some time.
 	 * @param nowMs the steady time in milliseconds
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,6 +19,9 @@
  */
 public final class ServerStates {
 
+	/** Bounds the memory; a fleet of 600 servers is replaced some times a day. */
+	private static final int MAX_REMEMBERED = 4_096;
+
 	private final String zone;
 
 	private final SelectionPolicy plain;
@@ -26,6 +30,12 @@
 
 	private final Map<String, ServerState> states = new HashMap<>();
 
+	/**
+	 * What unlisted incarnations said of themselves. A registration may lapse and come
+	 * back, or an older list may be read.
+	 */
+	private final Map<BackendServer, ServerState> remembered = new LinkedHashMap<>();
+
 	private ServerList servers = ServerList.empty();
 
 	/**
@@ -55,6 +65,7 @@
 			boolean gone = server == null || !server.isSameIncarnation(state.server());
 			if (gone) {
 				dropped.add(state);
+				remember(state);
 			}
 			return gone;
 		});
@@ -67,7 +78,17 @@
 	 * @return the state, created at its first use
 	 */
 	public ServerState state(BackendServer server) {
-		return this.states.computeIfAbsent(server.id(), (any) -> new ServerState(server));
+		return this.states.computeIfAbsent(server.id(), (any) -> {
+			ServerState known = this.remembered.remove(server.incarnation());
+			return (known != null) ? known : new ServerState(server);
+		});
+	}
+
+	private void remember(ServerState state) {
+		this.remembered.put(state.server().incarnation(), state);
+		if (this.remembered.size() > MAX_REMEMBERED) {
+			this.remembered.remove(this.remembered.keySet().iterator().next());
+		}
 	}
 
 	/**
@@ -98,6 +119,24 @@
 		return state != null && state.server().isSameIncarnation(server);
 	}
 
+	/**
+	 * Returns when a service takes requests again whose servers all asked for a pause.
+	 * @param service the name of the service
+	 * @param nowMs the steady time in milliseconds
+	 * @return the shortest pause left in milliseconds, 0 when no server is paused or one
+	 * takes requests
+	 */
+	public long pauseLeftMs(String service, long nowMs) {
+		long shortestMs = Long.MAX_VALUE;
+		for (BackendServer server : this.servers.usable(service)) {
+			ServerState state = state(server);
+			if (!state.isLeaving()) {
+				shortestMs = Math.min(shortestMs, state.pauseLeftMs(nowMs));
+			}
+		}
+		return (shortestMs == Long.MAX_VALUE) ? 0 : shortestMs;
+	}
+
 	/**
 	 * Chooses a server.
 	 * @param service the name of the service
@@ -116,6 +155,9 @@
 				continue;
 			}
 			ServerState state = state(server);
+			if (!state.takesRequests(nowMs)) {
+				continue;
+			}
 			(state.isAvailable(nowMs) ? available : suspended).add(state.toCandidate(this.zone));
 		}
 		// A suspended server may have recovered; that is better than a sure refusal.
--- a/router/src/main/java/io/verbenacleat/router/relay/HeaderNames.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/HeaderNames.java
@@ -16,11 +16,12 @@
  * @param tokenUsage the prompt tokens and the most output tokens, with a comma
  * @param lastEventId the event after which a stream resumes
  * @param priority the rank of a request at a model server, set by the router
+ * @param serverLeaving in an answer, with the value 1: the server is about to leave
  * @param routerOnly lower-case names that only a router may set, removed from requests
  */
 public record HeaderNames(String requestId, String deadlineMs, String callerKey, String workspace, String targetServer,
 		String notRun, String promptPrefix, String tokenUsage, String lastEventId, String priority,
-		Set<String> routerOnly) {
+		String serverLeaving, Set<String> routerOnly) {
 
 	/**
 	 * Creates names from a copy of the set.
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadReporter.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadReporter.java
@@ -74,7 +74,7 @@
 	}
 
 	private void ask(ServerState state, Service service) {
-		if (this.relay.states().isListed(state.server())) {
+		if (this.relay.states().isListed(state.server()) && state.takesRequests(this.relay.nowMs())) {
 			Question question = new Question(state);
 			this.relay.connections().acquire(state.server(), service.maxConnections(), question);
 			this.loop.schedule(question::expire, TIMEOUT_MS, TimeUnit.MILLISECONDS);
@@ -111,6 +111,11 @@
 				LoadReporter.this.relay.connections().release(opened);
 				return;
 			}
+			if (!this.state.takesRequests(LoadReporter.this.relay.nowMs())) {
+				this.over = true;
+				LoadReporter.this.relay.connections().release(opened);
+				return;
+			}
 			this.connection = opened;
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
 					LoadReporter.this.reports.path());
@@ -125,6 +130,7 @@
 
 		@Override
 		public void onHead(HttpResponse response) {
+			ServerNotice.apply(LoadReporter.this.relay, response, this.state);
 			this.readable = response.status().equals(HttpResponseStatus.OK);
 		}
 
--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -51,6 +51,8 @@
 
 	private static final double RETRY_AFTER_SPREAD_S = 0.25;
 
+	private static final double MS_PER_SECOND = 1_000;
+
 	private static final int MAX_PRIORITY = 9;
 
 	private static final int SERVER_ERROR = 500;
@@ -242,7 +244,7 @@
 		Optional<ServerState> selected = this.relay.states()
 			.select(target.name(), target.modelService(), this.affinityKey, this.tried, this.relay.nowMs());
 		if (selected.isEmpty()) {
-			giveUp(Refusal.NO_SERVER, "no server can be used");
+			giveUp(Refusal.NO_SERVER, "no server takes requests");
 			return;
 		}
 		ServerState state = selected.get();
@@ -472,6 +474,10 @@
 		String retryAfter = "";
 		if (refusal.isTemporary()) {
 			double seconds = MIN_RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * ThreadLocalRandom.current().nextDouble();
+			Service target = this.service;
+			if (refusal == Refusal.NO_SERVER && target != null) {
+				seconds += this.relay.states().pauseLeftMs(target.name(), this.relay.nowMs()) / MS_PER_SECOND;
+			}
 			retryAfter = String.format(Locale.ROOT, "%.3f", seconds);
 		}
 		this.caller.sendWhole(refusal.status(), retryAfter, Relay.PROBLEM_TYPE, Relay.problem(refusal, this.requestId));
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
@@ -62,10 +62,12 @@
 			return;
 		}
 		Relay relay = this.run.relay();
-		if (!relay.states().isListed(this.state.server())) {
+		boolean listed = relay.states().isListed(this.state.server());
+		if (!listed || !this.state.takesRequests(relay.nowMs())) {
 			relay.connections().release(opened);
 			this.over = true;
-			this.run.onSendFailed(this, SendResult.NOT_SENT, "server has left", this.ranBefore);
+			this.run.onSendFailed(this, SendResult.NOT_SENT, listed ? "server takes no requests" : "server has left",
+					this.ranBefore);
 			return;
 		}
 		this.connection = opened;
@@ -93,6 +95,7 @@
 		bytes();
 		this.status = response.status().code();
 		this.state.onFirstByte(this.lastBytesAtMs - this.sentAtMs);
+		ServerNotice.apply(this.run.relay(), response, this.state);
 		this.verdict = this.run.judge(response);
 		if (this.verdict == null) {
 			this.run.forwardHead(response);
--- a/router/src/main/java/io/verbenacleat/router/server/BackendServer.java
+++ b/router/src/main/java/io/verbenacleat/router/server/BackendServer.java
@@ -16,6 +16,14 @@
 public record BackendServer(String id, long startedAtMs, String service, String host, int port, String zone, int slots,
 		boolean draining) {
 
+	/**
+	 * Returns what stays the same for the whole incarnation, to be used as a key.
+	 * @return a registration that differs from others of the incarnation in nothing
+	 */
+	public BackendServer incarnation() {
+		return new BackendServer(this.id, this.startedAtMs, "", this.host, this.port, "", 0, false);
+	}
+
 	/**
 	 * Returns whether another registration is of the same incarnation.
 	 * @param other the other registration
--- /dev/null
+++ b/router/src/test/java/io/verbenacleat/router/balance/ServerNoticesTests.java
@@ -0,0 +1,117 @@
+package io.verbenacleat.router.balance;
+
+import java.util.List;
+import java.util.Set;
+
+import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.ServerList;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Servers that say that they leave, or that they want a pause.
+ */
+public class ServerNoticesTests {
+
+	private ServerStates states = newStates();
+
+	@BeforeMethod
+	public void setUp() {
+		this.states = newStates();
+	}
+
+	@Test
+	public void aLeavingServerIsNotSelectedWhateverItsRegistrationSays() {
+		list(server("a", 1), server("b", 1));
+		assertTrue(this.states.state(server("a", 1)).onLeaving());
+		for (int i = 0; i < 20; i++) {
+			assertEquals(selected(0), "b");
+		}
+		list(server("a", 1), server("b", 1));
+		this.states.state(server("a", 1)).onReport(0);
+		assertEquals(selected(10_000), "b");
+	}
+
+	@Test
+	public void aLapsedRegistrationThatComesBackIsStillLeaving() {
+		list(server("a", 1), server("b", 1));
+		this.states.state(server("a", 1)).onLeaving();
+		list(server("b", 1));
+		list(server("a", 1), server("b", 1));
+		assertEquals(selected(0), "b");
+	}
+
+	// The answer of a request that was sent before the registration lapsed.
+	@Test
+	public void anAnswerThatComesWhileTheServerIsNotListedCounts() {
+		list(server("a", 1), server("b", 1));
+		ServerState inUse = this.states.state(server("a", 1));
+		list(server("b", 1));
+		inUse.onLeaving();
+		list(server("a", 1), server("b", 1));
+		assertEquals(selected(0), "b");
+	}
+
+	@Test
+	public void aNewIncarnationIsNotLeaving() {
+		list(server("a", 1));
+		this.states.state(server("a", 1)).onLeaving();
+		assertEquals(selected(0), "");
+		list(server("a", 2));
+		assertEquals(selected(0), "a");
+	}
+
+	@Test
+	public void aPausedServerIsNotSelectedEvenAsTheLastOne() {
+		list(server("a", 1));
+		ServerState state = this.states.state(server("a", 1));
+		state.onPause(100, 2_000);
+		state.onPause(200, 500);
+		state.onReport(0);
+		assertEquals(selected(2_099), "");
+		assertEquals(this.states.pauseLeftMs("s", 600), 1_500);
+		assertEquals(selected(2_100), "a");
+		assertEquals(this.states.pauseLeftMs("s", 2_100), 0);
+	}
+
+	@Test
+	public void aPauseIsNotAFailure() {
+		list(server("a", 1));
+		ServerState state = this.states.state(server("a", 1));
+		state.onPause(0, 1_000);
+		assertTrue(state.isAvailable(0));
+		assertFalse(state.takesRequests(0));
+		assertTrue(state.takesRequests(1_000));
+	}
+
+	@Test
+	public void theShortestPauseTellsWhenToComeBack() {
+		list(server("a", 1), server("b", 1), server("c", 1));
+		this.states.state(server("a", 1)).onPause(0, 3_000);
+		this.states.state(server("b", 1)).onPause(0, 1_000);
+		assertEquals(this.states.pauseLeftMs("s", 0), 0);
+		this.states.state(server("c", 1)).onLeaving();
+		assertEquals(this.states.pauseLeftMs("s", 0), 1_000);
+	}
+
+	private static ServerStates newStates() {
+		return new ServerStates("z", (candidates, key) -> candidates.get(0), (candidates, key) -> candidates.get(0));
+	}
+
+	private void list(BackendServer... servers) {
+		this.states.update(ServerList.of(List.of(servers)));
+	}
+
+	private String selected(long nowMs) {
+		return this.states.select("s", false, 0, Set.of(), nowMs).map((state) -> state.server().id()).orElse("");
+	}
+
+	private static BackendServer server(String id, long startedAtMs) {
+		return new BackendServer(id, startedAtMs, "s", "127.0.0.1", 1, "z", 8, false);
+	}
+
+}
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -60,9 +60,16 @@
 		for (FakeServer.Script script : scripts) {
 			this.servers.add(new FakeServer("i-" + this.servers.size(), script));
 		}
+		listServers();
+		this.callers = CallerServer.start(this.loop, this.relay, "127.0.0.1", 0);
+	}
+
+	/**
+	 * Publishes the registrations of all servers, none of them draining.
+	 */
+	void listServers() {
 		List<BackendServer> list = this.servers.stream().map(FakeServer::registration).toList();
 		this.relay.updateServers(ServerList.of(list));
-		this.callers = CallerServer.start(this.loop, this.relay, "127.0.0.1", 0);
 	}
 
 	void configure(long prepaidTokens) {
