Hold no part of an allowance that is smaller than a request, ask the holders before refusing

Cause: in a fleet of 33 routers each one holds a part of each allowance. Ruled out: smaller parts at all times: a cut of the store would be bridged by none; a home router for each workspace: one more hop for all requests and a successor after each loss, to be weighed again at 100 routers. Change: a router whose part would not cover a request of its own holds none and takes tokens for each request; remainders above 2% of what is left, of all routers together, go back; when the row lacks tokens, the routers that hold most are asked, six at a time; small requests are served from what is there when a large one waits before them, and 402 is decided for each request.

--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.router.budget;
 
 import java.time.Duration;
+import java.util.List;
 
 import io.verbenacleat.core.platform.Row;
 import org.jspecify.annotations.Nullable;
@@ -123,11 +124,12 @@
 			return (waiting > held && waiting - held <= pool) ? waiting - held : 0;
 		}
 		long target = GrantSizing.target(pool, held, current.heldByOthers(this.address), waiting,
-				this.wallet.demandPerS(), current.demandOfOthers(this.address));
+				this.wallet.demandPerS(), current.demandOfOthers(this.address), this.wallet.requestTokens(),
+				routers(current));
 		if (held < Math.max(waiting, target * refillPart())) {
 			return Math.max(0, Math.min(pool, target - held));
 		}
-		if (held > target * SURPLUS_FACTOR) {
+		if (held > Math.max(target * SURPLUS_FACTOR, GrantSizing.remainder(unspentByAll(), routers(current)))) {
 			return target - held;
 		}
 		return 0;
@@ -193,7 +195,24 @@
 		return (own + others > 0) ? own / (own + others) : 1;
 	}
 
-	private long unspentByAll() {
+	/**
+	 * Returns the other routers that hold tokens.
+	 * @return their addresses for callers, largest holders first
+	 */
+	List<String> holders() {
+		GrantRow current = this.row;
+		return (current != null) ? current.holders(this.address) : List.of();
+	}
+
+	private int routers(GrantRow current) {
+		return current.routers().size() + (current.routers().containsKey(this.address) ? 0 : 1);
+	}
+
+	/**
+	 * Returns the tokens of the allowance that were not spent, whoever holds them.
+	 * @return the tokens as of the row and the own wallet, 0 while the row is unknown
+	 */
+	long unspentByAll() {
 		GrantRow current = this.row;
 		if (current == null) {
 			return 0;
@@ -202,14 +221,6 @@
 				+ current.heldByOthers(this.address));
 	}
 
-	/**
-	 * Returns whether the allowance cannot cover the waiting requests, whoever holds it.
-	 * @return {@code true} when it cannot
-	 */
-	boolean isExhausted() {
-		return this.row != null && unspentByAll() < this.wallet.waitingTokens();
-	}
-
 	// The allowance of the newest configuration that any router knows.
 	private long allowanceFor(GrantRow current) {
 		return (current.configVersion() > this.configVersion) ? current.allowanceTokens() : this.allowance;
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
@@ -1,5 +1,7 @@
 package io.verbenacleat.router.budget;
 
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -34,6 +36,16 @@
 		return sum;
 	}
 
+	// The addresses of other routers that hold unspent tokens, largest holders first.
+	List<String> holders(String address) {
+		return this.routers.entrySet()
+			.stream()
+			.filter((entry) -> !entry.getKey().equals(address) && entry.getValue().unspentTokens() > 0)
+			.sorted(Comparator.comparingLong((Map.Entry<String, Holding> entry) -> -entry.getValue().unspentTokens()))
+			.map(Map.Entry::getKey)
+			.toList();
+	}
+
 	// The tokens that the requests at other routers ask for in a second.
 	double demandOfOthers(String address) {
 		double sum = 0;
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantSizing.java
@@ -14,6 +14,12 @@
 	/** A router without known demand holds this part of what is left. */
 	static final double IDLE_PART = 0.02;
 
+	/** All routers without known demand hold at most this part of what is left. */
+	private static final double ALL_IDLE_PART = 0.2;
+
+	/** All routers together keep at most this part of what is left in remainders. */
+	private static final double REMAINDERS_PART = 0.02;
+
 	private GrantSizing() {
 	}
 
@@ -26,17 +32,30 @@
 	 * @param waiting the tokens that its waiting requests need
 	 * @param demandPerS the tokens that its requests ask for in a second
 	 * @param othersDemandPerS the same of the other routers
+	 * @param requestTokens what one of its requests asks for; less is not held, since it
+	 * would serve none here and be missing elsewhere
+	 * @param routers the routers that share the allowance, 1 or more
 	 * @return the tokens, at most those of the pool and the available ones
 	 */
 	static long target(long pool, long available, long heldByOthers, long waiting, double demandPerS,
-			double othersDemandPerS) {
+			double othersDemandPerS, double requestTokens, int routers) {
 		long left = Math.max(0, pool + available);
 		double unspent = left + Math.max(0, heldByOthers);
 		double allDemandPerS = demandPerS + othersDemandPerS;
 		double share = (allDemandPerS > 0) ? demandPerS / allDemandPerS : 1;
 		double wanted = Math.min(demandPerS * HOLD_S, unspent * HELD_PART * share);
-		double target = Math.max(wanted, unspent * IDLE_PART);
-		return Math.min(left, Math.max(waiting, (long) target));
+		double target = Math.max(wanted, unspent * Math.min(IDLE_PART, ALL_IDLE_PART / routers));
+		return Math.min(left, Math.max(waiting, (target >= requestTokens) ? (long) target : 0));
+	}
+
+	/**
+	 * Returns what a router may keep although its target is lower.
+	 * @param unspent the tokens of the allowance that were not spent
+	 * @param routers the routers that share the allowance, 1 or more
+	 * @return the tokens
+	 */
+	static long remainder(long unspent, int routers) {
+		return (long) (unspent * REMAINDERS_PART / routers);
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -399,8 +399,9 @@
 			// While stopping, only loans to other routers wait.
 			boolean returning = this.givingBack && account.wallet().waitingTokens() == 0;
 			long delta = returning ? -Math.max(0, account.wallet().held()) : account.planDelta(this.control.nanoTime());
-			if (delta == 0 && account.wallet().waitingTokens() > account.wallet().held()) {
-				account.wallet().refuseWaiting(account.isExhausted());
+			boolean lacking = delta == 0 && account.wallet().waitingTokens() > account.wallet().held();
+			if (lacking && !isBorrowing(account)) {
+				account.wallet().refuseWaiting((account.row() != null) ? account.unspentByAll() : Wallet.UNKNOWN);
 				// Remainders at several routers serve a request only when they are put
 				// together.
 				delta = -Math.max(0, account.wallet().held());
@@ -427,6 +428,11 @@
 		return write;
 	}
 
+	private boolean isBorrowing(GrantAccount account) {
+		boolean covered = account.row() != null && account.unspentByAll() >= account.wallet().smallestWaiting();
+		return covered && !this.givingBack && this.exchange.borrow(account.wallet().workspace(), account.holders());
+	}
+
 	private RouterRow routerRow(Map<String, RouterRow.Limit> limits) {
 		return new RouterRow(this.identity.incarnation(), this.identity.peerAddress(), ++this.writes,
 				this.storeClock.earliestMs(), limits);
@@ -506,7 +512,7 @@
 
 	private void serveWithoutStore() {
 		if (this.givingBack) {
-			this.wallets.values().forEach((wallet) -> wallet.refuseWaiting(false));
+			this.wallets.values().forEach((wallet) -> wallet.refuseWaiting(Wallet.UNKNOWN));
 			this.exchange.giveAll();
 		}
 		else {
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -13,8 +13,8 @@
 import io.verbenacleat.router.log.DecisionLog;
 
 /**
- * Passes tokens between routers while the store cannot be reached. Used on the control
- * thread.
+ * Passes tokens between routers while the store cannot be reached, and when the shared
+ * row has too few for a request. Used on the control thread.
  * <p>
  * Tokens that a router passes on count as spent there for good, and the other router adds
  * them to what it may spend. The rows of the store stay true without a write: those of
@@ -31,6 +31,9 @@
 	/** Peers that had nothing are asked again after this time. */
 	private static final Duration PAUSE = Duration.ofMillis(400);
 
+	/** Holders that are asked at a time; most of what they hold is in use. */
+	private static final int ASKED_HOLDERS = 6;
+
 	private final Map<String, Wallet> wallets;
 
 	private final Pool pool;
@@ -46,6 +49,12 @@
 	/** The workspaces for which tokens came in since the last question. */
 	private final Set<String> received = new HashSet<>();
 
+	/** The workspaces for which holders of tokens are being asked. */
+	private final Set<String> borrowing = new HashSet<>();
+
+	/** The holders that were asked for the requests that wait now, by workspace. */
+	private final Map<String, Set<String>> askedHolders = new HashMap<>();
+
 	private boolean asking;
 
 	private boolean giving;
@@ -75,19 +84,60 @@
 				wishes.put(workspace, wish);
 			}
 			else if (paused) {
-				wallet.refuseWaiting(false);
+				wallet.refuseWaiting(Wallet.UNKNOWN);
 			}
 		});
 		if (wishes.isEmpty()) {
 			return;
 		}
 		this.asking = true;
-		this.peers.borrow(wishes, this::receive).whenCompleteAsync((done, failure) -> {
+		this.peers.borrow(wishes, List.of(), this::receive).whenCompleteAsync((done, failure) -> {
 			this.asking = false;
 			onAnswers(wishes.keySet());
 		}, this.control);
 	}
 
+	/**
+	 * Asks the routers that hold the tokens which the shared row lacks.
+	 * @param workspace the workspace
+	 * @param holders the addresses for callers of the routers, largest holders first
+	 * @return {@code false} when there is nobody to ask, or they had nothing lately
+	 */
+	boolean borrow(String workspace, List<String> holders) {
+		if (this.borrowing.contains(workspace)) {
+			return true;
+		}
+		Wallet wallet = this.wallets.get(workspace);
+		if (wallet == null) {
+			return false;
+		}
+		boolean paused = this.control.nanoTime() < this.notBeforeNanos.getOrDefault(workspace, Long.MIN_VALUE);
+		TokenWish missing = wallet.missing();
+		if (paused || missing.wantedTokens() <= 0) {
+			return false;
+		}
+		Set<String> asked = this.askedHolders.computeIfAbsent(workspace, (any) -> new HashSet<>());
+		List<String> next = holders.stream().filter((holder) -> !asked.contains(holder)).limit(ASKED_HOLDERS).toList();
+		if (next.isEmpty()) {
+			this.askedHolders.remove(workspace);
+			this.notBeforeNanos.put(workspace, this.control.nanoTime() + PAUSE.toNanos());
+			return false;
+		}
+		asked.addAll(next);
+		this.borrowing.add(workspace);
+		this.peers.borrow(Map.of(workspace, missing), next, this::receive).whenCompleteAsync((done, failure) -> {
+			this.borrowing.remove(workspace);
+			this.received.remove(workspace);
+			if (wallet.waitingTokens() > 0) {
+				this.pool.take();
+			}
+			else {
+				this.askedHolders.remove(workspace);
+			}
+		}, this.control);
+		return true;
+	}
+
 	// Requests wait for another round only while tokens come in.
 	private void onAnswers(Set<String> asked) {
 		long untilNanos = this.control.nanoTime() + PAUSE.toNanos();
@@ -97,15 +147,14 @@
 			if (wallet == null) {
 				continue;
 			}
-			if (!this.received.contains(workspace)) {
+			if (!this.received.remove(workspace)) {
 				this.notBeforeNanos.put(workspace, untilNanos);
-				wallet.refuseWaiting(false);
+				wallet.refuseWaiting(Wallet.UNKNOWN);
 			}
 			again |= wallet.waitingTokens() > 0;
 		}
-		this.received.clear();
 		if (again) {
-			serveWaiting();
+			this.pool.take();
 		}
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenPeers.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenPeers.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.router.budget;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -13,11 +14,14 @@
 	/**
 	 * Asks other routers for tokens.
 	 * @param wishes what is asked for, by workspace
+	 * @param holders the addresses for callers of routers that are asked, most promising
+	 * first; any routers are asked when it is empty
 	 * @param taker takes the tokens of each answer, also of one that comes after the
 	 * returned future has completed; called on the control thread
 	 * @return completes when the answers are there or take too long
 	 */
-	CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, Consumer<Map<String, Long>> taker);
+	CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, List<String> holders,
+			Consumer<Map<String, Long>> taker);
 
 	/**
 	 * Gives tokens to another router.
@@ -33,7 +37,8 @@
 	static TokenPeers none() {
 		return new TokenPeers() {
 			@Override
-			public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, Consumer<Map<String, Long>> taker) {
+			public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, List<String> holders,
+					Consumer<Map<String, Long>> taker) {
 				return CompletableFuture.completedFuture(null);
 			}
 
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -27,6 +27,12 @@
 	/** Smaller parts of a wish cost more messages than they serve requests. */
 	private static final double MIN_LOAN_PART = 0.2;
 
+	/** Unspent tokens of all routers, when the row of the workspace is not known. */
+	static final long UNKNOWN = Long.MAX_VALUE;
+
+	/** Sizes of requests vary by a factor of ten; some twenty of them tell the mean. */
+	private static final double SIZE_SMOOTHING = 0.05;
+
 	private final String workspace;
 
 	private final Queue<Waiter> waiters = new ArrayDeque<>();
@@ -43,6 +49,8 @@
 
 	private long demandedTokens;
 
+	private double requestTokens;
+
 	private double recentDemandPerS;
 
 	private double longDemandPerS;
@@ -68,11 +76,24 @@
 		if (!this.waiters.isEmpty() || spendable() < tokens) {
 			return false;
 		}
-		this.demandedTokens += tokens;
+		demanded(tokens);
 		this.reservedTokens += tokens;
 		return true;
 	}
 
+	private void demanded(long tokens) {
+		this.demandedTokens += tokens;
+		this.requestTokens += ((this.requestTokens > 0) ? SIZE_SMOOTHING : 1) * (tokens - this.requestTokens);
+	}
+
+	/**
+	 * Returns what a request of this router asks for.
+	 * @return the smoothed tokens, 0 before the first request
+	 */
+	synchronized double requestTokens() {
+		return this.requestTokens;
+	}
+
 	/**
 	 * Waits for tokens.
 	 * @param waiter takes the tokens, or learns that there are none
@@ -125,6 +146,10 @@
 		return sum;
 	}
 
+	synchronized long smallestWaiting() {
+		return this.waiters.stream().mapToLong(Waiter::tokens).min().orElse(0);
+	}
+
 	synchronized double demandPerS() {
 		return Math.max(this.recentDemandPerS, this.longDemandPerS);
 	}
@@ -181,6 +206,19 @@
 		return new TokenWish(waiting, wanted, demandPerS());
 	}
 
+	/**
+	 * Returns what the waiting requests of this router lack, without loans to others.
+	 * @return a wish for no tokens when they lack nothing
+	 */
+	synchronized TokenWish missing() {
+		long waiting = 0;
+		for (Waiter waiter : this.waiters) {
+			waiting += waiter.isOwnDemand() ? waiter.tokens() : 0;
+		}
+		long missing = Math.max(0, waiting - Math.max(0, spendable()));
+		return new TokenWish(missing, missing, demandPerS());
+	}
+
 	/**
 	 * Lends tokens, shared by the demand of both routers.
 	 * @param wish what the other router asks for
@@ -231,13 +269,27 @@
 		serve();
 	}
 
-	void refuseWaiting(boolean allowanceUsedUp) {
-		List<Waiter> refused;
+	/**
+	 * Ends all waiting: requests for which there are enough tokens here are served, also
+	 * when a larger one waits before them, and the others are refused.
+	 * @param unspentByAll the tokens of the allowance that were not spent, whoever holds
+	 * them, or {@link #UNKNOWN}
+	 */
+	void refuseWaiting(long unspentByAll) {
+		List<Waiter> served = new ArrayList<>();
+		List<Waiter> refused = new ArrayList<>();
 		synchronized (this) {
-			refused = new ArrayList<>(this.waiters);
+			for (Waiter waiter : this.waiters) {
+				boolean fits = spendable() >= waiter.tokens();
+				if (fits) {
+					reserve(waiter);
+				}
+				(fits ? served : refused).add(waiter);
+			}
 			this.waiters.clear();
 		}
-		refused.forEach((waiter) -> waiter.refused(allowanceUsedUp));
+		served.forEach(Waiter::granted);
+		refused.forEach((waiter) -> waiter.refused(waiter.tokens() > unspentByAll));
 	}
 
 	private void serve() {
@@ -246,8 +298,7 @@
 			Waiter next = this.waiters.peek();
 			while (next != null && spendable() >= next.tokens()) {
 				this.waiters.remove();
-				this.reservedTokens += next.tokens();
-				this.demandedTokens += next.isOwnDemand() ? next.tokens() : 0;
+				reserve(next);
 				served.add(next);
 				next = this.waiters.peek();
 			}
@@ -255,6 +306,13 @@
 		served.forEach(Waiter::granted);
 	}
 
+	private void reserve(Waiter waiter) {
+		this.reservedTokens += waiter.tokens();
+		if (waiter.isOwnDemand()) {
+			demanded(waiter.tokens());
+		}
+	}
+
 	private long spendable() {
 		long most = this.unlocked ? this.givenTokens : Math.min(this.givenTokens, this.limitTokens);
 		return most - this.spentTokens - this.reservedTokens;
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerBook.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerBook.java
@@ -70,6 +70,33 @@
 		return usable.subList(0, Math.min(most, usable.size()));
 	}
 
+	/**
+	 * Selects routers by their hosts.
+	 * @param addresses addresses with any port, preferred ones first
+	 * @param nowNanos the steady time
+	 * @return the peer addresses, without those that did not answer lately
+	 */
+	List<String> selectHosts(List<String> addresses, long nowNanos) {
+		Map<String, String> peerByHost = new HashMap<>();
+		this.usableFromNanos.forEach((address, fromNanos) -> {
+			if (nowNanos >= fromNanos) {
+				peerByHost.put(host(address), address);
+			}
+		});
+		List<String> selected = new ArrayList<>();
+		for (String address : addresses) {
+			String peer = peerByHost.get(host(address));
+			if (peer != null) {
+				selected.add(peer);
+			}
+		}
+		return selected;
+	}
+
+	private static String host(String address) {
+		return address.substring(0, Math.max(0, address.lastIndexOf(':')));
+	}
+
 	/**
 	 * Leaves a router out, longer with each failure in a row.
 	 * @param address its address
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerLink.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerLink.java
@@ -120,9 +120,11 @@
 	}
 
 	@Override
-	public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, Consumer<Map<String, Long>> taker) {
+	public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, List<String> holders,
+			Consumer<Map<String, Long>> taker) {
 		List<CompletableFuture<Void>> answers = new ArrayList<>();
-		List<String> asked = this.book.select(ASKED_PEERS, this.control.nanoTime());
+		List<String> asked = holders.isEmpty() ? this.book.select(ASKED_PEERS, this.control.nanoTime())
+				: this.book.selectHosts(holders, this.control.nanoTime());
 		Map<String, TokenWish> divided = new HashMap<>();
 		wishes.forEach((workspace, wish) -> divided.put(workspace, wish.dividedBy(Math.max(1, asked.size()))));
 		PeerCalls.BorrowQuestion question = new PeerCalls.BorrowQuestion(divided, this.ownAddress);
--- a/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
@@ -192,8 +192,9 @@
 		}
 
 		@Override
-		public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, Consumer<Map<String, Long>> taker) {
-			List<Router> others = others();
+		public CompletableFuture<Void> borrow(Map<String, TokenWish> wishes, List<String> holders,
+				Consumer<Map<String, Long>> taker) {
+			List<Router> others = holders.isEmpty() ? others() : holders(holders);
 			Map<String, TokenWish> divided = new HashMap<>();
 			wishes.forEach((workspace, wish) -> divided.put(workspace, wish.dividedBy(Math.max(1, others.size()))));
 			for (Router router : others) {
@@ -222,6 +223,12 @@
 			return CompletableFuture.completedFuture(false);
 		}
 
+		private List<Router> holders(List<String> addresses) {
+			return addresses.stream()
+				.flatMap((address) -> others().stream().filter((router) -> router.address.equals(address)))
+				.toList();
+		}
+
 		private List<Router> others() {
 			if (LedgerFleet.this.peerFault == PeerFault.CUT) {
 				return List.of();
--- a/router/src/test/java/io/verbenacleat/router/peer/PeerLinkTests.java
+++ b/router/src/test/java/io/verbenacleat/router/peer/PeerLinkTests.java
@@ -103,8 +103,9 @@
 	public void requestsDoNotWaitForASilentRouter() {
 		Fixture router = new Fixture();
 		router.calls.silent = true;
-		CompletableFuture<Void> done = router.link.borrow(Map.of("w", new TokenWish(10, 10, 1)), (tokens) -> {
-		});
+		CompletableFuture<Void> done = router.link.borrow(Map.of("w", new TokenWish(10, 10, 1)), List.of(),
+				(tokens) -> {
+				});
 		router.advance(Duration.ofMillis(100));
 		assertFalse(done.isDone());
 		router.advance(Duration.ofMillis(150));
@@ -116,7 +117,7 @@
 		Fixture router = new Fixture();
 		router.calls.silent = true;
 		Map<String, Long> taken = new HashMap<>();
-		router.link.borrow(Map.of("w", new TokenWish(10, 10, 1)), taken::putAll);
+		router.link.borrow(Map.of("w", new TokenWish(10, 10, 1)), List.of(), taken::putAll);
 		router.advance(Duration.ofMillis(400));
 		router.calls.pending.get(0).complete(Map.of("w", 10L));
 		router.control.runPending();
