End answers without end, stalled streams and unexpected errors where they arise

Ruled out: to end each answer after a number of bytes: long sound answers would be cut. Change: bounds on interim answers, skipped bytes and events; a rejection ends its send at the head; failures must name their request on a connection that was used before; progress of a stream is a whole event; a silent server is given up only for one that can take the request; errors end one request and are counted. Answers of the store and of other routers are read up to 16 MiB (no test of its own yet); a malformed call of another router gets an answer.

--- a/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
@@ -16,6 +16,7 @@
 import okhttp3.Response;
 import okhttp3.ResponseBody;
 import okio.BufferedSink;
+import okio.BufferedSource;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -28,6 +29,9 @@
 
 	private static final MediaType BYTES = MediaType.get("application/octet-stream");
 
+	/** Twice the largest object that the platform stores. */
+	private static final long MAX_BODY_BYTES = 16L << 20;
+
 	private static final long MS_PER_SECOND = 1_000;
 
 	private final OkHttpClient client;
@@ -235,7 +239,7 @@
 			Answer answer;
 			try (response) {
 				ResponseBody body = response.body();
-				byte[] bytes = (body != null) ? body.bytes() : new byte[0];
+				byte[] bytes = (body != null) ? readBounded(body.source()) : new byte[0];
 				answer = new Answer(response.code(), bytes, retryAfterMs(response.header("Retry-After")));
 			}
 			catch (IOException ex) {
@@ -245,6 +249,13 @@
 			this.future.complete(answer);
 		}
 
+		private static byte[] readBounded(BufferedSource source) throws IOException {
+			if (source.request(MAX_BODY_BYTES + 1)) {
+				throw new IOException("The answer is longer than " + MAX_BODY_BYTES + " bytes");
+			}
+			return source.readByteArray();
+		}
+
 		private static long retryAfterMs(@Nullable String seconds) {
 			if (seconds == null || !seconds.matches("[0-9]{1,9}")) {
 				return -1;
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -137,6 +137,21 @@
 		return (shortestMs == Long.MAX_VALUE) ? 0 : shortestMs;
 	}
 
+	/**
+	 * Returns whether a server may be sent a request and seems to be well.
+	 * @param service the name of the service
+	 * @param excluded the ids of servers that the request was sent to
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code true} when there is one
+	 */
+	public boolean hasServer(String service, Set<String> excluded, long nowMs) {
+		return this.servers.usable(service)
+			.stream()
+			.filter((server) -> !excluded.contains(server.id()))
+			.map(this::state)
+			.anyMatch((state) -> state.takesRequests(nowMs) && state.isAvailable(nowMs));
+	}
+
 	/**
 	 * Chooses a server.
 	 * @param service the name of the service
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerPages.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerPages.java
@@ -62,7 +62,7 @@
 					}
 				});
 			}
-			catch (JsonFormatException ex) {
+			catch (JsonFormatException | RuntimeException ex) {
 				answer.completeExceptionally(ex);
 			}
 		});
--- a/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
@@ -127,8 +127,12 @@
 		}
 	}
 
+	/**
+	 * Returns whether a request is in progress or coming in.
+	 * @return {@code false} when the connection is idle
+	 */
 	boolean isBusy() {
-		return this.run != null;
+		return this.run != null || this.headStartedAtMs >= 0;
 	}
 
 	boolean isWritable() {
@@ -235,7 +239,12 @@
 		}
 		RequestRun started = new RequestRun(this.relay, this, request);
 		this.run = started;
-		started.start();
+		try {
+			started.start();
+		}
+		catch (RuntimeException ex) {
+			this.relay.onUnexpectedError(started, ex);
+		}
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -23,6 +23,8 @@
 import io.verbenacleat.router.log.DecisionLog;
 import io.verbenacleat.router.repeat.RetryAllowance;
 import io.verbenacleat.router.server.ServerList;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -32,6 +34,8 @@
  */
 public final class Relay implements AutoCloseable {
 
+	private static final Logger logger = LogManager.getLogger(Relay.class);
+
 	/** The type of the bodies of refusals (RFC 9457). */
 	static final String PROBLEM_TYPE = "application/problem+json";
 
@@ -288,10 +292,36 @@
 		return refusal.name().toLowerCase(Locale.ROOT);
 	}
 
+	/**
+	 * Ends one request after an unexpected error, so that the others go on.
+	 * @param run the request
+	 * @param error the error
+	 */
+	void onUnexpectedError(RequestRun run, RuntimeException error) {
+		logger.error("Request {} failed unexpectedly", run.requestId(), error);
+		this.metrics.aborted("unexpected_error");
+		try {
+			run.breakOff();
+		}
+		catch (RuntimeException ex) {
+			logger.error("Request {} cannot be ended in order", run.requestId(), ex);
+		}
+	}
+
+	// The event loop would never call the timer again after an exception.
+	private void sweep(RequestRun run, long now) {
+		try {
+			run.sweep(now);
+		}
+		catch (RuntimeException ex) {
+			onUnexpectedError(run, ex);
+		}
+	}
+
 	private void sweep() {
 		long now = nowMs();
 		for (RequestRun run : new ArrayList<>(this.runs)) {
-			run.sweep(now);
+			sweep(run, now);
 		}
 		CallerLimits limits = limits();
 		boolean closing = refusesAll();
--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -55,6 +55,9 @@
 
 	private static final int MAX_PRIORITY = 9;
 
+	/** An event holds some tokens; more bytes without its end are no event. */
+	private static final int MAX_EVENT_BYTES = 262_144;
+
 	private static final int SERVER_ERROR = 500;
 
 	private static final int MISDIRECTED = 421;
@@ -230,11 +233,31 @@
 			}
 			return;
 		}
-		if (running != null && running.isStalled(nowMs) && mayRepeat(true)) {
+		if (running != null && running.isStalled(nowMs) && mayRepeat(true) && hasOtherServer(nowMs)) {
 			running.fail("server is silent");
 		}
 	}
 
+	// A slow answer is better than none.
+	private boolean hasOtherServer(long nowMs) {
+		Service target = this.service;
+		return target != null && this.relay.retries().canRepeat(target.name())
+				&& this.relay.states().hasServer(target.name(), this.tried, nowMs);
+	}
+
+	/**
+	 * Ends the request after an unexpected error, without a further answer.
+	 */
+	void breakOff() {
+		try {
+			onCallerGone();
+		}
+		finally {
+			this.relay.ended(this);
+			this.caller.abort();
+		}
+	}
+
 	private void sendToServer() {
 		Service target = this.service;
 		Route matched = this.route;
@@ -404,10 +427,23 @@
 		this.caller.sendHead(copy);
 	}
 
-	void forwardContent(ByteBuf content) {
+	/**
+	 * Returns how many events of a stream have ended.
+	 * @return the count, 0 for other answers
+	 */
+	int events() {
+		return this.events.events();
+	}
+
+	/**
+	 * Forwards a part of the answer; of a stream, whole events only.
+	 * @param content the bytes
+	 * @return {@code false} when an event is too long
+	 */
+	boolean forwardContent(ByteBuf content) {
 		if (!isEventStream()) {
 			this.caller.sendContent(content.retain());
-			return;
+			return true;
 		}
 		int whole = this.events.scan(content);
 		if (whole > 0) {
@@ -420,8 +456,12 @@
 				partial = Unpooled.buffer(content.readableBytes());
 				this.partialEvent = partial;
 			}
+			if (partial.readableBytes() + content.readableBytes() > MAX_EVENT_BYTES) {
+				return false;
+			}
 			partial.writeBytes(content);
 		}
+		return true;
 	}
 
 	void flush() {
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.router.relay;
 
 import java.io.IOException;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -30,6 +31,21 @@
 
 	private static final int REDIRECTION = 300;
 
+	/**
+	 * A server needs few interim answers (RFC 9110, section 15.2) before the final one.
+	 */
+	private static final int MAX_INTERIM_ANSWERS = 16;
+
+	/** A late answer of another request is smaller; more bytes are no answer. */
+	private static final int MAX_SKIPPED_BYTES = 65_536;
+
+	/**
+	 * The rest of a rejected answer is read when it is shorter, to keep the connection.
+	 */
+	private static final int MAX_DISCARDED_BYTES = 8_192;
+
+	private static final long MAX_DISCARD_MS = 200;
+
 	private final ServerConnections owner;
 
 	private final String serverKey;
@@ -50,6 +66,14 @@
 
 	private boolean skipping;
 
+	private boolean discarding;
+
+	private boolean usedBefore;
+
+	private int interimAnswers;
+
+	private int skippedBytes;
+
 	private boolean framed = true;
 
 	private boolean reset;
@@ -80,6 +104,8 @@
 		this.exchange = user;
 		this.requestWritten = false;
 		this.answering = false;
+		this.interimAnswers = 0;
+		this.skippedBytes = 0;
 		this.channel.writeAndFlush(request).addListener((written) -> this.requestWritten = written.isSuccess());
 	}
 
@@ -91,6 +117,26 @@
 		this.channel.close();
 	}
 
+	/**
+	 * Gives up on the rest of an answer that is not forwarded. The connection is used
+	 * again only if that rest is short and comes soon.
+	 * @param head the head of the answer
+	 */
+	void discardRest(HttpResponse head) {
+		this.exchange = null;
+		long length = HttpUtil.getContentLength(head, Long.MAX_VALUE);
+		if (!this.reusable || length > MAX_DISCARDED_BYTES) {
+			this.channel.close();
+			return;
+		}
+		this.discarding = true;
+		this.channel.eventLoop().schedule(() -> {
+			if (this.discarding) {
+				this.channel.close();
+			}
+		}, MAX_DISCARD_MS, TimeUnit.MILLISECONDS);
+	}
+
 	/**
 	 * Starts or stops reading, when the caller reads slower than the server writes.
 	 * @param reading whether to read
@@ -155,17 +201,26 @@
 			return;
 		}
 		if (response.decoderResult().isFailure()) {
-			broken("answer is not HTTP");
-			this.channel.close();
+			breakOff("answer is not HTTP");
 			return;
 		}
 		if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
 			this.skipping = true;
+			this.interimAnswers++;
+			if (this.interimAnswers > MAX_INTERIM_ANSWERS) {
+				breakOff("too many interim answers");
+			}
 			return;
 		}
 		HttpHeaders headers = response.headers();
 		String echoed = headers.get(this.requestIdHeader);
 		boolean success = response.status().code() >= SUCCESS && response.status().code() < REDIRECTION;
+		// On a connection that was used before it may be a late answer of another
+		// request.
+		if (echoed == null && !user.requestId().isEmpty() && this.usedBefore) {
+			breakOff("answer names no request");
+			return;
+		}
 		boolean anonymous = echoed == null && (!success || user.requestId().isEmpty());
 		if (!anonymous && !user.requestId().equals(echoed)) {
 			this.skipping = true;
@@ -184,13 +239,20 @@
 
 	private void body(HttpContent content) {
 		if (content.decoderResult().isFailure()) {
-			broken("answer is damaged");
-			this.channel.close();
+			breakOff("answer is damaged");
 			return;
 		}
 		boolean last = content instanceof LastHttpContent;
+		if (this.discarding) {
+			endDiscarding(last);
+			return;
+		}
 		if (this.skipping) {
 			this.skipping = !last;
+			this.skippedBytes += content.content().readableBytes();
+			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+				breakOff("too many bytes of another answer");
+			}
 			return;
 		}
 		ServerExchange user = this.exchange;
@@ -211,11 +273,23 @@
 			return;
 		}
 		this.exchange = null;
+		giveBack();
+		user.onEnd();
+	}
+
+	private void endDiscarding(boolean last) {
+		if (last) {
+			this.discarding = false;
+			giveBack();
+		}
+	}
+
+	private void giveBack() {
 		if (!this.requestWritten) {
 			this.reusable = false;
 		}
+		this.usedBefore = true;
 		this.owner.release(this);
-		user.onEnd();
 	}
 
 	void markIdle(long nowMs) {
@@ -230,6 +304,11 @@
 		return this.reusable && this.channel.isActive();
 	}
 
+	private void breakOff(String reason) {
+		broken(reason);
+		this.channel.close();
+	}
+
 	private void broken(String reason) {
 		ServerExchange user = this.exchange;
 		this.exchange = null;
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
@@ -24,8 +24,6 @@
 
 	private @Nullable ServerConnection connection;
 
-	private @Nullable SendResult verdict;
-
 	private final boolean ranBefore;
 
 	private boolean counted;
@@ -34,7 +32,7 @@
 
 	private long sentAtMs;
 
-	private long lastBytesAtMs;
+	private long progressAtMs;
 
 	private int status;
 
@@ -72,7 +70,7 @@
 		}
 		this.connection = opened;
 		this.sentAtMs = relay.nowMs();
-		this.lastBytesAtMs = this.sentAtMs;
+		this.progressAtMs = this.sentAtMs;
 		this.counted = true;
 		this.state.onSend(this.sentAtMs);
 		this.run.markSent(this.state);
@@ -92,27 +90,48 @@
 
 	@Override
 	public void onHead(HttpResponse response) {
-		bytes();
+		this.progressAtMs = this.run.relay().nowMs();
+		this.state.onBytes(this.progressAtMs);
 		this.status = response.status().code();
-		this.state.onFirstByte(this.lastBytesAtMs - this.sentAtMs);
+		this.state.onFirstByte(this.progressAtMs - this.sentAtMs);
 		ServerNotice.apply(this.run.relay(), response, this.state);
-		this.verdict = this.run.judge(response);
-		if (this.verdict == null) {
+		SendResult failure = this.run.judge(response);
+		if (failure == null) {
 			this.run.forwardHead(response);
+			return;
+		}
+		this.over = true;
+		ServerConnection current = this.connection;
+		this.connection = null;
+		if (current != null) {
+			current.discardRest(response);
 		}
+		if (failure == SendResult.NOT_RUN) {
+			this.state.onRefusal(this.run.relay().nowMs());
+		}
+		else {
+			this.state.onSuccess();
+		}
+		this.run.onSendFailed(this, failure, "server answered " + this.status, this.ranBefore);
 	}
 
 	@Override
 	public void onContent(ByteBuf content) {
-		bytes();
-		if (this.verdict == null) {
-			this.run.forwardContent(content);
+		this.state.onBytes(this.run.relay().nowMs());
+		int eventsBefore = this.run.events();
+		if (!this.run.forwardContent(content)) {
+			fail("an event is too long");
+			return;
+		}
+		// Bytes that end no event do not keep a stalled stream alive.
+		if (!this.route.kind().isStream() || this.run.events() > eventsBefore) {
+			this.progressAtMs = this.run.relay().nowMs();
 		}
 	}
 
 	@Override
 	public void onReadComplete() {
-		if (!this.over && this.verdict == null) {
+		if (!this.over) {
 			this.run.flush();
 		}
 	}
@@ -120,19 +139,8 @@
 	@Override
 	public void onEnd() {
 		this.over = true;
-		SendResult failure = this.verdict;
-		if (failure == null) {
-			this.state.onSuccess();
-			this.run.onAnswerEnd(this.state, this.status);
-			return;
-		}
-		if (failure == SendResult.NOT_RUN) {
-			this.state.onRefusal(this.run.relay().nowMs());
-		}
-		else {
-			this.state.onSuccess();
-		}
-		this.run.onSendFailed(this, failure, "server answered " + this.status, this.ranBefore);
+		this.state.onSuccess();
+		this.run.onAnswerEnd(this.state, this.status);
 	}
 
 	@Override
@@ -189,13 +197,8 @@
 		if (!this.counted || this.over || !this.run.isCallerWritable()) {
 			return false;
 		}
-		return StallPolicy.isStalled(nowMs - this.lastBytesAtMs, this.state.isSilent(nowMs),
-				this.service.modelService(), this.route.targetLatencyMs());
-	}
-
-	private void bytes() {
-		this.lastBytesAtMs = this.run.relay().nowMs();
-		this.state.onBytes(this.lastBytesAtMs);
+		return StallPolicy.isStalled(nowMs - this.progressAtMs, this.state.isSilent(nowMs), this.service.modelService(),
+				this.route.targetLatencyMs());
 	}
 
 	private void closeConnection() {
--- a/router/src/main/java/io/verbenacleat/router/repeat/RetryAllowance.java
+++ b/router/src/main/java/io/verbenacleat/router/repeat/RetryAllowance.java
@@ -74,19 +74,28 @@
 	 * @return {@code false} when the budget is used up
 	 */
 	public boolean tryRepeat(String service) {
+		if (!canRepeat(service)) {
+			return false;
+		}
+		window(service).current().repeats++;
+		return true;
+	}
+
+	/**
+	 * Returns whether the budget has a repeat left, without taking it.
+	 * @param service the name of the service
+	 * @return {@code false} when the budget is used up
+	 */
+	public boolean canRepeat(String service) {
 		Window window = window(service);
-		Slice newest = window.current();
+		window.current();
 		long requests = 0;
 		long repeats = 0;
 		for (Slice slice : window.slices) {
 			requests += slice.requests;
 			repeats += slice.repeats;
 		}
-		if (repeats + 1 > this.ratio * requests + this.extraOfAll / Math.max(this.minRouters, this.routers)) {
-			return false;
-		}
-		newest.repeats++;
-		return true;
+		return repeats + 1 <= this.ratio * requests + this.extraOfAll / Math.max(this.minRouters, this.routers);
 	}
 
 	private Window window(String service) {
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 
@@ -50,8 +51,10 @@
 
 	private final CallerServer callers;
 
+	private final AtomicBoolean failNextLine = new AtomicBoolean();
+
 	RelayFixture(FakeServer.Script... scripts) throws IOException {
-		DecisionLog log = new DecisionLog(System::currentTimeMillis);
+		DecisionLog log = new DecisionLog(this::logTimeMs);
 		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "", "r/1", System.nanoTime()),
 				new InMemoryTableStore(), new UnknownClock(), TokenPeers.none(), this.control, log);
 		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
@@ -64,6 +67,20 @@
 		this.callers = CallerServer.start(this.loop, this.relay, "127.0.0.1", 0);
 	}
 
+	/**
+	 * Has the next log line fail, as an unexpected error would.
+	 */
+	void failNextLogLine() {
+		this.failNextLine.set(true);
+	}
+
+	private long logTimeMs() {
+		if (this.failNextLine.getAndSet(false)) {
+			throw new IllegalStateException("unexpected error of a test");
+		}
+		return System.currentTimeMillis();
+	}
+
 	/**
 	 * Publishes the registrations of all servers, none of them draining.
 	 */
