Tell refused callers to return when the reason has probably ended

Ruled out: to hold callers here until it ends: the same time at a router that may not make it. Change: ReturnTime, by reason, known end, time left and a spread. Known ends are stated as they are. Test: ReturnTimeTests (callers of a fleet that lost power).

--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -46,11 +46,6 @@
 	/** A repeat that has less time than this cannot be served. */
 	private static final long MIN_REPEAT_MS = 60;
 
-	/** Callers that come back are spread over this time. */
-	private static final double MIN_RETRY_AFTER_S = 0.05;
-
-	private static final double RETRY_AFTER_SPREAD_S = 0.25;
-
 	private static final double MS_PER_SECOND = 1_000;
 
 	private static final int MAX_PRIORITY = 9;
@@ -149,7 +144,7 @@
 			return;
 		}
 		this.service = table.service(matched.selectService(ThreadLocalRandom.current().nextDouble()));
-		this.endsAtMs = this.startedAtMs + Math.min(matched.timeoutMs(), callerDeadlineMs(matched));
+		this.endsAtMs = this.startedAtMs + Math.min(matched.timeoutMs(), callerDeadlineMs(matched.timeoutMs()));
 		this.affinityKey = PromptKey.of(this.request.headers().get(this.relay.names().promptPrefix()));
 		if (this.service == null) {
 			refuse(Refusal.NO_SERVER);
@@ -513,12 +508,12 @@
 		logLine("request.refused", Relay.code(refusal)).emit();
 		String retryAfter = "";
 		if (refusal.isTemporary()) {
-			double seconds = MIN_RETRY_AFTER_S + RETRY_AFTER_SPREAD_S * ThreadLocalRandom.current().nextDouble();
 			Service target = this.service;
-			if (refusal == Refusal.NO_SERVER && target != null) {
-				seconds += this.relay.states().pauseLeftMs(target.name(), this.relay.nowMs()) / MS_PER_SECOND;
-			}
-			retryAfter = String.format(Locale.ROOT, "%.3f", seconds);
+			long pauseMs = (refusal == Refusal.NO_SERVER && target != null)
+					? this.relay.states().pauseLeftMs(target.name(), this.relay.nowMs()) : 0;
+			long leftMs = callerDeadlineMs(Integer.MAX_VALUE) - (this.relay.nowMs() - this.startedAtMs);
+			long afterMs = ReturnTime.afterMs(refusal, pauseMs, leftMs, ThreadLocalRandom.current().nextDouble());
+			retryAfter = String.format(Locale.ROOT, "%.3f", afterMs / MS_PER_SECOND);
 		}
 		this.caller.sendWhole(refusal.status(), retryAfter, Relay.PROBLEM_TYPE, Relay.problem(refusal, this.requestId));
 	}
@@ -539,11 +534,11 @@
 		this.request.release();
 	}
 
-	private long callerDeadlineMs(Route matched) {
+	private long callerDeadlineMs(long withoutHeaderMs) {
 		String header = this.request.headers().get(this.relay.names().deadlineMs());
 		if (header == null || header.isEmpty() || header.length() > MAX_DEADLINE_DIGITS
 				|| !header.chars().allMatch((digit) -> digit >= '0' && digit <= '9')) {
-			return matched.timeoutMs();
+			return withoutHeaderMs;
 		}
 		return Long.parseLong(header);
 	}
