Ask servers for their load less often in large fleets

Ruled out: no questions at all: a silent server without requests would not be noticed; one router that asks for the others: one more message to each router and a lag. Change: a server is asked by about ten routers in a second, by each router in turn; small fleets as before. Test: ReportScheduleTests.

--- a/router/src/main/java/io/verbenacleat/router/relay/LoadReporter.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadReporter.java
@@ -31,6 +31,8 @@
 	/** Reports are made every 200 ms; an answer takes some milliseconds. */
 	private static final long TIMEOUT_MS = 700;
 
+	private static final int MAX_FIRST_ROUND = 1_000;
+
 	private static final int MAX_REPORT_BYTES = 65_536;
 
 	private final Relay relay;
@@ -41,6 +43,9 @@
 
 	private final ScheduledFuture<?> timer;
 
+	/** Routers that start together must not ask the same servers in each round. */
+	private long rounds = ThreadLocalRandom.current().nextInt(MAX_FIRST_ROUND);
+
 	/**
 	 * Starts to ask.
 	 * @param relay the relay
@@ -64,9 +69,11 @@
 		if (table == null) {
 			return;
 		}
+		this.rounds++;
 		for (ServerState state : new ArrayList<>(this.relay.states().all())) {
 			Service service = table.service(state.server().service());
-			if (service != null && service.modelService() && !state.server().draining()) {
+			if (service != null && service.modelService() && !state.server().draining()
+					&& ReportSchedule.isDue(state.server().id(), this.rounds, this.relay.routers())) {
 				long delayMs = ThreadLocalRandom.current().nextLong(INTERVAL_MS / 2);
 				this.loop.schedule(() -> ask(state, service), delayMs, TimeUnit.MILLISECONDS);
 			}
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -83,6 +83,8 @@
 
 	private volatile long stoppingSinceMs = -1;
 
+	private volatile int routers;
+
 	private volatile int inProgress;
 
 	private volatile boolean drained;
@@ -135,10 +137,11 @@
 	}
 
 	/**
-	 * Takes how many routers share the retry budget; may be called on any thread.
+	 * Takes how many routers the fleet has; may be called on any thread.
 	 * @param count the count, lost ones included
 	 */
 	public void setRouters(int count) {
+		this.routers = count;
 		this.retries.setRouters(count);
 	}
 
@@ -229,6 +232,14 @@
 		return this.loop;
 	}
 
+	/**
+	 * Returns how many routers there are.
+	 * @return the count, lost ones included, 0 while it is not known
+	 */
+	int routers() {
+		return this.routers;
+	}
+
 	boolean isStopping() {
 		return this.stoppingSinceMs >= 0;
 	}
--- /dev/null
+++ b/router/src/test/java/io/verbenacleat/router/relay/ReportScheduleTests.java
@@ -0,0 +1,59 @@
+package io.verbenacleat.router.relay;
+
+import java.util.Arrays;
+import java.util.Random;
+
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+/**
+ * Questions for load in small and large fleets.
+ */
+public class ReportScheduleTests {
+
+	private static final int ROUNDS = 400;
+
+	@Test
+	public void smallFleetsAskEachServerInEachRound() {
+		for (int round = 0; round < 10; round++) {
+			assertTrue(ReportSchedule.isDue("i-1", round, 0));
+			assertTrue(ReportSchedule.isDue("i-1", round, 10));
+		}
+	}
+
+	// The load: routers that started at different times ask one server.
+	@Test
+	public void theQuestionsToAServerDoNotGrowWithTheFleet() {
+		for (int routers : new int[] { 33, 100, 370 }) {
+			Random random = new Random(20261204);
+			int questions = 0;
+			for (int router = 0; router < routers; router++) {
+				int firstRound = random.nextInt(1_000);
+				int own = 0;
+				for (int round = 0; round < ROUNDS; round++) {
+					own += ReportSchedule.isDue("i-1", firstRound + round, routers) ? 1 : 0;
+				}
+				assertTrue(own >= ROUNDS / (routers / 10 + 1), own + " questions of one router");
+				questions += own;
+			}
+			assertTrue(questions <= ROUNDS * 11, questions + " questions of " + routers + " routers");
+		}
+	}
+
+	@Test
+	public void aRouterSpreadsItsQuestions() {
+		int[] perRound = new int[10];
+		for (int server = 0; server < 600; server++) {
+			for (int round = 0; round < 10; round++) {
+				perRound[round] += ReportSchedule.isDue("i-" + server * 7919, round, 100) ? 1 : 0;
+			}
+		}
+		for (int count : perRound) {
+			assertTrue(count > 30 && count < 120, "asked " + count + " servers in a round");
+		}
+		assertEquals(Arrays.stream(perRound).sum(), 600);
+	}
+
+}
