Let requests wait for a router that has just started

Ruled out: to listen later: the connections of callers are then refused or hang, which costs them their one return. Change: in the first 1.5 s of a process requests wait for the configuration and the servers for up to 0.7 s, and for tokens for up to 0.9 s; after that, or without contact, they are refused at once as before.

--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -89,6 +89,8 @@
 
 	private volatile boolean drained;
 
+	private boolean serversKnown;
+
 	private long bodyBytes;
 
 	private final long originNanos = System.nanoTime();
@@ -131,6 +133,7 @@
 	 */
 	public void updateServers(ServerList list) {
 		this.loop.execute(() -> {
+			this.serversKnown = true;
 			this.states.update(list);
 			this.connections.update(list);
 		});
@@ -195,6 +198,22 @@
 		return (long) ((System.nanoTime() - this.originNanos) / NANOS_PER_MS);
 	}
 
+	/**
+	 * Returns how long the relay runs.
+	 * @return the time in milliseconds
+	 */
+	long sinceStartMs() {
+		return nowMs();
+	}
+
+	/**
+	 * Returns whether a list of servers has come, which may be empty.
+	 * @return {@code false} in the first moments of the process
+	 */
+	boolean knowsServers() {
+		return this.serversKnown;
+	}
+
 	@Nullable
 	RoutingTable table() {
 		return this.table;
--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -37,12 +37,6 @@
 	/** The backend server answers at the deadline itself; its answer takes some time. */
 	private static final long DEADLINE_SLACK_MS = 150;
 
-	/**
-	 * Another router may have tokens at hand; a round of the ledger takes some 100 ms on
-	 * a busy host, and a second one after a conflict as much.
-	 */
-	private static final long MAX_TOKEN_WAIT_MS = 400;
-
 	/** A repeat that has less time than this cannot be served. */
 	private static final long MIN_REPEAT_MS = 60;
 
@@ -85,6 +79,10 @@
 
 	private @Nullable ServerSend send;
 
+	private boolean waitsForConfiguration;
+
+	private long billOpenedAtMs;
+
 	private long endsAtMs;
 
 	private long affinityKey;
@@ -120,9 +118,14 @@
 			refuse(Refusal.OVERLOADED);
 			return;
 		}
+		selectRoute();
+	}
+
+	private void selectRoute() {
 		RoutingTable table = this.relay.table();
+		this.waitsForConfiguration = table == null;
 		if (table == null) {
-			refuse(Refusal.NOT_CONFIGURED);
+			refuseAfterStartWait();
 			return;
 		}
 		if (this.relay.refusesAll()) {
@@ -150,6 +153,11 @@
 			refuse(Refusal.NO_SERVER);
 			return;
 		}
+		if (!this.relay.knowsServers()) {
+			this.waitsForConfiguration = true;
+			refuseAfterStartWait();
+			return;
+		}
 		this.relay.retries().onRequest(this.service.name());
 		openBill();
 	}
@@ -161,6 +169,7 @@
 			sendToServer();
 			return;
 		}
+		this.billOpenedAtMs = this.relay.nowMs();
 		TokenBill opened = new TokenBill(this.relay, this.relay.ledger().wallet(payer.name()), usage.get(), this);
 		this.bill = opened;
 		opened.open();
@@ -206,11 +215,15 @@
 	 * @param nowMs the steady time in milliseconds
 	 */
 	void sweep(long nowMs) {
+		if (this.waitsForConfiguration && !this.ended) {
+			selectRoute();
+		}
 		if (this.ended || this.route == null) {
 			return;
 		}
 		TokenBill opened = this.bill;
-		if (opened != null && opened.isWaiting() && nowMs - this.startedAtMs > MAX_TOKEN_WAIT_MS) {
+		if (opened != null && opened.isWaiting()
+				&& !StartWait.waitsForTokens(this.relay.sinceStartMs(), nowMs - this.billOpenedAtMs)) {
 			refuse(Refusal.PREPAID_UNAVAILABLE);
 			return;
 		}
@@ -253,6 +266,13 @@
 		}
 	}
 
+	private void refuseAfterStartWait() {
+		long waitedMs = this.relay.nowMs() - this.startedAtMs;
+		if (!StartWait.waitsForConfiguration(this.relay.sinceStartMs(), waitedMs)) {
+			refuse(Refusal.NOT_CONFIGURED);
+		}
+	}
+
 	private void sendToServer() {
 		Service target = this.service;
 		Route matched = this.route;
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -54,12 +54,18 @@
 	private final AtomicBoolean failNextLine = new AtomicBoolean();
 
 	RelayFixture(FakeServer.Script... scripts) throws IOException {
+		this(true, scripts);
+	}
+
+	private RelayFixture(boolean configured, FakeServer.Script... scripts) throws IOException {
 		DecisionLog log = new DecisionLog(this::logTimeMs);
 		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "", "r/1", System.nanoTime()),
 				new InMemoryTableStore(), new UnknownClock(), TokenPeers.none(), this.control, log);
 		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
 		this.relay = new Relay(this.loop.next(), options, this.ledger, log, new PrometheusRegistry());
-		configure(1_000_000);
+		if (configured) {
+			configure(1_000_000);
+		}
 		for (FakeServer.Script script : scripts) {
 			this.servers.add(new FakeServer("i-" + this.servers.size(), script));
 		}
@@ -89,6 +95,16 @@
 		this.relay.updateServers(ServerList.of(list));
 	}
 
+	/**
+	 * Starts a relay that has servers and no configuration yet.
+	 * @param scripts what the servers answer
+	 * @return the fixture
+	 * @throws IOException when no address can be used
+	 */
+	static RelayFixture unconfigured(FakeServer.Script... scripts) throws IOException {
+		return new RelayFixture(false, scripts);
+	}
+
 	void configure(long prepaidTokens) {
 		List<Route> routes = List.of(route("once", RequestKind.NOT_REPEATABLE, 1),
 				route("again", RequestKind.IDEMPOTENT, 2), route("stream", RequestKind.STREAM, 1),
