--- /dev/null
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerAnswer.java
@@ -0,0 +1,142 @@
+package io.verbenacleat.router.relay;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The answer of a backend server on its way to the caller. Of a stream only whole events
+ * are forwarded, so that another server can go on after the last one. Used on the event
+ * loop.
+ */
+final class CallerAnswer {
+
+	/** An event holds some tokens; more bytes without its end are no event. */
+	private static final int MAX_EVENT_BYTES = 262_144;
+
+	private final CallerConnection caller;
+
+	private final HeaderRules headerRules;
+
+	private final EventScanner events = new EventScanner();
+
+	private boolean started;
+
+	private boolean stream;
+
+	private @Nullable ByteBuf partialEvent;
+
+	CallerAnswer(CallerConnection caller, HeaderRules headerRules) {
+		this.caller = caller;
+		this.headerRules = headerRules;
+	}
+
+	/**
+	 * Returns whether the caller got a head.
+	 * @return {@code true} after {@link #start}
+	 */
+	boolean isStarted() {
+		return this.started;
+	}
+
+	/**
+	 * Returns how many events of a stream have ended.
+	 * @return the count, 0 for other answers
+	 */
+	int events() {
+		return this.events.events();
+	}
+
+	/**
+	 * Returns the id of the last event that was forwarded.
+	 * @return the id, or {@code null} before the first event with an id
+	 */
+	@Nullable
+	String lastEventId() {
+		return this.events.lastId();
+	}
+
+	/**
+	 * Forwards the head.
+	 * @param response the head of the backend server
+	 * @param method the method of the request
+	 * @param eventStream whether the body is a stream of events
+	 */
+	void start(HttpResponse response, HttpMethod method, boolean eventStream) {
+		this.started = true;
+		this.stream = eventStream;
+		HttpResponse copy = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
+		this.headerRules.copyResponse(response.headers(), copy.headers());
+		String length = response.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+		if (length != null && !eventStream) {
+			copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+		}
+		else if (!method.equals(HttpMethod.HEAD) && !response.status().equals(HttpResponseStatus.NO_CONTENT)
+				&& !response.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
+			HttpUtil.setTransferEncodingChunked(copy, true);
+		}
+		this.caller.sendHead(copy);
+	}
+
+	/**
+	 * Forwards a part of the body; of a stream, whole events only.
+	 * @param content the bytes
+	 * @return {@code false} when an event is too long
+	 */
+	boolean write(ByteBuf content) {
+		if (!this.stream) {
+			this.caller.sendContent(content.retain());
+			return true;
+		}
+		int whole = this.events.scan(content);
+		if (whole > 0) {
+			sendPartialEvent();
+			this.caller.sendContent(content.readRetainedSlice(whole));
+		}
+		return !content.isReadable() || keep(content);
+	}
+
+	/**
+	 * Sends the bytes after the last event, which are a part of a complete answer.
+	 */
+	void sendPartialEvent() {
+		ByteBuf partial = this.partialEvent;
+		this.partialEvent = null;
+		if (partial != null) {
+			this.caller.sendContent(partial);
+		}
+	}
+
+	/**
+	 * Forgets the event that has not ended.
+	 */
+	void dropPartialEvent() {
+		ByteBuf partial = this.partialEvent;
+		this.partialEvent = null;
+		if (partial != null) {
+			partial.release();
+		}
+		this.events.dropPartialEvent();
+	}
+
+	private boolean keep(ByteBuf content) {
+		ByteBuf partial = this.partialEvent;
+		if (partial == null) {
+			partial = Unpooled.buffer(content.readableBytes());
+			this.partialEvent = partial;
+		}
+		if (partial.readableBytes() + content.readableBytes() > MAX_EVENT_BYTES) {
+			return false;
+		}
+		partial.writeBytes(content);
+		return true;
+	}
+
+}
--- a/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RequestRun.java
@@ -6,15 +6,10 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -44,9 +39,6 @@
 
 	private static final int MAX_PRIORITY = 9;
 
-	/** An event holds some tokens; more bytes without its end are no event. */
-	private static final int MAX_EVENT_BYTES = 262_144;
-
 	private static final int SERVER_ERROR = 500;
 
 	private static final int MISDIRECTED = 421;
@@ -67,7 +59,7 @@
 
 	private final Set<String> tried = new HashSet<>();
 
-	private final EventScanner events = new EventScanner();
+	private final CallerAnswer answer;
 
 	private @Nullable Route route;
 
@@ -97,14 +89,11 @@
 
 	private boolean ended;
 
-	private boolean headForwarded;
-
-	private @Nullable ByteBuf partialEvent;
-
 	RequestRun(Relay relay, CallerConnection caller, FullHttpRequest request) {
 		this.relay = relay;
 		this.caller = caller;
 		this.request = request;
+		this.answer = new CallerAnswer(caller, relay.headerRules());
 		this.startedAtMs = relay.nowMs();
 		this.bodyBytes = request.content().readableBytes();
 		String id = request.headers().get(relay.names().requestId());
@@ -233,7 +222,7 @@
 				running.abandon();
 			}
 			this.send = null;
-			if (this.headForwarded) {
+			if (this.answer.isStarted()) {
 				abort("time limit");
 			}
 			else {
@@ -307,8 +296,8 @@
 			int priority = (payer != null && payer.priority() >= 0) ? payer.priority() : matched.priority();
 			copy.headers().set(names.priority(), Integer.toString(Math.min(MAX_PRIORITY, priority)));
 		}
-		String lastId = this.events.lastId();
-		if (this.headForwarded && lastId != null) {
+		String lastId = this.answer.lastEventId();
+		if (this.answer.isStarted() && lastId != null) {
 			copy.headers().set(names.lastEventId(), lastId);
 		}
 		if (this.bodyBytes > 0 || HttpUtil.isContentLengthSet(this.request)
@@ -370,8 +359,8 @@
 		if (target != null && mayRepeat(this.mayHaveRun)
 				&& (this.sends == 0 || this.relay.retries().tryRepeat(target.name()))) {
 			this.relay.metrics().repeated(result.name().toLowerCase(Locale.ROOT));
-			if (this.headForwarded) {
-				dropPartialEvent();
+			if (this.answer.isStarted()) {
+				this.answer.dropPartialEvent();
 			}
 			sendToServer();
 			return;
@@ -380,7 +369,7 @@
 	}
 
 	private void giveUp(Refusal refusal, String reason) {
-		if (this.headForwarded) {
+		if (this.answer.isStarted()) {
 			abort(reason);
 			return;
 		}
@@ -392,7 +381,8 @@
 		if (matched == null || this.endsAtMs - this.relay.nowMs() < MIN_REPEAT_MS) {
 			return false;
 		}
-		if (this.headForwarded && (matched.kind() != RequestKind.RESUMABLE_STREAM || this.events.lastId() == null)) {
+		if (this.answer.isStarted()
+				&& (matched.kind() != RequestKind.RESUMABLE_STREAM || this.answer.lastEventId() == null)) {
 			return false;
 		}
 		return RepeatPolicy.mayRepeat(matched.kind(), this.sends, matched.maxAttempts(), ran);
@@ -409,7 +399,7 @@
 		if (response.headers().contains(this.relay.names().notRun()) || status == MISDIRECTED) {
 			return SendResult.NOT_RUN;
 		}
-		if (this.headForwarded) {
+		if (this.answer.isStarted()) {
 			return (response.status().codeClass() == HttpStatusClass.SUCCESS) ? null : SendResult.FAILED;
 		}
 		Route matched = this.route;
@@ -420,63 +410,20 @@
 	}
 
 	void forwardHead(HttpResponse response) {
-		if (this.headForwarded) {
-			return;
-		}
-		this.headForwarded = true;
 		Route matched = this.route;
-		if (matched != null) {
-			this.relay.metrics().firstByte(matched.kind(), this.relay.nowMs() - this.startedAtMs);
-		}
-		HttpResponse copy = new DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status());
-		this.relay.headerRules().copyResponse(response.headers(), copy.headers());
-		String length = response.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-		if (length != null && !isEventStream()) {
-			copy.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-		}
-		else if (!this.request.method().equals(HttpMethod.HEAD)
-				&& !response.status().equals(HttpResponseStatus.NO_CONTENT)
-				&& !response.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
-			HttpUtil.setTransferEncodingChunked(copy, true);
+		if (this.answer.isStarted() || matched == null) {
+			return;
 		}
-		this.caller.sendHead(copy);
+		this.relay.metrics().firstByte(matched.kind(), this.relay.nowMs() - this.startedAtMs);
+		this.answer.start(response, this.request.method(), matched.kind().isStream());
 	}
 
 	/**
-	 * Returns how many events of a stream have ended.
-	 * @return the count, 0 for other answers
+	 * Returns the answer on its way to the caller.
+	 * @return the answer
 	 */
-	int events() {
-		return this.events.events();
-	}
-
-	/**
-	 * Forwards a part of the answer; of a stream, whole events only.
-	 * @param content the bytes
-	 * @return {@code false} when an event is too long
-	 */
-	boolean forwardContent(ByteBuf content) {
-		if (!isEventStream()) {
-			this.caller.sendContent(content.retain());
-			return true;
-		}
-		int whole = this.events.scan(content);
-		if (whole > 0) {
-			sendPartialEvent();
-			this.caller.sendContent(content.readRetainedSlice(whole));
-		}
-		if (content.isReadable()) {
-			ByteBuf partial = this.partialEvent;
-			if (partial == null) {
-				partial = Unpooled.buffer(content.readableBytes());
-				this.partialEvent = partial;
-			}
-			if (partial.readableBytes() + content.readableBytes() > MAX_EVENT_BYTES) {
-				return false;
-			}
-			partial.writeBytes(content);
-		}
-		return true;
+	CallerAnswer answer() {
+		return this.answer;
 	}
 
 	void flush() {
@@ -484,7 +431,7 @@
 	}
 
 	void onAnswerEnd(ServerState state, int status) {
-		sendPartialEvent();
+		this.answer.sendPartialEvent();
 		this.send = null;
 		this.relay.metrics().answered(status);
 		close();
@@ -492,28 +439,6 @@
 		this.caller.end();
 	}
 
-	private boolean isEventStream() {
-		Route matched = this.route;
-		return matched != null && matched.kind().isStream();
-	}
-
-	private void sendPartialEvent() {
-		ByteBuf partial = this.partialEvent;
-		this.partialEvent = null;
-		if (partial != null) {
-			this.caller.sendContent(partial);
-		}
-	}
-
-	private void dropPartialEvent() {
-		ByteBuf partial = this.partialEvent;
-		this.partialEvent = null;
-		if (partial != null) {
-			partial.release();
-		}
-		this.events.dropPartialEvent();
-	}
-
 	private void abort(String reason) {
 		this.relay.metrics().aborted("answer_broken");
 		close();
@@ -541,7 +466,7 @@
 	private void close() {
 		this.ended = true;
 		this.send = null;
-		dropPartialEvent();
+		this.answer.dropPartialEvent();
 		this.relay.ended(this);
 		if (this.bodyReserved) {
 			this.relay.releaseBody(this.bodyBytes);
@@ -549,7 +474,7 @@
 		TokenBill opened = this.bill;
 		Service target = this.service;
 		if (opened != null && target != null) {
-			this.billedTokens = opened.settle(this.mayHaveRun, (long) this.events.events() * target.tokensPerEvent());
+			this.billedTokens = opened.settle(this.mayHaveRun, (long) this.answer.events() * target.tokensPerEvent());
 		}
 		this.request.release();
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
@@ -118,13 +118,13 @@
 	@Override
 	public void onContent(ByteBuf content) {
 		this.state.onBytes(this.run.relay().nowMs());
-		int eventsBefore = this.run.events();
-		if (!this.run.forwardContent(content)) {
+		int eventsBefore = this.run.answer().events();
+		if (!this.run.answer().write(content)) {
 			fail("an event is too long");
 			return;
 		}
 		// Bytes that end no event do not keep a stalled stream alive.
-		if (!this.route.kind().isStream() || this.run.events() > eventsBefore) {
+		if (!this.route.kind().isStream() || this.run.answer().events() > eventsBefore) {
 			this.progressAtMs = this.run.relay().nowMs();
 		}
 	}
