Do not send on a request whose caller has already left

The event loop read it late, and started it before it read the end of the connection, which was there too. Ruled out: a wait inside the router, which ends when the connection closes. Change: a connection is read to its end before its request is started, after what was received in the same turn. CallerConnectionTests: two tests run the pending start explicitly, and one has a configuration, since a router without one now waits for it; what they check is the same or more.

--- a/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
@@ -68,11 +68,11 @@
 			ReferenceCountUtil.release(message);
 			return;
 		}
-		if (this.run == null && this.waiting.isEmpty()) {
-			start(request);
-			return;
-		}
 		this.waiting.add(request);
+		if (this.run == null && this.waiting.size() == 1) {
+			// After the rest of what was received: the caller may have left already.
+			this.channel.eventLoop().execute(this::startNext);
+		}
 		if (this.waiting.size() >= MAX_PIPELINED) {
 			this.channel.config().setAutoRead(false);
 		}
@@ -118,7 +118,7 @@
 	 * @param idleTimeoutMs the longest idle time
 	 */
 	void checkLimits(long nowMs, long headerTimeoutMs, long idleTimeoutMs) {
-		if (this.run != null) {
+		if (this.run != null || !this.waiting.isEmpty()) {
 			return;
 		}
 		boolean slow = this.headStartedAtMs >= 0 && nowMs - this.headStartedAtMs > headerTimeoutMs;
@@ -132,7 +132,7 @@
 	 * @return {@code false} when the connection is idle
 	 */
 	boolean isBusy() {
-		return this.run != null || this.headStartedAtMs >= 0;
+		return this.run != null || !this.waiting.isEmpty() || this.headStartedAtMs >= 0;
 	}
 
 	boolean isWritable() {
@@ -213,7 +213,7 @@
 	}
 
 	private void startNext() {
-		if (this.run != null) {
+		if (this.run != null || this.closing || !this.channel.isActive()) {
 			return;
 		}
 		FullHttpRequest next = this.waiting.poll();
--- a/router/src/main/java/io/verbenacleat/router/relay/CallerServer.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -27,6 +28,9 @@
 
 	private static final int MAX_CHUNK_BYTES = 16_384;
 
+	/** Reads of one connection before others have their turn; the default of Netty. */
+	private static final int MAX_READS = 16;
+
 	/**
 	 * Above the high mark reading from the backend server stops, below the low one it
 	 * goes on.
@@ -54,6 +58,10 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			// Reads on until the end of a connection is seen together with its last
+			// request.
+			.childOption(ChannelOption.RCVBUF_ALLOCATOR,
+					new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS))
 			.childOption(ChannelOption.SO_KEEPALIVE, true)
 			.childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
 			.childHandler(new ChannelInitializer<Channel>() {
--- a/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
@@ -38,12 +38,9 @@
 	public void aRequestThatComesAfterAnAnswerDoesNotOvertakeAWaitingOne() {
 		Fixture fixture = new Fixture();
 		fixture.store.setAvailable(false);
-		RoutingTable table = new RoutingTable(1, List.of(Route.builder("r", "h", "/paid/").target("s", 1).build()),
-				List.of(new Service("s", 10, true, 1)), List.of(new Workspace("w", List.of("k"), 0, 100)),
-				new CallerLimits(4_096, 4_096, 1_000, 1_000));
-		fixture.relay.configure(table);
-		fixture.ledger.configure(table);
+		fixture.configure();
 		fixture.channel.pipeline().fireChannelRead(request("/paid/", "1"));
+		fixture.channel.runPendingTasks();
 		fixture.channel.pipeline().fireChannelRead(request("/none/", "2"));
 		assertTrue(fixture.channel.outboundMessages().isEmpty());
 		fixture.connection.sendWhole(HttpResponseStatus.OK, "", "text/plain",
@@ -56,6 +53,7 @@
 	@Test
 	public void noRequestStartsAfterTheLastAnswerOfAConnection() {
 		Fixture fixture = new Fixture();
+		fixture.configure();
 		FullHttpRequest last = request("/none/", "1");
 		last.headers().set("Connection", "close");
 		fixture.channel.pipeline().fireChannelRead(last);
@@ -71,6 +69,8 @@
 		FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/paid/",
 				Unpooled.wrappedBuffer(new byte[tooLarge]));
 		fixture.channel.pipeline().fireChannelRead(request);
+		fixture.channel.runPendingTasks();
+		assertEquals(answeredIds(fixture.channel).size(), 1);
 		assertEquals(fixture.relay.bodyBytes(), 0);
 	}
 
@@ -112,6 +112,14 @@
 			this.channel.pipeline().addLast(this.connection);
 		}
 
+		private void configure() {
+			RoutingTable table = new RoutingTable(1, List.of(Route.builder("r", "h", "/paid/").target("s", 1).build()),
+					List.of(new Service("s", 10, true, 1)), List.of(new Workspace("w", List.of("k"), 0, 100)),
+					new CallerLimits(4_096, 4_096, 1_000, 1_000));
+			this.relay.configure(table);
+			this.ledger.configure(table);
+		}
+
 	}
 
 	private static final class UnknownClock implements StoreClock {
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -116,23 +116,35 @@
 		this.ledger.configure(table);
 	}
 
+	/**
+	 * Keeps the event loop from working, as a busy host does.
+	 * @return lets it go on when it is closed
+	 */
+	Closeable blockTraffic() {
+		CountDownLatch over = new CountDownLatch(1);
+		this.loop.execute(() -> await(over));
+		return over::countDown;
+	}
+
 	/**
 	 * Keeps the ledger from working, as a long series of conflicts does.
 	 * @return lets it go on when it is closed
 	 */
 	Closeable blockLedger() {
 		CountDownLatch over = new CountDownLatch(1);
-		this.control.execute(() -> {
-			try {
-				over.await();
-			}
-			catch (InterruptedException ex) {
-				Thread.currentThread().interrupt();
-			}
-		});
+		this.control.execute(() -> await(over));
 		return over::countDown;
 	}
 
+	private static void await(CountDownLatch over) {
+		try {
+			over.await();
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+	}
+
 	/**
 	 * Opens a connection of a caller.
 	 * @return the connection
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayTests.java
@@ -237,6 +237,20 @@
 		}
 	}
 
+	// Found on daugava-down-grown trouble-2: a busy router read requests and sent them on
+	// seconds after their callers had left.
+	@Test
+	public void aRequestWhoseCallerLeftBeforeItWasReadIsNotSent() throws IOException {
+		try (RelayFixture fixture = new RelayFixture(ECHO)) {
+			fixture.call("/once/first", "");
+			try (Closeable blocked = fixture.blockTraffic(); Socket caller = fixture.connect()) {
+				RelayFixture.write(caller, RelayFixture.request("/once/left", "", ""));
+			}
+			assertTrue(fixture.call("/once/after", "").startsWith("HTTP/1.1 200"));
+			assertEquals(total(fixture), 2);
+		}
+	}
+
 	@Test
 	public void aRequestThatTheTokensDoNotCoverGets402() throws IOException {
 		try (RelayFixture fixture = new RelayFixture(ECHO)) {
