--- a/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerSend.java
@@ -106,8 +106,10 @@
 		if (current != null) {
 			current.discardRest(response);
 		}
-		if (failure == SendResult.NOT_RUN) {
-			this.state.onRefusal(this.run.relay().nowMs());
+		long nowMs = this.run.relay().nowMs();
+		// A server that leaves or wants a pause is not sick.
+		if (failure == SendResult.NOT_RUN && this.state.takesRequests(nowMs)) {
+			this.state.onRefusal(nowMs);
 		}
 		else {
 			this.state.onSuccess();
--- a/router/src/test/java/io/verbenacleat/router/relay/ServerNoticeTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/ServerNoticeTests.java
@@ -5,6 +5,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 
+import io.verbenacleat.router.balance.ServerState;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -49,6 +50,21 @@
 		}
 	}
 
+	@Test
+	public void aServerThatPausedIsNotSuspendedAfterwards() throws IOException {
+		FakeServer.Script shortPause = (request, connection, out) -> write(out,
+				"HTTP/1.1 503 Busy\r\nTest-Not-Run: 1\r\nRetry-After: 0.02\r\nContent-Length: 0\r\n\r\n");
+		try (RelayFixture fixture = new RelayFixture(shortPause)) {
+			ServerState state = fixture.relay.states().state(fixture.servers.get(0).registration());
+			for (int i = 0; i < 3; i++) {
+				assertTrue(RelayFixture.await(() -> state.takesRequests(fixture.relay.nowMs())));
+				fixture.call("/once/", "");
+			}
+			assertEquals(fixture.servers.get(0).requests.size(), 3);
+			assertTrue(state.isAvailable(fixture.relay.nowMs()));
+		}
+	}
+
 	@Test
 	public void whenAllServersPauseTheCallerIsToldWhenToComeBack() throws IOException {
 		try (RelayFixture fixture = new RelayFixture(PAUSED)) {
