--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
@@ -44,6 +44,9 @@
 	 */
 	private static final int MAX_DISCARDED_BYTES = 8_192;
 
+	/**
+	 * A new connection costs a millisecond; a rest that comes later is not worth a wait.
+	 */
 	private static final long MAX_DISCARD_MS = 200;
 
 	private final ServerConnections owner;
