--- a/router/src/main/java/io/verbenacleat/router/relay/LoadReporter.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadReporter.java
@@ -31,6 +31,7 @@
 	/** Reports are made every 200 ms; an answer takes some milliseconds. */
 	private static final long TIMEOUT_MS = 700;
 
+	/** More than the rounds in which a fleet of any size asks each server once. */
 	private static final int MAX_FIRST_ROUND = 1_000;
 
 	private static final int MAX_REPORT_BYTES = 65_536;
