Count load polls, and log the request rate that a server names

A counter of load polls, and a line server.limited whenever the rate that a server names changes. Which server is chosen, and how often, is as before.

--- a/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
@@ -1,5 +1,7 @@
 package io.verbenacleat.router.balance;
 
+import java.util.OptionalDouble;
+
 import io.verbenacleat.router.server.BackendServer;
 
 /**
@@ -59,6 +61,8 @@
 
 	private long pausedUntilMs = Long.MIN_VALUE;
 
+	private OptionalDouble limitPerS = OptionalDouble.empty();
+
 	/**
 	 * Creates the state of an unused server.
 	 * @param server the server
@@ -120,6 +124,18 @@
 		this.pausedUntilMs = Math.max(this.pausedUntilMs, nowMs + pauseMs);
 	}
 
+	/**
+	 * Records the request rate that the server accepts from all routers together.
+	 * @param requestsPerS the limit in requests per second, empty when the server states
+	 * none
+	 * @return {@code true} if the limit has changed
+	 */
+	public boolean onLimit(OptionalDouble requestsPerS) {
+		boolean changed = !this.limitPerS.equals(requestsPerS);
+		this.limitPerS = requestsPerS;
+		return changed;
+	}
+
 	/**
 	 * Returns whether the server has announced that it is leaving.
 	 * @return {@code true} after a notice
--- a/router/src/main/java/io/verbenacleat/router/relay/HeaderNames.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/HeaderNames.java
@@ -17,12 +17,14 @@
  * @param lastEventId the id of the event after which a stream is resumed
  * @param priority the priority of a request at a model server, set by the router
  * @param serverLeaving in a response, with the value 1: the server is about to leave
+ * @param serverLimit in a response: the requests per second that the server accepts from
+ * all routers together, a decimal number
  * @param routerOnly lower-case names that only routers may set, removed from the requests
  * of callers
  */
 public record HeaderNames(String requestId, String deadlineMs, String callerKey, String workspace, String targetServer,
 		String notRun, String promptPrefix, String tokenUsage, String lastEventId, String priority,
-		String serverLeaving, Set<String> routerOnly) {
+		String serverLeaving, String serverLimit, Set<String> routerOnly) {
 
 	/**
 	 * Creates an instance with a copy of the set.
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -134,6 +134,7 @@
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
 					LoadPoller.this.reportFormat.path());
 			request.headers().set(HttpHeaderNames.HOST, this.state.server().host());
+			LoadPoller.this.relay.metrics().loadPolled();
 			opened.send(this, request);
 		}
 
@@ -144,7 +145,8 @@
 
 		@Override
 		public void onHead(HttpResponse response) {
-			ServerStatusHeaders.apply(LoadPoller.this.relay, response, this.state);
+			ServerStatusHeaders.apply(LoadPoller.this.relay, response, this.state,
+					ServerStatusHeaders.Source.LOAD_POLL);
 			this.successful = response.status().equals(HttpResponseStatus.OK);
 		}
 
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
@@ -21,6 +21,8 @@
 
 	private final Counter sends;
 
+	private final Counter loadPolls;
+
 	private final Counter responses;
 
 	private final Counter aborted;
@@ -44,6 +46,10 @@
 			.name("verbena_router_sends_total")
 			.help("Requests that were sent to a backend server, repeats included")
 			.register(registry);
+		this.loadPolls = Counter.builder()
+			.name("verbena_router_load_polls_total")
+			.help("Requests for the load of a backend server")
+			.register(registry);
 		this.responses = Counter.builder()
 			.name("verbena_router_answers_total")
 			.help("Answers of backend servers that were relayed whole, by class of status")
@@ -78,6 +84,10 @@
 		this.sends.inc();
 	}
 
+	void loadPolled() {
+		this.loadPolls.inc();
+	}
+
 	void responded(int status) {
 		this.responses.labelValues(status / 100 + "xx").inc();
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -96,7 +96,7 @@
 		this.state.onBytes(this.progressAtMs);
 		this.status = response.status().code();
 		this.state.onFirstByte(this.progressAtMs - this.sentAtMs);
-		ServerStatusHeaders.apply(this.request.relay(), response, this.state);
+		ServerStatusHeaders.apply(this.request.relay(), response, this.state, ServerStatusHeaders.Source.REQUEST);
 		SendFailure failure = this.request.failureResult(response);
 		if (failure == null) {
 			this.request.forwardHead(response);
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
@@ -1,5 +1,8 @@
 package io.verbenacleat.router.relay;
 
+import java.util.Locale;
+import java.util.OptionalDouble;
+
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -30,12 +33,22 @@
 	 * @param relay provides the header names, the clock and the log
 	 * @param response the head of the response
 	 * @param state the state to update
+	 * @param source the kind of request that the response belongs to
 	 */
-	static void apply(Relay relay, HttpResponse response, ServerState state) {
+	static void apply(Relay relay, HttpResponse response, ServerState state, Source source) {
 		String leaving = response.headers().get(relay.headerNames().serverLeaving());
 		if (leaving != null && leaving.strip().equals(LEAVING) && state.onLeaving()) {
 			relay.log().event("server.leaving").with("server", state.server().id()).emit();
 		}
+		OptionalDouble limitPerS = limitPerS(response.headers().get(relay.headerNames().serverLimit()));
+		if (state.onLimit(limitPerS)) {
+			relay.log()
+				.event("server.limited")
+				.with("server", state.server().id())
+				.with("limit_per_s", limitPerS.isPresent() ? Double.toString(limitPerS.getAsDouble()) : "none")
+				.with("source", source.name().toLowerCase(Locale.ROOT))
+				.emit();
+		}
 		if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
 			long pauseMs = pauseMs(response.headers().get(HttpHeaderNames.RETRY_AFTER));
 			if (pauseMs > 0) {
@@ -60,4 +73,29 @@
 		return (long) Math.ceil(seconds * MS_PER_SECOND);
 	}
 
+	/**
+	 * Parses the request rate that a server accepts.
+	 * @param limit the value of the header in requests per second, or {@code null}
+	 * @return the rate, empty when the value is not a decimal number
+	 */
+	static OptionalDouble limitPerS(@Nullable String limit) {
+		if (limit == null || !limit.strip().matches("[0-9]{1,12}([.][0-9]{1,9})?")) {
+			return OptionalDouble.empty();
+		}
+		return OptionalDouble.of(Double.parseDouble(limit.strip()));
+	}
+
+	/**
+	 * The kinds of requests to a backend server.
+	 */
+	enum Source {
+
+		/** A request of a caller. */
+		REQUEST,
+
+		/** A request for the load of the server. */
+		LOAD_POLL
+
+	}
+
 }
