Keep writing the row of a router that has no prepaid requests

Cause: a router wrote its row only while it had grants of prepaid tokens, so RouterDiscovery did not count routers without such requests, and nobody could tell a running router from a lost one.

A router now writes its row once it has a configuration, and again at least every 4 s, half of the interval of the polls. Routers with grants write every second as before.

PrepaidLedgerTests.aRouterWithoutRequestsKeepsWritingItsRow failed before (no row).

--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -57,6 +57,12 @@
 	 */
 	private static final Duration MAX_WRITE_AGE = Duration.ofMillis(1_000);
 
+	/**
+	 * Maximum interval between two writes of the router row without limits, by which
+	 * other routers know that this one runs. Shorter than the interval of their polls.
+	 */
+	private static final Duration MAX_IDLE_WRITE_AGE = RouterDiscovery.INTERVAL.dividedBy(2);
+
 	private static final Duration RETURN_POLL_INTERVAL = Duration.ofMillis(20);
 
 	/**
@@ -112,6 +118,8 @@
 
 	private long writeNumber;
 
+	private boolean rowWritten;
+
 	private boolean roundInProgress;
 
 	private boolean roundScheduled;
@@ -432,8 +440,9 @@
 			}
 			limits.put(account.wallet().workspace(), account.nextLimit(delta));
 		}
-		boolean writeDue = this.control.nanoTime() - this.lastWriteAtNanos >= MAX_WRITE_AGE.toNanos();
-		if (deltas.isEmpty() && (limits.isEmpty() || (limits.equals(this.appliedLimits) && !writeDue))) {
+		Duration maxAge = limits.isEmpty() ? MAX_IDLE_WRITE_AGE : MAX_WRITE_AGE;
+		boolean writeDue = !this.rowWritten || this.control.nanoTime() - this.lastWriteAtNanos >= maxAge.toNanos();
+		if (deltas.isEmpty() && limits.equals(this.appliedLimits) && !writeDue) {
 			return null;
 		}
 		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion, routerRow(limits),
@@ -489,6 +498,7 @@
 	}
 
 	private void onApplied(LedgerWrite write) {
+		this.rowWritten = true;
 		this.appliedLimits = write.routerRow().limits();
 		boolean recent = this.control.nanoTime() - write.sentAtNanos() <= LIMIT_TIMEOUT.toNanos();
 		for (LedgerWrite.Change change : write.changes()) {
--- a/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
@@ -24,7 +24,7 @@
 	 * Shorter than the window of the retry budget, which depends on the number of
 	 * routers. Each poll is one call of the store.
 	 */
-	private static final Duration INTERVAL = Duration.ofSeconds(8);
+	static final Duration INTERVAL = Duration.ofSeconds(8);
 
 	/**
 	 * Delay of the first poll, since routers write their rows with their first requests.
--- a/router/src/test/java/io/verbenacleat/router/budget/PrepaidLedgerTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/PrepaidLedgerTests.java
@@ -54,6 +54,19 @@
 		assertEquals(fleet.routers.get(1).store.reads(), before);
 	}
 
+	// Other routers count the routers whose rows change.
+	@Test
+	public void aRouterWithoutRequestsKeepsWritingItsRow() {
+		LedgerFleet fleet = new LedgerFleet(1, 100_000);
+		long version = -1;
+		for (int i = 0; i < 5; i++) {
+			fleet.advance(RouterDiscovery.INTERVAL);
+			long next = fleet.store.scan(PrepaidLedger.ROUTER_PREFIX, "", 10).join().get(0).version();
+			assertTrue(next > version, "row unchanged in poll " + i);
+			version = next;
+		}
+	}
+
 	@Test
 	public void heldTokensCoverDemandDuringAStoreOutage() {
 		LedgerFleet fleet = new LedgerFleet(4, 1_000_000);
