Keep the request rate that a server names, all routers together

Callers saw no failure.

Cause: the routers did not read the limit, so requests went on as before; and load polls, one a second from each router, count as requests: 24 arrivals were counted where the routers' own lines show 18. The class of fault: a bound for all routers together that nothing divides among them, as each router decides alone.

Now the limit is read from each answer. The permits of a limited server are numbered by the clock of the store and belong to the routers in turn (RequestPermits), so the routers keep the rate without messages, also while the store is away. A permit expires after a second and two permits: in 4 s at most 5 times the limit and 3 requests arrive, below the allowed 6 times and 5. A router's turn comes from the rows that all routers write (FleetMembership): a new router takes one only after all others have read its row, a lost one keeps it for four polls, a restarted process continues with that of its predecessor. Limited servers are not polled. A lower limit applies at once; a higher one, or none, only when it answers a request sent after the present one was known. Without a position a router sends nothing to limited servers.

Ruled out: that each router kept the limit by itself (arrivals did not change at all after 8 s). Weighed: a row of permits in the store for each limited server (a write for each request, none during an outage); one router that owns a server (lost with it, and an owner has too few requests in large fleets).

--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -17,6 +17,8 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.HttpCalls;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.router.balance.FleetPosition;
+import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.RouterDiscovery;
 import io.verbenacleat.router.budget.StoreClock;
@@ -55,6 +57,8 @@
 
 	private final PrepaidLedger ledger;
 
+	private final PermitSchedule permits;
+
 	private final Relay relay;
 
 	private final LoadPoller loadPoller;
@@ -110,11 +114,12 @@
 		boolean hasPeers = options.peerPort() != RouterOptions.NO_PEERS;
 		String peerAddress = hasPeers ? options.host() + ":" + options.peerPort() : "";
 		this.peers = new PeerClient(peerAddress, options.seeds(), peerCalls, control, log);
-		this.ledger = new PrepaidLedger(
-				new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(), peerAddress, incarnation,
-						options.startedAtNanos()),
-				store, storeClock, hasPeers ? this.peers : TokenPeers.none(), control, log);
-		this.relay = new Relay(this.loop.next(), options.relay(), this.ledger, log, registry);
+		PrepaidLedger.Identity identity = new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(),
+				peerAddress, incarnation, options.startedAtNanos());
+		this.ledger = new PrepaidLedger(identity, store, storeClock, hasPeers ? this.peers : TokenPeers.none(), control,
+				log);
+		this.permits = new PermitSchedule(() -> fleetTimeMs(storeClock));
+		this.relay = new Relay(this.loop.next(), options.relay(), this.ledger, this.permits, log, registry);
 		this.loadPoller = new LoadPoller(this.relay, reportFormat, this.loop.next());
 		this.directory = new ServerDirectory(control, log, this.relay::updateServers);
 		this.callers = CallerServer.start(this.loop, this.relay, options.host(), options.callerPort());
@@ -122,7 +127,7 @@
 		this.metrics = AdminEndpoint.metrics(this.loop, options.host(), options.metricsPort(), registry);
 		this.peerEndpoint = hasPeers ? AdminEndpoint.peers(this.loop, options.host(), options.peerPort(),
 				new PeerRequestHandler(this, this.ledger.exchange(), this.peers, control)) : null;
-		this.routerDiscovery = new RouterDiscovery(store, control, log, this::onRouters);
+		this.routerDiscovery = new RouterDiscovery(identity, store, storeClock, control, log, this::onRouters);
 		log.event("process.started").with("incarnation", incarnation).with("port", this.callers.port()).emit();
 		control.execute(() -> {
 			feed.start(this);
@@ -276,11 +281,17 @@
 			.emit();
 	}
 
-	private void onRouters(List<String> peerAddresses) {
+	private void onRouters(List<String> peerAddresses, FleetPosition position) {
+		this.permits.setPosition(position);
 		this.relay.setRouterCount(peerAddresses.size());
 		this.peers.addPeers(peerAddresses);
 	}
 
+	private static long fleetTimeMs(StoreClock clock) {
+		long earliestMs = clock.earliestMs();
+		return (earliestMs >= 0) ? (earliestMs + clock.latestMs()) / 2 : PermitSchedule.UNKNOWN_TIME_MS;
+	}
+
 	@Override
 	public void close() {
 		this.feed.close();
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
@@ -1,8 +1,7 @@
 package io.verbenacleat.router.balance;
 
-import java.util.OptionalDouble;
-
 import io.verbenacleat.router.server.BackendServer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Health and load of one incarnation of a backend server, as observed by this router. Not
@@ -37,6 +36,8 @@
 
 	private final BackendServer server;
 
+	private final PermitSchedule schedule;
+
 	private int inFlight;
 
 	private int consecutiveFailures;
@@ -61,14 +62,21 @@
 
 	private long pausedUntilMs = Long.MIN_VALUE;
 
-	private OptionalDouble limitPerS = OptionalDouble.empty();
+	private double limitPerS;
+
+	private long limitSetAtMs;
+
+	/** Permits under the limit of the server, {@code null} without a limit. */
+	private @Nullable RequestPermits permits;
 
 	/**
 	 * Creates the state of an unused server.
 	 * @param server the server
+	 * @param schedule the schedule of permits for a server that limits requests
 	 */
-	public ServerState(BackendServer server) {
+	public ServerState(BackendServer server, PermitSchedule schedule) {
 		this.server = server;
+		this.schedule = schedule;
 	}
 
 	/**
@@ -125,15 +133,48 @@
 	}
 
 	/**
-	 * Records the request rate that the server accepts from all routers together.
-	 * @param requestsPerS the limit in requests per second, empty when the server states
-	 * none
+	 * Records the request rate that the server accepts from all routers together. A lower
+	 * rate applies at once, a higher one only if it answers a request that was sent after
+	 * the current rate was known, because responses may overtake each other.
+	 * @param requestsPerS the limit in requests per second, 0 or more
+	 * @param sentAtMs when the request was sent, by the steady time in milliseconds
+	 * @param nowMs the steady time in milliseconds
 	 * @return {@code true} if the limit has changed
 	 */
-	public boolean onLimit(OptionalDouble requestsPerS) {
-		boolean changed = !this.limitPerS.equals(requestsPerS);
+	public boolean onLimit(double requestsPerS, long sentAtMs, long nowMs) {
+		if (isLimited() && (requestsPerS == this.limitPerS
+				|| (requestsPerS > this.limitPerS && sentAtMs <= this.limitSetAtMs))) {
+			return false;
+		}
 		this.limitPerS = requestsPerS;
-		return changed;
+		this.limitSetAtMs = nowMs;
+		this.permits = new RequestPermits(requestsPerS, this.server.id(), this.schedule);
+		// Polls count towards the limit and end, so the report would become stale.
+		this.hasReport = false;
+		return true;
+	}
+
+	/**
+	 * Records that the server named no limit in a response, which ends a limit that was
+	 * known before the request was sent.
+	 * @param sentAtMs when the request was sent, by the steady time in milliseconds
+	 * @return {@code true} if the limit has ended
+	 */
+	public boolean onNoLimit(long sentAtMs) {
+		if (!isLimited() || sentAtMs <= this.limitSetAtMs) {
+			return false;
+		}
+		this.permits = null;
+		return true;
+	}
+
+	/**
+	 * Returns whether the server limits the rate of requests of all routers together.
+	 * Load polls count towards the limit as well.
+	 * @return {@code true} while a limit is known
+	 */
+	public boolean isLimited() {
+		return this.permits != null;
 	}
 
 	/**
@@ -155,7 +196,7 @@
 
 	/**
 	 * Returns whether the server accepts new requests according to its own notices.
-	 * Suspensions are not considered.
+	 * Suspensions and limits are not considered.
 	 * @param nowMs the steady time in milliseconds
 	 * @return {@code false} when it is leaving, and during a pause
 	 */
@@ -163,6 +204,27 @@
 		return !this.leaving && remainingPauseMs(nowMs) == 0;
 	}
 
+	/**
+	 * Returns whether a request may be sent to the server now.
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code false} if the server does not accept requests, or limits them and
+	 * this router has no permit
+	 */
+	public boolean hasPermit(long nowMs) {
+		RequestPermits current = this.permits;
+		return acceptsRequests(nowMs) && (current == null || current.isAvailable());
+	}
+
+	/**
+	 * Takes the permit for one request, which must then be sent.
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code false} if no request may be sent now
+	 */
+	public boolean takePermit(long nowMs) {
+		RequestPermits current = this.permits;
+		return acceptsRequests(nowMs) && (current == null || current.tryTake());
+	}
+
 	/**
 	 * Returns whether requests are in flight and the server has sent no data for some
 	 * time.
@@ -257,13 +319,14 @@
 	}
 
 	/**
-	 * Records a load report, and ends a suspension.
+	 * Records a load report, and ends a suspension. The load of a limited server is not
+	 * used.
 	 * @param requests the requests of all routers that run or wait at the server
 	 */
 	public void onReport(int requests) {
 		this.reportedLoad = requests;
 		this.sendsSinceReport = 0;
-		this.hasReport = true;
+		this.hasReport = !isLimited();
 		this.consecutiveFailures = Math.min(this.consecutiveFailures, FAILURES_TO_SUSPEND - 1);
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -31,6 +31,8 @@
 
 	private final SelectionPolicy affinityPolicy;
 
+	private final PermitSchedule schedule;
+
 	private final Map<String, ServerState> states = new HashMap<>();
 
 	/**
@@ -47,11 +49,14 @@
 	 * @param zone the availability zone of this router
 	 * @param plainPolicy selects among the servers of plain services
 	 * @param affinityPolicy selects among the servers of model services
+	 * @param schedule the schedule of permits for servers that limit requests
 	 */
-	public ServerStates(String zone, SelectionPolicy plainPolicy, SelectionPolicy affinityPolicy) {
+	public ServerStates(String zone, SelectionPolicy plainPolicy, SelectionPolicy affinityPolicy,
+			PermitSchedule schedule) {
 		this.zone = zone;
 		this.plainPolicy = plainPolicy;
 		this.affinityPolicy = affinityPolicy;
+		this.schedule = schedule;
 	}
 
 	/**
@@ -85,7 +90,7 @@
 	public ServerState state(BackendServer server) {
 		return this.states.computeIfAbsent(server.id(), (any) -> {
 			ServerState retained = this.unlisted.remove(server.incarnationKey());
-			return (retained != null) ? retained : new ServerState(server);
+			return (retained != null) ? retained : new ServerState(server, this.schedule);
 		});
 	}
 
@@ -144,7 +149,7 @@
 	}
 
 	/**
-	 * Returns whether a service has a healthy server that accepts requests.
+	 * Returns whether a service has a healthy server to which a request may be sent.
 	 * @param service the name of the service
 	 * @param excluded the ids of servers that are not considered
 	 * @param nowMs the steady time in milliseconds
@@ -155,7 +160,7 @@
 			.stream()
 			.filter((server) -> !excluded.contains(server.id()))
 			.map(this::state)
-			.anyMatch((state) -> state.acceptsRequests(nowMs) && state.isAvailable(nowMs));
+			.anyMatch((state) -> state.hasPermit(nowMs) && state.isAvailable(nowMs));
 	}
 
 	/**
@@ -167,7 +172,8 @@
 	 * none
 	 * @param excluded the ids of servers that are not considered
 	 * @param nowMs the steady time in milliseconds
-	 * @return the state of the selected server, empty when no server accepts requests
+	 * @return the state of the selected server, empty when a request may be sent to no
+	 * server
 	 */
 	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
 			long nowMs) {
@@ -178,7 +184,7 @@
 				continue;
 			}
 			ServerState state = state(server);
-			if (!state.acceptsRequests(nowMs)) {
+			if (!state.hasPermit(nowMs)) {
 				continue;
 			}
 			(state.isAvailable(nowMs) ? available : suspended).add(state.toCandidate(this.zone));
--- a/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
@@ -12,11 +11,12 @@
 import io.verbenacleat.core.platform.PlatformException;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.log.DecisionLog;
 
 /**
- * Polls the store for the rows of routers and reports their peer addresses. Confined to
- * the control thread.
+ * Polls the store for the rows of routers, and reports their peer addresses and the
+ * position of this router among them. Confined to the control thread.
  */
 public final class RouterDiscovery implements AutoCloseable {
 
@@ -35,30 +35,41 @@
 
 	private final TableStore store;
 
+	private final StoreClock storeClock;
+
 	private final ControlThread control;
 
 	private final DecisionLog log;
 
-	private final Consumer<List<String>> listener;
+	private final FleetMembership membership;
+
+	private final Listener listener;
 
 	private final Cancellable initialScan;
 
 	private final Cancellable periodicScan;
 
+	private boolean joinScanScheduled;
+
 	/**
 	 * Creates a discovery and starts polling.
+	 * @param identity the identity of this router
 	 * @param store the table service
+	 * @param storeClock the clock of the table service
 	 * @param control the control thread
 	 * @param log receives a line when a poll fails or a row cannot be read
-	 * @param listener receives one peer address for each row, including those of lost
-	 * routers; empty for routers that accept no calls of others; called on the control
-	 * thread
+	 * @param listener receives the result of each poll
 	 */
-	public RouterDiscovery(TableStore store, ControlThread control, DecisionLog log, Consumer<List<String>> listener) {
+	public RouterDiscovery(PrepaidLedger.Identity identity, TableStore store, StoreClock storeClock,
+			ControlThread control, DecisionLog log, Listener listener) {
+		this.membership = new FleetMembership(PrepaidLedger.ROUTER_PREFIX + identity.address(), identity.incarnation());
 		this.store = store;
+		this.storeClock = storeClock;
 		this.control = control;
 		this.log = log;
 		this.listener = listener;
+		// Before the first write of this process, to find the row of its predecessor.
+		control.execute(this::scan);
 		this.initialScan = control.schedule(INITIAL_DELAY, this::scan);
 		this.periodicScan = control.scheduleWithFixedDelay(INTERVAL, this::scan);
 	}
@@ -79,7 +90,12 @@
 			for (Row row : rows) {
 				addresses.add(peerAddress(row));
 			}
-			this.listener.accept(addresses);
+			long nowNanos = this.control.nanoTime();
+			this.listener.onRouters(addresses, this.membership.onRead(rows, this.storeClock.latestMs(), nowNanos));
+			if (this.membership.isJoining(nowNanos) && !this.joinScanScheduled) {
+				this.joinScanScheduled = true;
+				this.control.schedule(FleetMembership.JOIN_DELAY, this::scan);
+			}
 		}, this.control);
 	}
 
@@ -97,4 +113,19 @@
 		}
 	}
 
+	/**
+	 * Receives the results of polls on the control thread.
+	 */
+	public interface Listener {
+
+		/**
+		 * Called after each successful poll.
+		 * @param peerAddresses one peer address for each row, including those of lost
+		 * routers; empty for routers that accept no calls of others
+		 * @param position the position of this router, unknown while it is new
+		 */
+		void onRouters(List<String> peerAddresses, FleetPosition position);
+
+	}
+
 }
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -88,13 +88,17 @@
 	}
 
 	private void poll(ServerState state, Service service) {
-		if (this.relay.states().isListed(state.server()) && state.acceptsRequests(this.relay.nowMs())) {
+		if (this.relay.states().isListed(state.server()) && acceptsPolls(state)) {
 			Poll poll = new Poll(state);
 			this.relay.connections().acquire(state.server(), service.maxConnections(), poll);
 			this.loop.schedule(poll::onTimeout, TIMEOUT_MS, TimeUnit.MILLISECONDS);
 		}
 	}
 
+	private boolean acceptsPolls(ServerState state) {
+		return state.acceptsRequests(this.relay.nowMs()) && !state.isLimited();
+	}
+
 	/**
 	 * One request for the load of one server.
 	 */
@@ -106,6 +110,8 @@
 
 		private @Nullable ServerConnection connection;
 
+		private long sentAtMs;
+
 		private boolean finished;
 
 		private boolean successful;
@@ -125,7 +131,7 @@
 				LoadPoller.this.relay.connections().release(opened);
 				return;
 			}
-			if (!this.state.acceptsRequests(LoadPoller.this.relay.nowMs())) {
+			if (!acceptsPolls(this.state)) {
 				this.finished = true;
 				LoadPoller.this.relay.connections().release(opened);
 				return;
@@ -134,6 +140,7 @@
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
 					LoadPoller.this.reportFormat.path());
 			request.headers().set(HttpHeaderNames.HOST, this.state.server().host());
+			this.sentAtMs = LoadPoller.this.relay.nowMs();
 			LoadPoller.this.relay.metrics().loadPolled();
 			opened.send(this, request);
 		}
@@ -145,7 +152,7 @@
 
 		@Override
 		public void onHead(HttpResponse response) {
-			ServerStatusHeaders.apply(LoadPoller.this.relay, response, this.state,
+			ServerStatusHeaders.apply(LoadPoller.this.relay, response, this.state, this.sentAtMs,
 					ServerStatusHeaders.Source.LOAD_POLL);
 			this.successful = response.status().equals(HttpResponseStatus.OK);
 		}
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -15,6 +15,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.router.balance.LeastLoadedSelection;
+import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.balance.PrefixAffinitySelection;
 import io.verbenacleat.router.balance.ServerStates;
 import io.verbenacleat.router.budget.PrepaidLedger;
@@ -101,10 +102,11 @@
 	 * @param loop the event loop of all connections
 	 * @param options the settings
 	 * @param ledger provides the wallets of prepaid workspaces
+	 * @param schedule the schedule of permits for servers that limit requests
 	 * @param log receives a line for each decision
 	 * @param registry receives the metrics
 	 */
-	public Relay(EventLoop loop, RelayOptions options, PrepaidLedger ledger, DecisionLog log,
+	public Relay(EventLoop loop, RelayOptions options, PrepaidLedger ledger, PermitSchedule schedule, DecisionLog log,
 			PrometheusRegistry registry) {
 		this.loop = loop;
 		this.headerNames = options.headerNames();
@@ -113,7 +115,7 @@
 		this.metrics = new RelayMetrics(registry);
 		this.ledger = ledger;
 		LeastLoadedSelection leastLoaded = new LeastLoadedSelection(() -> ThreadLocalRandom.current().nextDouble());
-		this.states = new ServerStates(options.zone(), leastLoaded, new PrefixAffinitySelection(leastLoaded));
+		this.states = new ServerStates(options.zone(), leastLoaded, new PrefixAffinitySelection(leastLoaded), schedule);
 		this.connections = new ServerConnections(loop, this.headerNames.requestId(), this::nowMs);
 		this.retries = new RetryBudget(options.retryRatio(), options.retryExtra(), options.minRouters(),
 				options.retryWindowMs(), this::nowMs);
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -63,7 +63,7 @@
 		}
 		Relay relay = this.request.relay();
 		boolean listed = relay.states().isListed(this.state.server());
-		if (!listed || !this.state.acceptsRequests(relay.nowMs())) {
+		if (!listed || !this.state.takePermit(relay.nowMs())) {
 			relay.connections().release(opened);
 			this.finished = true;
 			this.request.onAttemptFailed(this, SendFailure.NOT_SENT,
@@ -96,7 +96,8 @@
 		this.state.onBytes(this.progressAtMs);
 		this.status = response.status().code();
 		this.state.onFirstByte(this.progressAtMs - this.sentAtMs);
-		ServerStatusHeaders.apply(this.request.relay(), response, this.state, ServerStatusHeaders.Source.REQUEST);
+		ServerStatusHeaders.apply(this.request.relay(), response, this.state, this.sentAtMs,
+				ServerStatusHeaders.Source.REQUEST);
 		SendFailure failure = this.request.failureResult(response);
 		if (failure == null) {
 			this.request.forwardHead(response);
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
@@ -6,12 +6,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.verbenacleat.router.balance.ServerState;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Reads the response headers by which a backend server announces that it is about to
- * leave or asks for a pause, and updates the state of the server. Stateless.
+ * leave, asks for a pause or limits requests, and updates the state of the server.
+ * Stateless.
  */
 final class ServerStatusHeaders {
 
@@ -33,22 +35,15 @@
 	 * @param relay provides the header names, the clock and the log
 	 * @param response the head of the response
 	 * @param state the state to update
+	 * @param sentAtMs when the request was sent, by the steady time in milliseconds
 	 * @param source the kind of request that the response belongs to
 	 */
-	static void apply(Relay relay, HttpResponse response, ServerState state, Source source) {
+	static void apply(Relay relay, HttpResponse response, ServerState state, long sentAtMs, Source source) {
 		String leaving = response.headers().get(relay.headerNames().serverLeaving());
 		if (leaving != null && leaving.strip().equals(LEAVING) && state.onLeaving()) {
 			relay.log().event("server.leaving").with("server", state.server().id()).emit();
 		}
-		OptionalDouble limitPerS = limitPerS(response.headers().get(relay.headerNames().serverLimit()));
-		if (state.onLimit(limitPerS)) {
-			relay.log()
-				.event("server.limited")
-				.with("server", state.server().id())
-				.with("limit_per_s", limitPerS.isPresent() ? Double.toString(limitPerS.getAsDouble()) : "none")
-				.with("source", source.name().toLowerCase(Locale.ROOT))
-				.emit();
-		}
+		applyLimit(relay, response, state, sentAtMs, source);
 		if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
 			long pauseMs = pauseMs(response.headers().get(HttpHeaderNames.RETRY_AFTER));
 			if (pauseMs > 0) {
@@ -58,6 +53,28 @@
 		}
 	}
 
+	private static void applyLimit(Relay relay, HttpResponse response, ServerState state, long sentAtMs,
+			Source source) {
+		String header = response.headers().get(relay.headerNames().serverLimit());
+		OptionalDouble limitPerS = limitPerS(header);
+		boolean changed = false;
+		if (limitPerS.isPresent()) {
+			changed = state.onLimit(limitPerS.getAsDouble(), sentAtMs, relay.nowMs());
+		}
+		else if (header == null && response.status().codeClass() == HttpStatusClass.SUCCESS) {
+			// A rejection does not have to repeat what the server says of itself.
+			changed = state.onNoLimit(sentAtMs);
+		}
+		if (changed) {
+			relay.log()
+				.event("server.limited")
+				.with("server", state.server().id())
+				.with("limit_per_s", limitPerS.isPresent() ? Double.toString(limitPerS.getAsDouble()) : "none")
+				.with("source", source.name().toLowerCase(Locale.ROOT))
+				.emit();
+		}
+	}
+
 	/**
 	 * Parses the length of a requested pause.
 	 * @param retryAfter the value of Retry-After in seconds, which may have a fraction,
--- a/router/src/test/java/io/verbenacleat/router/balance/SelectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/balance/SelectionTests.java
@@ -23,6 +23,8 @@
  */
 public class SelectionTests {
 
+	private static final PermitSchedule NO_PERMITS = new PermitSchedule(() -> PermitSchedule.UNKNOWN_TIME_MS);
+
 	private static final int SERVERS = 8;
 
 	private final Random random = new Random(20261204);
@@ -85,7 +87,7 @@
 
 	@Test
 	public void aSuspendedServerIsProbedByOneRequestAtATime() {
-		ServerState state = new ServerState(server(0));
+		ServerState state = new ServerState(server(0), NO_PERMITS);
 		state.onSend(0);
 		state.onFailure(0);
 		assertTrue(state.isAvailable(1));
@@ -101,7 +103,7 @@
 
 	@Test
 	public void aServerThatStopsSendingIsAvoided() {
-		ServerState state = new ServerState(server(0));
+		ServerState state = new ServerState(server(0), NO_PERMITS);
 		state.onSend(0);
 		assertTrue(state.isAvailable(500));
 		assertFalse(state.isAvailable(800));
@@ -111,7 +113,7 @@
 
 	@Test
 	public void aNewIncarnationStartsWithFreshState() {
-		ServerStates states = new ServerStates("z", new LeastLoadedSelection(() -> 0), this.affinity);
+		ServerStates states = new ServerStates("z", new LeastLoadedSelection(() -> 0), this.affinity, NO_PERMITS);
 		states.update(ServerList.of(List.of(server(0))));
 		ServerState first = states.select("s", true, 0, Set.of(), 0).orElseThrow();
 		first.onSend(0);
@@ -124,7 +126,7 @@
 
 	@Test
 	public void excludedServersAreNotSelected() {
-		ServerStates states = new ServerStates("z", new LeastLoadedSelection(() -> 0), this.affinity);
+		ServerStates states = new ServerStates("z", new LeastLoadedSelection(() -> 0), this.affinity, NO_PERMITS);
 		states.update(ServerList.of(IntStream.range(0, SERVERS).mapToObj(SelectionTests::server).toList()));
 		Set<String> tried = new HashSet<>();
 		for (int i = 0; i < SERVERS; i++) {
--- a/router/src/test/java/io/verbenacleat/router/balance/ServerNoticesTests.java
+++ b/router/src/test/java/io/verbenacleat/router/balance/ServerNoticesTests.java
@@ -13,7 +13,8 @@
 import static org.testng.Assert.assertTrue;
 
 /**
- * Selection with servers that announce that they are leaving, or request a pause.
+ * Selection with servers that announce that they are leaving, request a pause or limit
+ * requests.
  */
 public class ServerNoticesTests {
 
@@ -98,8 +99,70 @@
 		assertEquals(this.states.remainingPauseMs("s", 0), 1_000);
 	}
 
+	@Test
+	public void aServerThatRegistersAgainAfterALapseIsStillLimited() {
+		list(server("a", 1), server("b", 1));
+		assertTrue(this.states.state(server("a", 1)).onLimit(2.5, 0, 10));
+		list(server("b", 1));
+		list(server("a", 1), server("b", 1));
+		assertEquals(selected(20), "b");
+		assertTrue(this.states.state(server("a", 1)).isLimited());
+	}
+
+	@Test
+	public void aNewIncarnationIsNotLimited() {
+		list(server("a", 1));
+		this.states.state(server("a", 1)).onLimit(2.5, 0, 10);
+		assertEquals(selected(20), "");
+		list(server("a", 2));
+		assertEquals(selected(20), "a");
+	}
+
+	@Test
+	public void aLimitIsNeitherAFailureNorAPause() {
+		list(server("a", 1));
+		ServerState state = this.states.state(server("a", 1));
+		state.onLimit(2.5, 0, 10);
+		assertTrue(state.isAvailable(20));
+		assertTrue(state.acceptsRequests(20));
+		assertFalse(state.hasPermit(20));
+		assertFalse(state.takePermit(20));
+	}
+
+	// Responses on different connections may overtake each other.
+	@Test
+	public void aLimitIsLoweredAtOnceAndRaisedOnlyByALaterRequest() {
+		list(server("a", 1));
+		ServerState state = this.states.state(server("a", 1));
+		assertTrue(state.onLimit(5, 0, 100));
+		assertFalse(state.onLimit(5, 150, 200));
+		assertFalse(state.onLimit(8, 90, 210));
+		assertFalse(state.onNoLimit(90));
+		assertTrue(state.isLimited());
+		assertTrue(state.onLimit(2, 95, 220));
+		assertFalse(state.onLimit(5, 150, 230));
+		assertTrue(state.onLimit(8, 230, 240));
+		assertTrue(state.onNoLimit(250));
+		assertFalse(state.onNoLimit(260));
+		assertFalse(state.isLimited());
+		assertTrue(state.hasPermit(260));
+	}
+
+	// Limited servers are not polled, so an old report would hide them for good.
+	@Test
+	public void theLoadOfALimitedServerIsThatOfThisRouter() {
+		list(server("a", 1));
+		ServerState state = this.states.state(server("a", 1));
+		state.onReport(40);
+		state.onLimit(2.5, 0, 10);
+		state.onReport(40);
+		state.onSend(20);
+		assertEquals(state.load(), 1.0);
+	}
+
 	private static ServerStates newStates() {
-		return new ServerStates("z", (candidates, key) -> candidates.get(0), (candidates, key) -> candidates.get(0));
+		return new ServerStates("z", (candidates, key) -> candidates.get(0), (candidates, key) -> candidates.get(0),
+				new PermitSchedule(() -> PermitSchedule.UNKNOWN_TIME_MS));
 	}
 
 	private void list(BackendServer... servers) {
--- a/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
@@ -16,6 +16,7 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.StoreClock;
 import io.verbenacleat.router.budget.TokenPeers;
@@ -104,7 +105,8 @@
 
 		private final Relay relay = new Relay(this.channel.eventLoop(),
 				new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000), this.ledger,
-				new DecisionLog(() -> 0), new PrometheusRegistry());
+				new PermitSchedule(() -> PermitSchedule.UNKNOWN_TIME_MS), new DecisionLog(() -> 0),
+				new PrometheusRegistry());
 
 		private final CallerConnection connection = new CallerConnection(this.relay, this.channel);
 
--- /dev/null
+++ b/router/src/test/java/io/verbenacleat/router/relay/LoadPollerTests.java
@@ -0,0 +1,46 @@
+package io.verbenacleat.router.relay;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalInt;
+
+import io.verbenacleat.router.LoadReportFormat;
+import org.testng.annotations.Test;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+public class LoadPollerTests {
+
+	// Guards against load polls that use up the request rate of a server.
+	@Test
+	public void aServerThatLimitsRequestsIsNotPolled() throws IOException {
+		FakeServer.Script limited = (request, connection, out) -> out
+			.write("HTTP/1.1 200 OK\r\nTest-Limit: 2.5\r\nContent-Length: 1\r\n\r\n3".getBytes(StandardCharsets.UTF_8));
+		FakeServer.Script unlimited = (request, connection, out) -> out
+			.write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n3".getBytes(StandardCharsets.UTF_8));
+		try (RelayFixture fixture = new RelayFixture(limited, unlimited)) {
+			fixture.configureModelService();
+			fixture.servers.forEach((server) -> fixture.relay.states().state(server.registration()));
+			try (LoadPoller poller = fixture.startPolling(new SingleNumberFormat())) {
+				assertTrue(RelayFixture.await(() -> fixture.servers.get(1).requests.size() >= 4));
+			}
+			assertEquals(fixture.servers.get(0).requests.size(), 1);
+		}
+	}
+
+	private static final class SingleNumberFormat implements LoadReportFormat {
+
+		@Override
+		public String path() {
+			return "/load";
+		}
+
+		@Override
+		public OptionalInt parseRequestCount(byte[] body) {
+			return OptionalInt.of(Integer.parseInt(new String(body, StandardCharsets.UTF_8)));
+		}
+
+	}
+
+}
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -17,6 +17,8 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.SingleControlThread;
 import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.router.LoadReportFormat;
+import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.StoreClock;
 import io.verbenacleat.router.budget.TokenPeers;
@@ -45,6 +47,9 @@
 
 	final Relay relay;
 
+	/** A schedule whose clock is the steady clock and whose position tests set. */
+	final PermitSchedule permits = new PermitSchedule(() -> System.nanoTime() / 1_000_000);
+
 	private final NioEventLoopGroup loop = new NioEventLoopGroup(1);
 
 	private final SingleControlThread control = new SingleControlThread("control");
@@ -62,7 +67,7 @@
 		this.ledger = new PrepaidLedger(new PrepaidLedger.Identity("127.0.0.1:1", "", "r/1", System.nanoTime()),
 				new InMemoryTableStore(), new UnknownClock(), TokenPeers.none(), this.control, log);
 		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
-		this.relay = new Relay(this.loop.next(), options, this.ledger, log, new PrometheusRegistry());
+		this.relay = new Relay(this.loop.next(), options, this.ledger, this.permits, log, new PrometheusRegistry());
 		if (configured) {
 			configure(1_000_000);
 		}
@@ -110,16 +115,36 @@
 	}
 
 	void configure(long prepaidTokens, int headerTimeoutMs) {
+		configure(prepaidTokens, headerTimeoutMs, false);
+	}
+
+	/**
+	 * Configures the servers as model servers, whose load is polled.
+	 */
+	void configureModelService() {
+		configure(1_000_000, 500, true);
+	}
+
+	private void configure(long prepaidTokens, int headerTimeoutMs, boolean modelService) {
 		List<Route> routes = List.of(route("once", RequestKind.NOT_REPEATABLE, 1),
 				route("again", RequestKind.IDEMPOTENT, 2), route("stream", RequestKind.STREAM, 1),
 				route("resume", RequestKind.RESUMABLE_STREAM, 2));
-		RoutingTable table = new RoutingTable(1, routes, List.of(new Service("s", 100, false, 4)),
+		RoutingTable table = new RoutingTable(1, routes, List.of(new Service("s", 100, modelService, 4)),
 				List.of(new Workspace("office", List.of(KEY), 3, prepaidTokens)),
 				new CallerLimits(4_096, 65_536, headerTimeoutMs, 3_000));
 		this.relay.configure(table);
 		this.ledger.configure(table);
 	}
 
+	/**
+	 * Starts to poll the load of the servers.
+	 * @param format the format of load reports
+	 * @return closes to stop polling
+	 */
+	LoadPoller startPolling(LoadReportFormat format) {
+		return new LoadPoller(this.relay, format, this.loop.next());
+	}
+
 	/**
 	 * Blocks the event loop, to simulate a busy host.
 	 * @return closes to unblock the event loop
--- a/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
@@ -4,16 +4,19 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalDouble;
 
+import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.balance.ServerState;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 /**
- * Tests responses in which a server announces that it leaves or asks for a pause, over
- * sockets.
+ * Tests responses in which a server announces that it leaves, asks for a pause or limits
+ * requests, over sockets.
  */
 public class ServerStatusHeadersTests {
 
@@ -98,6 +101,83 @@
 		}
 	}
 
+	// A limit of one request each four seconds, so that no permit is issued meanwhile.
+	@Test
+	public void aLimitedServerReceivesNoRequestsWithoutAPermit() throws IOException {
+		FakeServer.Script limited = (request, connection, out) -> write(out,
+				withHeader(FakeServer.answer(request, "200 OK", "done"), "Test-Limit: 0"));
+		try (RelayFixture fixture = new RelayFixture(limited, ECHO)) {
+			fixture.permits.setPosition(new FleetPosition(0, 1_000));
+			for (int i = 0; i < 30; i++) {
+				assertTrue(fixture.call("/once/", "").startsWith("HTTP/1.1 200"));
+			}
+			assertTrue(fixture.servers.get(0).requests.size() <= 2);
+			fixture.publishServers();
+			assertTrue(fixture.call("/once/", "").startsWith("HTTP/1.1 200"));
+			assertTrue(fixture.servers.get(0).requests.size() <= 2);
+		}
+	}
+
+	@Test
+	public void aRequestWithoutAPermitForAnyServerIsRefusedAtOnce() throws IOException {
+		FakeServer.Script limited = (request, connection, out) -> write(out,
+				withHeader(FakeServer.answer(request, "200 OK", "done"), "Test-Limit: 0"));
+		try (RelayFixture fixture = new RelayFixture(limited)) {
+			fixture.permits.setPosition(new FleetPosition(0, 1_000));
+			fixture.call("/once/", "");
+			String answer = fixture.call("/once/", "");
+			assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+			assertTrue(answer.contains("\"outcome\":\"not-run\""), answer);
+			assertFalse(FakeServer.header(answer, "retry-after").isEmpty(), answer);
+			assertEquals(fixture.servers.get(0).requests.size(), 1);
+		}
+	}
+
+	@Test
+	public void aSuccessWithoutALimitEndsIt() throws IOException {
+		FakeServer.Script firstLimited = (request, connection, out) -> {
+			String answer = FakeServer.answer(request, "200 OK", "done");
+			write(out, request.startsWith("POST /once/first") ? withHeader(answer, "Test-Limit: 500") : answer);
+		};
+		try (RelayFixture fixture = new RelayFixture(firstLimited)) {
+			ServerState state = fixture.relay.states().state(fixture.servers.get(0).registration());
+			fixture.permits.setPosition(new FleetPosition(0, 1));
+			fixture.call("/once/first", "");
+			assertTrue(state.isLimited());
+			assertTrue(RelayFixture.await(() -> state.hasPermit(fixture.relay.nowMs())));
+			assertTrue(fixture.call("/once/second", "").startsWith("HTTP/1.1 200"));
+			assertFalse(state.isLimited());
+		}
+	}
+
+	@Test
+	public void aRejectionWithoutALimitDoesNotEndIt() throws IOException {
+		FakeServer.Script firstLimited = (request, connection, out) -> write(out,
+				request.startsWith("POST /once/first")
+						? withHeader(FakeServer.answer(request, "200 OK", "done"), "Test-Limit: 500")
+						: withHeader(FakeServer.answer(request, "503 Busy", ""), "Test-Not-Run: 1"));
+		try (RelayFixture fixture = new RelayFixture(firstLimited)) {
+			ServerState state = fixture.relay.states().state(fixture.servers.get(0).registration());
+			fixture.permits.setPosition(new FleetPosition(0, 1));
+			fixture.call("/once/first", "");
+			assertTrue(RelayFixture.await(() -> state.hasPermit(fixture.relay.nowMs())));
+			assertTrue(fixture.call("/once/second", "").startsWith("HTTP/1.1 503"));
+			assertEquals(fixture.servers.get(0).requests.size(), 2);
+			assertTrue(state.isLimited());
+		}
+	}
+
+	@Test
+	public void limitsAreReadFromDecimalNumbersOnly() {
+		assertEquals(ServerStatusHeaders.limitPerS("2.1"), OptionalDouble.of(2.1));
+		assertEquals(ServerStatusHeaders.limitPerS(" 0 "), OptionalDouble.of(0));
+		assertEquals(ServerStatusHeaders.limitPerS("999999999999"), OptionalDouble.of(999_999_999_999.0));
+		for (String wrong : new String[] { "", "-1", "NaN", "1e9", "2,1", "2/s", "Infinity", "9".repeat(400) }) {
+			assertEquals(ServerStatusHeaders.limitPerS(wrong), OptionalDouble.empty(), wrong);
+		}
+		assertEquals(ServerStatusHeaders.limitPerS(null), OptionalDouble.empty());
+	}
+
 	@Test
 	public void pausesAreReadFromNumbersOfSecondsOnly() {
 		assertEquals(ServerStatusHeaders.pauseMs("1.5"), 1_500);
