Keep permit numbers exact at any limit, and name the start of a position plainly

A limit of 1e12 requests a second made permit numbers overflow; it is cut at 10,000, more than a server runs (RequestPermitsTests.aVeryHighLimitPermitsRequests).

--- a/router/src/main/java/io/verbenacleat/router/balance/RequestPermits.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/RequestPermits.java
@@ -23,6 +23,9 @@
 	 */
 	private static final double MIN_REQUESTS_PER_S = 0.25;
 
+	/** Highest rate, more than any server runs, so that permit numbers stay exact. */
+	private static final double MAX_REQUESTS_PER_S = 10_000;
+
 	private static final double MS_PER_SECOND = 1_000;
 
 	private static final long NONE = -1;
@@ -46,7 +49,7 @@
 	 * @param schedule the clock and the position of this router
 	 */
 	RequestPermits(double requestsPerS, String serverId, PermitSchedule schedule) {
-		this.requestsPerS = Math.max(MIN_REQUESTS_PER_S, requestsPerS);
+		this.requestsPerS = Math.min(MAX_REQUESTS_PER_S, Math.max(MIN_REQUESTS_PER_S, requestsPerS));
 		this.schedule = schedule;
 		this.turnOffset = serverId.hashCode();
 		this.validPermits = MIN_VALID_PERMITS + (long) (this.requestsPerS * VALIDITY_S);
--- a/router/src/main/java/io/verbenacleat/router/budget/FleetMembership.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/FleetMembership.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.core.json.JsonFormatException;
@@ -40,7 +41,8 @@
 
 	private final Map<String, Observation> observations = new TreeMap<>();
 
-	private @Nullable Long joinedAtNanos;
+	/** When all others count this router, {@code null} before its row was read. */
+	private @Nullable Long positionFromNanos;
 
 	/**
 	 * Creates a membership of a router that does not know the fleet.
@@ -60,12 +62,11 @@
 	 * @return the position of this router, unknown while other routers may not know it
 	 */
 	FleetPosition onRead(List<Row> rows, long storeTimeMs, long nowNanos) {
-		List<String> keys = rows.stream().map(Row::key).toList();
-		this.observations.keySet().retainAll(keys);
+		this.observations.keySet().retainAll(rows.stream().map(Row::key).collect(Collectors.toSet()));
 		for (Row row : rows) {
 			this.observations.computeIfAbsent(row.key(), (key) -> new Observation()).onRead(row.version());
-			if (this.joinedAtNanos == null && row.key().equals(this.ownKey)) {
-				this.joinedAtNanos = nowNanos + (isOfPredecessor(row, storeTimeMs) ? 0 : JOIN_DELAY.toNanos());
+			if (this.positionFromNanos == null && row.key().equals(this.ownKey)) {
+				this.positionFromNanos = nowNanos + (isOfPredecessor(row, storeTimeMs) ? 0 : JOIN_DELAY.toNanos());
 			}
 		}
 		return position(nowNanos);
@@ -77,8 +78,8 @@
 	 * @return {@code true} for {@link #JOIN_DELAY} after the row of a new router was read
 	 */
 	boolean isJoining(long nowNanos) {
-		Long joinedAt = this.joinedAtNanos;
-		return joinedAt != null && nowNanos < joinedAt;
+		Long positionFrom = this.positionFromNanos;
+		return positionFrom != null && nowNanos < positionFrom;
 	}
 
 	// The previous process at this address had a position, which others still count.
@@ -101,7 +102,7 @@
 			}
 		});
 		int rank = members.indexOf(this.ownKey);
-		boolean joined = this.joinedAtNanos != null && !isJoining(nowNanos);
+		boolean joined = this.positionFromNanos != null && !isJoining(nowNanos);
 		return (rank >= 0 && joined) ? new FleetPosition(rank, members.size()) : FleetPosition.unknown();
 	}
 
--- a/router/src/test/java/io/verbenacleat/router/balance/RequestPermitsTests.java
+++ b/router/src/test/java/io/verbenacleat/router/balance/RequestPermitsTests.java
@@ -91,6 +91,12 @@
 		assertEquals(takenIn(permits, 40_000), 10);
 	}
 
+	@Test
+	public void aVeryHighLimitPermitsRequests() {
+		RequestPermits permits = new RequestPermits(999_999_999_999.0, "i-0", this.schedule);
+		assertEquals(takenIn(permits, 1_000), 100);
+	}
+
 	private int takenIn(RequestPermits permits, long durationMs) {
 		long endMs = this.fleetTimeMs + durationMs;
 		int taken = 0;
--- a/router/src/test/java/io/verbenacleat/router/budget/ServerLimitFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/ServerLimitFleet.java
@@ -254,10 +254,6 @@
 			start();
 		}
 
-		boolean isAlive() {
-			return this.alive;
-		}
-
 		private void request() {
 			long nowMs = nowMs();
 			ServerState state = this.states.select("s", false, 0, Set.of(), nowMs).orElse(null);
