Name the refusal of requests that have no permit

A request that no server could take since all of them limit requests was refused as no_server, like one without any server, so neither callers nor the counter of refusals could tell the two apart. It has the code servers_limited now, with the same Retry-After.

--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -163,6 +163,22 @@
 			.anyMatch((state) -> state.hasPermit(nowMs) && state.isAvailable(nowMs));
 	}
 
+	/**
+	 * Returns whether a service has a server that accepts requests but for which this
+	 * router has no permit.
+	 * @param service the name of the service
+	 * @param excluded the ids of servers that are not considered
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code true} when there is such a server
+	 */
+	public boolean isLimited(String service, Set<String> excluded, long nowMs) {
+		return this.servers.usable(service)
+			.stream()
+			.filter((server) -> !excluded.contains(server.id()))
+			.map(this::state)
+			.anyMatch((state) -> state.acceptsRequests(nowMs) && !state.hasPermit(nowMs));
+	}
+
 	/**
 	 * Selects a server for a request. Suspended servers are considered only if there is
 	 * no available one.
--- a/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
@@ -38,6 +38,9 @@
 	/** No backend server is available, or none accepted the request. */
 	NO_SERVER(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
+	/** The backend servers limit requests, and this router has no permit. */
+	SERVERS_LIMITED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
+
 	/** The deadline passed before the request was sent. */
 	TIMED_OUT_UNSENT(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -277,7 +277,8 @@
 		Optional<ServerState> selected = this.relay.states()
 			.select(target.name(), target.modelService(), this.affinityKey, this.triedServerIds, this.relay.nowMs());
 		if (selected.isEmpty()) {
-			giveUp(Refusal.NO_SERVER, "no server accepts requests");
+			boolean limited = this.relay.states().isLimited(target.name(), this.triedServerIds, this.relay.nowMs());
+			giveUp(limited ? Refusal.SERVERS_LIMITED : Refusal.NO_SERVER, "no server accepts requests");
 			return;
 		}
 		ServerState state = selected.get();
@@ -381,7 +382,7 @@
 			abort(reason);
 			return;
 		}
-		refuse((refusal == Refusal.NO_SERVER && this.mayHaveRun) ? Refusal.ANSWER_LOST : refusal);
+		refuse((refusal.isNotRun() && this.mayHaveRun) ? Refusal.ANSWER_LOST : refusal);
 	}
 
 	private boolean mayRetry(boolean alreadyRan) {
--- a/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
@@ -128,6 +128,7 @@
 			String answer = fixture.call("/once/", "");
 			assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
 			assertTrue(answer.contains("\"outcome\":\"not-run\""), answer);
+			assertTrue(answer.contains("\"code\":\"servers_limited\""), answer);
 			assertFalse(FakeServer.header(answer, "retry-after").isEmpty(), answer);
 			assertEquals(fixture.servers.get(0).requests.size(), 1);
 		}
