Take no extra retries while the number of routers is unknown

In a fleet of more than eight routers that restarts while the store is away, each would allow an eighth of the extra retries: 28 routers 336 of 96.

A router whose number of routers is unknown has only the part that its own requests earn. RetryBudgetTests. routersThatDoNotKnowTheFleetTogetherStayWithinTheExtraRetries failed before (336 allowed, at most 96). The other tests of the budget and the relay fixture state that there is one router, which they took for granted.

--- a/router/src/main/java/io/verbenacleat/router/repeat/RetryBudget.java
+++ b/router/src/main/java/io/verbenacleat/router/repeat/RetryBudget.java
@@ -9,10 +9,10 @@
 /**
  * The share of this router in the retry budget that the fleet has for each service. In
  * each sliding window it allows retries up to a ratio of the requests to the service,
- * plus an equal share of a fixed number of extra retries. The shares of all routers add
- * up to the budget without communication between routers, so the budget is also enforced
- * during a network partition. Not safe for use by several threads, except
- * {@link #setRouterCount}.
+ * plus an equal share of a fixed number of extra retries once it knows the number of
+ * routers. The shares of all routers add up to the budget without communication between
+ * routers, so the budget is also enforced during a network partition. Not safe for use by
+ * several threads, except {@link #setRouterCount}.
  */
 public final class RetryBudget {
 
@@ -99,8 +99,13 @@
 			requests += slice.requests;
 			retries += slice.retries;
 		}
-		return retries + 1 <= this.ratio * requests
-				+ this.fleetExtraRetries / Math.max(this.minRouters, this.routerCount);
+		return retries + 1 <= this.ratio * requests + extraRetries();
+	}
+
+	// A router that does not know the fleet would exceed the share of a large one.
+	private double extraRetries() {
+		int count = this.routerCount;
+		return (count > 0) ? this.fleetExtraRetries / Math.max(this.minRouters, count) : 0;
 	}
 
 	private Window window(String service) {
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -71,6 +71,7 @@
 				new InMemoryTableStore(), new UnknownClock(), TokenPeers.none(), this.control, log);
 		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
 		this.relay = new Relay(this.loop.next(), options, this.ledger, this.permits, log, new PrometheusRegistry());
+		this.relay.setRouterCount(1);
 		if (configured) {
 			configure(1_000_000);
 		}
--- a/router/src/test/java/io/verbenacleat/router/repeat/RetryBudgetTests.java
+++ b/router/src/test/java/io/verbenacleat/router/repeat/RetryBudgetTests.java
@@ -49,6 +49,21 @@
 		assertTrue(allowed <= 96 && allowed > 48, "allowed " + allowed);
 	}
 
+	// After a restart of the fleet without the store, no router knows how many others
+	// there
+	// are, and each of them would take the part of a small fleet.
+	@Test
+	public void routersThatDoNotKnowTheFleetTogetherStayWithinTheExtraRetries() {
+		int allowed = 0;
+		for (int i = 0; i < 28; i++) {
+			RetryBudget budget = new RetryBudget(RATIO, 96, 8, WINDOW_MS, () -> this.nowMs);
+			while (budget.tryAcquire("s")) {
+				allowed++;
+			}
+		}
+		assertTrue(allowed <= 96, "allowed " + allowed);
+	}
+
 	@Test
 	public void retriesExpireWithTheWindow() {
 		RetryBudget budget = newBudget();
@@ -96,7 +111,9 @@
 	}
 
 	private RetryBudget newBudget() {
-		return new RetryBudget(RATIO, EXTRA, 1, WINDOW_MS, () -> this.nowMs);
+		RetryBudget budget = new RetryBudget(RATIO, EXTRA, 1, WINDOW_MS, () -> this.nowMs);
+		budget.setRouterCount(1);
+		return budget;
 	}
 
 }
