Cancel the poll of a joining router on close, and parse decimal headers in one place

Read-through of the change: RouterDiscovery left the poll at the end of the join delay scheduled when it was closed; the comment on its second poll told of rows before; two headers were parsed by copies of one expression. What a running router does is the same.

--- a/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
@@ -13,6 +13,7 @@
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.log.DecisionLog;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Polls the store for the rows of routers, and reports their peer addresses and the
@@ -27,7 +28,7 @@
 	static final Duration INTERVAL = Duration.ofSeconds(8);
 
 	/**
-	 * Delay of the first poll, since routers write their rows with their first requests.
+	 * Delay of the second poll, by which a new router has usually written its row.
 	 */
 	private static final Duration INITIAL_DELAY = Duration.ofSeconds(2);
 
@@ -49,7 +50,7 @@
 
 	private final Cancellable periodicScan;
 
-	private boolean joinScanScheduled;
+	private @Nullable Cancellable joinScan;
 
 	/**
 	 * Creates a discovery and starts polling.
@@ -78,6 +79,10 @@
 	public void close() {
 		this.initialScan.cancel();
 		this.periodicScan.cancel();
+		Cancellable scheduledJoin = this.joinScan;
+		if (scheduledJoin != null) {
+			scheduledJoin.cancel();
+		}
 	}
 
 	private void scan() {
@@ -92,9 +97,8 @@
 			}
 			long nowNanos = this.control.nanoTime();
 			this.listener.onRouters(addresses, this.membership.onRead(rows, this.storeClock.latestMs(), nowNanos));
-			if (this.membership.isJoining(nowNanos) && !this.joinScanScheduled) {
-				this.joinScanScheduled = true;
-				this.control.schedule(FleetMembership.JOIN_DELAY, this::scan);
+			if (this.membership.isJoining(nowNanos) && this.joinScan == null) {
+				this.joinScan = this.control.schedule(FleetMembership.JOIN_DELAY, this::scan);
 			}
 		}, this.control);
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
@@ -56,7 +56,7 @@
 	private static void applyLimit(Relay relay, HttpResponse response, ServerState state, long sentAtMs,
 			Source source) {
 		String header = response.headers().get(relay.headerNames().serverLimit());
-		OptionalDouble limitPerS = limitPerS(header);
+		OptionalDouble limitPerS = parseDecimal(header);
 		boolean changed = false;
 		if (limitPerS.isPresent()) {
 			changed = state.onLimit(limitPerS.getAsDouble(), sentAtMs, relay.nowMs());
@@ -83,23 +83,21 @@
 	 * is not a number of seconds
 	 */
 	static long pauseMs(@Nullable String retryAfter) {
-		if (retryAfter == null || !retryAfter.strip().matches("[0-9]{1,12}([.][0-9]{1,9})?")) {
-			return 0;
-		}
-		double seconds = Math.min(MAX_PAUSE_S, Double.parseDouble(retryAfter.strip()));
+		double seconds = Math.min(MAX_PAUSE_S, parseDecimal(retryAfter).orElse(0));
 		return (long) Math.ceil(seconds * MS_PER_SECOND);
 	}
 
 	/**
-	 * Parses the request rate that a server accepts.
-	 * @param limit the value of the header in requests per second, or {@code null}
-	 * @return the rate, empty when the value is not a decimal number
+	 * Parses a header value.
+	 * @param value the value, or {@code null}
+	 * @return the number, empty when the value is not a decimal number of at most 12
+	 * digits before the point
 	 */
-	static OptionalDouble limitPerS(@Nullable String limit) {
-		if (limit == null || !limit.strip().matches("[0-9]{1,12}([.][0-9]{1,9})?")) {
+	static OptionalDouble parseDecimal(@Nullable String value) {
+		if (value == null || !value.strip().matches("[0-9]{1,12}([.][0-9]{1,9})?")) {
 			return OptionalDouble.empty();
 		}
-		return OptionalDouble.of(Double.parseDouble(limit.strip()));
+		return OptionalDouble.of(Double.parseDouble(value.strip()));
 	}
 
 	/**
--- a/router/src/test/java/io/verbenacleat/router/budget/ServerLimitFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/ServerLimitFleet.java
@@ -50,7 +50,7 @@
 
 	private static final int MAX_CLOCK_ERROR_MS = 50;
 
-	final ManualControlThread control = new ManualControlThread(Instant.ofEpochSecond(1_000_000));
+	private final ManualControlThread control = new ManualControlThread(Instant.ofEpochSecond(1_000_000));
 
 	final List<Router> routers = new ArrayList<>();
 
@@ -58,8 +58,6 @@
 
 	final Random random;
 
-	int refused;
-
 	private final InMemoryTableStore store = new InMemoryTableStore();
 
 	private final Queue<Answer> answers = new PriorityQueue<>(Comparator.comparingLong(Answer::atMs));
@@ -258,7 +256,6 @@
 			long nowMs = nowMs();
 			ServerState state = this.states.select("s", false, 0, Set.of(), nowMs).orElse(null);
 			if (state == null || !state.takePermit(nowMs)) {
-				ServerLimitFleet.this.refused++;
 				return;
 			}
 			state.onSend(nowMs);
--- a/router/src/test/java/io/verbenacleat/router/budget/ServerLimitFleetTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/ServerLimitFleetTests.java
@@ -124,6 +124,7 @@
 		assertTrue(fleet.servers.get(4).served - before >= 0.8 * LIMITS_PER_S[4] * 80);
 	}
 
+	// Guards against changes that are safe by themselves but exceed a limit together.
 	@Property(tries = 60, seed = "20261204")
 	void limitsAreKeptUnderRandomChanges(@ForAll @LongRange(min = 1, max = 1_000_000) long seed) {
 		ServerLimitFleet fleet = limitedFleet(2 + (int) (seed % 12), seed);
@@ -144,7 +145,7 @@
 		assertEquals(fleet.excessRequests(), 0);
 	}
 
-	// All but one server limit requests, with demand above all limits.
+	// All servers limit requests, and the demand is above all limits together.
 	private static ServerLimitFleet limitedFleet(int routers, long seed) {
 		ServerLimitFleet fleet = new ServerLimitFleet(routers, LIMITS_PER_S.length, seed);
 		fleet.run(START_TIME, REQUESTS_PER_S);
--- a/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
@@ -186,13 +186,13 @@
 
 	@Test
 	public void limitsAreReadFromDecimalNumbersOnly() {
-		assertEquals(ServerStatusHeaders.limitPerS("2.1"), OptionalDouble.of(2.1));
-		assertEquals(ServerStatusHeaders.limitPerS(" 0 "), OptionalDouble.of(0));
-		assertEquals(ServerStatusHeaders.limitPerS("999999999999"), OptionalDouble.of(999_999_999_999.0));
+		assertEquals(ServerStatusHeaders.parseDecimal("2.1"), OptionalDouble.of(2.1));
+		assertEquals(ServerStatusHeaders.parseDecimal(" 0 "), OptionalDouble.of(0));
+		assertEquals(ServerStatusHeaders.parseDecimal("999999999999"), OptionalDouble.of(999_999_999_999.0));
 		for (String wrong : new String[] { "", "-1", "NaN", "1e9", "2,1", "2/s", "Infinity", "9".repeat(400) }) {
-			assertEquals(ServerStatusHeaders.limitPerS(wrong), OptionalDouble.empty(), wrong);
+			assertEquals(ServerStatusHeaders.parseDecimal(wrong), OptionalDouble.empty(), wrong);
 		}
-		assertEquals(ServerStatusHeaders.limitPerS(null), OptionalDouble.empty());
+		assertEquals(ServerStatusHeaders.parseDecimal(null), OptionalDouble.empty());
 	}
 
 	@Test
