--- a/review/standins/Server.java
+++ b/review/standins/Server.java
@@ -17,6 +17,8 @@
  */
 final class Server {
 
+	private static final String ENTRY = entryText();
+
 	final String id;
 
 	private final String ip;
@@ -50,9 +52,11 @@
 
 	/** The entry in the list of servers. */
 	String entry(String service, int slots, String state, long sequence) {
-		return "{\"service\":\"" + service + "\",\"address\":\"" + address()
-				+ "\",\"zone\":\"san-antonio\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
-				+ "\",\"coldLeftMs\":0,\"seq\":" + sequence + ",\"born\":1764950000000}";
+		return ENTRY.replace("@SERVICE@", service)
+			.replace("@ADDRESS@", address())
+			.replace("@SLOTS@", Integer.toString(slots))
+			.replace("@STATE@", state)
+			.replace("@SEQ@", Long.toString(sequence));
 	}
 
 	/** Ends the process: the listener and all connections are closed. */
@@ -115,6 +119,15 @@
 		}
 	}
 
+	private static String entryText() {
+		try {
+			return Wire.text("entry.json").strip();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	/** Returns the head of an answer without its framing. */
 	static String answerHead(Http.Head request) {
 		return "HTTP/1.1 200 OK\r\n" + Wire.name("requestId") + ": " + request.header("requestId") + "\r\n"
