--- a/review/standins/OldBeatCase.java
+++ b/review/standins/OldBeatCase.java
@@ -19,6 +19,9 @@
  */
 final class OldBeatCase implements Main.Case {
 
+	/** One of eight servers leaves, which is 0.125 of them. */
+	private static final int SERVERS = 8;
+
 	private static final double DRAIN_S = 2.0;
 
 	private static final long LATE_MS = 5_800;
@@ -44,9 +47,9 @@
 					.replace("@TENANTS@", "{\"name\":\"t\",\"apiKeys\":[\"key-a\"],\"priority\":1}"));
 		List<Arrival> arrivals = new CopyOnWriteArrayList<>();
 		List<Server> servers = new ArrayList<>();
-		AtomicInteger listed = new AtomicInteger(3);
+		AtomicInteger listed = new AtomicInteger(SERVERS);
 		AtomicInteger beats = new AtomicInteger(1);
-		for (int i = 0; i < 3; i++) {
+		for (int i = 0; i < SERVERS; i++) {
 			servers.add(new Server("i-" + i, Main.ip(11 + i), new Desk(record, arrivals)));
 			store.put("servers", "i-" + i, servers.get(i).entry("desk", 6, "ready", 1));
 		}
@@ -73,31 +76,31 @@
 			callers.add(caller);
 		}
 		Thread.sleep(6_000);
-		Server leaving = fleet.servers.get(2);
+		Server leaving = fleet.servers.get(SERVERS - 1);
 		// One write of the server: performed at once without the disruption, late with it.
 		int sequence = fleet.beats.incrementAndGet();
 		String entry = leaving.entry("desk", 6, "ready", sequence);
 		if (!trouble) {
-			store.put("servers", "i-2", entry);
+			store.put("servers", "i-7", entry);
 		}
-		record.add("i-2 writes its entry, seq " + sequence
+		record.add("i-7 writes its entry, seq " + sequence
 				+ (trouble ? "; trouble: the call gets no answer and is performed 5.8 s later" : ""));
 		Thread.sleep(REMOVAL_DELAY_MS);
-		fleet.listed.set(2);
+		fleet.listed.set(SERVERS - 1);
 		Thread.sleep(20);
-		store.remove("servers", "i-2");
+		store.remove("servers", "i-7");
 		double goneAt = record.seconds();
-		record.add("the store has removed the entry of i-2, last seq " + fleet.beats.get()
+		record.add("the store has removed the entry of i-7, last seq " + fleet.beats.get()
 				+ " or one less; the server goes on serving");
 		Thread.sleep(LATE_MS - REMOVAL_DELAY_MS);
 		if (trouble) {
-			store.put("servers", "i-2", entry);
-			record.add("the store performs the late write of i-2, seq " + sequence);
+			store.put("servers", "i-7", entry);
+			record.add("the store performs the late write of i-7, seq " + sequence);
 		}
 		Thread.sleep(LAPSE_MS);
 		if (trouble) {
-			store.remove("servers", "i-2");
-			record.add("the store drops the entry of i-2, which has been silent for three intervals");
+			store.remove("servers", "i-7");
+			record.add("the store drops the entry of i-7, which has been silent for three intervals");
 		}
 		Thread.sleep(1_500);
 		running[0] = false;
@@ -105,11 +108,11 @@
 			caller.join();
 		}
 		List<Arrival> late = arrivals.stream()
-			.filter((arrival) -> arrival.server.equals("i-2") && arrival.atS > goneAt + DRAIN_S)
+			.filter((arrival) -> arrival.server.equals("i-7") && arrival.atS > goneAt + DRAIN_S)
 			.toList();
 		long served = sent.stream().filter((request) -> request.status == 200).count();
 		record.result(String.format(Locale.ROOT,
-				"%d requests, %d served; %d reached i-2 later than %.1f s after its entry was removed, the last one %.3f s after it",
+				"%d requests, %d served; %d reached i-7 later than %.1f s after its entry was removed, the last one %.3f s after it",
 				sent.size(), served, late.size(), DRAIN_S,
 				late.stream().mapToDouble(Arrival::atS).max().orElse(goneAt) - goneAt));
 		if (served < sent.size() * 0.5) {
--- a/review/standins/SilentStoreCase.java
+++ b/review/standins/SilentStoreCase.java
@@ -22,6 +22,9 @@
 
 	private static final double TOUCH_S = 3.0;
 
+	/** One of eight servers leaves, which is 0.125 of them. */
+	private static final int SERVERS = 8;
+
 	private static final double DRAIN_S = 2.0;
 
 	private static final double REMOVAL_DELAY_S = 0.3;
@@ -55,8 +58,8 @@
 					.replace("@TENANTS@", "{\"name\":\"t\",\"apiKeys\":[\"key-a\"],\"priority\":1}"));
 		List<Arrival> arrivals = new CopyOnWriteArrayList<>();
 		List<Server> servers = new ArrayList<>();
-		AtomicInteger listed = new AtomicInteger(3);
-		for (int i = 0; i < 3; i++) {
+		AtomicInteger listed = new AtomicInteger(SERVERS);
+		for (int i = 0; i < SERVERS; i++) {
 			servers.add(new Server("i-" + i, Main.ip(11 + i), new Desk(record, arrivals)));
 			store.put("servers", "i-" + i, servers.get(i).entry("desk", 6, "ready", 1));
 		}
@@ -91,11 +94,11 @@
 			record.add("trouble: " + link.silence() + " open connections to the store are silent from now on");
 		}
 		Thread.sleep((long) (REMOVAL_DELAY_S * 1_000));
-		listed.set(2);
+		listed.set(SERVERS - 1);
 		Thread.sleep(20);
-		store.remove("servers", "i-2");
+		store.remove("servers", "i-7");
 		double goneAt = record.seconds();
-		record.add("the store has removed the entry of i-2, which goes on serving");
+		record.add("the store has removed the entry of i-7, which goes on serving");
 		Thread.sleep(9_000);
 		running[0] = false;
 		for (Thread thread : callers) {
@@ -103,14 +106,14 @@
 		}
 		double inTouchAt = trouble ? troubleAt + TOUCH_S : 0;
 		List<Arrival> late = arrivals.stream()
-			.filter((arrival) -> arrival.server.equals("i-2") && arrival.atS > goneAt + DRAIN_S)
+			.filter((arrival) -> arrival.server.equals("i-7") && arrival.atS > goneAt + DRAIN_S)
 			.filter((arrival) -> sent.stream()
 				.anyMatch((request) -> request.id.equals(arrival.id) && request.atS > inTouchAt))
 			.toList();
 		long total = arrivals.stream().filter((arrival) -> arrival.atS > goneAt).count();
 		long answered = sent.stream().filter((request) -> request.status == 200).count();
 		record.result(String.format(Locale.ROOT,
-				"sent %d, answered 200 %d; after the removal %d requests arrived, %d of them at i-2 later than %.1f s after it, sent when the routers had been in touch again",
+				"sent %d, answered 200 %d; after the removal %d requests arrived, %d of them at i-7 later than %.1f s after it, sent when the routers had been in touch again",
 				sent.size(), answered, total, late.size(), DRAIN_S));
 		late.stream()
 			.mapToDouble(Arrival::atS)
