--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Shows that an old entry of a server that is gone brings it back into use.
+# Shows that a router sends requests to a server that is gone after its connections to the store went silent.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 # TROUBLE=0 does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
@@ -7,4 +7,4 @@
 	echo "run the build of the deploy file and review/build.sh first"
 	exit 2
 fi
-exec java -cp 'review/target/classes:platform/target/lib/*' review.Main old-beat review/5/record.txt "${TROUBLE:-1}"
+exec java -cp 'review/target/classes:platform/target/lib/*' review.Main silent-store review/5/record.txt "${TROUBLE:-1}"
