--- a/review/standins/Main.java
+++ b/review/standins/Main.java
@@ -21,8 +21,7 @@
 	static final int NOT_RUN = 2;
 
 	private static final Map<String, Case> CASES = Map.of("head", new HeadCase(), "silent-store",
-			new SilentStoreCase(), "slow-reader", new SlowReaderCase(), "lost-balance", new LostBalanceCase(),
-			"old-beat", new OldBeatCase());
+			new SilentStoreCase(), "slow-reader", new SlowReaderCase(), "lost-balance", new LostBalanceCase(),  "stale-config", new StaleConfigCase());
 
 	/** A part of the loopback range that no other run uses. */
 	private static final String NETWORK = "127." + ThreadLocalRandom.current().nextInt(16, 240) + "."
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -20,7 +20,7 @@
 
 /**
  * Stand-in for the platform's store: tables of rows, transactions with conditions, and
- * the feed of changes. It keeps all history and answers each call.
+ * the feed of changes, with 20 s of history. It answers each call.
  */
 final class Store {
 
@@ -28,12 +28,20 @@
 
 	private static final int LIMIT = 500;
 
+	private static final long HISTORY_NANOS = 20_000_000_000L;
+
 	private final HttpServer server;
 
 	private final TreeMap<String, ObjectNode> rows = new TreeMap<>();
 
 	private final List<ObjectNode> history = new ArrayList<>();
 
+	/** When the changes of the history were made, in the same order. */
+	private final List<Long> historyNanos = new ArrayList<>();
+
+	/** The newest version whose change is no longer in the history. */
+	private long droppedVersion;
+
 	private long version = 100;
 
 	Store(String ip) throws IOException {
@@ -69,7 +77,23 @@
 	private void append(ObjectNode row, long newVersion) {
 		row.put(Wire.name("rowVersion"), newVersion);
 		this.rows.put(name(row), row);
+		record(row);
+	}
+
+	private void record(ObjectNode row) {
 		this.history.add(row);
+		this.historyNanos.add(System.nanoTime());
+	}
+
+	private void dropHistory() {
+		long now = System.nanoTime();
+		int count = 0;
+		while (count < this.historyNanos.size() && now - this.historyNanos.get(count) > HISTORY_NANOS) {
+			this.droppedVersion = this.history.get(count).path(Wire.name("rowVersion")).asLong();
+			count++;
+		}
+		this.history.subList(0, count).clear();
+		this.historyNanos.subList(0, count).clear();
 	}
 
 	private void drop(String table, String part, String key, long newVersion) {
@@ -77,7 +101,7 @@
 		row.put("table", table).put("part", part).put("key", key).put("deleted", true);
 		row.put(Wire.name("rowVersion"), newVersion);
 		this.rows.remove(name(row));
-		this.history.add(row);
+		record(row);
 	}
 
 	private static String name(JsonNode row) {
@@ -164,6 +188,10 @@
 		long endMs = System.nanoTime() / 1_000_000 + Long.parseLong(parameters.getOrDefault("waitMs", "0"));
 		ArrayNode found = answer.putArray("rows");
 		while (true) {
+			dropHistory();
+			if (after < this.droppedVersion) {
+				return 410;
+			}
 			for (ObjectNode row : this.history) {
 				if (row.path(Wire.name("rowVersion")).asLong() > after
 						&& row.path("table").asText().equals(parameters.get("table"))) {
