--- a/review/standins/StaleConfigCase.java
+++ b/review/standins/StaleConfigCase.java
@@ -15,10 +15,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 
 /**
- * A large configuration changes 22 times in 3.9 s; one of two routers has a link of 7
- * Mbit/s. A second later a version removes a route. Shows whether a router still serves
- * requests on that route later than the bound after the store has acknowledged the
- * version.
+ * The store turns one of three routers away for 8 s, while the configuration changes twice
+ * in quick succession. That router has a link of 7 Mbit/s to the store. When all machines
+ * have been in touch again, a version removes a route. Shows whether a router still serves
+ * requests on that route later than the bound after the store has acknowledged it.
  */
 final class StaleConfigCase implements Main.Case {
 
@@ -26,15 +26,23 @@
 
 	private static final int IDLE_ROUTES = 240;
 
-	private static final int ADDED_ROUTES = 840;
+	/** A row of the store holds at most this. */
+	private static final int ROW_BYTES = 65_536;
 
-	private static final int STORM_VERSIONS = 22;
+	private static final int STORMS = 2;
+
+	private static final int STORM_VERSIONS = 21;
 
 	private static final long STORM_GAP_MS = 180;
 
 	/** The smallest hosts have 7 Mbit/s. */
 	private static final int BYTES_PER_S = 875_000;
 
+	private static final long OUTAGE_MS = 8_000;
+
+	/** The bound after which machines and store count as undisturbed, and some more. */
+	private static final long TOUCH_MS = 4_500;
+
 	private static final double APPLY_S = 3;
 
 	private static final int CALLERS = 3;
@@ -56,16 +64,23 @@
 		Store store = new Store(Main.ip(1));
 		int version = 7;
 		store.put("op", "config", config(version, true));
-		record.add("the configuration has " + config(version, true).length() + " bytes");
+		int bytes = config(version, true).length();
+		record.add("the configuration has " + bytes + " bytes");
+		if (bytes > ROW_BYTES) {
+			record.result("the configuration is larger than a row");
+			return Main.NOT_RUN;
+		}
 		List<Server> servers = new ArrayList<>();
 		for (int i = 0; i < 3; i++) {
 			servers.add(new Server("i-" + i, Main.ip(11 + i), new Desk(record)));
 		}
 		Link.daemon(() -> beat(store, servers));
-		Link link = new Link(Main.ip(2), new InetSocketAddress(Main.ip(1), store.port()), BYTES_PER_S);
-		List<String> seeds = List.of(Main.ip(21), Main.ip(22));
+		Link link = new Link(Main.ip(2), new InetSocketAddress(store.secondAddress(Main.ip(3)), store.secondPort()),
+				BYTES_PER_S);
+		List<String> seeds = List.of(Main.ip(21), Main.ip(22), Main.ip(23));
 		routers.add(new Router(folder, "front-small", Main.ip(21), Main.ip(2) + ":" + link.port(), seeds));
 		routers.add(new Router(folder, "front-large", Main.ip(22), Main.ip(1) + ":" + store.port(), seeds));
+		routers.add(new Router(folder, "front-third", Main.ip(23), Main.ip(1) + ":" + store.port(), seeds));
 		for (Router router : routers) {
 			router.start();
 		}
@@ -87,13 +102,21 @@
 			}
 		}
 		Thread.sleep(6_000);
-		for (int i = 0; trouble && i < STORM_VERSIONS; i++) {
-			version++;
-			store.put("op", "config", config(version, true));
-			record.add("trouble: the store has acknowledged version " + version);
-			Thread.sleep(STORM_GAP_MS);
+		double startS = record.seconds();
+		if (trouble) {
+			record.add("trouble: the store turns " + Main.ip(21) + " away");
+			store.turnSecondAway(true);
+			for (int i = 0; i < STORMS * STORM_VERSIONS; i++) {
+				version++;
+				store.put("op", "config", config(version, true));
+				record.add("the store has acknowledged version " + version);
+				Thread.sleep(STORM_GAP_MS);
+			}
 		}
-		Thread.sleep(1_000);
+		Thread.sleep(Math.max(0, OUTAGE_MS - (long) ((record.seconds() - startS) * 1_000)));
+		store.turnSecondAway(false);
+		record.add("the store serves all routers");
+		Thread.sleep(TOUCH_MS);
 		version++;
 		store.put("op", "config", config(version, false));
 		double ackedS = record.seconds();
@@ -132,7 +155,7 @@
 				}
 			}
 		}
-		for (int i = 0; i < IDLE_ROUTES + ADDED_ROUTES && pattern != null; i++) {
+		for (int i = 0; i < IDLE_ROUTES && pattern != null; i++) {
 			ObjectNode route = pattern.deepCopy();
 			route.put("name", "r-idle" + i).put("pathPrefix", "/idle" + i + "/");
 			if (i == version) {
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -32,6 +32,11 @@
 
 	private final HttpServer server;
 
+	/** A second listener, for the machines that the store turns away at times. */
+	private HttpServer second;
+
+	private volatile boolean secondTurnedAway;
+
 	private final TreeMap<String, ObjectNode> rows = new TreeMap<>();
 
 	private final List<ObjectNode> history = new ArrayList<>();
@@ -45,16 +50,36 @@
 	private long version = 100;
 
 	Store(String ip) throws IOException {
-		this.server = HttpServer.create(new InetSocketAddress(ip, 0), 0);
-		this.server.setExecutor(Executors.newCachedThreadPool((task) -> {
+		this.server = listen(ip);
+	}
+
+	private HttpServer listen(String ip) throws IOException {
+		HttpServer listener = HttpServer.create(new InetSocketAddress(ip, 0), 0);
+		listener.setExecutor(Executors.newCachedThreadPool((task) -> {
 			Thread thread = new Thread(task, "store");
 			thread.setDaemon(true);
 			return thread;
 		}));
-		this.server.createContext(Wire.name("tx"), (exchange) -> handle(exchange, this::transact));
-		this.server.createContext(Wire.name("get"), (exchange) -> handle(exchange, this::read));
-		this.server.createContext(Wire.name("feed"), (exchange) -> handle(exchange, this::feed));
-		this.server.start();
+		listener.createContext(Wire.name("tx"), (exchange) -> handle(exchange, this::transact));
+		listener.createContext(Wire.name("get"), (exchange) -> handle(exchange, this::read));
+		listener.createContext(Wire.name("feed"), (exchange) -> handle(exchange, this::feed));
+		listener.start();
+		return listener;
+	}
+
+	/** Starts the second listener and returns its address. */
+	String secondAddress(String ip) throws IOException {
+		this.second = listen(ip);
+		return ip;
+	}
+
+	int secondPort() {
+		return this.second.getAddress().getPort();
+	}
+
+	/** Answers all calls at the second listener with 429, or serves them again. */
+	void turnSecondAway(boolean away) {
+		this.secondTurnedAway = away;
 	}
 
 	int port() {
@@ -110,6 +135,11 @@
 
 	private void handle(HttpExchange exchange, Handler handler) throws IOException {
 		byte[] body = exchange.getRequestBody().readAllBytes();
+		if (this.secondTurnedAway && exchange.getHttpContext().getServer() == this.second) {
+			exchange.sendResponseHeaders(429, -1);
+			exchange.close();
+			return;
+		}
 		ObjectNode answer = MAPPER.createObjectNode();
 		int status;
 		try {
