--- a/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
@@ -73,7 +73,18 @@
 	 * @return a future of the response; fails with {@link CallFailedException}
 	 */
 	public CompletableFuture<BufferedResponse> get(HttpUrl url) {
-		return send(new Request.Builder().url(url).get());
+		return send(new Request.Builder().url(url).get(), new SendTracker());
+	}
+
+	/**
+	 * Sends a GET request.
+	 * @param url the URL
+	 * @param onResponseStart called on a thread of the client when the head of the
+	 * response has arrived
+	 * @return a future of the response; fails with {@link CallFailedException}
+	 */
+	public CompletableFuture<BufferedResponse> get(HttpUrl url, Runnable onResponseStart) {
+		return send(new Request.Builder().url(url).get(), new SendTracker(onResponseStart));
 	}
 
 	/**
@@ -84,7 +95,8 @@
 	 */
 	public CompletableFuture<BufferedResponse> post(String pathSegments, Object body) {
 		byte[] bytes = Json.write(body).getBytes(StandardCharsets.UTF_8);
-		return send(new Request.Builder().url(url(pathSegments).build()).post(new OneShotBody(JSON, bytes)));
+		return send(new Request.Builder().url(url(pathSegments).build()).post(new OneShotBody(JSON, bytes)),
+				new SendTracker());
 	}
 
 	/**
@@ -94,11 +106,10 @@
 	 * @return a future of the response; fails with {@link CallFailedException}
 	 */
 	public CompletableFuture<BufferedResponse> put(HttpUrl url, byte[] bytes) {
-		return send(new Request.Builder().url(url).put(new OneShotBody(BYTES, bytes)));
+		return send(new Request.Builder().url(url).put(new OneShotBody(BYTES, bytes)), new SendTracker());
 	}
 
-	private CompletableFuture<BufferedResponse> send(Request.Builder builder) {
-		SendTracker tracker = new SendTracker();
+	private CompletableFuture<BufferedResponse> send(Request.Builder builder, SendTracker tracker) {
 		builder.tag(SendTracker.class, tracker);
 		if (!this.token.isEmpty()) {
 			builder.header("Authorization", "Bearer " + this.token);
--- a/core/src/main/java/io/verbenacleat/core/platform/PlatformClient.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/PlatformClient.java
@@ -122,14 +122,35 @@
 	 * @return calls that share the threads and connections of this client
 	 */
 	public HttpCalls calls(Duration callTimeout) {
+		return calls(callTimeout, callTimeout);
+	}
+
+	/**
+	 * Returns an object for requests to other paths of the platform whose responses may
+	 * be long.
+	 * @param callTimeout the timeout of a complete call including the connection attempt,
+	 * more than zero
+	 * @param readTimeout the timeout of the wait for further bytes of the response, more
+	 * than zero
+	 * @return calls that share the threads and connections of this client
+	 */
+	public HttpCalls calls(Duration callTimeout, Duration readTimeout) {
 		OkHttpClient derived = this.client.newBuilder()
 			.callTimeout(callTimeout)
-			.readTimeout(callTimeout)
+			.readTimeout(readTimeout)
 			.writeTimeout(callTimeout)
 			.build();
 		return new HttpCalls(derived, this.baseUrl, this.token);
 	}
 
+	/**
+	 * Closes the connections that no call uses, so that the next call to each address
+	 * opens a new one.
+	 */
+	public void closeIdleConnections() {
+		this.client.connectionPool().evictAll();
+	}
+
 	/**
 	 * Cancels the calls in progress and releases threads and idle connections.
 	 */
--- a/core/src/main/java/io/verbenacleat/core/platform/SendTracker.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/SendTracker.java
@@ -2,16 +2,32 @@
 
 import okhttp3.Call;
 import okhttp3.EventListener;
+import okhttp3.Response;
 
 /**
  * Records whether the client has started to send a request, that is whether the server
- * may have received it. Attached to the request as a tag. Safe for use by several
- * threads.
+ * may have received it, and reports the start of the response. Attached to the request as
+ * a tag. Safe for use by several threads.
  */
 final class SendTracker {
 
+	private final Runnable onResponseStart;
+
 	private volatile boolean started;
 
+	SendTracker() {
+		this(() -> {
+		});
+	}
+
+	/**
+	 * Creates a tracker.
+	 * @param onResponseStart called when the head of the response has arrived
+	 */
+	SendTracker(Runnable onResponseStart) {
+		this.onResponseStart = onResponseStart;
+	}
+
 	/**
 	 * Returns whether the client has started to send the request.
 	 * @return {@code false} only if the server cannot have received it
@@ -43,6 +59,11 @@
 			this.tracker.started = true;
 		}
 
+		@Override
+		public void responseHeadersEnd(Call call, Response response) {
+			this.tracker.onResponseStart.run();
+		}
+
 	}
 
 }
