End a grace period only when the store confirms it

Cause: the end of the grace period was taken for the absence of the registration, and silence for a confirmation.

The response that ends another outage starts the grace periods anew, since no registration could return meanwhile.

--- a/router/src/main/java/io/verbenacleat/router/FleetFeed.java
+++ b/router/src/main/java/io/verbenacleat/router/FleetFeed.java
@@ -18,6 +18,12 @@
 	 */
 	void start(Listener listener);
 
+	/**
+	 * Asks the registry for changes at once instead of waiting for its next response.
+	 * Must be called on the control thread, after the start.
+	 */
+	void recheckServers();
+
 	@Override
 	void close();
 
@@ -28,9 +34,17 @@
 
 		/**
 		 * Called when the registry has responded about the servers, also if nothing has
-		 * changed. The registrations are then up to date.
+		 * changed. Called before the changes of the response.
+		 * @param outageEnded whether the response is the first one after an outage of the
+		 * registry
+		 */
+		void onRegistryResponse(boolean outageEnded);
+
+		/**
+		 * Called after the changes of a response about the servers. The registrations are
+		 * then up to date.
 		 */
-		void onRegistryResponse();
+		void onServersConfirmed();
 
 		/**
 		 * Called when a configuration was read, which may be an earlier one or the
--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -138,7 +138,7 @@
 		this.relay = new Relay(this.loop.next(), options.relay(), reportFormat, this.ledger, this.quarantine,
 				this.streamOrigins, this.permits, log, registry);
 		this.loadPoller = new LoadPoller(this.relay, reportFormat, this.loop.next());
-		this.directory = new ServerDirectory(control, log, this::publishServers);
+		this.directory = new ServerDirectory(control, log, this::publishServers, feed::recheckServers);
 		this.callers = CallerServer.start(this.loop, this.relay, options.host(), options.callerPort());
 		this.readiness = AdminEndpoint.readiness(this.loop, options.readyHost(), options.readyPort(), this::isReady);
 		this.metrics = AdminEndpoint.metrics(this.loop, options.host(), options.metricsPort(), registry,
@@ -220,8 +220,16 @@
 	}
 
 	@Override
-	public void onRegistryResponse() {
+	public void onRegistryResponse(boolean outageEnded) {
 		this.serversConfirmedAtNanos = this.control.nanoTime();
+		if (outageEnded) {
+			this.directory.onOutageEnded();
+		}
+	}
+
+	@Override
+	public void onServersConfirmed() {
+		this.directory.confirm();
 	}
 
 	@Override
--- a/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
+++ b/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.Cancellable;
@@ -21,7 +22,9 @@
  * <p>
  * During an outage of the registry, registrations may lapse although their servers are
  * alive, and return soon after the outage. A registration that disappears right after an
- * outage is therefore kept for the grace period {@link #LAPSE_GRACE}.
+ * outage is therefore kept for the grace period {@link #LAPSE_GRACE}. After that, the
+ * registry is asked once more, since a return may not be known yet, and a registration
+ * that is still missing in its next response is gone.
  * <p>
  * A registry that comes back from an older copy lists servers that have left, and lacks
  * new ones. A server that was draining stays draining for the rest of its incarnation,
@@ -41,6 +44,9 @@
 
 	private final Consumer<ServerList> publisher;
 
+	/** Asks the registry for its registrations. */
+	private final Runnable recheck;
+
 	private final Map<String, BackendServer> servers = new HashMap<>();
 
 	/** The last removed incarnations, oldest first. */
@@ -48,16 +54,25 @@
 
 	private final Map<String, Cancellable> gracePeriods = new TreeMap<>();
 
+	/**
+	 * Servers whose grace period has ended since the last response, a part of those with
+	 * a grace period.
+	 */
+	private final Set<String> expired = new TreeSet<>();
+
 	/**
 	 * Creates a directory without servers.
 	 * @param control the control thread
 	 * @param log receives an event for each change
 	 * @param publisher receives each new list
+	 * @param recheck called when the registry should be asked for its registrations at
+	 * once
 	 */
-	public ServerDirectory(ControlThread control, DecisionLog log, Consumer<ServerList> publisher) {
+	public ServerDirectory(ControlThread control, DecisionLog log, Consumer<ServerList> publisher, Runnable recheck) {
 		this.control = control;
 		this.log = log;
 		this.publisher = publisher;
+		this.recheck = recheck;
 	}
 
 	/**
@@ -73,7 +88,7 @@
 			if (afterOutage) {
 				startGracePeriod(id);
 			}
-			else if (!this.gracePeriods.containsKey(id)) {
+			else if (!this.gracePeriods.containsKey(id) || this.expired.contains(id)) {
 				remove(id, "registration is gone");
 			}
 		}
@@ -111,6 +126,30 @@
 		publish();
 	}
 
+	/**
+	 * Removes the servers whose grace period has ended. Called after each response of the
+	 * registry, when its changes were applied.
+	 */
+	public void confirm() {
+		if (this.expired.isEmpty()) {
+			return;
+		}
+		List.copyOf(this.expired)
+			.forEach((id) -> remove(id, "registration did not return after an outage of the registry"));
+		publish();
+	}
+
+	/**
+	 * Starts the grace periods anew, since registrations cannot return during an outage.
+	 * Called when an outage of the registry has ended, before its changes are applied.
+	 */
+	public void onOutageEnded() {
+		for (String id : List.copyOf(this.gracePeriods.keySet())) {
+			cancelGracePeriod(id);
+			scheduleEnd(id);
+		}
+	}
+
 	/**
 	 * Returns all servers, including those in a grace period.
 	 * @return the servers
@@ -125,9 +164,13 @@
 			return;
 		}
 		this.log.event("server.lapsed").with("server", id).emit();
+		scheduleEnd(id);
+	}
+
+	private void scheduleEnd(String id) {
 		this.gracePeriods.put(id, this.control.schedule(LAPSE_GRACE, () -> {
-			remove(id, "registration did not return after an outage of the registry");
-			publish();
+			this.expired.add(id);
+			this.recheck.run();
 		}));
 	}
 
@@ -150,6 +193,7 @@
 	}
 
 	private void cancelGracePeriod(String id) {
+		this.expired.remove(id);
 		Cancellable timer = this.gracePeriods.remove(id);
 		if (timer != null) {
 			timer.cancel();
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -69,7 +69,7 @@
 		try (RouterDaemon first = daemon(feed, 0, List.of())) {
 			assertTrue(await(() -> feed.listener != null));
 			feed.configure(first, 5, "/a/");
-			first.onRegistryResponse();
+			first.onRegistryResponse(false);
 			first.onServers(Map.of(), false, false);
 			try (RouterDaemon second = daemon(new ManualFeed(), 0, List.of("127.0.0.1:" + first.peerPort()))) {
 				assertTrue(await(second::isReady));
@@ -174,6 +174,10 @@
 			this.listener = newListener;
 		}
 
+		@Override
+		public void recheckServers() {
+		}
+
 		@Override
 		public void close() {
 			this.listener = null;
--- a/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
+++ b/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
@@ -21,10 +21,16 @@
 
 	private ServerList list = ServerList.empty();
 
+	private boolean registryResponds = true;
+
+	private int rechecks;
+
 	@BeforeMethod
 	public void setUp() {
 		this.control = new ManualControlThread(Instant.EPOCH);
 		this.list = ServerList.empty();
+		this.registryResponds = true;
+		this.rechecks = 0;
 		this.directory = newDirectory();
 		this.directory.replaceAll(Map.of("a", server("a", false), "b", server("b", false)), false);
 	}
@@ -112,8 +118,54 @@
 		assertEquals(usable(), Set.of("b"));
 	}
 
+	// Guards against servers that are alive and dropped because their return is not known
+	// yet.
+	@Test
+	public void aGracePeriodEndsWithTheNextResponseOfTheRegistry() {
+		this.registryResponds = false;
+		this.directory.update("a", null, true);
+		this.directory.update("b", null, true);
+		this.control.advance(ServerDirectory.LAPSE_GRACE.plusSeconds(1));
+		assertEquals(usable(), Set.of("a", "b"));
+		assertEquals(this.rechecks, 2);
+		this.directory.update("a", server("a", false), false);
+		this.directory.confirm();
+		assertEquals(usable(), Set.of("a"));
+	}
+
+	// Guards against servers that are gone and stay in use at a router that the registry
+	// turns away.
+	@Test
+	public void aListOfAnotherRouterEndsAGracePeriodThatIsOver() {
+		this.registryResponds = false;
+		this.directory.update("a", null, true);
+		this.directory.replaceAll(Map.of("b", server("b", false)), false);
+		assertEquals(usable(), Set.of("a", "b"));
+		this.control.advance(ServerDirectory.LAPSE_GRACE.plusMillis(1));
+		assertEquals(usable(), Set.of("a", "b"));
+		this.directory.replaceAll(Map.of("b", server("b", false)), false);
+		assertEquals(usable(), Set.of("b"));
+	}
+
+	// Guards against servers that cannot register during an outage and are dropped in it.
+	@Test
+	public void anotherOutageStartsGracePeriodsAnew() {
+		this.directory.update("a", null, true);
+		this.control.advance(Duration.ofMillis(1_500));
+		this.directory.onOutageEnded();
+		this.control.advance(Duration.ofMillis(1_500));
+		assertEquals(usable(), Set.of("a", "b"));
+		this.control.advance(Duration.ofMillis(501));
+		assertEquals(usable(), Set.of("b"));
+	}
+
 	private ServerDirectory newDirectory() {
-		return new ServerDirectory(this.control, new DecisionLog(() -> 0), (newList) -> this.list = newList);
+		return new ServerDirectory(this.control, new DecisionLog(() -> 0), (newList) -> this.list = newList, () -> {
+			this.rechecks++;
+			if (this.registryResponds) {
+				this.directory.confirm();
+			}
+		});
 	}
 
 	private Set<String> usable() {
