Open a new connection after a time-out on a kept one

After a time-out OkHttp closes that connection and takes the next idle one of the same pool, which went silent together with it: with the five connections that the client keeps, five calls in a row failed, 1 s each for the store and 0.5 s each between routers.

Cause: nothing tied the time-out on a kept connection to the other kept ones. Ruled out: a retry by the client (switched off, a write must not be sent twice), the health check of OkHttp (sees closed connections only).

Change: a time-out on a kept connection closes the idle connections of the client, at most five. A time-out on a connection that was opened for the call closes none, since it tells nothing about others.

--- a/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/HttpCalls.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.core.platform;
 
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 
@@ -22,7 +23,8 @@
 
 /**
  * Sends asynchronous HTTP requests to one base URL and reads each response into memory.
- * Sends a request with a body at most once. Safe for use by several threads.
+ * Sends a request with a body at most once. After a timeout on a kept connection, the
+ * next call opens a new one. Safe for use by several threads.
  */
 public final class HttpCalls {
 
@@ -119,6 +121,14 @@
 		return future;
 	}
 
+	// A connection may go silent together with others, which still look open. The next
+	// call would otherwise time out on one of those.
+	private void closeSilentConnections(IOException failure, SendTracker tracker) {
+		if (failure instanceof InterruptedIOException && tracker.usedKeptConnection()) {
+			this.client.connectionPool().evictAll();
+		}
+	}
+
 	/**
 	 * A complete response with its body in memory. Immutable; the body array must not be
 	 * changed.
@@ -234,7 +244,7 @@
 
 	}
 
-	private static final class ResponseCallback implements Callback {
+	private final class ResponseCallback implements Callback {
 
 		private final CompletableFuture<BufferedResponse> future;
 
@@ -247,6 +257,7 @@
 
 		@Override
 		public void onFailure(Call call, IOException ex) {
+			closeSilentConnections(ex, this.tracker);
 			this.future.completeExceptionally(new CallFailedException(ex, this.tracker.started()));
 		}
 
@@ -260,20 +271,21 @@
 						response.headers());
 			}
 			catch (IOException ex) {
+				closeSilentConnections(ex, this.tracker);
 				this.future.completeExceptionally(new CallFailedException(ex, true));
 				return;
 			}
 			this.future.complete(buffered);
 		}
 
-		private static byte[] readBounded(BufferedSource source) throws IOException {
+		private byte[] readBounded(BufferedSource source) throws IOException {
 			if (source.request(MAX_BODY_BYTES + 1)) {
 				throw new IOException("The response body is longer than " + MAX_BODY_BYTES + " bytes");
 			}
 			return source.readByteArray();
 		}
 
-		private static long retryAfterMs(@Nullable String seconds) {
+		private long retryAfterMs(@Nullable String seconds) {
 			if (seconds == null || !seconds.matches("[0-9]{1,9}")) {
 				return -1;
 			}
--- a/core/src/main/java/io/verbenacleat/core/platform/SendTracker.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/SendTracker.java
@@ -1,13 +1,16 @@
 package io.verbenacleat.core.platform;
 
+import java.net.InetSocketAddress;
+import java.net.Proxy;
+
 import okhttp3.Call;
 import okhttp3.EventListener;
 import okhttp3.Response;
 
 /**
  * Records whether the client has started to send a request, that is whether the server
- * may have received it, and reports the start of the response. Attached to the request as
- * a tag. Safe for use by several threads.
+ * may have received it, and on which kind of connection, and reports the start of the
+ * response. Attached to the request as a tag. Safe for use by several threads.
  */
 final class SendTracker {
 
@@ -15,6 +18,8 @@
 
 	private volatile boolean started;
 
+	private volatile boolean connecting;
+
 	SendTracker() {
 		this(() -> {
 		});
@@ -36,6 +41,14 @@
 		return this.started;
 	}
 
+	/**
+	 * Returns whether the request was sent on a connection of an earlier call.
+	 * @return {@code false} if a connection was opened for the call, or none was used
+	 */
+	boolean usedKeptConnection() {
+		return this.started && !this.connecting;
+	}
+
 	/**
 	 * Returns the listener that updates the tracker of a call.
 	 * @param call the call
@@ -54,6 +67,11 @@
 			this.tracker = tracker;
 		}
 
+		@Override
+		public void connectStart(Call call, InetSocketAddress address, Proxy proxy) {
+			this.tracker.connecting = true;
+		}
+
 		@Override
 		public void requestHeadersStart(Call call) {
 			this.tracker.started = true;
