Close kept connections to a server that may be silent like the one in use

After a stall on a kept connection the next request went to the next idle connection of the pool, which went silent together with it, until the idle limit of four seconds: with three kept connections three requests in a row ended with 504 and three load polls failed, so that the server counted as failed while it answered new connections.

Cause: nothing tied a stalled kept connection to the others of the same server.

Change: when a server has sent nothing for 0.7 s and a request on a kept connection has no response head, or a load poll or liveness check on one times out, the connections to that server that have been idle since before are closed. Those that were used since have shown that they work. The request itself goes on as before: a slow response is better than none, and what may not run twice is not repeated. New line server.connections_silent. Price: none while servers write; a server that hangs or is dark loses connections that are of no use.

--- a/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
@@ -279,6 +279,7 @@
 			if (!this.finished) {
 				ServerConnection current = this.connection;
 				if (current != null) {
+					LivenessChecks.this.relay.connections().closeSilent(this.state.server(), current, this.sentAtMs);
 					current.abandon();
 				}
 				finish(false, "timeout");
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -190,6 +190,7 @@
 			if (!this.finished) {
 				ServerConnection current = this.connection;
 				if (current != null) {
+					LoadPoller.this.relay.connections().closeSilent(this.state.server(), current, this.sentAtMs);
 					current.abandon();
 				}
 				fail();
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -334,6 +334,9 @@
 			return;
 		}
 		ServerAttempt currentAttempt = this.attempt;
+		if (currentAttempt != null) {
+			currentAttempt.checkSilence(nowMs);
+		}
 		if (nowMs >= this.deadlineAtMs + ((this.sendCount > 0) ? DEADLINE_SLACK_MS : 0)) {
 			if (currentAttempt != null) {
 				currentAttempt.abandon();
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -308,6 +308,28 @@
 				this.route.targetLatencyMs());
 	}
 
+	/**
+	 * Closes the kept connections that may be silent like the one of this attempt, if the
+	 * server has sent nothing for some time.
+	 * @param nowMs the monotonic time in milliseconds
+	 */
+	void checkSilence(long nowMs) {
+		ServerConnection current = this.connection;
+		if (current == null || this.finished || this.status != 0 || !this.state.isSilent(nowMs)) {
+			return;
+		}
+		int closed = this.request.relay().connections().closeSilent(this.state.server(), current, this.sentAtMs);
+		if (closed > 0) {
+			this.request.relay()
+				.log()
+				.event("server.connections_silent")
+				.with("server", this.state.server().id())
+				.with("silent_ms", nowMs - this.sentAtMs)
+				.with("closed", closed)
+				.emit();
+		}
+	}
+
 	private void closeConnection() {
 		ServerConnection current = this.connection;
 		this.connection = null;
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
@@ -169,6 +169,18 @@
 		return this.channel.isActive() && this.reusable && nowMs - this.idleSinceMs < this.idleLimitMs;
 	}
 
+	/**
+	 * Returns whether the connection has been used by an earlier request.
+	 * @return {@code false} until its first response is complete
+	 */
+	boolean isKept() {
+		return this.usedBefore;
+	}
+
+	boolean isIdleSinceBefore(long timeMs) {
+		return this.idleSinceMs <= timeMs;
+	}
+
 	void close() {
 		this.channel.close();
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import io.netty.bootstrap.Bootstrap;
@@ -120,17 +121,31 @@
 	 */
 	void closeExpired() {
 		long now = this.nowMs.getAsLong();
-		for (Deque<ServerConnection> pool : this.idleConnections.values()) {
-			List<ServerConnection> expired = new ArrayList<>();
-			pool.removeIf((connection) -> {
-				boolean unusable = !connection.isUsable(now);
-				if (unusable) {
-					expired.add(connection);
-				}
-				return unusable;
-			});
-			expired.forEach(ServerConnection::close);
+		this.idleConnections.values().forEach((pool) -> close(pool, (connection) -> !connection.isUsable(now)));
+	}
+
+	/**
+	 * Closes the other connections to a server that have been idle since before a request
+	 * was sent on a kept connection, which has got no response. Connections may go silent
+	 * together and still look open, and the next request would be sent on one of those.
+	 * @param server the server
+	 * @param sent the connection of the request
+	 * @param sentAtMs when the request was sent, by the steady time in milliseconds
+	 * @return the number of closed connections
+	 */
+	int closeSilent(BackendServer server, ServerConnection sent, long sentAtMs) {
+		Deque<ServerConnection> pool = this.idleConnections.get(incarnationKey(server));
+		if (pool == null || !sent.isKept()) {
+			return 0;
 		}
+		return close(pool, (connection) -> connection.isIdleSinceBefore(sentAtMs));
+	}
+
+	private static int close(Deque<ServerConnection> pool, Predicate<ServerConnection> condition) {
+		List<ServerConnection> closing = pool.stream().filter(condition).toList();
+		pool.removeAll(closing);
+		closing.forEach(ServerConnection::close);
+		return closing.size();
 	}
 
 	void release(ServerConnection connection) {
