--- a/router/src/test/java/io/verbenacleat/router/stream/StreamFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/stream/StreamFleet.java
@@ -74,6 +74,9 @@
 
 	final List<Server> servers = new ArrayList<>();
 
+	/** The time until the store performs a write. */
+	Duration writeDelay = STORE_DELAY;
+
 	/** The share of streams that break off by themselves. */
 	double breakRatio = 0.1;
 
@@ -116,7 +119,7 @@
 				this.due--;
 				Router router = this.routers.get(this.random.nextInt(this.routers.size()));
 				if (router.alive) {
-					new Stream(router).begin();
+					router.thread.execute(new Stream(router)::begin);
 				}
 			}
 		}
@@ -223,6 +226,8 @@
 
 	final class Router {
 
+		private final StallingControlThread thread = new StallingControlThread(StreamFleet.this.control);
+
 		boolean alive;
 
 		private boolean storeReachable = true;
@@ -245,7 +250,7 @@
 
 		private StreamOrigins create(boolean firstStart) {
 			StreamOrigins created = new StreamOrigins(new StoreLink(this), new VirtualClock(), () -> this.era,
-					StreamFleet.this.control, new DecisionLog(() -> 0), StreamFleet.this.random, firstStart);
+					this.thread, new DecisionLog(() -> 0), StreamFleet.this.random, firstStart);
 			Route route = Route.builder("r", "h", "/r/")
 				.kind(RequestKind.RESUMABLE_STREAM)
 				.timing(TIMEOUT_MS, 300)
@@ -286,6 +291,19 @@
 			learnServers();
 		}
 
+		/**
+		 * Lets the process stand still. What is due meanwhile runs afterwards.
+		 * @param duration the duration
+		 */
+		void standStill(Duration duration) {
+			this.thread.standStill();
+			StreamFleet.this.control.schedule(duration, () -> {
+				disturb();
+				this.thread.goOn();
+			});
+			disturb();
+		}
+
 		private void disturb() {
 			this.calmSinceMs = nowMs();
 		}
@@ -300,15 +318,14 @@
 
 		private void learnServers() {
 			int current = this.incarnation;
-			StreamFleet.this.control.schedule(Duration.ofMillis(StreamFleet.this.random.nextInt(MAX_LIST_DELAY_MS)),
-					() -> {
-						if (this.alive && this.storeReachable && current == this.incarnation) {
-							this.era = StreamFleet.this.store.era();
-							this.listed = List.copyOf(StreamFleet.this.servers);
-							this.origins.updateServers(
-									ServerList.of(this.listed.stream().map((server) -> server.registration).toList()));
-						}
-					});
+			this.thread.schedule(Duration.ofMillis(StreamFleet.this.random.nextInt(MAX_LIST_DELAY_MS)), () -> {
+				if (this.alive && this.storeReachable && current == this.incarnation) {
+					this.era = StreamFleet.this.store.era();
+					this.listed = List.copyOf(StreamFleet.this.servers);
+					this.origins.updateServers(
+							ServerList.of(this.listed.stream().map((server) -> server.registration).toList()));
+				}
+			});
 		}
 
 	}
@@ -359,7 +376,7 @@
 			}
 			Router current = this.router;
 			int incarnation = current.incarnation;
-			current.origins.replace(this.id, origin, StreamFleet.this.control, (replaced) -> {
+			current.origins.replace(this.id, origin, current.thread, (replaced) -> {
 				if (replaced && incarnation == current.incarnation) {
 					send(selected);
 				}
@@ -431,7 +448,11 @@
 			boolean counted = chosen.isInTouch() && serving >= 2;
 			StreamFleet.this.resumable += counted ? 1 : 0;
 			int incarnation = chosen.incarnation;
-			chosen.origins.find(this.id, SERVICE, WORKSPACE, StreamFleet.this.control, (lookup) -> {
+			chosen.thread.execute(() -> resumeAt(chosen, incarnation, counted));
+		}
+
+		private void resumeAt(Router chosen, int incarnation, boolean counted) {
+			chosen.origins.find(this.id, SERVICE, WORKSPACE, chosen.thread, (lookup) -> {
 				List<Server> suitable = chosen.listed.stream()
 					.filter((candidate) -> candidate.alive && candidate.version().equals(lookup.version()))
 					.toList();
@@ -477,7 +498,7 @@
 		public CompletableFuture<WriteOutcome> transact(Transaction transaction) {
 			CompletableFuture<WriteOutcome> later = new CompletableFuture<>();
 			int current = this.router.incarnation;
-			StreamFleet.this.control.schedule(STORE_DELAY, () -> {
+			StreamFleet.this.control.schedule(StreamFleet.this.writeDelay, () -> {
 				if (!this.router.storeReachable || current != this.router.incarnation) {
 					later.complete(new WriteOutcome.Unknown(failure()));
 					return;
--- a/router/src/test/java/io/verbenacleat/router/stream/StreamFleetTests.java
+++ b/router/src/test/java/io/verbenacleat/router/stream/StreamFleetTests.java
@@ -24,6 +24,9 @@
 
 	private static final double STREAMS_PER_S = 40;
 
+	/** Longer than a stream takes to begin, break off and be taken up. */
+	private static final Duration SLOW_WRITE = Duration.ofMillis(1_500);
+
 	@DataProvider
 	public Object[][] fleetSizes() {
 		return new Object[][] { { 1 }, { 4 }, { 33 }, { 240 } };
@@ -210,6 +213,54 @@
 		assertResumed(fleet);
 	}
 
+	@DataProvider
+	public Object[][] outOfStep() {
+		List<Object[]> cases = new ArrayList<>();
+		for (int fromMs = -1_500; fromMs <= 1_500; fromMs += 100) {
+			for (int forMs : new int[] { 400, 2_500, 5_000 }) {
+				cases.add(new Object[] { fromMs, forMs });
+			}
+		}
+		return cases.toArray(new Object[0][]);
+	}
+
+	// Guards against a router that does not know yet at which versions others begin
+	// streams: cut off or standing still around the join of a new version and the leave
+	// of the old one, with a store that is slow to write in every second play.
+	@Test(dataProvider = "outOfStep")
+	public void aRouterOutOfStepJoinsNoStreams(int fromMs, int forMs) {
+		for (long seed = 1; seed <= 4; seed++) {
+			for (boolean still : new boolean[] { false, true }) {
+				StreamFleet fleet = new StreamFleet(3, 8, seed);
+				fleet.breakRatio = 0.6;
+				Duration usualDelay = fleet.writeDelay;
+				if (seed % 2 == 0) {
+					fleet.control.schedule(Duration.ofMillis(1_000), () -> fleet.writeDelay = SLOW_WRITE);
+					fleet.control.schedule(Duration.ofMillis(6_000), () -> fleet.writeDelay = usualDelay);
+				}
+				fleet.run(Duration.ofSeconds(2), STREAMS_PER_S);
+				StreamFleet.Router router = fleet.routers.get(0);
+				fleet.control.schedule(Duration.ofMillis(1_500 + fromMs), () -> {
+					if (still) {
+						router.standStill(Duration.ofMillis(forMs));
+						return;
+					}
+					router.reachStore(false);
+					fleet.control.schedule(Duration.ofMillis(forMs), () -> router.reachStore(true));
+				});
+				fleet.control.schedule(Duration.ofMillis(1_500), () -> fleet.release(0.5));
+				fleet.control.schedule(Duration.ofMillis(4_000), () -> fleet.release(1));
+				fleet.run(Duration.ofSeconds(9), STREAMS_PER_S);
+				assertEquals(fleet.joined, 0, "seed " + seed + (still ? ", still" : ", cut off"));
+				fleet.run(Duration.ofSeconds(3), STREAMS_PER_S);
+				fleet.resumable = 0;
+				fleet.resumed = 0;
+				fleet.run(Duration.ofSeconds(6), STREAMS_PER_S);
+				assertResumed(fleet);
+			}
+		}
+	}
+
 	// Guards against changes that are safe by themselves but not together.
 	@Test(dataProvider = "histories")
 	public void noStreamIsJoinedUnderRandomChanges(long seed) {
