--- a/router/src/test/java/io/verbenacleat/router/relay/LoadPollerTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/LoadPollerTests.java
@@ -30,7 +30,8 @@
 		}
 	}
 
-	private static final class SingleNumberFormat implements LoadReportFormat {
+	/** Load reports that consist of the number of requests. */
+	static final class SingleNumberFormat implements LoadReportFormat {
 
 		@Override
 		public String path() {
--- a/router/src/test/java/io/verbenacleat/router/relay/SilentServerConnectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/SilentServerConnectionTests.java
@@ -5,11 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
 
-import io.verbenacleat.router.LoadReportFormat;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -62,7 +59,7 @@
 			openConnections(fixture, "/again/");
 			silent.addAll(fixture.servers.get(0).connections);
 			assertEquals(silent.size(), KEPT);
-			try (LoadPoller poller = fixture.startPolling(new CountFormat())) {
+			try (LoadPoller poller = fixture.startPolling(new LoadPollerTests.SingleNumberFormat())) {
 				assertTrue(RelayFixture.await(() -> polled.size() >= 2));
 			}
 			assertTrue(silent.contains(polled.get(0)));
@@ -93,23 +90,4 @@
 		}
 	}
 
-	private static final class CountFormat implements LoadReportFormat {
-
-		@Override
-		public String path() {
-			return "/load";
-		}
-
-		@Override
-		public OptionalInt parseRequestCount(byte[] body) {
-			return OptionalInt.of(Integer.parseInt(new String(body, StandardCharsets.UTF_8)));
-		}
-
-		@Override
-		public OptionalLong parseStartTimeMs(byte[] body) {
-			return OptionalLong.empty();
-		}
-
-	}
-
 }
