Streams of a test fleet are begun at once unless their router stands still

Traced: the fixture of aRouterOutOfStepJoinsNoStreams queued each begin and each take-up of all tests, which shifted their random histories; in the new one a router loses power while it looks a stream up, and the fixture counts that try. The fixture now calls at once unless the router stands still, so the older tests play the histories that they had; no check changed.

--- a/router/src/test/java/io/verbenacleat/router/stream/StallingControlThread.java
+++ b/router/src/test/java/io/verbenacleat/router/stream/StallingControlThread.java
@@ -40,6 +40,19 @@
 		}
 	}
 
+	/**
+	 * Runs a task now, or when the process goes on.
+	 * @param task the task
+	 */
+	void runOrDefer(Runnable task) {
+		if (this.still) {
+			this.due.add(task);
+		}
+		else {
+			task.run();
+		}
+	}
+
 	@Override
 	public Clock clock() {
 		return this.shared.clock();
@@ -52,17 +65,17 @@
 
 	@Override
 	public void execute(Runnable task) {
-		this.shared.execute(() -> run(task));
+		this.shared.execute(() -> runOrDefer(task));
 	}
 
 	@Override
 	public Cancellable schedule(Duration delay, Runnable task) {
-		return this.shared.schedule(delay, () -> run(task));
+		return this.shared.schedule(delay, () -> runOrDefer(task));
 	}
 
 	@Override
 	public Cancellable scheduleWithFixedDelay(Duration delay, Runnable task) {
-		return this.shared.scheduleWithFixedDelay(delay, () -> run(task));
+		return this.shared.scheduleWithFixedDelay(delay, () -> runOrDefer(task));
 	}
 
 	@Override
@@ -76,13 +89,4 @@
 		this.due.clear();
 	}
 
-	private void run(Runnable task) {
-		if (this.still) {
-			this.due.add(task);
-		}
-		else {
-			task.run();
-		}
-	}
-
 }
--- a/router/src/test/java/io/verbenacleat/router/stream/StreamFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/stream/StreamFleet.java
@@ -119,7 +119,7 @@
 				this.due--;
 				Router router = this.routers.get(this.random.nextInt(this.routers.size()));
 				if (router.alive) {
-					router.thread.execute(new Stream(router)::begin);
+					router.thread.runOrDefer(new Stream(router)::begin);
 				}
 			}
 		}
@@ -448,7 +448,7 @@
 			boolean counted = chosen.isInTouch() && serving >= 2;
 			StreamFleet.this.resumable += counted ? 1 : 0;
 			int incarnation = chosen.incarnation;
-			chosen.thread.execute(() -> resumeAt(chosen, incarnation, counted));
+			chosen.thread.runOrDefer(() -> resumeAt(chosen, incarnation, counted));
 		}
 
 		private void resumeAt(Router chosen, int incarnation, boolean counted) {
