Send nothing to servers that a list leaves out as evacuated

Selection, retries, resumed streams, load polls and liveness checks leave them out, and idle connections are closed; requests in flight end normally. A service with no other servers refuses its requests at once with the code zones_evacuated. No list leaves out servers yet.

--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -110,7 +110,8 @@
 	}
 
 	/**
-	 * Returns the servers of a service that are not draining.
+	 * Returns the servers of a service that are neither draining nor in an evacuated
+	 * zone.
 	 * @param service the name of the service
 	 * @return the servers
 	 */
@@ -129,6 +130,34 @@
 		return state != null && state.server().isSameIncarnation(server);
 	}
 
+	/**
+	 * Returns whether a server is in an evacuated zone and must not be sent anything.
+	 * @param server the server
+	 * @return {@code true} if its zone is evacuated
+	 */
+	public boolean isEvacuated(BackendServer server) {
+		return this.servers.isEvacuated(server);
+	}
+
+	/**
+	 * Returns whether servers of a service are left out because their zone is evacuated.
+	 * @param service the name of the service
+	 * @return {@code true} if there is such a server
+	 */
+	public boolean isReduced(String service) {
+		return this.servers.isReduced(service);
+	}
+
+	/**
+	 * Returns whether a service has no other servers than those in evacuated zones, not
+	 * counting draining ones.
+	 * @param service the name of the service
+	 * @return {@code true} if its requests cannot be served until a zone is back
+	 */
+	public boolean isEvacuated(String service) {
+		return this.servers.isReduced(service) && this.servers.usable(service).isEmpty();
+	}
+
 	/**
 	 * Returns how long a service accepts no requests because all of its servers that are
 	 * not leaving requested a pause.
--- a/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
@@ -31,9 +31,10 @@
  * ended. Not thread safe; confined to the event loop of the relay.
  * <p>
  * A load report that was requested after the end shows that the incarnation still runs.
- * Servers without load reports, and those that must not be sent requests now, have to
- * keep a connection open for {@link #HOLD_MS}: the kernel accepts connections for a
- * process that is ending, and resets them. Anything else confirms nothing.
+ * Servers without load reports, and those that must not be sent requests now, for example
+ * in an evacuated zone, have to keep a connection open for {@link #HOLD_MS}: the kernel
+ * accepts connections for a process that is ending, and resets them. Anything else
+ * confirms nothing.
  */
 final class LivenessChecks {
 
@@ -82,8 +83,8 @@
 	}
 
 	private void start(ServerState state, Service service, List<Listener> listeners) {
-		boolean mayAsk = service.modelService() && !state.isLimited()
-				&& state.remainingPauseMs(this.relay.nowMs()) == 0;
+		boolean mayAsk = service.modelService() && !state.isLimited() && state.remainingPauseMs(this.relay.nowMs()) == 0
+				&& !this.relay.states().isEvacuated(state.server());
 		Listener each = (running, evidence) -> {
 			try {
 				listeners.forEach((listener) -> listener.onResult(running, evidence));
@@ -214,6 +215,12 @@
 				owner.connections().release(opened);
 				return;
 			}
+			if (owner.states().isEvacuated(this.state.server())) {
+				this.finished = true;
+				owner.connections().release(opened);
+				holdConnection(this.state.server(), this.listener);
+				return;
+			}
 			this.connection = opened;
 			FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
 					LivenessChecks.this.reportFormat.path());
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -104,7 +104,8 @@
 	}
 
 	private boolean acceptsPolls(ServerState state) {
-		return state.acceptsRequests(this.relay.nowMs()) && !state.isLimited();
+		return state.acceptsRequests(this.relay.nowMs()) && !state.isLimited()
+				&& !this.relay.states().isEvacuated(state.server());
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
@@ -21,6 +21,8 @@
 
 	private final Counter sends;
 
+	private final Counter evacuationSends;
+
 	private final Counter loadPolls;
 
 	private final Counter responses;
@@ -54,6 +56,10 @@
 			.name("verbena_router_sends_total")
 			.help("Requests that were sent to a backend server, repeats included")
 			.register(registry);
+		this.evacuationSends = Counter.builder()
+			.name("verbena_router_evacuation_sends_total")
+			.help("Requests that were sent while servers of their service were left out because of an evacuated zone")
+			.register(registry);
 		this.loadPolls = Counter.builder()
 			.name("verbena_router_load_polls_total")
 			.help("Requests for the load of a backend server")
@@ -112,6 +118,10 @@
 		this.sends.inc();
 	}
 
+	void sentDuringEvacuation() {
+		this.evacuationSends.inc();
+	}
+
 	void loadPolled() {
 		this.loadPolls.inc();
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -182,6 +182,10 @@
 			refuseAfterStartupWait();
 			return;
 		}
+		if (this.relay.states().isEvacuated(this.service.name())) {
+			refuse(Refusal.ZONES_EVACUATED);
+			return;
+		}
 		long waitedMs = this.relay.nowMs() - this.startedAtMs;
 		if (!this.relay.quarantine().hasReports()
 				&& StartupWaitPolicy.shouldWaitForConfiguration(this.relay.uptimeMs(), waitedMs)) {
@@ -404,8 +408,7 @@
 			selected = select(target, excludedServers(target));
 		}
 		if (selected.isEmpty()) {
-			boolean limited = this.relay.states().isLimited(target.name(), excludedServers(target), this.relay.nowMs());
-			giveUp(limited ? Refusal.SERVERS_LIMITED : Refusal.NO_SERVER, "no server accepts requests");
+			giveUp(unavailability(target), "no server accepts requests");
 			return;
 		}
 		ServerState state = selected.get();
@@ -421,6 +424,14 @@
 		this.relay.connections().acquire(state.server(), Math.max(1, target.maxConnections() / 2), next);
 	}
 
+	private Refusal unavailability(Service target) {
+		if (this.relay.states().isEvacuated(target.name())) {
+			return Refusal.ZONES_EVACUATED;
+		}
+		boolean limited = this.relay.states().isLimited(target.name(), excludedServers(target), this.relay.nowMs());
+		return limited ? Refusal.SERVERS_LIMITED : Refusal.NO_SERVER;
+	}
+
 	// The request goes on once its record names the new version.
 	private void replaceOrigin(Service target) {
 		this.relay.streamOrigins().replace(this.requestId, origin(target), this.relay.executor(), (replaced) -> {
@@ -547,6 +558,9 @@
 		this.mayHaveRun = true;
 		this.triedServerIds.add(state.server().id());
 		this.relay.metrics().sent();
+		if (this.relay.states().isReduced(state.server().service())) {
+			this.relay.metrics().sentDuringEvacuation();
+		}
 		logLine("request.sent", "selected").with("server", state.server().id())
 			.with("version", state.server().softwareVersion())
 			.with("resumes", resumedId())
--- a/router/src/main/java/io/verbenacleat/router/relay/RetryAfterPolicy.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RetryAfterPolicy.java
@@ -16,6 +16,12 @@
 	/** A fully loaded server completes some requests within this time. */
 	static final long SERVERS_DELAY_MS = 250;
 
+	/**
+	 * An operator takes a zone back after seconds at the earliest, and all routers know
+	 * within five.
+	 */
+	static final long EVACUATION_DELAY_MS = 2_000;
+
 	/** Another router accepts the caller's next connection. */
 	static final long OTHER_ROUTER_DELAY_MS = 50;
 
@@ -54,6 +60,7 @@
 			case NOT_CONFIGURED -> STARTUP_DELAY_MS;
 			case PREPAID_UNAVAILABLE, STREAM_NOT_FOUND -> TOKENS_DELAY_MS;
 			case NO_SERVER, SERVERS_LIMITED, OVERLOADED -> SERVERS_DELAY_MS;
+			case ZONES_EVACUATED -> EVACUATION_DELAY_MS;
 			default -> OTHER_ROUTER_DELAY_MS;
 		};
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -84,12 +84,11 @@
 			return;
 		}
 		Relay relay = this.request.relay();
-		boolean listed = relay.states().isListed(this.state.server());
-		if (!listed || !this.state.takePermit(relay.nowMs())) {
+		String obstacle = findObstacle();
+		if (obstacle != null) {
 			relay.connections().release(opened);
 			this.finished = true;
-			this.request.onAttemptFailed(this, SendFailure.NOT_SENT,
-					listed ? "server does not accept requests" : "server is not registered", this.mayHaveRunBefore);
+			this.request.onAttemptFailed(this, SendFailure.NOT_SENT, obstacle, this.mayHaveRunBefore);
 			return;
 		}
 		this.connection = opened;
@@ -102,6 +101,18 @@
 		opened.setReading(this.request.isCallerWritable());
 	}
 
+	// The list of servers may have changed while the connection was opened.
+	private @Nullable String findObstacle() {
+		Relay relay = this.request.relay();
+		if (!relay.states().isListed(this.state.server())) {
+			return "server is not registered";
+		}
+		if (relay.states().isEvacuated(this.state.server())) {
+			return "zone of the server is evacuated";
+		}
+		return this.state.takePermit(relay.nowMs()) ? null : "server does not accept requests";
+	}
+
 	@Override
 	public void onConnectFailed(String reason) {
 		if (this.finished) {
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
@@ -101,11 +101,16 @@
 	}
 
 	/**
-	 * Closes the idle connections to incarnations that are no longer listed.
+	 * Closes the idle connections to incarnations that are no longer listed and to
+	 * servers in evacuated zones.
 	 * @param list the registered servers
 	 */
 	void update(ServerList list) {
-		Set<String> keys = list.all().stream().map(ServerConnections::incarnationKey).collect(Collectors.toSet());
+		Set<String> keys = list.all()
+			.stream()
+			.filter((server) -> !list.isEvacuated(server))
+			.map(ServerConnections::incarnationKey)
+			.collect(Collectors.toSet());
 		List<ServerConnection> unlisted = new ArrayList<>();
 		this.idleConnections.entrySet().removeIf((entry) -> {
 			boolean removed = !keys.contains(entry.getKey());
