Read evacuated zones from the store and pass them between routers

The call fleet carries what is known in its request and its response. A router passes a change on to six others, asks one every 250 ms while the store is silent, and asks all others before it uses a list of servers from a peer.

--- a/router/src/main/java/io/verbenacleat/router/FleetFeed.java
+++ b/router/src/main/java/io/verbenacleat/router/FleetFeed.java
@@ -4,6 +4,7 @@
 
 import io.verbenacleat.router.config.RoutingTable;
 import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.EvacuationState;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -53,6 +54,14 @@
 		 */
 		void onConfiguration(RoutingTable table);
 
+		/**
+		 * Called when the registry has responded about the evacuated zones, also if
+		 * nothing has changed. Called before a configuration of the same response.
+		 * @param state the rows of all zones in the current era, and the version up to
+		 * which the registry was read
+		 */
+		void onEvacuations(EvacuationState state);
+
 		/**
 		 * Called when all registrations were read.
 		 * @param servers the servers by id
--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -14,6 +15,7 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.HttpCalls;
@@ -37,6 +39,8 @@
 import io.verbenacleat.router.relay.LoadPoller;
 import io.verbenacleat.router.relay.Relay;
 import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.EvacuatedZones;
+import io.verbenacleat.router.server.EvacuationState;
 import io.verbenacleat.router.server.ServerDirectory;
 import io.verbenacleat.router.server.ServerList;
 import io.verbenacleat.router.stream.StreamOrigins;
@@ -76,6 +80,10 @@
 
 	private final ServerDirectory directory;
 
+	private final EvacuatedZones evacuatedZones;
+
+	private final Gauge evacuatedZoneCount;
+
 	private final CallerServer callers;
 
 	private final AdminEndpoint readiness;
@@ -95,6 +103,14 @@
 
 	private boolean serversKnown;
 
+	/** The list of servers as published last, {@code null} before the first one. */
+	private @Nullable ServerList servers;
+
+	/** When the registry last confirmed the evacuated zones, by the steady clock. */
+	private long evacuationsConfirmedAtNanos;
+
+	private boolean evacuationsConfirmed;
+
 	private volatile boolean configured;
 
 	private volatile boolean serversRead;
@@ -138,6 +154,11 @@
 		this.relay = new Relay(this.loop.next(), options.relay(), reportFormat, this.ledger, this.quarantine,
 				this.streamOrigins, this.permits, log, registry);
 		this.loadPoller = new LoadPoller(this.relay, reportFormat, this.loop.next());
+		this.evacuatedZoneCount = Gauge.builder()
+			.name("verbena_router_evacuated_zones")
+			.help("Availability zones that are evacuated")
+			.register(registry);
+		this.evacuatedZones = new EvacuatedZones(log, this::publishEvacuatedZones);
 		this.directory = new ServerDirectory(control, log, this::publishServers, feed::recheckServers);
 		this.callers = CallerServer.start(this.loop, this.relay, options.host(), options.callerPort());
 		this.readiness = AdminEndpoint.readiness(this.loop, options.readyHost(), options.readyPort(), this::isReady);
@@ -244,6 +265,15 @@
 		this.serversRead = true;
 	}
 
+	@Override
+	public void onEvacuations(EvacuationState state) {
+		this.evacuationsConfirmed = true;
+		this.evacuationsConfirmedAtNanos = this.control.nanoTime();
+		if (this.evacuatedZones.onStoreRead(state)) {
+			this.peers.spreadEvacuations();
+		}
+	}
+
 	@Override
 	public void onServerChange(String id, @Nullable BackendServer server, boolean afterOutage) {
 		this.directory.update(id, server, afterOutage);
@@ -265,6 +295,25 @@
 				: Long.MAX_VALUE;
 	}
 
+	@Override
+	public EvacuationState evacuations() {
+		return this.evacuatedZones.state();
+	}
+
+	@Override
+	public long evacuationsAgeMs() {
+		return this.evacuationsConfirmed
+				? Duration.ofNanos(this.control.nanoTime() - this.evacuationsConfirmedAtNanos).toMillis()
+				: Long.MAX_VALUE;
+	}
+
+	@Override
+	public void applyEvacuations(EvacuationState received, String peer) {
+		if (this.evacuatedZones.onPeerState(received, peer)) {
+			this.peers.spreadEvacuations();
+		}
+	}
+
 	@Override
 	public List<CrashReport> crashReports() {
 		return this.quarantine.reports();
@@ -324,8 +373,17 @@
 	}
 
 	private void publishServers(ServerList list) {
+		this.servers = list;
 		this.streamOrigins.updateServers(list);
-		this.relay.updateServers(list);
+		this.relay.updateServers(list.withEvacuated(this.evacuatedZones.zones()));
+	}
+
+	private void publishEvacuatedZones(Set<String> zones) {
+		this.evacuatedZoneCount.set(zones.size());
+		ServerList list = this.servers;
+		if (list != null) {
+			this.relay.updateServers(list.withEvacuated(zones));
+		}
 	}
 
 	private void onRouters(List<String> peerAddresses, FleetPosition position) {
--- a/router/src/main/java/io/verbenacleat/router/peer/FleetView.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/FleetView.java
@@ -6,6 +6,7 @@
 import io.verbenacleat.router.config.RoutingTable;
 import io.verbenacleat.router.quarantine.CrashReport;
 import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.EvacuationState;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +35,26 @@
 	 */
 	long serversAgeMs();
 
+	/**
+	 * Returns what is known of the evacuated zones.
+	 * @return the state, empty before the first one
+	 */
+	EvacuationState evacuations();
+
+	/**
+	 * Returns the age of what the store said of the evacuated zones.
+	 * @return the time in milliseconds since the store confirmed them to this router,
+	 * {@link Long#MAX_VALUE} if it never did
+	 */
+	long evacuationsAgeMs();
+
+	/**
+	 * Adds what another router knows of the evacuated zones.
+	 * @param received the state of the other router
+	 * @param peer its address
+	 */
+	void applyEvacuations(EvacuationState received, String peer);
+
 	/**
 	 * Returns the crash reports of this router.
 	 * @return the reports
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
@@ -22,18 +22,20 @@
 import io.verbenacleat.router.quarantine.CrashReport;
 import io.verbenacleat.router.quarantine.CrashReportPeers;
 import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.EvacuationState;
 import org.jspecify.annotations.Nullable;
 
 /**
- * Client of the other routers: borrows and transfers tokens, passes on crash reports, and
- * refreshes the state of the fleet while the store is unreachable. Confined to the
- * control thread.
+ * Client of the other routers: borrows and transfers tokens, passes on crash reports and
+ * evacuated zones, and refreshes the state of the fleet while the store is unreachable.
+ * Confined to the control thread.
  */
 public final class PeerClient implements TokenPeers, CrashReportPeers, AutoCloseable {
 
 	/**
-	 * Another router is asked for a snapshot when the list of servers is older than this.
-	 * The store responds to a poll within 1.5 s, and polls of the list are 200 ms apart.
+	 * Another router is asked for a snapshot when the list of servers is older than this,
+	 * and for the evacuated zones when the store has not confirmed those for as long. The
+	 * store responds to a poll within 1.5 s, and polls of the list are 200 ms apart.
 	 */
 	static final Duration STALE_SERVERS_AGE = Duration.ofMillis(2_200);
 
@@ -71,6 +73,22 @@
 	/** Maximum wait of requests for a router that remembers their grant. */
 	private static final Duration ANNOUNCE_TIMEOUT = Duration.ofMillis(150);
 
+	/**
+	 * Routers that get a change of the evacuated zones from each router to which it is
+	 * new, so that all of several hundred have it after three calls.
+	 */
+	private static final int MAX_EVACUATION_RECEIVERS = 6;
+
+	/**
+	 * Routers that are asked for the evacuated zones by a router that starts without the
+	 * store: all in fleets of up to this size, and enough of a larger one, in which each
+	 * change reaches all within a few calls.
+	 */
+	private static final int MAX_STARTUP_SOURCES = 64;
+
+	/** Maximum wait for evacuated zones. A response takes a few milliseconds. */
+	private static final Duration EVACUATIONS_TIMEOUT = Duration.ofMillis(150);
+
 	private final String ownAddress;
 
 	private final PeerDirectory directory;
@@ -87,6 +105,8 @@
 
 	private boolean refreshing;
 
+	private @Nullable FleetView fleet;
+
 	/**
 	 * Creates a client.
 	 * @param ownAddress the peer address of this router as {@code ip:port}
@@ -116,6 +136,7 @@
 	 * @param fleet the state of this router
 	 */
 	public void start(FleetView fleet) {
+		this.fleet = fleet;
 		this.timer = this.control.scheduleWithFixedDelay(INTERVAL, () -> refresh(fleet));
 	}
 
@@ -215,53 +236,116 @@
 		}
 	}
 
-	private void refresh(FleetView fleet) {
-		long nowNanos = this.control.nanoTime();
-		long ageMs = fleet.serversAgeMs();
-		boolean stale = (ageMs == Long.MAX_VALUE) ? nowNanos - this.startedAtNanos > STARTUP_GRACE_PERIOD.toNanos()
+	/**
+	 * Exchanges what is known of the evacuated zones with some routers, after it has
+	 * changed. Does nothing before the start.
+	 */
+	public void spreadEvacuations() {
+		FleetView view = this.fleet;
+		if (view != null) {
+			exchangeEvacuations(view, this.directory.select(MAX_EVACUATION_RECEIVERS, this.control.nanoTime()));
+		}
+	}
+
+	private CompletableFuture<Void> exchangeEvacuations(FleetView view, List<String> addresses) {
+		FleetSnapshot.Request request = FleetSnapshot.Request.ofEvacuations(this.ownAddress, view.evacuations());
+		List<CompletableFuture<Void>> responses = new ArrayList<>();
+		for (String address : addresses) {
+			responses.add(this.calls.fetchSnapshot(address, request).handleAsync((snapshot, failure) -> {
+				onResponse(address, failure);
+				if (snapshot != null) {
+					applyEvacuations(view, snapshot, address);
+				}
+				return null;
+			}, this.control));
+		}
+		CompletableFuture<Void> done = CompletableFuture.allOf(responses.toArray(new CompletableFuture<?>[0]));
+		this.control.schedule(EVACUATIONS_TIMEOUT, () -> done.complete(null));
+		return done;
+	}
+
+	private static void applyEvacuations(FleetView view, FleetSnapshot snapshot, String address) {
+		EvacuationState received = snapshot.evacuations();
+		if (received != null) {
+			view.applyEvacuations(received, address);
+		}
+	}
+
+	private boolean isStale(long ageMs) {
+		return (ageMs == Long.MAX_VALUE)
+				? this.control.nanoTime() - this.startedAtNanos > STARTUP_GRACE_PERIOD.toNanos()
 				: ageMs > STALE_SERVERS_AGE.toMillis();
-		if (!stale || this.refreshing) {
+	}
+
+	private void refresh(FleetView view) {
+		long nowNanos = this.control.nanoTime();
+		long ageMs = view.serversAgeMs();
+		if (!isStale(ageMs)) {
+			if (isStale(view.evacuationsAgeMs())) {
+				exchangeEvacuations(view, this.directory.select(1, nowNanos));
+			}
+			return;
+		}
+		if (this.refreshing) {
 			return;
 		}
 		for (String address : this.directory.select(1, nowNanos)) {
-			RoutingTable table = fleet.configuration();
 			this.refreshing = true;
-			long sentAtNanos = nowNanos;
-			this.calls
-				.fetchSnapshot(address,
-						new FleetSnapshot.Request((table != null) ? table.version() : -1, ageMs, this.ownAddress))
-				.whenCompleteAsync((snapshot, failure) -> {
+			RoutingTable table = view.configuration();
+			FleetSnapshot.Request request = new FleetSnapshot.Request((table != null) ? table.version() : -1, ageMs,
+					this.ownAddress, FleetSnapshot.toMessage(view.evacuations()), false);
+			this.calls.fetchSnapshot(address, request).whenCompleteAsync((snapshot, failure) -> {
+				onResponse(address, failure);
+				if (snapshot == null) {
 					this.refreshing = false;
-					onResponse(address, failure);
-					if (snapshot != null) {
-						apply(fleet, snapshot, address, Duration.ofNanos(this.control.nanoTime() - sentAtNanos));
-					}
+					return;
+				}
+				apply(view, snapshot, address);
+				beforeServers(view, snapshot, address).whenCompleteAsync((done, ignored) -> {
+					this.refreshing = false;
+					applyServers(view, snapshot, address, Duration.ofNanos(this.control.nanoTime() - nowNanos));
 				}, this.control);
+			}, this.control);
 		}
 	}
 
-	// The duration of the call is added to the age, so that a list never appears younger
-	// after it is passed between routers.
-	private void apply(FleetView fleet, FleetSnapshot snapshot, String address, Duration callTime) {
+	// A router without servers sends no requests until it has asked all others for the
+	// evacuated zones, since the one that has sent the servers may not know a new one.
+	private CompletableFuture<Void> beforeServers(FleetView view, FleetSnapshot snapshot, String address) {
+		if (snapshot.servers() == null || view.serversAgeMs() != Long.MAX_VALUE) {
+			return CompletableFuture.completedFuture(null);
+		}
+		List<String> others = new ArrayList<>(this.directory.select(MAX_STARTUP_SOURCES, this.control.nanoTime()));
+		others.remove(address);
+		return exchangeEvacuations(view, others);
+	}
+
+	private void apply(FleetView view, FleetSnapshot snapshot, String address) {
 		this.directory.add(snapshot.peers());
+		applyEvacuations(view, snapshot, address);
 		FleetSnapshot.Config config = snapshot.config();
 		if (config != null) {
 			this.log.event("peer.config").with("peer", address).with("version", config.version()).emit();
-			fleet.applyConfiguration(config.toTable());
+			view.applyConfiguration(config.toTable());
 		}
 		List<CrashReport> crashReports = snapshot.crashReports();
 		if (crashReports != null) {
-			fleet.applyCrashReports(crashReports);
+			view.applyCrashReports(crashReports);
 		}
+	}
+
+	// The duration of the call is added to the age, so that a list never appears younger
+	// after it is passed between routers.
+	private void applyServers(FleetView view, FleetSnapshot snapshot, String address, Duration callTime) {
 		List<BackendServer> servers = snapshot.servers();
 		long ageMs = snapshot.serversAgeMs() + callTime.toMillis();
-		if (servers != null && ageMs < fleet.serversAgeMs() - MIN_AGE_GAIN.toMillis()) {
+		if (servers != null && ageMs < view.serversAgeMs() - MIN_AGE_GAIN.toMillis()) {
 			this.log.event("peer.servers")
 				.with("peer", address)
 				.with("servers", servers.size())
 				.with("age_ms", ageMs)
 				.emit();
-			fleet.applyServers(servers, ageMs);
+			view.applyServers(servers, ageMs);
 		}
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerRequestHandler.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerRequestHandler.java
@@ -9,6 +9,7 @@
 import io.verbenacleat.core.json.JsonFormatException;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.config.RoutingTable;
+import io.verbenacleat.router.server.EvacuationState;
 
 /**
  * Handles the calls of other routers. Safe for use by several threads.
@@ -78,8 +79,7 @@
 		switch (path) {
 			case "/" + FLEET -> {
 				FleetSnapshot.Request request = Json.read(body, FleetSnapshot.Request.class);
-				this.peers.addPeer(request.peerAddress());
-				return CompletableFuture.completedFuture(snapshot(request));
+				return CompletableFuture.completedFuture(respond(this.fleet, this.peers, request));
 			}
 			case "/" + BORROW -> {
 				PeerCalls.BorrowRequest request = Json.read(body, PeerCalls.BorrowRequest.class);
@@ -111,14 +111,30 @@
 		}
 	}
 
-	private FleetSnapshot snapshot(FleetSnapshot.Request request) {
-		RoutingTable table = this.fleet.configuration();
+	/**
+	 * Handles a request for a snapshot.
+	 * @param fleet the state of this router
+	 * @param peers the client to which the address of the calling router is added
+	 * @param request the request
+	 * @return the snapshot
+	 */
+	static FleetSnapshot respond(FleetView fleet, PeerClient peers, FleetSnapshot.Request request) {
+		peers.addPeer(request.peerAddress());
+		EvacuationState received = request.evacuations();
+		if (received != null) {
+			fleet.applyEvacuations(received, request.peerAddress());
+		}
+		EvacuationState known = FleetSnapshot.toMessage(fleet.evacuations());
+		long ageMs = fleet.serversAgeMs();
+		if (request.evacuationsOnly()) {
+			return new FleetSnapshot(null, null, ageMs, List.of(), null, known);
+		}
+		RoutingTable table = fleet.configuration();
 		boolean newerConfig = table != null && table.version() > request.configVersion();
-		long ageMs = this.fleet.serversAgeMs();
 		boolean newerServers = ageMs < request.serversAgeMs();
 		return new FleetSnapshot((table != null && newerConfig) ? FleetSnapshot.Config.of(table) : null,
-				newerServers ? List.copyOf(this.fleet.servers()) : null, ageMs, this.peers.fleetAddresses(),
-				this.fleet.crashReports());
+				newerServers ? List.copyOf(fleet.servers()) : null, ageMs, peers.fleetAddresses(), fleet.crashReports(),
+				known);
 	}
 
 }
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -22,9 +22,12 @@
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.Route;
 import io.verbenacleat.router.config.RoutingTable;
+import io.verbenacleat.router.config.Service;
 import io.verbenacleat.router.log.DecisionLog;
 import io.verbenacleat.router.relay.HeaderNames;
 import io.verbenacleat.router.relay.RelayOptions;
+import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.EvacuationState;
 import org.jspecify.annotations.Nullable;
 import org.testng.annotations.Test;
 
@@ -79,6 +82,49 @@
 		}
 	}
 
+	// Guards against an evacuation that is known to the control thread and does not reach
+	// the relay, on the router that reads it and on one without the store.
+	@Test
+	public void evacuatedZonesLeaveOutTheirServersOnAllRouters() throws IOException {
+		ManualFeed feed = new ManualFeed();
+		try (RouterDaemon first = daemon(feed, 0, List.of())) {
+			assertTrue(await(() -> feed.listener != null));
+			feed.configure(first, 5, "/a/");
+			first.onRegistryResponse(false);
+			BackendServer server = new BackendServer("i-1", 1, "s", "127.0.0.1", 1, "z", 8, "v1", false);
+			first.onServers(Map.of("i-1", server), false, false);
+			first.onEvacuations(
+					new EvacuationState(Map.of(1L, 9L), List.of(new EvacuationState.ZoneRow("z", 1, 8, true))));
+			assertTrue(await(() -> isRefusedForEvacuation(first)));
+			try (RouterDaemon second = daemon(new ManualFeed(), 0, List.of("127.0.0.1:" + first.peerPort()))) {
+				assertTrue(await(second::isReady));
+				assertTrue(await(() -> isRefusedForEvacuation(second)));
+			}
+			first.onEvacuations(new EvacuationState(Map.of(1L, 10L), List.of()));
+			assertTrue(await(() -> metrics(first).contains("verbena_router_evacuated_zones 0.0")));
+		}
+	}
+
+	private static boolean isRefusedForEvacuation(RouterDaemon daemon) {
+		try {
+			int status = status(daemon.callerPort(), "/a/");
+			return status == 503 && metrics(daemon).contains("verbena_router_evacuated_zones 1.0")
+					&& metrics(daemon).contains("reason=\"zones_evacuated\"");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	private static String metrics(RouterDaemon daemon) {
+		try {
+			return body(daemon.metricsPort(), "/metrics");
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
 	@Test
 	public void malformedPeerCallsAreRejected() throws IOException {
 		ManualFeed feed = new ManualFeed();
@@ -185,8 +231,8 @@
 
 		void configure(RouterDaemon daemon, long version, String prefix) {
 			Route route = Route.builder("r", "127.0.0.1", prefix).target("s", 1).build();
-			daemon.onConfiguration(new RoutingTable(version, List.of(route), List.of(), List.of(),
-					new CallerLimits(4_096, 4_096, 1_000, 1_000)));
+			daemon.onConfiguration(new RoutingTable(version, List.of(route), List.of(new Service("s", 10, false, 1)),
+					List.of(), new CallerLimits(4_096, 4_096, 1_000, 1_000)));
 		}
 
 	}
--- a/router/src/test/java/io/verbenacleat/router/peer/PeerClientTests.java
+++ b/router/src/test/java/io/verbenacleat/router/peer/PeerClientTests.java
@@ -24,6 +24,7 @@
 import io.verbenacleat.router.log.DecisionLog;
 import io.verbenacleat.router.quarantine.CrashReport;
 import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.EvacuationState;
 import org.jspecify.annotations.Nullable;
 import org.testng.annotations.Test;
 
@@ -38,11 +39,14 @@
 
 	private static final CrashReport CRASH = new CrashReport("p1", "i-1@1", 10, false, false);
 
+	private static final EvacuationState EVACUATION = new EvacuationState(Map.of(2L, 9L),
+			List.of(new EvacuationState.ZoneRow("a", 2, 8, true)));
+
 	@Test
 	public void aRouterThatStartsWithoutTheStoreUsesTheSnapshotOfAnother() {
 		Fixture router = new Fixture();
 		router.calls.snapshot = new FleetSnapshot(FleetSnapshot.Config.of(table(7)), List.of(SERVER), 100,
-				List.of("10.0.0.4:1"), List.of(CRASH));
+				List.of("10.0.0.4:1"), List.of(CRASH), null);
 		router.link.start(router.fleet);
 		router.advance(Duration.ofMillis(250));
 		assertEquals(router.calls.calledAddresses.size(), 0);
@@ -63,11 +67,42 @@
 		assertEquals(router.calls.calledAddresses, List.of());
 	}
 
+	// Guards against a router that follows the list of servers, while its other
+	// connection
+	// to the store is cut, and so misses an evacuation.
+	@Test
+	public void evacuatedZonesAreAskedForWhileTheStoreIsSilentAboutThem() {
+		Fixture router = new Fixture();
+		router.fleet.ageMs = 0;
+		router.fleet.evacuationsAgeMs = 2_300;
+		router.calls.snapshot = new FleetSnapshot(null, null, 0, List.of(), null, EVACUATION);
+		router.link.start(router.fleet);
+		router.advance(Duration.ofMillis(250));
+		assertEquals(router.fleet.evacuations, EVACUATION);
+	}
+
+	// Guards against snapshots of older routers, which lack the field and must not wipe
+	// out what is known.
+	@Test
+	public void aSnapshotWithoutEvacuatedZonesChangesNone() throws JsonFormatException {
+		Fixture router = new Fixture();
+		router.fleet.evacuations = EVACUATION;
+		router.calls.snapshot = Json.read("{\"serversAgeMs\":0,\"peers\":[]}", FleetSnapshot.class);
+		router.link.start(router.fleet);
+		router.advance(Duration.ofMillis(750));
+		assertFalse(router.calls.calledAddresses.isEmpty());
+		assertEquals(router.fleet.evacuations, EVACUATION);
+		FleetSnapshot.Request older = Json.read(
+				"{\"configVersion\":1,\"serversAgeMs\":1,\"peerAddress\":\"10.0.0.2:1\"}", FleetSnapshot.Request.class);
+		assertEquals(PeerRequestHandler.respond(router.fleet, router.link, older).evacuations(), EVACUATION);
+		assertEquals(router.fleet.evacuations, EVACUATION);
+	}
+
 	@Test
 	public void anOlderServerListIsIgnored() {
 		Fixture router = new Fixture();
 		router.fleet.ageMs = 3_000;
-		router.calls.snapshot = new FleetSnapshot(null, List.of(SERVER), 4_000, List.of(), null);
+		router.calls.snapshot = new FleetSnapshot(null, List.of(SERVER), 4_000, List.of(), null, null);
 		router.link.start(router.fleet);
 		router.advance(Duration.ofMillis(500));
 		assertFalse(router.calls.calledAddresses.isEmpty());
@@ -80,7 +115,7 @@
 	public void aServerListOfSimilarAgeIsIgnored() {
 		Fixture router = new Fixture();
 		router.fleet.ageMs = 3_000;
-		router.calls.snapshot = new FleetSnapshot(null, List.of(SERVER), 2_500, List.of(), null);
+		router.calls.snapshot = new FleetSnapshot(null, List.of(SERVER), 2_500, List.of(), null, null);
 		router.link.start(router.fleet);
 		router.advance(Duration.ofMillis(500));
 		assertFalse(router.calls.calledAddresses.isEmpty());
@@ -143,7 +178,7 @@
 	@Test
 	public void aSnapshotSurvivesAJsonRoundTrip() throws JsonFormatException {
 		FleetSnapshot sent = new FleetSnapshot(FleetSnapshot.Config.of(table(7)), List.of(SERVER), 100, List.of("p:1"),
-				List.of(CRASH));
+				List.of(CRASH), EVACUATION);
 		FleetSnapshot received = Json.read(Json.write(sent), FleetSnapshot.class);
 		assertEquals(received, sent);
 		RoutingTable table = Objects.requireNonNull(received.config()).toTable();
@@ -245,6 +280,10 @@
 
 		private long ageMs = Long.MAX_VALUE;
 
+		private EvacuationState evacuations = EvacuationState.empty();
+
+		private long evacuationsAgeMs;
+
 		@Override
 		public @Nullable RoutingTable configuration() {
 			return this.table;
@@ -260,6 +299,21 @@
 			return this.ageMs;
 		}
 
+		@Override
+		public EvacuationState evacuations() {
+			return this.evacuations;
+		}
+
+		@Override
+		public long evacuationsAgeMs() {
+			return this.evacuationsAgeMs;
+		}
+
+		@Override
+		public void applyEvacuations(EvacuationState received, String peer) {
+			this.evacuations = this.evacuations.merge(received);
+		}
+
 		@Override
 		public List<CrashReport> crashReports() {
 			return List.of();
