Test evacuations of large fleets, restores and opening connections

A mutation run showed that no test failed when routers did not pass changes on: the restored store reached its new router by calls that were under way. The fleet now runs for a second before that router starts, and a fleet of 240 routers has one with the store.

--- a/router/src/test/java/io/verbenacleat/router/peer/EvacuationFleetTests.java
+++ b/router/src/test/java/io/verbenacleat/router/peer/EvacuationFleetTests.java
@@ -20,6 +20,15 @@
 
 	private static final int SEEDS = 5;
 
+	/**
+	 * A router without the store asks after 2.2 s; a change that is passed on has to be
+	 * everywhere before that, so that calls may get lost within the bound.
+	 */
+	private static final long PASS_ON_MS = 2_200;
+
+	/** A call takes 2 ms, and a router sends every 10 ms. */
+	private static final long FIRST_CALL_MS = 20;
+
 	// Guards against routers that lose the store before an evacuation and go on sending
 	// to the zone, when a single router still reaches the store and calls get lost.
 	@Test
@@ -39,6 +48,19 @@
 		}
 	}
 
+	// Guards against a large fleet in which only one router reaches the store, so that
+	// few
+	// of the others ask the right one in time.
+	@Test
+	public void aLargeFleetPassesAnEvacuationOn() {
+		EvacuationFleet fleet = new EvacuationFleet(240, 6);
+		fleet.run(3_000);
+		fleet.routers().stream().skip(1).forEach((router) -> router.setStoreReachable(false));
+		long writtenAtMs = fleet.write("a");
+		fleet.run(6_000);
+		assertTrue(fleet.lastSendMs("a") <= writtenAtMs + PASS_ON_MS, "last send " + fleet.lastSendMs("a"));
+	}
+
 	// Guards against a zone that is used again because all routers lose the store and
 	// each
 	// other, and one of them starts anew and gets its servers from a router that missed
@@ -95,9 +117,12 @@
 		fleet.run(3_000);
 		fleet.restoreStore();
 		fleet.routers().forEach((router) -> router.setStoreReachable(true));
-		fleet.restart(3);
-		fleet.run(8_000);
+		fleet.run(1_000);
 		assertTrue(fleet.lastSendMs("a") <= writtenAtMs + BOUND_MS, "last send " + fleet.lastSendMs("a"));
+		long startedAtMs = fleet.restart(3);
+		fleet.run(8_000);
+		// The store tells the new router nothing, and the others answer its first call.
+		assertTrue(fleet.lastSendMs("a") <= startedAtMs + FIRST_CALL_MS, "last send " + fleet.lastSendMs("a"));
 		fleet.write("a");
 		fleet.run(1_000);
 		long removedAtMs = fleet.remove("a");
--- a/router/src/test/java/io/verbenacleat/router/relay/EvacuatedZoneTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/EvacuatedZoneTests.java
@@ -1,13 +1,16 @@
 package io.verbenacleat.router.relay;
 
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
+import io.netty.channel.EventLoop;
 import io.verbenacleat.router.server.BackendServer;
 import io.verbenacleat.router.server.ServerList;
 import org.testng.annotations.DataProvider;
@@ -80,6 +83,28 @@
 		}
 	}
 
+	// Guards against a request that is sent because its server was selected just before
+	// the evacuation. The list changes while the connection is being opened.
+	@Test
+	public void aRequestIsNotSentWhenItsConnectionOpensAfterTheEvacuation() throws IOException {
+		try (RelayFixture fixture = new RelayFixture(ECHO, ECHO); Socket caller = fixture.connect()) {
+			publish(fixture, Set.of("a"), "a", "b");
+			assertTrue(fixture.call("/once/", "").startsWith("HTTP/1.1 200"));
+			publish(fixture, Set.of("b"), "a", "b");
+			EventLoop loop = (EventLoop) fixture.relay.executor();
+			try (Closeable blocked = fixture.blockEventLoop()) {
+				RelayFixture.write(caller, RelayFixture.request("/once/", "Connection: close\r\n", ""));
+				// Scheduled tasks run after the request is read and before the connection
+				// is established.
+				loop.execute(
+						() -> loop.schedule(() -> publish(fixture, Set.of("a"), "a", "b"), 0, TimeUnit.MILLISECONDS));
+			}
+			assertTrue(RelayFixture.readAll(caller).startsWith("HTTP/1.1 200"));
+			assertEquals(fixture.servers.get(0).requests.size(), 0);
+			assertEquals(fixture.servers.get(1).requests.size(), 2);
+		}
+	}
+
 	// Guards against requests that wait for their deadline, and callers that all come
 	// back at once, while no zone is left.
 	@Test
