--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -64,6 +64,11 @@
 
 	private long refillsPausedUntilNanos = Long.MIN_VALUE;
 
+	/**
+	 * Whether another router has changed the row since this one prepared its last write.
+	 */
+	private boolean contended;
+
 	GrantAccount(Wallet wallet, String address) {
 		this.wallet = wallet;
 		this.address = address;
@@ -114,6 +119,23 @@
 	void onWritten(GrantRow newRow, long newVersion) {
 		this.row = newRow;
 		this.version = newVersion;
+		this.contended = false;
+	}
+
+	/**
+	 * Records that a write failed because another router had changed the row.
+	 */
+	void onConflict() {
+		this.contended = true;
+	}
+
+	/**
+	 * Returns whether the last write of the row failed because another router had changed
+	 * it. A transaction with other rows would then probably fail for all of them.
+	 * @return {@code true} until a write of the row succeeds
+	 */
+	boolean isContended() {
+		return this.contended;
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -129,6 +129,9 @@
 
 	private boolean rowWritten;
 
+	/** Whether planned changes were left out of the last write. */
+	private boolean changesLeft;
+
 	/** Whether this run has written its row in any era. */
 	private boolean everWritten;
 
@@ -565,34 +568,20 @@
 		Map<GrantAccount, Long> deltas = new HashMap<>();
 		boolean settled = this.recovery.isSettled();
 		long nowNanos = this.control.nanoTime();
+		boolean unchanged = !settled || this.recovery.isWriteDue(nowNanos);
+		Map<GrantAccount, Long> planned = unchanged ? Map.of() : planDeltas(nowNanos);
+		Set<GrantAccount> selected = ChangeSelection.select(planned.keySet());
 		for (GrantAccount account : this.accounts.values()) {
-			if (!settled || this.recovery.isWriteDue(nowNanos)) {
-				limits.put(account.wallet().workspace(), account.nextLimit(0));
-				continue;
-			}
-			// While tokens are being returned, the only waiters are loans to other
-			// routers.
-			boolean returning = this.returningTokens && account.wallet().waitingTokens() == 0;
-			long delta = returning ? -Math.max(0, account.wallet().heldTokens())
-					: account.planDelta(this.control.nanoTime());
-			boolean lacking = delta == 0 && account.wallet().waitingTokens() > account.wallet().heldTokens();
-			if (lacking && !isBorrowing(account)) {
-				account.wallet()
-					.refuseWaiting(
-							(account.row() != null) ? account.unspentByAllTokens() : Wallet.UNKNOWN_UNSPENT_TOKENS);
-				// Remainders of several routers can serve a request once they are back in
-				// the pool.
-				delta = -Math.max(0, account.wallet().heldTokens());
-				account.pauseRefills(this.control.nanoTime());
-			}
+			long delta = selected.contains(account) ? planned.getOrDefault(account, 0L) : 0;
 			if (delta < 0) {
 				delta = -account.wallet().withdraw(-delta);
 			}
-			if (delta != 0 || account.isHoldingStale()) {
+			if (selected.contains(account) && (delta != 0 || account.isHoldingStale())) {
 				deltas.put(account, delta);
 			}
 			limits.put(account.wallet().workspace(), account.nextLimit(delta));
 		}
+		this.changesLeft = planned.size() > selected.size();
 		Duration maxAge = limits.isEmpty() ? MAX_IDLE_WRITE_AGE : MAX_WRITE_AGE;
 		boolean writeDue = !this.rowWritten || this.control.nanoTime() - this.lastWriteAtNanos >= maxAge.toNanos();
 		if (deltas.isEmpty() && limits.equals(this.appliedLimits) && !writeDue && !this.recovery.isWriteDue(nowNanos)) {
@@ -609,6 +598,36 @@
 		return write;
 	}
 
+	/**
+	 * Plans the changes of the shared rows, and refuses the requests that neither the
+	 * pool nor other routers cover.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the tokens to take for each row to be written, negative to return tokens
+	 */
+	private Map<GrantAccount, Long> planDeltas(long nowNanos) {
+		Map<GrantAccount, Long> planned = new HashMap<>();
+		for (GrantAccount account : this.accounts.values()) {
+			// While tokens are being returned, the only waiters are loans to other
+			// routers.
+			boolean returning = this.returningTokens && account.wallet().waitingTokens() == 0;
+			long delta = returning ? -Math.max(0, account.wallet().heldTokens()) : account.planDelta(nowNanos);
+			boolean lacking = delta == 0 && account.wallet().waitingTokens() > account.wallet().heldTokens();
+			if (lacking && !isBorrowing(account)) {
+				account.wallet()
+					.refuseWaiting(
+							(account.row() != null) ? account.unspentByAllTokens() : Wallet.UNKNOWN_UNSPENT_TOKENS);
+				// Remainders of several routers can serve a request once they are back in
+				// the pool.
+				delta = -Math.max(0, account.wallet().heldTokens());
+				account.pauseRefills(nowNanos);
+			}
+			if (delta != 0 || account.isHoldingStale()) {
+				planned.put(account, delta);
+			}
+		}
+		return planned;
+	}
+
 	private boolean isBorrowing(GrantAccount account) {
 		boolean covered = account.row() != null
 				&& account.unspentByAllTokens() >= account.wallet().smallestWaitingTokens();
@@ -660,6 +679,10 @@
 		}
 		this.roundInProgress = false;
 		if (outcome instanceof WriteOutcome.Conflict conflict) {
+			write.changes()
+				.stream()
+				.filter((change) -> conflict.versions().containsKey(change.account().key()))
+				.forEach((change) -> change.account().onConflict());
 			onConflictRows(conflict.rows());
 			this.control.execute(this::startRound);
 		}
@@ -714,7 +737,8 @@
 		if (recent) {
 			this.appliedLimits.forEach((workspace, limit) -> wallet(workspace).confirmLimit(limit.limitTokens()));
 		}
-		if (this.accounts.values().stream().anyMatch((account) -> account.wallet().waitingTokens() > 0)) {
+		if (this.changesLeft
+				|| this.accounts.values().stream().anyMatch((account) -> account.wallet().waitingTokens() > 0)) {
 			wake();
 		}
 	}
