--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -20,6 +20,7 @@
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.balance.PermitSchedule;
+import io.verbenacleat.router.budget.FleetRouter;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.RouterDiscovery;
 import io.verbenacleat.router.budget.StoreClock;
@@ -127,7 +128,7 @@
 		String peerAddress = hasPeers ? options.host() + ":" + options.peerPort() : "";
 		this.peers = new PeerClient(peerAddress, options.seeds(), peerCalls, control, log);
 		PrepaidLedger.Identity identity = new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(),
-				peerAddress, incarnation, options.startedAtNanos(), options.firstStart());
+				peerAddress, incarnation, options.startedAtNanos(), options.firstStart(), options.capacityCores());
 		this.ledger = new PrepaidLedger(identity, store, storeClock, storeEra,
 				hasPeers ? this.peers : TokenPeers.none(), control, log);
 		this.quarantine = new PartQuarantine(store, storeClock, hasPeers ? this.peers : CrashReportPeers.none(),
@@ -328,7 +329,9 @@
 		this.relay.updateServers(list);
 	}
 
-	private void onRouters(List<String> peerAddresses, FleetPosition position) {
+	private void onRouters(List<FleetRouter> routers, FleetPosition position) {
+		List<String> peerAddresses = routers.stream().map(FleetRouter::peerAddress).toList();
+		this.ledger.updateRouters(routers);
 		this.permits.setPosition(position);
 		this.quarantine.setPosition(position);
 		this.relay.setRouterCount(peerAddresses.size());
--- a/router/src/main/java/io/verbenacleat/router/RouterOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterOptions.java
@@ -20,11 +20,12 @@
  * @param startedAtNanos an upper bound of the start time of the process, by the steady
  * clock
  * @param firstStart whether the whole fleet starts for the first time
+ * @param capacityCores the processor capacity of the host in cores, 0 if unknown
  * @param relay the options of the relay
  */
 public record RouterOptions(String name, String host, int callerPort, String readyHost, int readyPort, int metricsPort,
 		int peerPort, List<String> seeds, long stopTimeoutMs, long startedAtNanos, boolean firstStart,
-		RelayOptions relay) {
+		double capacityCores, RelayOptions relay) {
 
 	/** The peer port of a router that does not listen for other routers. */
 	public static final int NO_PEERS = -1;
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -47,6 +47,24 @@
 	 */
 	private static final double MAX_HEADROOM_FRACTION = 0.08;
 
+	/** Headroom of a primary router for loans, in seconds of the demand of the others. */
+	private static final double LENDING_HEADROOM_S = 1;
+
+	/**
+	 * Tokens that a primary router holds for loans, in seconds of the demand of the
+	 * others. They cover several rounds of the ledger.
+	 */
+	private static final double RESERVE_S = 2;
+
+	/** Upper bound of that reserve, as a fraction of the unspent tokens. */
+	private static final double MAX_RESERVE_FRACTION = 0.25;
+
+	/** The reserve before any demand is known, as a fraction of the unspent tokens. */
+	private static final double MIN_RESERVE_FRACTION = 0.05;
+
+	/** All borrowers together hold at most this fraction of the unspent tokens. */
+	private static final double MAX_LENT_FRACTION = 0.8;
+
 	/** Refills pause for this time after a refusal; refused callers retry within it. */
 	private static final Duration REFILL_PAUSE = Duration.ofSeconds(1);
 
@@ -157,9 +175,10 @@
 	/**
 	 * Returns how many tokens the router should take from the pool.
 	 * @param nowNanos the monotonic time in nanoseconds
+	 * @param primary whether the router lends tokens of the workspace to all others
 	 * @return the tokens, negative if it should return tokens, 0 for no change
 	 */
-	long planDelta(long nowNanos) {
+	long planDelta(long nowNanos, boolean primary) {
 		GrantRow current = this.row;
 		if (current == null) {
 			return 0;
@@ -173,6 +192,9 @@
 		long target = GrantSizing.targetTokens(pool, held, current.heldByOthersTokens(this.address), waiting,
 				this.wallet.demandPerS(), current.demandOfOthersPerS(this.address), this.wallet.meanRequestTokens(),
 				routerCount(current));
+		if (primary) {
+			target = Math.min(Math.max(0, pool + held), target + lendingReserveTokens(current));
+		}
 		if (held < Math.max(waiting, target * refillFraction())) {
 			return Math.max(0, Math.min(pool, target - held));
 		}
@@ -183,6 +205,46 @@
 		return 0;
 	}
 
+	private long lendingReserveTokens(GrantRow current) {
+		double unspent = unspentByAllTokens();
+		return (long) Math.min(unspent * MAX_RESERVE_FRACTION,
+				Math.max(unspent * MIN_RESERVE_FRACTION, current.demandOfOthersPerS(this.address) * RESERVE_S));
+	}
+
+	/**
+	 * Limits a loan to the share of the borrower in the unspent tokens, by the demand of
+	 * all routers.
+	 * @param borrower the address of the borrower
+	 * @param request what it asks for
+	 * @return the limited request
+	 */
+	LoanRequest limitToShare(String borrower, LoanRequest request) {
+		GrantRow current = this.row;
+		if (current == null) {
+			return request;
+		}
+		GrantRow.Holding stated = current.routers().getOrDefault(borrower, new GrantRow.Holding(0, 0));
+		double others = this.wallet.demandPerS() + current.demandOfOthersPerS(this.address) - stated.demandPerS();
+		double share = (request.demandPerS() > 0) ? request.demandPerS() / (request.demandPerS() + Math.max(0, others))
+				: 0;
+		long fairTokens = (long) (unspentByAllTokens() * MAX_LENT_FRACTION * share);
+		return request.limitedTo(fairTokens - request.heldTokens());
+	}
+
+	/**
+	 * Records a loan in the shared row, which is written with the next change.
+	 * @param borrower the address of the borrower
+	 * @param request what it asked for
+	 * @param tokens the tokens that it got
+	 */
+	void onLent(String borrower, LoanRequest request, long tokens) {
+		GrantRow current = this.row;
+		if (current != null) {
+			this.row = current.withLoan(borrower,
+					new GrantRow.Holding(request.heldTokens() + tokens, (long) request.demandPerS()));
+		}
+	}
+
 	/**
 	 * Takes tokens only for waiting requests during {@link #REFILL_PAUSE}, so that the
 	 * remainders that routers return add up in the pool.
@@ -222,12 +284,16 @@
 	 * Returns the limit for the next write.
 	 * @param delta the tokens that the router takes in that write, negative if it returns
 	 * tokens
+	 * @param primary whether the router lends tokens of the workspace to all others
 	 * @return the limit
 	 */
-	RouterRow.Limit nextLimit(long delta) {
+	RouterRow.Limit nextLimit(long delta, boolean primary) {
 		long grantedTokens = this.wallet.grantedTokens() + Math.max(0, delta);
-		double headroomTokens = Math.min(this.wallet.demandPerS() * HEADROOM_S,
-				unspentByAllTokens() * demandShare() * MAX_HEADROOM_FRACTION);
+		GrantRow current = this.row;
+		double lentPerS = (primary && current != null) ? current.demandOfOthersPerS(this.address) : 0;
+		double share = primary ? 1 : demandShare();
+		double headroomTokens = Math.min(this.wallet.demandPerS() * HEADROOM_S + lentPerS * LENDING_HEADROOM_S,
+				unspentByAllTokens() * share * MAX_HEADROOM_FRACTION);
 		long limitTokens = Math.min(grantedTokens,
 				this.wallet.committedTokens() + this.wallet.waitingTokens() + (long) headroomTokens);
 		return new RouterRow.Limit(grantedTokens, limitTokens);
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
@@ -148,6 +148,19 @@
 		return sum;
 	}
 
+	/**
+	 * Returns the row after a loan to another router. The granted tokens stay the same.
+	 * @param address the address of the borrower
+	 * @param holding its holding after the loan
+	 * @return the changed row, to be written with the next change
+	 */
+	GrantRow withLoan(String address, Holding holding) {
+		Map<String, Holding> changed = new TreeMap<>(this.routers);
+		changed.put(address, holding);
+		return new GrantRow(this.givenTokens, this.allowanceTokens, this.configVersion, changed, this.era, this.number,
+				this.basis, this.doubtTokens);
+	}
+
 	/**
 	 * Returns the row after a change by one router.
 	 * @param address the address of the router
--- a/router/src/main/java/io/verbenacleat/router/budget/LoanRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/LoanRequest.java
@@ -6,8 +6,19 @@
  * @param waitingTokens the tokens that its waiting requests need, zero or more
  * @param wantedTokens the maximum that it accepts, at least {@code waitingTokens}
  * @param demandPerS its demand in tokens per second
+ * @param heldTokens its unspent tokens, 0 in requests of older versions
  */
-public record LoanRequest(long waitingTokens, long wantedTokens, double demandPerS) {
+public record LoanRequest(long waitingTokens, long wantedTokens, double demandPerS, long heldTokens) {
+
+	/**
+	 * Creates a request of a router without unspent tokens.
+	 * @param waitingTokens the tokens that its waiting requests need, zero or more
+	 * @param wantedTokens the maximum that it accepts, at least {@code waitingTokens}
+	 * @param demandPerS its demand in tokens per second
+	 */
+	public LoanRequest(long waitingTokens, long wantedTokens, double demandPerS) {
+		this(waitingTokens, wantedTokens, demandPerS, 0);
+	}
 
 	/**
 	 * Returns the request to each of several lenders that are asked at the same time.
@@ -18,7 +29,19 @@
 	 */
 	public LoanRequest dividedAmong(int lenders) {
 		return new LoanRequest(this.waitingTokens,
-				this.waitingTokens + (this.wantedTokens - this.waitingTokens) / lenders, this.demandPerS);
+				this.waitingTokens + (this.wantedTokens - this.waitingTokens) / lenders, this.demandPerS,
+				this.heldTokens);
+	}
+
+	/**
+	 * Returns the request with a lower maximum, but at least the tokens of the waiting
+	 * requests.
+	 * @param maxTokens the new maximum
+	 * @return the request
+	 */
+	LoanRequest limitedTo(long maxTokens) {
+		return new LoanRequest(this.waitingTokens, Math.max(this.waitingTokens, Math.min(this.wantedTokens, maxTokens)),
+				this.demandPerS, this.heldTokens);
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.router.budget;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -111,6 +112,8 @@
 
 	private final Map<String, GrantAccount> accounts = new HashMap<>();
 
+	private final PrimaryRouters primaries;
+
 	private final TokenExchange exchange;
 
 	private final Cancellable timer;
@@ -176,7 +179,8 @@
 		this.peers = peers;
 		this.control = control;
 		this.log = log;
-		this.exchange = new TokenExchange(this.wallets, new StorePool(), peers, control, log);
+		this.primaries = new PrimaryRouters(identity.address());
+		this.exchange = new TokenExchange(this.wallets, new StorePool(), peers, this.primaries, control, log);
 		this.startedAtNanos = identity.startedAtNanos();
 		this.demandUpdatedAtNanos = control.nanoTime();
 		this.lastWriteAtNanos = this.demandUpdatedAtNanos;
@@ -214,6 +218,7 @@
 	 */
 	public void wake() {
 		this.control.execute(() -> {
+			refill();
 			if (isPoolUnavailable()) {
 				serveWithoutStore();
 			}
@@ -224,6 +229,14 @@
 		});
 	}
 
+	/**
+	 * Replaces the known routers of the fleet. Must be called on the control thread.
+	 * @param routers the routers that have a row in the store
+	 */
+	public void updateRouters(Collection<FleetRouter> routers) {
+		this.primaries.update(routers);
+	}
+
 	/**
 	 * Applies a new configuration.
 	 * @param table the routing table with the allowances of workspaces
@@ -271,12 +284,27 @@
 		if (nowNanos - this.lastWriteAtNanos > LIMIT_TIMEOUT.toNanos()) {
 			this.wallets.values().forEach(Wallet::liftLimit);
 		}
+		refill();
 		if (isPoolUnavailable()) {
 			serveWithoutStore();
 		}
 		startRound();
 	}
 
+	private void refill() {
+		if (!this.returningTokens) {
+			this.exchange.refill();
+		}
+	}
+
+	private boolean isPrimary(GrantAccount account) {
+		return !this.returningTokens && this.primaries.isPrimary(account.wallet().workspace());
+	}
+
+	private boolean hasLender(GrantAccount account) {
+		return !this.returningTokens && this.exchange.hasLender(account.wallet().workspace());
+	}
+
 	// A round is a read, if one is needed, and a write; only one is in flight.
 	private void startRound() {
 		this.roundScheduled = false;
@@ -285,6 +313,10 @@
 			return;
 		}
 		for (Workspace workspace : table.workspaces()) {
+			if (!this.returningTokens && workspace.isPrepaid() && this.primaries.isPrimary(workspace.name())) {
+				// Tokens are ready when the first router asks for them.
+				wallet(workspace.name());
+			}
 			Wallet wallet = this.wallets.get(workspace.name());
 			if (wallet != null && workspace.isPrepaid()) {
 				this.accounts
@@ -368,7 +400,8 @@
 		}
 		boolean stale = this.control.nanoTime() - this.readAtNanos > MAX_ROW_AGE.toNanos();
 		for (GrantAccount account : this.accounts.values()) {
-			boolean refusing = account.wallet().waitingTokens() > 0 && account.planDelta(this.control.nanoTime()) == 0;
+			boolean refusing = account.wallet().waitingTokens() > 0 && !hasLender(account)
+					&& account.planDelta(this.control.nanoTime(), isPrimary(account)) == 0;
 			if (account.row() == null
 					|| (stale && refusing && account.wallet().heldTokens() < account.wallet().waitingTokens())) {
 				return true;
@@ -579,7 +612,7 @@
 			if (selected.contains(account) && (delta != 0 || account.isHoldingStale())) {
 				deltas.put(account, delta);
 			}
-			limits.put(account.wallet().workspace(), account.nextLimit(delta));
+			limits.put(account.wallet().workspace(), account.nextLimit(delta, isPrimary(account)));
 		}
 		this.changesLeft = planned.size() > selected.size();
 		Duration maxAge = limits.isEmpty() ? MAX_IDLE_WRITE_AGE : MAX_WRITE_AGE;
@@ -610,7 +643,14 @@
 			// While tokens are being returned, the only waiters are loans to other
 			// routers.
 			boolean returning = this.returningTokens && account.wallet().waitingTokens() == 0;
-			long delta = returning ? -Math.max(0, account.wallet().heldTokens()) : account.planDelta(nowNanos);
+			long delta = returning ? -Math.max(0, account.wallet().heldTokens())
+					: account.planDelta(nowNanos, isPrimary(account));
+			if (hasLender(account)) {
+				if (delta < 0) {
+					planned.put(account, delta);
+				}
+				continue;
+			}
 			boolean lacking = delta == 0 && account.wallet().waitingTokens() > account.wallet().heldTokens();
 			if (lacking && !isBorrowing(account)) {
 				account.wallet()
@@ -637,7 +677,7 @@
 
 	private RouterRow routerRow(Map<String, RouterRow.Limit> limits) {
 		return new RouterRow(this.identity.incarnation(), this.identity.peerAddress(), ++this.writeNumber,
-				this.storeClock.earliestMs(), limits, this.recovery.era());
+				this.storeClock.earliestMs(), limits, this.recovery.era(), this.identity.capacityCores());
 	}
 
 	private void logRepairs() {
@@ -811,6 +851,20 @@
 			return (missing <= available) ? Math.min(request.wantedTokens() - alreadyLentTokens, maxTokens) : 0;
 		}
 
+		@Override
+		public LoanRequest limitToShare(String workspace, String borrower, LoanRequest request) {
+			GrantAccount account = PrepaidLedger.this.accounts.get(workspace);
+			return (account != null) ? account.limitToShare(borrower, request) : request;
+		}
+
+		@Override
+		public void onLent(String workspace, String borrower, LoanRequest request, long tokens) {
+			GrantAccount account = PrepaidLedger.this.accounts.get(workspace);
+			if (account != null) {
+				account.onLent(borrower, request, tokens);
+			}
+		}
+
 		@Override
 		public void withdrawForWaiting() {
 			wake();
@@ -829,9 +883,23 @@
 	 * monotonic clock in nanoseconds
 	 * @param firstStart whether the whole fleet starts for the first time, so that no
 	 * router has taken tokens before
+	 * @param capacityCores the processor capacity of the host in cores
 	 */
 	public record Identity(String address, String peerAddress, String incarnation, long startedAtNanos,
-			boolean firstStart) {
+			boolean firstStart, double capacityCores) {
+
+		/**
+		 * Creates the identity of a router on a host with one core.
+		 * @param address the address for callers as {@code ip:port}
+		 * @param peerAddress the address for calls of other routers, empty without one
+		 * @param incarnation the incarnation of the process
+		 * @param startedAtNanos the latest time at which the process can have started
+		 * @param firstStart whether the whole fleet starts for the first time
+		 */
+		public Identity(String address, String peerAddress, String incarnation, long startedAtNanos,
+				boolean firstStart) {
+			this(address, peerAddress, incarnation, startedAtNanos, firstStart, 1);
+		}
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
@@ -91,29 +91,31 @@
 				this.log.event("routers.uncounted").with("reason", PlatformException.reason(failure)).emit();
 				return;
 			}
-			List<String> addresses = new ArrayList<>();
+			List<FleetRouter> routers = new ArrayList<>();
 			for (Row row : rows) {
-				addresses.add(peerAddress(row));
+				routers.add(router(row));
 			}
 			long nowNanos = this.control.nanoTime();
-			this.listener.onRouters(addresses, this.membership.onRead(rows, this.storeClock.latestMs(), nowNanos));
+			this.listener.onRouters(routers, this.membership.onRead(rows, this.storeClock.latestMs(), nowNanos));
 			if (this.membership.isJoining(nowNanos) && this.joinScan == null) {
 				this.joinScan = this.control.schedule(FleetMembership.JOIN_DELAY, this::scan);
 			}
 		}, this.control);
 	}
 
-	private String peerAddress(Row row) {
+	private FleetRouter router(Row row) {
+		String address = row.key().substring(PrepaidLedger.ROUTER_PREFIX.length());
 		try {
-			String address = Json.read(row.json(), RouterRow.class).peerAddress();
-			return (address != null) ? address : "";
+			RouterRow written = Json.read(row.json(), RouterRow.class);
+			String peerAddress = written.peerAddress();
+			return new FleetRouter(address, (peerAddress != null) ? peerAddress : "", written.capacityCores());
 		}
 		catch (JsonFormatException ex) {
 			this.log.event("router.unreadable")
 				.with("row", row.key())
 				.with("reason", String.valueOf(ex.getMessage()))
 				.emit();
-			return "";
+			return new FleetRouter(address, "", 0);
 		}
 	}
 
@@ -124,11 +126,10 @@
 
 		/**
 		 * Called after each successful poll.
-		 * @param peerAddresses one peer address for each row, including those of lost
-		 * routers; empty for routers that accept no calls of others
+		 * @param routers one router for each row, including lost ones
 		 * @param position the position of this router, unknown while it is new
 		 */
-		void onRouters(List<String> peerAddresses, FleetPosition position);
+		void onRouters(List<FleetRouter> routers, FleetPosition position);
 
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/budget/RouterRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterRow.java
@@ -19,9 +19,11 @@
  * @param limits the limits by workspace
  * @param era the era of the store in which the row was written; in a later one the router
  * may have spent more
+ * @param capacityCores the processor capacity of its host in cores, 0 in rows of older
+ * versions
  */
 record RouterRow(String incarnation, @Nullable String peerAddress, long number, long atMs, Map<String, Limit> limits,
-		long era) {
+		long era, double capacityCores) {
 
 	RouterRow {
 		limits = Map.copyOf(limits);
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -32,6 +32,12 @@
 	 */
 	private static final double TARGET_S = 4;
 
+	/**
+	 * A router refills from the primary router when it holds less than this, in seconds
+	 * of demand.
+	 */
+	private static final double REFILL_BELOW_S = GrantSizing.TARGET_S * 0.6;
+
 	/** Delay before routers that lent nothing are asked again. */
 	private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
@@ -65,11 +71,21 @@
 	/** Holders that were asked for the currently waiting requests, by workspace. */
 	private final Map<String, Set<String>> askedHolders = new HashMap<>();
 
+	private final PrimaryRouters primaries;
+
+	/** Workspaces for which the primary router is being asked. */
+	private final Set<String> refillingWorkspaces = new HashSet<>();
+
+	/** When the primary router may be asked again after it lent nothing, by workspace. */
+	private final Map<String, Long> refillsPausedUntilNanos = new HashMap<>();
+
 	private boolean borrowRoundInProgress;
 
 	private boolean transferInProgress;
 
-	TokenExchange(Map<String, Wallet> wallets, Pool pool, TokenPeers peers, ControlThread control, DecisionLog log) {
+	TokenExchange(Map<String, Wallet> wallets, Pool pool, TokenPeers peers, PrimaryRouters primaries,
+			ControlThread control, DecisionLog log) {
+		this.primaries = primaries;
 		this.wallets = wallets;
 		this.pool = pool;
 		this.peers = peers;
@@ -77,6 +93,62 @@
 		this.log = log;
 	}
 
+	/**
+	 * Returns whether this router gets tokens of a workspace from its primary router now.
+	 * @param workspace the workspace
+	 * @return {@code false} if it takes them from the shared row itself
+	 */
+	boolean hasLender(String workspace) {
+		long nowNanos = this.control.nanoTime();
+		return this.refillingWorkspaces.contains(workspace)
+				|| (nowNanos >= this.refillsPausedUntilNanos.getOrDefault(workspace, Long.MIN_VALUE)
+						&& this.primaries.lender(workspace, nowNanos).isPresent());
+	}
+
+	/**
+	 * Borrows tokens of all workspaces that run low from their primary routers.
+	 */
+	void refill() {
+		Map<FleetRouter, Map<String, LoanRequest>> requests = new HashMap<>();
+		long nowNanos = this.control.nanoTime();
+		this.wallets.forEach((workspace, wallet) -> {
+			if (this.refillingWorkspaces.contains(workspace) || !hasLender(workspace)) {
+				return;
+			}
+			LoanRequest request = wallet.refillRequest(REFILL_BELOW_S, GrantSizing.TARGET_S);
+			if (request.wantedTokens() > 0) {
+				this.primaries.lender(workspace, nowNanos)
+					.ifPresent((lender) -> requests.computeIfAbsent(lender, (any) -> new HashMap<>())
+						.put(workspace, request));
+			}
+		});
+		requests.forEach(this::refillFrom);
+	}
+
+	private void refillFrom(FleetRouter lender, Map<String, LoanRequest> requests) {
+		this.refillingWorkspaces.addAll(requests.keySet());
+		Set<String> lentWorkspaces = new HashSet<>();
+		this.peers.borrowFrom(lender, requests, (tokens) -> {
+			lentWorkspaces.addAll(tokens.keySet());
+			receive(tokens);
+		}).whenCompleteAsync((done, failure) -> {
+			long nowNanos = this.control.nanoTime();
+			this.refillingWorkspaces.removeAll(requests.keySet());
+			if (failure != null) {
+				this.primaries.onFailure(lender, nowNanos);
+			}
+			else {
+				this.primaries.onSuccess(lender);
+				requests.keySet()
+					.stream()
+					.filter((workspace) -> !lentWorkspaces.contains(workspace))
+					.forEach((workspace) -> this.refillsPausedUntilNanos.put(workspace,
+							nowNanos + RETRY_DELAY.toNanos()));
+			}
+			this.pool.withdrawForWaiting();
+		}, this.control);
+	}
+
 	/**
 	 * Borrows tokens for all workspaces that run low, from routers selected at random.
 	 * Waiting requests are refused while a workspace is paused because no router had
@@ -89,6 +161,9 @@
 		Map<String, LoanRequest> requests = new HashMap<>();
 		long nowNanos = this.control.nanoTime();
 		this.wallets.forEach((workspace, wallet) -> {
+			if (this.refillingWorkspaces.contains(workspace)) {
+				return;
+			}
 			boolean paused = nowNanos < this.pausedUntilNanos.getOrDefault(workspace, Long.MIN_VALUE);
 			LoanRequest request = wallet.loanRequest(LOW_WATERMARK_S, TARGET_S);
 			if (request.wantedTokens() > 0 && !paused) {
@@ -177,13 +252,17 @@
 	 * Lends tokens to another router: spendable tokens of this router first, then tokens
 	 * that it takes from the pool if those do not cover the waiting requests.
 	 * @param requests what the borrower asks for, by workspace
+	 * @param borrower the peer address of the borrower
 	 * @return the tokens that the borrower may spend, by workspace; workspaces without a
 	 * loan are left out
 	 */
-	public CompletableFuture<Map<String, Long>> lend(Map<String, LoanRequest> requests) {
+	public CompletableFuture<Map<String, Long>> lend(Map<String, LoanRequest> requests, String borrower) {
+		String borrowerAddress = this.primaries.address(borrower).orElse("");
 		Map<String, Long> lent = new HashMap<>();
 		List<CompletableFuture<?>> pendingLoans = new ArrayList<>();
-		requests.forEach((workspace, request) -> {
+		requests.forEach((workspace, asked) -> {
+			boolean primary = !borrowerAddress.isEmpty() && this.primaries.isPrimary(workspace);
+			LoanRequest request = primary ? this.pool.limitToShare(workspace, borrowerAddress, asked) : asked;
 			Wallet wallet = this.wallets.get(workspace);
 			long lentHere = (wallet != null) ? wallet.lend(request) : 0;
 			lent.put(workspace, lentHere);
@@ -200,6 +279,12 @@
 		}
 		return CompletableFuture.allOf(pendingLoans.toArray(new CompletableFuture<?>[0])).thenApply((done) -> {
 			lent.values().removeIf((tokens) -> tokens <= 0);
+			lent.forEach((workspace, tokens) -> {
+				LoanRequest asked = requests.get(workspace);
+				if (asked != null && !borrowerAddress.isEmpty() && this.primaries.isPrimary(workspace)) {
+					this.pool.onLent(workspace, borrowerAddress, asked, tokens);
+				}
+			});
 			if (!lent.isEmpty()) {
 				this.log.event("grant.lent").with("workspaces", lent.size()).with("tokens", sum(lent)).emit();
 			}
@@ -278,6 +363,24 @@
 		 */
 		long availableForLoan(String workspace, LoanRequest request, long alreadyLentTokens);
 
+		/**
+		 * Limits a loan of the primary router to the share of the borrower.
+		 * @param workspace the workspace
+		 * @param borrower the address for callers of the borrower
+		 * @param request what it asks for
+		 * @return the limited request
+		 */
+		LoanRequest limitToShare(String workspace, String borrower, LoanRequest request);
+
+		/**
+		 * Records a loan of the primary router.
+		 * @param workspace the workspace
+		 * @param borrower the address for callers of the borrower
+		 * @param request what it asked for
+		 * @param tokens the tokens that it got
+		 */
+		void onLent(String workspace, String borrower, LoanRequest request, long tokens);
+
 		/**
 		 * Starts a round that takes tokens from the pool for all waiting requests.
 		 */
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenPeers.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenPeers.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 /**
@@ -23,6 +24,17 @@
 	CompletableFuture<Void> borrow(Map<String, LoanRequest> requests, List<String> holders,
 			Consumer<Map<String, Long>> receiver);
 
+	/**
+	 * Borrows tokens from one router.
+	 * @param lender the router to ask
+	 * @param requests what to borrow, by workspace
+	 * @param receiver receives the tokens, even after the returned future has completed;
+	 * called on the control thread
+	 * @return completes when the router has responded; fails if it does not do so soon
+	 */
+	CompletableFuture<Void> borrowFrom(FleetRouter lender, Map<String, LoanRequest> requests,
+			Consumer<Map<String, Long>> receiver);
+
 	/**
 	 * Transfers tokens to another router.
 	 * @param tokens the tokens by workspace
@@ -50,6 +62,12 @@
 				return CompletableFuture.completedFuture(null);
 			}
 
+			@Override
+			public CompletableFuture<Void> borrowFrom(FleetRouter lender, Map<String, LoanRequest> requests,
+					Consumer<Map<String, Long>> receiver) {
+				return CompletableFuture.failedFuture(new TimeoutException("There are no other routers"));
+			}
+
 			@Override
 			public CompletableFuture<Boolean> transfer(Map<String, Long> tokens) {
 				return CompletableFuture.completedFuture(false);
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -25,6 +25,12 @@
 	 */
 	private static final double FALLING_TIME_CONSTANT_S = 12;
 
+	/**
+	 * Time without demand that the averages assume before the first request, in seconds.
+	 * Without it, a single request would look like a high demand.
+	 */
+	private static final double UNOBSERVED_S = 2;
+
 	/**
 	 * Smallest loan, as a fraction of the wanted tokens. Smaller loans cost more messages
 	 * than the requests they serve are worth.
@@ -62,6 +68,9 @@
 
 	private double longTermDemandPerS;
 
+	/** Time for which the demand averages have been updated, in seconds. */
+	private double observedS;
+
 	Wallet(String workspace) {
 		this.workspace = workspace;
 	}
@@ -179,7 +188,14 @@
 	 * @return the tokens per second
 	 */
 	synchronized double demandPerS() {
-		return Math.max(this.shortTermDemandPerS, this.longTermDemandPerS);
+		return Math.max(unbiased(this.shortTermDemandPerS, RISING_TIME_CONSTANT_S),
+				unbiased(this.longTermDemandPerS, FALLING_TIME_CONSTANT_S));
+	}
+
+	// A moving average that starts at 0 is too low until several time constants have
+	// passed.
+	private double unbiased(double average, double timeConstantS) {
+		return average / (1 - Math.exp(-(this.observedS + UNOBSERVED_S) / timeConstantS));
 	}
 
 	/**
@@ -191,6 +207,7 @@
 			return;
 		}
 		double demand = this.demandedTokens / elapsedS;
+		this.observedS = (demand > 0 || this.observedS > 0) ? this.observedS + elapsedS : 0;
 		this.shortTermDemandPerS += (1 - Math.exp(-elapsedS / RISING_TIME_CONSTANT_S))
 				* (demand - this.shortTermDemandPerS);
 		this.longTermDemandPerS += (1 - Math.exp(-elapsedS / FALLING_TIME_CONSTANT_S))
@@ -258,6 +275,22 @@
 		return new LoanRequest(waiting, wanted, demandPerS());
 	}
 
+	/**
+	 * Returns what to borrow from the primary router. Unlike {@link #loanRequest}, tokens
+	 * above the limit count as held, since the next write makes them spendable.
+	 * @param lowS the held tokens below which the router borrows, in seconds of demand
+	 * @param targetS the held tokens that it borrows up to, in seconds of demand
+	 * @return a request for 0 tokens if the router has enough
+	 */
+	synchronized LoanRequest refillRequest(double lowS, double targetS) {
+		long waiting = waitingTokens();
+		long held = Math.max(0, heldTokens());
+		double target = demandPerS() * targetS;
+		boolean low = waiting > held || (held < demandPerS() * lowS && target >= this.meanRequestTokens);
+		long wanted = low ? Math.max(0, waiting + (long) target - held) : 0;
+		return new LoanRequest(Math.max(0, waiting - held), wanted, demandPerS(), held);
+	}
+
 	/**
 	 * Returns what to borrow for the waiting requests of this router; loans to other
 	 * routers that wait in the queue are not counted.
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
@@ -8,12 +8,14 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.HttpCalls;
 import io.verbenacleat.core.platform.PlatformException;
+import io.verbenacleat.router.budget.FleetRouter;
 import io.verbenacleat.router.budget.GrantRow;
 import io.verbenacleat.router.budget.LoanRequest;
 import io.verbenacleat.router.budget.TokenPeers;
@@ -173,6 +175,27 @@
 		return done;
 	}
 
+	@Override
+	public CompletableFuture<Void> borrowFrom(FleetRouter lender, Map<String, LoanRequest> requests,
+			Consumer<Map<String, Long>> receiver) {
+		String address = lender.peerAddress();
+		CompletableFuture<Void> responded = new CompletableFuture<>();
+		this.calls.borrow(address, new PeerCalls.BorrowRequest(requests, this.ownAddress))
+			.whenCompleteAsync((tokens, failure) -> {
+				onResponse(address, failure);
+				if (failure != null) {
+					responded.completeExceptionally(failure);
+				}
+				else {
+					receiver.accept(tokens);
+					responded.complete(null);
+				}
+			}, this.control);
+		this.control.schedule(BORROW_TIMEOUT,
+				() -> responded.completeExceptionally(new TimeoutException("No response of " + address)));
+		return responded;
+	}
+
 	@Override
 	public CompletableFuture<Boolean> transfer(Map<String, Long> tokens) {
 		List<String> selected = this.directory.select(1, this.control.nanoTime());
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerRequestHandler.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerRequestHandler.java
@@ -84,7 +84,9 @@
 			case "/" + BORROW -> {
 				PeerCalls.BorrowRequest request = Json.read(body, PeerCalls.BorrowRequest.class);
 				this.peers.addPeer(request.peerAddress());
-				return this.ledger.exchange().lend(request.loans()).thenApply(PeerCalls.TokenAmounts::new);
+				return this.ledger.exchange()
+					.lend(request.loans(), request.peerAddress())
+					.thenApply(PeerCalls.TokenAmounts::new);
 			}
 			case "/" + TRANSFER -> {
 				PeerCalls.TokenAmounts transferred = Json.read(body, PeerCalls.TokenAmounts.class);
--- a/router/src/test/java/io/verbenacleat/router/budget/FleetMembershipTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/FleetMembershipTests.java
@@ -121,7 +121,7 @@
 	}
 
 	private void add(String name, String incarnation) {
-		RouterRow row = new RouterRow(incarnation, "", 1, WRITTEN_AT_MS, Map.of(), 0);
+		RouterRow row = new RouterRow(incarnation, "", 1, WRITTEN_AT_MS, Map.of(), 0, 1);
 		this.rows.add(new Row("ledger/router/" + name, ++this.version, Json.write(row)));
 	}
 
--- a/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.ManualControlThread;
@@ -205,7 +206,7 @@
 			requests.forEach(
 					(workspace, request) -> divided.put(workspace, request.dividedAmong(Math.max(1, lenders.size()))));
 			for (Router router : lenders) {
-				router.ledger().exchange().lend(divided).thenAccept((lent) -> {
+				router.ledger().exchange().lend(divided, this.self.address).thenAccept((lent) -> {
 					if (LedgerFleet.this.peerFault != PeerFault.RESPONSE_LOST) {
 						receiver.accept(lent);
 					}
@@ -216,6 +217,23 @@
 			return done;
 		}
 
+		@Override
+		public CompletableFuture<Void> borrowFrom(FleetRouter lender, Map<String, LoanRequest> requests,
+				Consumer<Map<String, Long>> receiver) {
+			CompletableFuture<Void> responded = new CompletableFuture<>();
+			for (Router router : holders(List.of(lender.address()))) {
+				router.ledger().exchange().lend(requests, this.self.address).thenAccept((lent) -> {
+					if (LedgerFleet.this.peerFault != PeerFault.RESPONSE_LOST) {
+						receiver.accept(lent);
+						responded.complete(null);
+					}
+				});
+			}
+			LedgerFleet.this.control.schedule(LOAN_TIMEOUT,
+					() -> responded.completeExceptionally(new TimeoutException("no response")));
+			return responded;
+		}
+
 		@Override
 		public CompletableFuture<Boolean> transfer(Map<String, Long> tokens) {
 			for (Router router : others()) {
--- a/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/TokenExchangeTests.java
@@ -120,9 +120,11 @@
 	@Test
 	public void nothingIsLentForUnknownWorkspaces() {
 		LedgerFleet fleet = new LedgerFleet(1, 100_000);
-		assertEquals(
-				fleet.routers.get(0).ledger().exchange().lend(Map.of("other", new LoanRequest(10, 10, 1))).getNow(null),
-				Map.of());
+		assertEquals(fleet.routers.get(0)
+			.ledger()
+			.exchange()
+			.lend(Map.of("other", new LoanRequest(10, 10, 1)), "")
+			.getNow(null), Map.of());
 	}
 
 	// One router loses the store, and the callers of others move to it.
