--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -848,6 +848,10 @@
 			// Held tokens above the limit can be lent as well, after the next write.
 			long available = account.poolTokens() + Math.max(0, account.wallet().heldTokens()) / 2;
 			long maxTokens = Math.max(missing, (long) (available * MAX_LOAN_FRACTION));
+			if (missing > available && isPrimary(account) && missing <= account.unspentByAllTokens()) {
+				// Borrowed from the routers that hold them.
+				return missing;
+			}
 			return (missing <= available) ? Math.min(request.wantedTokens() - alreadyLentTokens, maxTokens) : 0;
 		}
 
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -38,6 +38,13 @@
 	 */
 	private static final double REFILL_BELOW_S = GrantSizing.TARGET_S * 0.6;
 
+	/**
+	 * After a loan that was smaller than asked for, the next one is asked for when less
+	 * than this fraction of the tokens is left. Asking earlier would bring as little
+	 * again.
+	 */
+	private static final double SCARCE_REFILL_FRACTION = 0.5;
+
 	/** Delay before routers that lent nothing are asked again. */
 	private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
@@ -76,6 +83,12 @@
 	/** Workspaces for which the primary router is being asked. */
 	private final Set<String> refillingWorkspaces = new HashSet<>();
 
+	/**
+	 * Held tokens below which the primary router is asked again after it lent less than
+	 * asked for, by workspace.
+	 */
+	private final Map<String, Long> refillBelowTokens = new HashMap<>();
+
 	/** When the primary router may be asked again after it lent nothing, by workspace. */
 	private final Map<String, Long> refillsPausedUntilNanos = new HashMap<>();
 
@@ -115,7 +128,8 @@
 			if (this.refillingWorkspaces.contains(workspace) || !hasLender(workspace)) {
 				return;
 			}
-			LoanRequest request = wallet.refillRequest(REFILL_BELOW_S, GrantSizing.TARGET_S);
+			LoanRequest request = wallet.refillRequest(REFILL_BELOW_S, GrantSizing.TARGET_S,
+					this.refillBelowTokens.getOrDefault(workspace, Long.MAX_VALUE));
 			if (request.wantedTokens() > 0) {
 				this.primaries.lender(workspace, nowNanos)
 					.ifPresent((lender) -> requests.computeIfAbsent(lender, (any) -> new HashMap<>())
@@ -131,6 +145,8 @@
 		this.peers.borrowFrom(lender, requests, (tokens) -> {
 			lentWorkspaces.addAll(tokens.keySet());
 			receive(tokens);
+			requests
+				.forEach((workspace, request) -> onRefilled(workspace, request, tokens.getOrDefault(workspace, 0L)));
 		}).whenCompleteAsync((done, failure) -> {
 			long nowNanos = this.control.nanoTime();
 			this.refillingWorkspaces.removeAll(requests.keySet());
@@ -149,6 +165,16 @@
 		}, this.control);
 	}
 
+	private void onRefilled(String workspace, LoanRequest request, long lentTokens) {
+		if (lentTokens < request.wantedTokens()) {
+			long heldAfter = request.heldTokens() + lentTokens - request.waitingTokens();
+			this.refillBelowTokens.put(workspace, (long) (heldAfter * SCARCE_REFILL_FRACTION));
+		}
+		else {
+			this.refillBelowTokens.remove(workspace);
+		}
+	}
+
 	/**
 	 * Borrows tokens for all workspaces that run low, from routers selected at random.
 	 * Waiting requests are refused while a workspace is paused because no router had
@@ -269,7 +295,8 @@
 			long fromPool = this.pool.availableForLoan(workspace, request, lentHere);
 			if (fromPool > 0) {
 				Wallet own = this.wallets.computeIfAbsent(workspace, Wallet::new);
-				PoolLoan loan = new PoolLoan(own, fromPool);
+				PoolLoan loan = new PoolLoan(own, fromPool,
+						primary ? Math.min(fromPool, Math.max(0, request.waitingTokens() - lentHere)) : 0);
 				own.await(loan);
 				pendingLoans.add(loan.granted.thenAccept((tokens) -> lent.merge(workspace, tokens, Long::sum)));
 			}
@@ -398,11 +425,14 @@
 
 		private final long tokens;
 
+		private final long awaitedTokens;
+
 		private final CompletableFuture<Long> granted = new CompletableFuture<>();
 
-		private PoolLoan(Wallet wallet, long tokens) {
+		private PoolLoan(Wallet wallet, long tokens, long awaitedTokens) {
 			this.wallet = wallet;
 			this.tokens = tokens;
+			this.awaitedTokens = awaitedTokens;
 		}
 
 		@Override
@@ -415,6 +445,11 @@
 			return false;
 		}
 
+		@Override
+		public long awaitedTokens() {
+			return this.awaitedTokens;
+		}
+
 		@Override
 		public void granted() {
 			this.wallet.settle(this.tokens, this.tokens);
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -280,26 +280,28 @@
 	 * above the limit count as held, since the next write makes them spendable.
 	 * @param lowS the held tokens below which the router borrows, in seconds of demand
 	 * @param targetS the held tokens that it borrows up to, in seconds of demand
+	 * @param maxLowTokens an upper bound of the held tokens below which it borrows
 	 * @return a request for 0 tokens if the router has enough
 	 */
-	synchronized LoanRequest refillRequest(double lowS, double targetS) {
+	synchronized LoanRequest refillRequest(double lowS, double targetS, long maxLowTokens) {
 		long waiting = waitingTokens();
 		long held = Math.max(0, heldTokens());
 		double target = demandPerS() * targetS;
-		boolean low = waiting > held || (held < demandPerS() * lowS && target >= this.meanRequestTokens);
+		boolean low = waiting > held
+				|| (held < Math.min(maxLowTokens, demandPerS() * lowS) && target >= this.meanRequestTokens);
 		long wanted = low ? Math.max(0, waiting + (long) target - held) : 0;
 		return new LoanRequest(Math.max(0, waiting - held), wanted, demandPerS(), held);
 	}
 
 	/**
-	 * Returns what to borrow for the waiting requests of this router; loans to other
-	 * routers that wait in the queue are not counted.
+	 * Returns what to borrow for the requests that wait at this router, or at a router
+	 * that borrows from it; the part of a loan that no request waits for is not counted.
 	 * @return a request for 0 tokens if they are covered
 	 */
 	synchronized LoanRequest shortfallRequest() {
 		long waiting = 0;
 		for (Waiter waiter : this.waiters) {
-			waiting += waiter.isOwnDemand() ? waiter.tokens() : 0;
+			waiting += waiter.awaitedTokens();
 		}
 		long missing = Math.max(0, waiting - Math.max(0, spendableTokens()));
 		return new LoanRequest(missing, missing, demandPerS());
@@ -428,6 +430,24 @@
 		return maxTokens - this.spentTokens - this.reservedTokens;
 	}
 
+	/**
+	 * Returns the tokens at this router, for logs.
+	 * @return the balance
+	 */
+	public synchronized Balance balance() {
+		return new Balance(heldTokens(), spendableTokens(), (long) demandPerS());
+	}
+
+	/**
+	 * The tokens of a workspace at this router. Immutable.
+	 *
+	 * @param heldTokens the tokens that are neither spent nor reserved
+	 * @param spendableTokens those that may be spent before the next write of the limit
+	 * @param demandPerS the demand in tokens per second
+	 */
+	public record Balance(long heldTokens, long spendableTokens, long demandPerS) {
+	}
+
 	/**
 	 * A request that waits for tokens. Its methods may be called on any thread.
 	 */
@@ -448,6 +468,14 @@
 			return true;
 		}
 
+		/**
+		 * Returns the tokens for which a request waits, at this or another router.
+		 * @return the tokens, at most {@link #tokens}
+		 */
+		default long awaitedTokens() {
+			return isOwnDemand() ? tokens() : 0;
+		}
+
 		/**
 		 * Called when the tokens have been reserved for the request.
 		 */
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
@@ -56,6 +56,11 @@
 	/** Maximum wait of requests for loans. A response takes a few milliseconds. */
 	private static final Duration BORROW_TIMEOUT = Duration.ofMillis(200);
 
+	/**
+	 * Maximum wait for the primary router, which may have to collect tokens from others.
+	 */
+	private static final Duration REFILL_TIMEOUT = Duration.ofMillis(350);
+
 	/**
 	 * Lenders that are asked at the same time; a few of many routers have tokens to lend.
 	 */
@@ -191,7 +196,7 @@
 					responded.complete(null);
 				}
 			}, this.control);
-		this.control.schedule(BORROW_TIMEOUT,
+		this.control.schedule(REFILL_TIMEOUT,
 				() -> responded.completeExceptionally(new TimeoutException("No response of " + address)));
 		return responded;
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.verbenacleat.router.balance.ServerState;
+import io.verbenacleat.router.budget.Wallet;
 import io.verbenacleat.router.config.RequestKind;
 import io.verbenacleat.router.config.Route;
 import io.verbenacleat.router.config.RoutingTable;
@@ -686,7 +687,16 @@
 	private void refuse(Refusal refusal) {
 		this.relay.metrics().refused(refusal);
 		close();
-		logLine("request.refused", Relay.code(refusal)).emit();
+		DecisionLog.Line line = logLine("request.refused", Relay.code(refusal));
+		TokenReservation unserved = this.reservation;
+		if (unserved != null && (refusal == Refusal.PREPAID_UNAVAILABLE || refusal == Refusal.PREPAID_EXHAUSTED)) {
+			Wallet.Balance balance = unserved.balance();
+			line.with("needed_tokens", unserved.tokens())
+				.with("held_tokens", balance.heldTokens())
+				.with("spendable_tokens", balance.spendableTokens())
+				.with("demand_per_s", balance.demandPerS());
+		}
+		line.emit();
 		String retryAfter = "";
 		if (refusal.isTemporary()) {
 			Service target = this.service;
--- a/router/src/main/java/io/verbenacleat/router/relay/TokenReservation.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/TokenReservation.java
@@ -58,6 +58,14 @@
 		return this.waiting;
 	}
 
+	/**
+	 * Returns the tokens of the workspace at this router, for logs.
+	 * @return the tokens by name
+	 */
+	Wallet.Balance balance() {
+		return this.wallet.balance();
+	}
+
 	/**
 	 * Bills the used tokens, or cancels the wait for tokens. Later calls do nothing.
 	 * @param mayHaveRun whether a backend server may have run the request
