--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -45,7 +45,7 @@
 	 * The headroom of all routers together is at most this fraction of the unspent
 	 * tokens.
 	 */
-	private static final double MAX_HEADROOM_FRACTION = 0.08;
+	private static final double MAX_HEADROOM_FRACTION = 0.25;
 
 	/** Headroom of a primary router for loans, in seconds of the demand of the others. */
 	private static final double LENDING_HEADROOM_S = 1;
