--- a/router/src/main/java/io/verbenacleat/router/budget/ChangeSelection.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/ChangeSelection.java
@@ -22,14 +22,17 @@
 	/**
 	 * Selects the rows of the next transaction. Those for which requests wait come first.
 	 * @param accounts the accounts whose rows are to be changed
-	 * @return the accounts to change now, not empty unless {@code accounts} is
+	 * @param limitsFirst whether requests wait for the new limit in the router row, which
+	 * a conflict would delay
+	 * @return the accounts to change now; empty only if {@code accounts} is, or if only
+	 * contended rows are left and limits come first
 	 */
-	static Set<GrantAccount> select(Collection<GrantAccount> accounts) {
+	static Set<GrantAccount> select(Collection<GrantAccount> accounts, boolean limitsFirst) {
 		List<GrantAccount> quiet = accounts.stream().filter((account) -> !account.isContended()).toList();
 		Optional<GrantAccount> contended = accounts.stream()
 			.filter(GrantAccount::isContended)
 			.max(Comparator.comparingLong((GrantAccount account) -> account.wallet().waitingTokens()));
-		boolean quietFirst = contended.isEmpty() || quiet.stream().anyMatch(ChangeSelection::isAwaited)
+		boolean quietFirst = limitsFirst || contended.isEmpty() || quiet.stream().anyMatch(ChangeSelection::isAwaited)
 				|| (!quiet.isEmpty() && !isAwaited(contended.get()));
 		return quietFirst ? new HashSet<>(quiet) : Set.of(contended.get());
 	}
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -35,6 +35,12 @@
 	 */
 	private static final double HEADROOM_S = 3.6;
 
+	/**
+	 * Requests of mean size by which the headroom is larger. With a few requests a
+	 * second, their number within {@link #HEADROOM_S} varies by about this much.
+	 */
+	private static final double HEADROOM_REQUESTS = 2;
+
 	/**
 	 * Upper bound of the fraction of the tokens listed for a router in the shared row
 	 * below which the router updates the row.
@@ -45,7 +51,7 @@
 	 * The headroom of all routers together is at most this fraction of the unspent
 	 * tokens.
 	 */
-	private static final double MAX_HEADROOM_FRACTION = 0.25;
+	private static final double MAX_HEADROOM_FRACTION = 0.12;
 
 	/** Headroom of a primary router for loans, in seconds of the demand of the others. */
 	private static final double LENDING_HEADROOM_S = 1;
@@ -163,6 +169,15 @@
 		this.row = null;
 	}
 
+	/**
+	 * Returns whether requests wait although the router holds the tokens for them.
+	 * @return {@code true} if the next write of the limit lets them go on
+	 */
+	boolean isWaitingForLimit() {
+		long waiting = this.wallet.waitingTokens();
+		return waiting > 0 && waiting <= this.wallet.heldTokens();
+	}
+
 	/**
 	 * Returns the tokens of the allowance that are not granted to any router.
 	 * @return the tokens, 0 while the row is unknown
@@ -292,8 +307,9 @@
 		GrantRow current = this.row;
 		double lentPerS = (primary && current != null) ? current.demandOfOthersPerS(this.address) : 0;
 		double share = primary ? 1 : demandShare();
-		double headroomTokens = Math.min(this.wallet.demandPerS() * HEADROOM_S + lentPerS * LENDING_HEADROOM_S,
-				unspentByAllTokens() * share * MAX_HEADROOM_FRACTION);
+		double wantedTokens = this.wallet.demandPerS() * HEADROOM_S + lentPerS * LENDING_HEADROOM_S
+				+ this.wallet.meanRequestTokens() * HEADROOM_REQUESTS;
+		double headroomTokens = Math.min(wantedTokens, unspentByAllTokens() * share * MAX_HEADROOM_FRACTION);
 		long limitTokens = Math.min(grantedTokens,
 				this.wallet.committedTokens() + this.wallet.waitingTokens() + (long) headroomTokens);
 		return new RouterRow.Limit(grantedTokens, limitTokens);
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -603,7 +603,9 @@
 		long nowNanos = this.control.nanoTime();
 		boolean unchanged = !settled || this.recovery.isWriteDue(nowNanos);
 		Map<GrantAccount, Long> planned = unchanged ? Map.of() : planDeltas(nowNanos);
-		Set<GrantAccount> selected = ChangeSelection.select(planned.keySet());
+		boolean limitsFirst = !this.changesLeft
+				&& this.accounts.values().stream().anyMatch(GrantAccount::isWaitingForLimit);
+		Set<GrantAccount> selected = ChangeSelection.select(planned.keySet(), limitsFirst);
 		for (GrantAccount account : this.accounts.values()) {
 			long delta = selected.contains(account) ? planned.getOrDefault(account, 0L) : 0;
 			if (delta < 0) {
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -36,7 +36,14 @@
 	 * A router refills from the primary router when it holds less than this, in seconds
 	 * of demand.
 	 */
-	private static final double REFILL_BELOW_S = GrantSizing.TARGET_S * 0.6;
+	private static final double REFILL_BELOW_S = 10.5;
+
+	/**
+	 * Tokens that a router borrows up to from the primary router, in seconds of demand. A
+	 * partition lasts up to 9 s, and the demand of a workspace at one router varies by
+	 * half.
+	 */
+	private static final double REFILL_TARGET_S = 15;
 
 	/**
 	 * After a loan that was smaller than asked for, the next one is asked for when less
@@ -128,7 +135,7 @@
 			if (this.refillingWorkspaces.contains(workspace) || !hasLender(workspace)) {
 				return;
 			}
-			LoanRequest request = wallet.refillRequest(REFILL_BELOW_S, GrantSizing.TARGET_S,
+			LoanRequest request = wallet.refillRequest(REFILL_BELOW_S, REFILL_TARGET_S,
 					this.refillBelowTokens.getOrDefault(workspace, Long.MAX_VALUE));
 			if (request.wantedTokens() > 0) {
 				this.primaries.lender(workspace, nowNanos)
--- a/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
@@ -4,13 +4,19 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.ManualControlThread;
+import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.WriteOutcome;
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.RoutingTable;
 import io.verbenacleat.router.config.Workspace;
@@ -42,6 +48,12 @@
 
 	final List<Router> routers = new ArrayList<>();
 
+	/** The names of the workspaces, {@link #WORKSPACE} only unless more are added. */
+	final Set<String> workspaces = new LinkedHashSet<>(List.of(WORKSPACE));
+
+	/** The time of a write between a router and the store, in one direction. */
+	Duration writeDelay = Duration.ZERO;
+
 	PeerFault peerFault = PeerFault.UNREACHABLE;
 
 	long allowance;
@@ -82,10 +94,21 @@
 
 	RoutingTable table() {
 		return new RoutingTable(this.configVersion, List.of(), List.of(),
-				List.of(new Workspace(WORKSPACE, List.of("k"), 0, this.allowance)),
+				this.workspaces.stream().map((name) -> new Workspace(name, List.of(name), 0, this.allowance)).toList(),
 				new CallerLimits(1_000, 1_000, 1_000, 1_000));
 	}
 
+	/**
+	 * Makes all routers known to each other.
+	 * @param capacityCores the capacity of each host
+	 */
+	void introduceRouters(double capacityCores) {
+		List<FleetRouter> all = this.routers.stream()
+			.map((router) -> new FleetRouter(router.address, router.address, capacityCores))
+			.toList();
+		this.routers.forEach((router) -> router.ledger().updateRouters(all));
+	}
+
 	/**
 	 * One router with its access to the store.
 	 */
@@ -93,7 +116,7 @@
 
 		final String address;
 
-		final FaultyStore store = new FaultyStore(LedgerFleet.this.store, LedgerFleet.this.store::era);
+		final FaultyStore store = new FaultyStore(new DelayedStore(), LedgerFleet.this.store::era);
 
 		private PrepaidLedger ledger;
 
@@ -137,7 +160,16 @@
 		 * @param tokens the tokens
 		 */
 		void request(long tokens) {
-			Wallet wallet = this.ledger.wallet(WORKSPACE);
+			request(WORKSPACE, tokens);
+		}
+
+		/**
+		 * Sends a request that uses all of its tokens once they are granted.
+		 * @param workspace the workspace
+		 * @param tokens the tokens
+		 */
+		void request(String workspace, long tokens) {
+			Wallet wallet = this.ledger.wallet(workspace);
 			if (wallet.tryReserve(tokens)) {
 				use(wallet, tokens);
 				return;
@@ -280,6 +312,37 @@
 
 	}
 
+	/**
+	 * Applies writes some time after they were sent.
+	 */
+	private final class DelayedStore implements TableStore {
+
+		@Override
+		public CompletableFuture<List<Row>> read(List<String> keys) {
+			return LedgerFleet.this.store.read(keys);
+		}
+
+		@Override
+		public CompletableFuture<List<Row>> scan(String prefix, String after, int limit) {
+			return LedgerFleet.this.store.scan(prefix, after, limit);
+		}
+
+		@Override
+		public CompletableFuture<WriteOutcome> transact(Transaction transaction) {
+			Duration delay = LedgerFleet.this.writeDelay;
+			if (delay.isZero()) {
+				return LedgerFleet.this.store.transact(transaction);
+			}
+			CompletableFuture<WriteOutcome> outcome = new CompletableFuture<>();
+			LedgerFleet.this.control.schedule(delay, () -> {
+				WriteOutcome applied = LedgerFleet.this.store.transact(transaction).getNow(null);
+				LedgerFleet.this.control.schedule(delay, () -> outcome.complete(applied));
+			});
+			return outcome;
+		}
+
+	}
+
 	/**
 	 * Faults of calls between routers.
 	 */
