--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -130,7 +130,7 @@
 		PrepaidLedger.Identity identity = new PrepaidLedger.Identity(options.host() + ":" + options.callerPort(),
 				peerAddress, incarnation, options.startedAtNanos(), options.firstStart(), options.capacityCores());
 		this.ledger = new PrepaidLedger(identity, store, storeClock, storeEra,
-				hasPeers ? this.peers : TokenPeers.none(), control, log);
+				hasPeers ? this.peers : TokenPeers.none(), control, log, registry);
 		this.quarantine = new PartQuarantine(store, storeClock, hasPeers ? this.peers : CrashReportPeers.none(),
 				control, log, new Random());
 		this.streamOrigins = new StreamOrigins(store, storeClock, storeEra, control, log, new Random(),
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.json.Json;
@@ -114,6 +115,8 @@
 
 	private final PrimaryRouters primaries;
 
+	private final TokenMetrics metrics;
+
 	private final TokenExchange exchange;
 
 	private final Cancellable timer;
@@ -167,9 +170,10 @@
 	 * @param peers the other routers
 	 * @param control the control thread
 	 * @param log receives a line for each change of a grant and each failure of the store
+	 * @param registry receives the metrics
 	 */
 	public PrepaidLedger(Identity identity, TableStore store, StoreClock storeClock, StoreEra storeEra,
-			TokenPeers peers, ControlThread control, DecisionLog log) {
+			TokenPeers peers, ControlThread control, DecisionLog log, PrometheusRegistry registry) {
 		this.identity = identity;
 		this.routerKey = ROUTER_PREFIX + identity.address();
 		this.store = store;
@@ -179,14 +183,31 @@
 		this.peers = peers;
 		this.control = control;
 		this.log = log;
+		this.metrics = new TokenMetrics(registry);
 		this.primaries = new PrimaryRouters(identity.address());
-		this.exchange = new TokenExchange(this.wallets, new StorePool(), peers, this.primaries, control, log);
+		this.exchange = new TokenExchange(this.wallets, new StorePool(), peers, this.primaries, this.metrics, control,
+				log);
 		this.startedAtNanos = identity.startedAtNanos();
 		this.demandUpdatedAtNanos = control.nanoTime();
 		this.lastWriteAtNanos = this.demandUpdatedAtNanos;
 		this.timer = control.scheduleWithFixedDelay(ROUND_INTERVAL, this::tick);
 	}
 
+	/**
+	 * Creates a ledger without metrics and starts its timer.
+	 * @param identity the identity of this router
+	 * @param store the table service
+	 * @param storeClock the clock of the table service
+	 * @param storeEra the era of the table service
+	 * @param peers the other routers
+	 * @param control the control thread
+	 * @param log receives a line for each change of a grant and each failure of the store
+	 */
+	public PrepaidLedger(Identity identity, TableStore store, StoreClock storeClock, StoreEra storeEra,
+			TokenPeers peers, ControlThread control, DecisionLog log) {
+		this(identity, store, storeClock, storeEra, peers, control, log, new PrometheusRegistry());
+	}
+
 	/**
 	 * Returns the wallet of a workspace.
 	 * @param workspace the name of the workspace
@@ -721,6 +742,7 @@
 		}
 		this.roundInProgress = false;
 		if (outcome instanceof WriteOutcome.Conflict conflict) {
+			this.metrics.conflict();
 			write.changes()
 				.stream()
 				.filter((change) -> conflict.versions().containsKey(change.account().key()))
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -87,6 +87,8 @@
 
 	private final PrimaryRouters primaries;
 
+	private final TokenMetrics metrics;
+
 	/** Workspaces for which the primary router is being asked. */
 	private final Set<String> refillingWorkspaces = new HashSet<>();
 
@@ -104,7 +106,8 @@
 	private boolean transferInProgress;
 
 	TokenExchange(Map<String, Wallet> wallets, Pool pool, TokenPeers peers, PrimaryRouters primaries,
-			ControlThread control, DecisionLog log) {
+			TokenMetrics metrics, ControlThread control, DecisionLog log) {
+		this.metrics = metrics;
 		this.primaries = primaries;
 		this.wallets = wallets;
 		this.pool = pool;
@@ -158,6 +161,7 @@
 			long nowNanos = this.control.nanoTime();
 			this.refillingWorkspaces.removeAll(requests.keySet());
 			if (failure != null) {
+				this.metrics.refillFailed();
 				this.primaries.onFailure(lender, nowNanos);
 			}
 			else {
@@ -173,6 +177,7 @@
 	}
 
 	private void onRefilled(String workspace, LoanRequest request, long lentTokens) {
+		this.metrics.refilled(request.wantedTokens(), lentTokens);
 		if (lentTokens < request.wantedTokens()) {
 			long heldAfter = request.heldTokens() + lentTokens - request.waitingTokens();
 			this.refillBelowTokens.put(workspace, (long) (heldAfter * SCARCE_REFILL_FRACTION));
@@ -320,6 +325,7 @@
 				}
 			});
 			if (!lent.isEmpty()) {
+				this.metrics.lent(sum(lent));
 				this.log.event("grant.lent").with("workspaces", lent.size()).with("tokens", sum(lent)).emit();
 			}
 			return Map.copyOf(lent);
@@ -336,6 +342,7 @@
 			this.wallets.computeIfAbsent(workspace, Wallet::new).receive(count);
 		});
 		if (!tokens.isEmpty()) {
+			this.metrics.borrowed(sum(tokens));
 			this.log.event("grant.received").with("workspaces", tokens.size()).with("tokens", sum(tokens)).emit();
 		}
 	}
