--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -56,6 +56,12 @@
 	/** Headroom of a primary router for loans, in seconds of the demand of the others. */
 	private static final double LENDING_HEADROOM_S = 1;
 
+	/**
+	 * Headroom of a primary router before the others have any demand, as a fraction of
+	 * the largest headroom. Without it, each first loan waits for a write.
+	 */
+	private static final double MIN_LENDING_FRACTION = 0.5;
+
 	/**
 	 * Tokens that a primary router holds for loans, in seconds of the demand of the
 	 * others. They cover several rounds of the ledger.
@@ -66,7 +72,7 @@
 	private static final double MAX_RESERVE_FRACTION = 0.25;
 
 	/** The reserve before any demand is known, as a fraction of the unspent tokens. */
-	private static final double MIN_RESERVE_FRACTION = 0.05;
+	private static final double MIN_RESERVE_FRACTION = 0.15;
 
 	/** All borrowers together hold at most this fraction of the unspent tokens. */
 	private static final double MAX_LENT_FRACTION = 0.8;
@@ -309,7 +315,9 @@
 		double share = primary ? 1 : demandShare();
 		double wantedTokens = this.wallet.demandPerS() * HEADROOM_S + lentPerS * LENDING_HEADROOM_S
 				+ this.wallet.meanRequestTokens() * HEADROOM_REQUESTS;
-		double headroomTokens = Math.min(wantedTokens, unspentByAllTokens() * share * MAX_HEADROOM_FRACTION);
+		double maxTokens = unspentByAllTokens() * share * MAX_HEADROOM_FRACTION;
+		double headroomTokens = Math.min(Math.max(wantedTokens, primary ? maxTokens * MIN_LENDING_FRACTION : 0),
+				maxTokens);
 		long limitTokens = Math.min(grantedTokens,
 				this.wallet.committedTokens() + this.wallet.waitingTokens() + (long) headroomTokens);
 		return new RouterRow.Limit(grantedTokens, limitTokens);
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -25,6 +25,12 @@
 	 */
 	private static final double FALLING_TIME_CONSTANT_S = 12;
 
+	/**
+	 * Requests of mean size that a router borrows for beyond those that wait, since the
+	 * next one would wait as well.
+	 */
+	private static final int MIN_REFILL_REQUESTS = 2;
+
 	/**
 	 * Time without demand that the averages assume before the first request, in seconds.
 	 * Without it, a single request would look like a high demand.
@@ -289,7 +295,8 @@
 		double target = demandPerS() * targetS;
 		boolean low = waiting > held
 				|| (held < Math.min(maxLowTokens, demandPerS() * lowS) && target >= this.meanRequestTokens);
-		long wanted = low ? Math.max(0, waiting + (long) target - held) : 0;
+		double ahead = (waiting > held) ? Math.max(target, this.meanRequestTokens * MIN_REFILL_REQUESTS) : target;
+		long wanted = low ? Math.max(0, waiting + (long) ahead - held) : 0;
 		return new LoanRequest(Math.max(0, waiting - held), wanted, demandPerS(), held);
 	}
 
