--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -25,6 +25,18 @@
 	 */
 	private static final double FALLING_TIME_CONSTANT_S = 12;
 
+	/**
+	 * Requests of mean size that a router borrows for beyond those that wait, since the
+	 * next one would wait as well.
+	 */
+	private static final int MIN_REFILL_REQUESTS = 2;
+
+	/**
+	 * Time without demand that the averages assume before the first request, in seconds.
+	 * Without it, a single request would look like a high demand.
+	 */
+	private static final double UNOBSERVED_S = 2;
+
 	/**
 	 * Smallest loan, as a fraction of the wanted tokens. Smaller loans cost more messages
 	 * than the requests they serve are worth.
@@ -62,6 +74,9 @@
 
 	private double longTermDemandPerS;
 
+	/** Time for which the demand averages have been updated, in seconds. */
+	private double observedS;
+
 	Wallet(String workspace) {
 		this.workspace = workspace;
 	}
@@ -179,7 +194,14 @@
 	 * @return the tokens per second
 	 */
 	synchronized double demandPerS() {
-		return Math.max(this.shortTermDemandPerS, this.longTermDemandPerS);
+		return Math.max(unbiased(this.shortTermDemandPerS, RISING_TIME_CONSTANT_S),
+				unbiased(this.longTermDemandPerS, FALLING_TIME_CONSTANT_S));
+	}
+
+	// A moving average that starts at 0 is too low until several time constants have
+	// passed.
+	private double unbiased(double average, double timeConstantS) {
+		return average / (1 - Math.exp(-(this.observedS + UNOBSERVED_S) / timeConstantS));
 	}
 
 	/**
@@ -191,6 +213,7 @@
 			return;
 		}
 		double demand = this.demandedTokens / elapsedS;
+		this.observedS = (demand > 0 || this.observedS > 0) ? this.observedS + elapsedS : 0;
 		this.shortTermDemandPerS += (1 - Math.exp(-elapsedS / RISING_TIME_CONSTANT_S))
 				* (demand - this.shortTermDemandPerS);
 		this.longTermDemandPerS += (1 - Math.exp(-elapsedS / FALLING_TIME_CONSTANT_S))
@@ -259,14 +282,33 @@
 	}
 
 	/**
-	 * Returns what to borrow for the waiting requests of this router; loans to other
-	 * routers that wait in the queue are not counted.
+	 * Returns what to borrow from the primary router. Unlike {@link #loanRequest}, tokens
+	 * above the limit count as held, since the next write makes them spendable.
+	 * @param lowS the held tokens below which the router borrows, in seconds of demand
+	 * @param targetS the held tokens that it borrows up to, in seconds of demand
+	 * @param maxLowTokens an upper bound of the held tokens below which it borrows
+	 * @return a request for 0 tokens if the router has enough
+	 */
+	synchronized LoanRequest refillRequest(double lowS, double targetS, long maxLowTokens) {
+		long waiting = waitingTokens();
+		long held = Math.max(0, heldTokens());
+		double target = demandPerS() * targetS;
+		boolean low = waiting > held
+				|| (held < Math.min(maxLowTokens, demandPerS() * lowS) && target >= this.meanRequestTokens);
+		double ahead = (waiting > held) ? Math.max(target, this.meanRequestTokens * MIN_REFILL_REQUESTS) : target;
+		long wanted = low ? Math.max(0, waiting + (long) ahead - held) : 0;
+		return new LoanRequest(Math.max(0, waiting - held), wanted, demandPerS(), held);
+	}
+
+	/**
+	 * Returns what to borrow for the requests that wait at this router, or at a router
+	 * that borrows from it; the part of a loan that no request waits for is not counted.
 	 * @return a request for 0 tokens if they are covered
 	 */
 	synchronized LoanRequest shortfallRequest() {
 		long waiting = 0;
 		for (Waiter waiter : this.waiters) {
-			waiting += waiter.isOwnDemand() ? waiter.tokens() : 0;
+			waiting += waiter.awaitedTokens();
 		}
 		long missing = Math.max(0, waiting - Math.max(0, spendableTokens()));
 		return new LoanRequest(missing, missing, demandPerS());
@@ -395,6 +437,24 @@
 		return maxTokens - this.spentTokens - this.reservedTokens;
 	}
 
+	/**
+	 * Returns the tokens at this router, for logs.
+	 * @return the balance
+	 */
+	public synchronized Balance balance() {
+		return new Balance(heldTokens(), spendableTokens(), (long) demandPerS());
+	}
+
+	/**
+	 * The tokens of a workspace at this router. Immutable.
+	 *
+	 * @param heldTokens the tokens that are neither spent nor reserved
+	 * @param spendableTokens those that may be spent before the next write of the limit
+	 * @param demandPerS the demand in tokens per second
+	 */
+	public record Balance(long heldTokens, long spendableTokens, long demandPerS) {
+	}
+
 	/**
 	 * A request that waits for tokens. Its methods may be called on any thread.
 	 */
@@ -415,6 +475,14 @@
 			return true;
 		}
 
+		/**
+		 * Returns the tokens for which a request waits, at this or another router.
+		 * @return the tokens, at most {@link #tokens}
+		 */
+		default long awaitedTokens() {
+			return isOwnDemand() ? tokens() : 0;
+		}
+
 		/**
 		 * Called when the tokens have been reserved for the request.
 		 */
--- a/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
+++ b/router/src/main/java/io/verbenacleat/router/peer/PeerClient.java
@@ -8,12 +8,14 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
 import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.HttpCalls;
 import io.verbenacleat.core.platform.PlatformException;
+import io.verbenacleat.router.budget.FleetRouter;
 import io.verbenacleat.router.budget.GrantRow;
 import io.verbenacleat.router.budget.LoanRequest;
 import io.verbenacleat.router.budget.TokenPeers;
@@ -56,6 +58,11 @@
 	/** Maximum wait of requests for loans. A response takes a few milliseconds. */
 	private static final Duration BORROW_TIMEOUT = Duration.ofMillis(200);
 
+	/**
+	 * Maximum wait for the primary router, which may have to collect tokens from others.
+	 */
+	private static final Duration REFILL_TIMEOUT = Duration.ofMillis(350);
+
 	/**
 	 * Lenders that are asked at the same time; a few of many routers have tokens to lend.
 	 */
@@ -194,6 +201,27 @@
 		return done;
 	}
 
+	@Override
+	public CompletableFuture<Void> borrowFrom(FleetRouter lender, Map<String, LoanRequest> requests,
+			Consumer<Map<String, Long>> receiver) {
+		String address = lender.peerAddress();
+		CompletableFuture<Void> responded = new CompletableFuture<>();
+		this.calls.borrow(address, new PeerCalls.BorrowRequest(requests, this.ownAddress))
+			.whenCompleteAsync((tokens, failure) -> {
+				onResponse(address, failure);
+				if (failure != null) {
+					responded.completeExceptionally(failure);
+				}
+				else {
+					receiver.accept(tokens);
+					responded.complete(null);
+				}
+			}, this.control);
+		this.control.schedule(REFILL_TIMEOUT,
+				() -> responded.completeExceptionally(new TimeoutException("No response of " + address)));
+		return responded;
+	}
+
 	@Override
 	public CompletableFuture<Boolean> transfer(Map<String, Long> tokens) {
 		List<String> selected = this.directory.select(1, this.control.nanoTime());
