--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -86,6 +86,8 @@
 
 	private final RetryBudget retries;
 
+	private final HostLoad hostLoad;
+
 	private final Set<CallerConnection> callers = new LinkedHashSet<>();
 
 	private final Set<RelayedRequest> requests = new LinkedHashSet<>();
@@ -138,6 +140,7 @@
 		this.livenessChecks = new LivenessChecks(this, reportFormat, loop);
 		this.retries = new RetryBudget(options.retryRatio(), options.retryExtra(), options.minRouters(),
 				options.retryWindowMs(), this::nowMs);
+		this.hostLoad = new HostLoad(options.linkMbps());
 		this.sweeper = loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -288,6 +291,10 @@
 		return this.retries;
 	}
 
+	HostLoad hostLoad() {
+		return this.hostLoad;
+	}
+
 	Executor executor() {
 		return this.loop;
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
@@ -10,7 +10,8 @@
  * routers
  * @param minRouters the minimum number of routers that share these retries, 1 or more
  * @param retryWindowMs the window of the retry budget, in milliseconds
+ * @param linkMbps the rate of the host's network link in Mbit/s, 0 if unknown
  */
 public record RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra, int minRouters,
-		long retryWindowMs) {
+		long retryWindowMs, double linkMbps) {
 }
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -185,7 +185,7 @@
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Resumes", "Test-Priority",
 				"Test-Leaving", "Test-Limit", Set.of());
 		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, peerPort, seeds,
-				STOP_TIMEOUT_MS, System.nanoTime(), true, 1, new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
+				STOP_TIMEOUT_MS, System.nanoTime(), true, 1, new RelayOptions(names, "z", 0.2, 5, 1, 10_000, 0));
 		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), () -> 0, feed, new NoReports(),
 				PlatformClient.builder("http://127.0.0.1:1").build().calls(Duration.ofSeconds(1)),
 				new SingleControlThread("control"), new DecisionLog(System::currentTimeMillis));
--- a/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
@@ -109,7 +109,7 @@
 				TokenPeers.none(), this.control, new DecisionLog(() -> 0));
 
 		private final Relay relay = new Relay(this.channel.eventLoop(),
-				new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000),
+				new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000, 0),
 				new RelayFixture.StartTimeFormat(), this.ledger,
 				new PartQuarantine(this.store, new UnknownClock(), CrashReportPeers.none(), this.control,
 						new DecisionLog(() -> 0), new Random(1)),
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -108,7 +108,7 @@
 				this.control, log, new Random(1));
 		this.streamOrigins = new StreamOrigins(store, new UnknownClock(), () -> 0, this.control, log, new Random(2),
 				true);
-		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
+		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000, 0);
 		this.relay = new Relay(this.loop.next(), options, new StartTimeFormat(), this.ledger, this.quarantine,
 				this.streamOrigins, this.permits, log, new PrometheusRegistry());
 		this.relay.setRouterCount(1);
