Divide the requests to servers that warm up among the routers

The permits of such a server are issued by the clock of the store and belong to one router each, by rendezvous hashing over the members of the fleet. Rate and validity keep the requests of any second below the bound, also after idle times, with inaccurate clocks, while routers join, leave or restart, and while some are cut off. Nothing calls this yet except tests: it takes effect only for services with a WarmUpLimit.

--- a/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
@@ -1,5 +1,7 @@
 package io.verbenacleat.router.balance;
 
+import java.util.Objects;
+
 import io.verbenacleat.router.server.BackendServer;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +32,11 @@
 	 */
 	private static final long SILENCE_MS = 700;
 
+	/**
+	 * The limit of a server that warms up is for requests in one second.
+	 */
+	private static final long WARM_UP_HOLD_MS = 1_000;
+
 	private static final double SMOOTHING = 0.1;
 
 	private static final double INITIAL_LATENCY_MS = 80;
@@ -69,6 +76,20 @@
 	/** Permits under the limit of the server, {@code null} without a limit. */
 	private @Nullable RequestPermits permits;
 
+	private final WarmUpPhase warmUp = new WarmUpPhase();
+
+	/** {@code null} if the servers of the service don't warm up. */
+	private @Nullable WarmUpLimit warmUpLimit;
+
+	/** {@code null} while the server does not warm up. */
+	private @Nullable WarmUpPermits warmUpPermits;
+
+	/** The rate of the permits, which a limit of the server lowers. */
+	private double warmUpRequestsPerS;
+
+	/** {@code null} if the servers of the service don't warm up. */
+	private @Nullable RecentSends recentSends;
+
 	/**
 	 * Creates the state of an unused server.
 	 * @param server the server
@@ -177,6 +198,126 @@
 		return this.permits != null;
 	}
 
+	/**
+	 * Sets how the servers of the service warm up.
+	 * @param limit what they accept meanwhile, {@code null} if they don't warm up
+	 */
+	void setWarmUpLimit(@Nullable WarmUpLimit limit) {
+		if (!Objects.equals(limit, this.warmUpLimit)) {
+			this.warmUpLimit = limit;
+			this.warmUpPermits = null;
+			this.recentSends = (limit != null) ? new RecentSends(limit.maxRequestsPerS()) : null;
+		}
+	}
+
+	/**
+	 * Returns the warm-up of the server.
+	 * @return the phase
+	 */
+	WarmUpPhase warmUp() {
+		return this.warmUp;
+	}
+
+	/**
+	 * Records the remaining time for which the server warms up, as a response states it.
+	 * @param leftMs the time in milliseconds, 0 or more
+	 * @param nowMs the steady time in milliseconds
+	 */
+	public void onWarmUpStated(long leftMs, long nowMs) {
+		this.warmUp.onStated(leftMs, nowMs);
+	}
+
+	/**
+	 * Records that a response states a remaining time that cannot be used.
+	 * @return {@code true} for the first one of the incarnation
+	 */
+	public boolean onWarmUpInvalid() {
+		return this.warmUp.onInvalid();
+	}
+
+	/**
+	 * Returns the remaining time for which the server warms up.
+	 * @param nowMs the steady time in milliseconds
+	 * @return the time in milliseconds, 0 if it does not warm up
+	 */
+	public long warmUpRemainingMs(long nowMs) {
+		WarmUpLimit limit = this.warmUpLimit;
+		return (limit != null) ? this.warmUp.remainingMs(nowMs, limit.startMs()) : 0;
+	}
+
+	/**
+	 * Returns whether the server warms up, so that requests need a permit. Load polls
+	 * count as requests as well.
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code true} while it warms up
+	 */
+	public boolean isWarmingUp(long nowMs) {
+		return warmUpPermits(nowMs) != null;
+	}
+
+	/**
+	 * Returns the time until this router has a permit for the server that warms up.
+	 * @param nowMs the steady time in milliseconds
+	 * @return the time in milliseconds, 0 if there is one, -1 if it is unknown or the
+	 * server does not warm up
+	 */
+	long nextWarmUpPermitMs(long nowMs) {
+		WarmUpPermits current = warmUpPermits(nowMs);
+		return (current != null) ? current.nextPermitDelayMs(nowMs) : -1;
+	}
+
+	/**
+	 * Returns whether this router alone sent the server within a second what it would
+	 * accept if it warmed up. It may have begun to do so, which is known up to 2 s later.
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code true} if other servers should be preferred
+	 */
+	boolean hadMaximumOfWarmUp(long nowMs) {
+		RecentSends sends = this.recentSends;
+		return sends != null && sends.isFull(nowMs);
+	}
+
+	/**
+	 * Returns whether the server has a free slot by its estimated load.
+	 * @return {@code true} also if its number of slots is not known
+	 */
+	boolean hasFreeSlot() {
+		return this.server.slots() <= 0 || load() < this.server.slots();
+	}
+
+	// Requests that were sent before the warm-up was known need no permits, so a server
+	// that was just in use gets no further ones for a second.
+	private @Nullable WarmUpPermits warmUpPermits(long nowMs) {
+		WarmUpLimit limit = this.warmUpLimit;
+		RecentSends sends = this.recentSends;
+		if (limit == null || sends == null || warmUpRemainingMs(nowMs) == 0) {
+			this.warmUpPermits = null;
+			return null;
+		}
+		WarmUpPermits current = this.warmUpPermits;
+		double requestsPerS = isLimited() ? Math.min(limit.requestsPerS(), this.limitPerS) : limit.requestsPerS();
+		if (current == null || requestsPerS != this.warmUpRequestsPerS) {
+			boolean inUse = current == null && sends.isAny(nowMs);
+			current = new WarmUpPermits(requestsPerS, limit.maxRequestsPerS(), this.server.id(), this.schedule,
+					inUse ? WARM_UP_HOLD_MS : 0, nowMs);
+			this.warmUpPermits = current;
+			this.warmUpRequestsPerS = requestsPerS;
+			// Polls end, so the report would become stale.
+			this.hasReport = false;
+		}
+		return current;
+	}
+
+	/**
+	 * Returns whether the server may be polled for its load.
+	 * @param nowMs the steady time in milliseconds
+	 * @return {@code false} if it accepts no requests, or if polls would use up a part of
+	 * the requests that it accepts
+	 */
+	public boolean acceptsPolls(long nowMs) {
+		return acceptsRequests(nowMs) && !isLimited() && !isWarmingUp(nowMs);
+	}
+
 	/**
 	 * Returns whether the server has announced that it is leaving.
 	 * @return {@code true} after a notice
@@ -207,10 +348,14 @@
 	/**
 	 * Returns whether a request may be sent to the server now.
 	 * @param nowMs the steady time in milliseconds
-	 * @return {@code false} if the server does not accept requests, or limits them and
-	 * this router has no permit
+	 * @return {@code false} if the server does not accept requests, or limits them or
+	 * warms up and this router has no permit
 	 */
 	public boolean hasPermit(long nowMs) {
+		WarmUpPermits warmUpPermits = warmUpPermits(nowMs);
+		if (warmUpPermits != null) {
+			return acceptsRequests(nowMs) && warmUpPermits.isAvailable(nowMs);
+		}
 		RequestPermits current = this.permits;
 		return acceptsRequests(nowMs) && (current == null || current.isAvailable());
 	}
@@ -221,6 +366,10 @@
 	 * @return {@code false} if no request may be sent now
 	 */
 	public boolean takePermit(long nowMs) {
+		WarmUpPermits warmUpPermits = warmUpPermits(nowMs);
+		if (warmUpPermits != null) {
+			return acceptsRequests(nowMs) && warmUpPermits.tryTake(nowMs);
+		}
 		RequestPermits current = this.permits;
 		return acceptsRequests(nowMs) && (current == null || current.tryTake());
 	}
@@ -245,6 +394,10 @@
 		}
 		this.inFlight++;
 		this.sendsSinceReport++;
+		RecentSends sends = this.recentSends;
+		if (sends != null) {
+			sends.onSend(nowMs);
+		}
 		if (this.consecutiveFailures >= FAILURES_TO_SUSPEND) {
 			this.probeInFlight = true;
 		}
@@ -263,6 +416,10 @@
 	 * @param elapsedMs the time since the send in milliseconds
 	 */
 	public void onFirstByte(long elapsedMs) {
+		if (this.warmUpPermits != null) {
+			// The server is slower now than it will be.
+			return;
+		}
 		this.latencyMs += SMOOTHING * (elapsedMs - this.latencyMs);
 	}
 
@@ -319,14 +476,14 @@
 	}
 
 	/**
-	 * Records a load report, and ends a suspension. The load of a limited server is not
-	 * used.
+	 * Records a load report, and ends a suspension. The load of a server that limits
+	 * requests or warms up is not used.
 	 * @param requests the requests of all routers that run or wait at the server
 	 */
 	public void onReport(int requests) {
 		this.reportedLoad = requests;
 		this.sendsSinceReport = 0;
-		this.hasReport = !isLimited();
+		this.hasReport = !isLimited() && this.warmUpPermits == null;
 		this.consecutiveFailures = Math.min(this.consecutiveFailures, FAILURES_TO_SUSPEND - 1);
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -3,14 +3,18 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Stream;
 
 import io.verbenacleat.router.server.BackendServer;
 import io.verbenacleat.router.server.ServerList;
+import io.verbenacleat.router.server.WarmUpNotice;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +29,8 @@
 	 */
 	private static final int MAX_UNLISTED = 4_096;
 
+	private static final long ALREADY_RUNNING = Long.MIN_VALUE;
+
 	private final String zone;
 
 	private final SelectionPolicy plainPolicy;
@@ -44,6 +50,25 @@
 
 	private ServerList servers = ServerList.empty();
 
+	/** What servers accept while they warm up, by service. */
+	private Map<String, WarmUpLimit> warmUpLimits = Map.of();
+
+	/**
+	 * When each incarnation was first listed; {@link #ALREADY_RUNNING} if it was in the
+	 * first list. In the order of their first listing.
+	 */
+	private final Map<BackendServer, Long> listedAtMs = new LinkedHashMap<>();
+
+	private boolean hasList;
+
+	/** When the current list was received, by the steady time. */
+	private long noticesAtMs;
+
+	/** The listed servers that warmed up at the last check, by id. */
+	private Map<String, ServerState> warmingUp = new HashMap<>();
+
+	private long heldBackCount;
+
 	/**
 	 * Creates an instance without servers.
 	 * @param zone the availability zone of this router
@@ -90,10 +115,148 @@
 	public ServerState state(BackendServer server) {
 		return this.states.computeIfAbsent(server.id(), (any) -> {
 			ServerState retained = this.unlisted.remove(server.incarnationKey());
-			return (retained != null) ? retained : new ServerState(server, this.schedule);
+			ServerState state = (retained != null) ? retained : newState(server);
+			state.setWarmUpLimit(this.warmUpLimits.get(server.service()));
+			return state;
 		});
 	}
 
+	private ServerState newState(BackendServer server) {
+		ServerState state = new ServerState(server, this.schedule);
+		long firstListedAtMs = this.listedAtMs.getOrDefault(server.incarnationKey(), ALREADY_RUNNING);
+		if (firstListedAtMs != ALREADY_RUNNING) {
+			state.warmUp().onStarted(firstListedAtMs);
+		}
+		return state;
+	}
+
+	/**
+	 * Sets what servers accept while they warm up.
+	 * @param limits the limits by service; servers of other services don't warm up
+	 * @return the same as of {@link #applyWarmUps}
+	 */
+	public List<ServerState> setWarmUpLimits(Map<String, WarmUpLimit> limits) {
+		this.warmUpLimits = Map.copyOf(limits);
+		this.states.values().forEach((state) -> state.setWarmUpLimit(limits.get(state.server().service())));
+		return applyNotices();
+	}
+
+	/**
+	 * Applies what the registrations in the current list say about warm-ups. Must be
+	 * called after each {@link #update}. An incarnation that was not in the first list
+	 * has just started.
+	 * @param nowMs the steady time in milliseconds
+	 * @return the states of servers whose registration has a remaining time that cannot
+	 * be used, each once
+	 */
+	public List<ServerState> applyWarmUps(long nowMs) {
+		for (BackendServer server : this.servers.all()) {
+			this.listedAtMs.putIfAbsent(server.incarnationKey(), this.hasList ? nowMs : ALREADY_RUNNING);
+		}
+		Iterator<BackendServer> oldest = this.listedAtMs.keySet().iterator();
+		for (int surplus = this.listedAtMs.size() - MAX_UNLISTED - this.servers.all().size(); surplus > 0; surplus--) {
+			BackendServer key = oldest.next();
+			if (this.servers.all().stream().noneMatch(key::isSameIncarnation)) {
+				oldest.remove();
+			}
+		}
+		this.hasList = true;
+		this.noticesAtMs = nowMs;
+		return applyNotices();
+	}
+
+	private List<ServerState> applyNotices() {
+		List<ServerState> invalid = new ArrayList<>();
+		for (BackendServer server : this.servers.all()) {
+			WarmUpNotice notice = server.warmUp();
+			if (notice == null || !this.warmUpLimits.containsKey(server.service())) {
+				continue;
+			}
+			ServerState state = state(server);
+			if (notice.hasTime()) {
+				state.warmUp().onStated(notice.leftMs(), this.noticesAtMs - notice.ageMs());
+			}
+			else if (state.warmUp().onInvalid()) {
+				invalid.add(state);
+			}
+		}
+		return invalid;
+	}
+
+	/**
+	 * Finds the servers that began or ended to warm up since the last call.
+	 * @param nowMs the steady time in milliseconds
+	 * @return the states, listed or not
+	 */
+	public List<ServerState> findWarmUpChanges(long nowMs) {
+		Map<String, ServerState> current = new HashMap<>();
+		if (!this.warmUpLimits.isEmpty()) {
+			for (BackendServer server : this.servers.all()) {
+				if (this.warmUpLimits.containsKey(server.service()) && state(server).isWarmingUp(nowMs)) {
+					current.put(server.id(), state(server));
+				}
+			}
+		}
+		List<ServerState> changes = new ArrayList<>();
+		this.warmingUp.forEach((id, state) -> {
+			if (current.get(id) != state) {
+				changes.add(state);
+			}
+		});
+		current.forEach((id, state) -> {
+			if (this.warmingUp.get(id) != state) {
+				changes.add(state);
+			}
+		});
+		this.warmingUp = current;
+		return changes;
+	}
+
+	/**
+	 * Returns the listed servers that warmed up at the last check.
+	 * @return the states
+	 */
+	public Collection<ServerState> warmingUp() {
+		return this.warmingUp.values();
+	}
+
+	/**
+	 * Returns how often a server was not considered because it warms up and this router
+	 * has no permit, and starts to count anew. Each selection counts once.
+	 * @return the number of selections
+	 */
+	public long takeHeldBackCount() {
+		long count = this.heldBackCount;
+		this.heldBackCount = 0;
+		return count;
+	}
+
+	/**
+	 * Returns the time until this router has a permit for a server that warms up.
+	 * @param service the name of the service
+	 * @param excluded the ids of servers that are not considered
+	 * @param nowMs the steady time in milliseconds
+	 * @return the shortest time in milliseconds, 0 if it is unknown, empty if no server
+	 * lacks a permit because it warms up
+	 */
+	public OptionalLong warmUpDelayMs(String service, Set<String> excluded, long nowMs) {
+		boolean found = false;
+		long shortestMs = Long.MAX_VALUE;
+		for (BackendServer server : this.servers.usable(service)) {
+			ServerState state = state(server);
+			if (excluded.contains(server.id()) || !state.acceptsRequests(nowMs) || !state.isWarmingUp(nowMs)) {
+				continue;
+			}
+			found = true;
+			long delayMs = state.nextWarmUpPermitMs(nowMs);
+			shortestMs = (delayMs >= 0) ? Math.min(shortestMs, delayMs) : shortestMs;
+		}
+		if (!found) {
+			return OptionalLong.empty();
+		}
+		return OptionalLong.of((shortestMs == Long.MAX_VALUE) ? 0 : shortestMs);
+	}
+
 	private void retain(ServerState state) {
 		this.unlisted.put(state.server().incarnationKey(), state);
 		if (this.unlisted.size() > MAX_UNLISTED) {
@@ -181,7 +344,7 @@
 
 	/**
 	 * Selects a server for a request. Suspended servers are considered only if there is
-	 * no available one.
+	 * no available one, and servers that warm up only if no other one has a free slot.
 	 * @param service the name of the service
 	 * @param modelService whether the service runs language models
 	 * @param affinityKey a key that requests with a common prompt prefix share, 0 for
@@ -194,20 +357,44 @@
 	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
 			long nowMs) {
 		List<Candidate> available = new ArrayList<>();
+		List<Candidate> preferred = new ArrayList<>();
+		List<Candidate> withPermit = new ArrayList<>();
+		boolean hasFreeSlot = false;
 		List<Candidate> suspended = new ArrayList<>();
+		boolean heldBack = false;
 		for (BackendServer server : this.servers.usable(service)) {
 			if (excluded.contains(server.id())) {
 				continue;
 			}
 			ServerState state = state(server);
+			boolean needsPermit = state.isWarmingUp(nowMs);
 			if (!state.hasPermit(nowMs)) {
+				heldBack |= needsPermit;
 				continue;
 			}
-			(state.isAvailable(nowMs) ? available : suspended).add(state.toCandidate(this.zone));
+			Candidate candidate = state.toCandidate(this.zone);
+			if (!state.isAvailable(nowMs)) {
+				suspended.add(candidate);
+			}
+			else if (needsPermit) {
+				withPermit.add(candidate);
+			}
+			else {
+				available.add(candidate);
+				if (!state.hadMaximumOfWarmUp(nowMs)) {
+					preferred.add(candidate);
+					hasFreeSlot |= state.hasFreeSlot();
+				}
+			}
 		}
+		this.heldBackCount += heldBack ? 1 : 0;
 		// A suspended server may have recovered, while rejecting the request would fail
 		// for certain.
-		List<Candidate> candidates = available.isEmpty() ? suspended : available;
+		List<Candidate> first = (hasFreeSlot || withPermit.isEmpty()) ? preferred : withPermit;
+		List<Candidate> candidates = Stream.of(first, available, suspended)
+			.filter((list) -> !list.isEmpty())
+			.findFirst()
+			.orElse(List.of());
 		if (candidates.isEmpty()) {
 			return Optional.empty();
 		}
--- a/router/src/main/java/io/verbenacleat/router/budget/FleetMembership.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/FleetMembership.java
@@ -11,6 +11,7 @@
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.core.json.JsonFormatException;
 import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.router.balance.FleetMembers;
 import io.verbenacleat.router.balance.FleetPosition;
 import org.jspecify.annotations.Nullable;
 
@@ -101,13 +102,27 @@
 		}
 	}
 
-	private FleetPosition position(long nowNanos) {
+	/**
+	 * Returns the routers as of the last read.
+	 * @param position the result of the read
+	 * @return the members, unknown while the position is unknown
+	 */
+	FleetMembers members(FleetPosition position) {
+		return position.isKnown() ? new FleetMembers(this.ownKey, countedKeys()) : FleetMembers.unknown();
+	}
+
+	private List<String> countedKeys() {
 		List<String> members = new ArrayList<>();
 		this.observations.forEach((key, observation) -> {
 			if (observation.unchangedReads < READS_TO_EXPIRE) {
 				members.add(key);
 			}
 		});
+		return members;
+	}
+
+	private FleetPosition position(long nowNanos) {
+		List<String> members = countedKeys();
 		int rank = members.indexOf(this.ownKey);
 		boolean joined = this.positionFromNanos != null && !isJoining(nowNanos);
 		return (rank >= 0 && joined) ? new FleetPosition(rank, members.size()) : FleetPosition.unknown();
--- a/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterDiscovery.java
@@ -11,6 +11,7 @@
 import io.verbenacleat.core.platform.PlatformException;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.router.balance.FleetMembers;
 import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.log.DecisionLog;
 import org.jspecify.annotations.Nullable;
@@ -96,7 +97,9 @@
 				addresses.add(peerAddress(row));
 			}
 			long nowNanos = this.control.nanoTime();
-			this.listener.onRouters(addresses, this.membership.onRead(rows, this.storeClock.latestMs(), nowNanos));
+			FleetPosition position = this.membership.onRead(rows, this.storeClock.latestMs(), nowNanos);
+			this.listener.onMembers(this.membership.members(position));
+			this.listener.onRouters(addresses, position);
 			if (this.membership.isJoining(nowNanos) && this.joinScan == null) {
 				this.joinScan = this.control.schedule(FleetMembership.JOIN_DELAY, this::scan);
 			}
@@ -130,6 +133,14 @@
 		 */
 		void onRouters(List<String> peerAddresses, FleetPosition position);
 
+		/**
+		 * Called after each successful poll, before {@link #onRouters}.
+		 * @param members the routers that share the permits of servers, unknown while the
+		 * position of this router is unknown
+		 */
+		default void onMembers(FleetMembers members) {
+		}
+
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/server/BackendServer.java
+++ b/router/src/main/java/io/verbenacleat/router/server/BackendServer.java
@@ -17,9 +17,11 @@
  * @param version the version of its software, an opaque text, empty if it states none;
  * {@code null} in messages of older routers
  * @param draining whether the server is draining and must not receive new requests
+ * @param warmUp what the registration says about the warm-up of the server, {@code null}
+ * if it says nothing, and in messages of older routers
  */
 public record BackendServer(String id, long startedAtMs, String service, String host, int port, String zone, int slots,
-		@Nullable String version, boolean draining) {
+		@Nullable String version, boolean draining, @Nullable WarmUpNotice warmUp) {
 
 	/**
 	 * Creates a registration in which a missing version is replaced by an empty one.
@@ -28,6 +30,23 @@
 		version = (version != null) ? version : "";
 	}
 
+	/**
+	 * Creates a registration that says nothing about a warm-up.
+	 * @param id the server id
+	 * @param startedAtMs the start time in milliseconds of Unix time
+	 * @param service the name of the service
+	 * @param host the IP address
+	 * @param port the port
+	 * @param zone the availability zone
+	 * @param slots the number of requests that the server runs concurrently
+	 * @param version the version of the software
+	 * @param draining whether the server is draining
+	 */
+	public BackendServer(String id, long startedAtMs, String service, String host, int port, String zone, int slots,
+			@Nullable String version, boolean draining) {
+		this(id, startedAtMs, service, host, port, zone, slots, version, draining, null);
+	}
+
 	/**
 	 * Returns the version of the software.
 	 * @return the version, empty if the server states none
@@ -51,7 +70,17 @@
 	 */
 	BackendServer asDraining() {
 		return new BackendServer(this.id, this.startedAtMs, this.service, this.host, this.port, this.zone, this.slots,
-				this.version, true);
+				this.version, true, this.warmUp);
+	}
+
+	/**
+	 * Returns the registration with another notice of a warm-up.
+	 * @param notice the notice, {@code null} for none
+	 * @return a registration that is otherwise equal
+	 */
+	public BackendServer withWarmUp(@Nullable WarmUpNotice notice) {
+		return new BackendServer(this.id, this.startedAtMs, this.service, this.host, this.port, this.zone, this.slots,
+				this.version, this.draining, notice);
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
+++ b/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
@@ -52,6 +52,9 @@
 	/** The last removed incarnations, oldest first. */
 	private final Set<BackendServer> removed = new LinkedHashSet<>();
 
+	/** When each registration was received, by id. */
+	private final Map<String, Long> receivedAtNanos = new HashMap<>();
+
 	private final Map<String, Cancellable> gracePeriods = new TreeMap<>();
 
 	/**
@@ -152,10 +155,21 @@
 
 	/**
 	 * Returns all servers, including those in a grace period.
-	 * @return the servers
+	 * @return the servers, with the current age of their notices of warm-ups
 	 */
 	public Collection<BackendServer> all() {
-		return List.copyOf(this.servers.values());
+		long nowNanos = this.control.nanoTime();
+		return this.servers.values().stream().map((server) -> withCurrentAge(server, nowNanos)).toList();
+	}
+
+	private BackendServer withCurrentAge(BackendServer server, long nowNanos) {
+		WarmUpNotice notice = server.warmUp();
+		Long atNanos = this.receivedAtNanos.get(server.id());
+		if (notice == null || atNanos == null) {
+			return server;
+		}
+		long ageMs = Duration.ofNanos(nowNanos - atNanos).toMillis();
+		return server.withWarmUp(new WarmUpNotice(notice.leftMs(), notice.ageMs() + ageMs));
 	}
 
 	// Each registration has its own timer, so that later lapses do not extend it.
@@ -181,7 +195,9 @@
 		BackendServer server = draining ? registered.asDraining() : registered;
 		this.removed.remove(server.incarnationKey());
 		BackendServer previous = this.servers.put(server.id(), server);
-		if (previous == null || !previous.equals(server)) {
+		this.receivedAtNanos.put(server.id(), this.control.nanoTime());
+		// The remaining time of a warm-up changes with each renewal.
+		if (previous == null || !previous.withWarmUp(null).equals(server.withWarmUp(null))) {
 			this.log.event("server.registered")
 				.with("server", server.id())
 				.with("service", server.service())
@@ -203,6 +219,7 @@
 	private void remove(String id, String reason) {
 		cancelGracePeriod(id);
 		BackendServer server = this.servers.remove(id);
+		this.receivedAtNanos.remove(id);
 		if (server != null) {
 			this.removed.add(server.incarnationKey());
 			if (this.removed.size() > MAX_REMOVED) {
@@ -213,7 +230,7 @@
 	}
 
 	private void publish() {
-		this.publisher.accept(ServerList.of(this.servers.values()));
+		this.publisher.accept(ServerList.of(all()));
 	}
 
 }
--- a/router/src/test/java/io/verbenacleat/router/peer/PeerClientTests.java
+++ b/router/src/test/java/io/verbenacleat/router/peer/PeerClientTests.java
@@ -24,6 +24,7 @@
 import io.verbenacleat.router.log.DecisionLog;
 import io.verbenacleat.router.quarantine.CrashReport;
 import io.verbenacleat.router.server.BackendServer;
+import io.verbenacleat.router.server.WarmUpNotice;
 import org.jspecify.annotations.Nullable;
 import org.testng.annotations.Test;
 
@@ -54,6 +55,25 @@
 		assertTrue(router.link.fleetAddresses().contains("10.0.0.4:1"));
 	}
 
+	// Guards against routers of two software versions that cannot read each other's
+	// snapshots.
+	@Test
+	public void snapshotsOfOlderRoutersSayNothingOfWarmUps() throws JsonFormatException {
+		Service service = new Service("s", 100, true, 4, new Service.WarmUp(6_000, 12));
+		RoutingTable table = new RoutingTable(7, List.of(), List.of(service), List.of(),
+				new CallerLimits(1_000, 1_000, 1_000, 1_000));
+		FleetSnapshot snapshot = new FleetSnapshot(FleetSnapshot.Config.of(table),
+				List.of(SERVER.withWarmUp(new WarmUpNotice(5_000, 300))), 100, List.of(), null);
+		String json = Json.write(snapshot);
+		assertEquals(Json.read(json, FleetSnapshot.class), snapshot);
+		String older = json.replace(",\"warmUp\":{\"leftMs\":5000,\"ageMs\":300}", "")
+			.replace(",\"warmUp\":{\"startMs\":6000,\"requestsPerS\":12.0}", "");
+		assertFalse(older.contains("warmUp"), older);
+		FleetSnapshot read = Json.read(older, FleetSnapshot.class);
+		assertEquals(read.servers(), List.of(SERVER));
+		assertTrue(read.config() != null && read.config().services().equals(List.of(new Service("s", 100, true, 4))));
+	}
+
 	@Test
 	public void noRouterIsQueriedWhileTheStoreResponds() {
 		Fixture router = new Fixture();
--- a/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
+++ b/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
@@ -12,6 +12,7 @@
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 public class ServerDirectoryTests {
 
@@ -48,6 +49,18 @@
 		assertEquals(this.list.all().size(), 2);
 	}
 
+	// Guards against a warm-up that begins anew with each change of another server.
+	@Test
+	public void theNoticeOfAWarmUpAges() {
+		this.directory.update("a", server("a", false).withWarmUp(new WarmUpNotice(5_000, 200)), false);
+		this.control.advance(Duration.ofMillis(700));
+		this.directory.update("b", server("b", false), false);
+		assertTrue(this.list.all().contains(server("a", false).withWarmUp(new WarmUpNotice(5_000, 900))));
+		assertTrue(this.directory.all().containsAll(this.list.all()));
+		this.directory.update("a", server("a", false), false);
+		assertTrue(this.list.all().contains(server("a", false)));
+	}
+
 	@Test
 	public void registrationsThatLapsedInAnOutageAreKeptUntilTheyReturn() {
 		this.directory.replaceAll(Map.of("b", server("b", false)), true);
