Limit the requests to servers that warm up

The registration, response headers and the first sight of an incarnation say when a server warms up. It then gets requests only with a permit, and no load polls. Other servers are preferred while one has a free slot. Without a permit for any server, a request is refused at once with the code servers_warming_up and the time until the next permit. Off unless the configuration has a positive rate for the service.

HeaderNames has one more component, so two tests pass one more name.

--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -18,6 +18,7 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.HttpCalls;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.router.balance.FleetMembers;
 import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.budget.PrepaidLedger;
@@ -134,7 +135,7 @@
 				control, log, new Random());
 		this.streamOrigins = new StreamOrigins(store, storeClock, storeEra, control, log, new Random(),
 				options.firstStart());
-		this.permits = new PermitSchedule(() -> fleetTimeMs(storeClock));
+		this.permits = new PermitSchedule(storeClock::earliestMs, storeClock::latestMs);
 		this.relay = new Relay(this.loop.next(), options.relay(), reportFormat, this.ledger, this.quarantine,
 				this.streamOrigins, this.permits, log, registry);
 		this.loadPoller = new LoadPoller(this.relay, reportFormat, this.loop.next());
@@ -145,7 +146,7 @@
 				this.quarantine);
 		this.peerEndpoint = hasPeers ? AdminEndpoint.peers(this.loop, options.host(), options.peerPort(),
 				new PeerRequestHandler(this, this.ledger, this.peers, control)) : null;
-		this.routerDiscovery = new RouterDiscovery(identity, store, storeClock, control, log, this::onRouters);
+		this.routerDiscovery = new RouterDiscovery(identity, store, storeClock, control, log, new RouterListener());
 		log.event("process.started").with("incarnation", incarnation).with("port", this.callers.port()).emit();
 		control.execute(() -> {
 			feed.start(this);
@@ -336,11 +337,6 @@
 		this.peers.addPeers(peerAddresses);
 	}
 
-	private static long fleetTimeMs(StoreClock clock) {
-		long earliestMs = clock.earliestMs();
-		return (earliestMs >= 0) ? (earliestMs + clock.latestMs()) / 2 : PermitSchedule.UNKNOWN_TIME_MS;
-	}
-
 	@Override
 	public void close() {
 		this.feed.close();
@@ -362,4 +358,18 @@
 		this.control.close();
 	}
 
+	private final class RouterListener implements RouterDiscovery.Listener {
+
+		@Override
+		public void onRouters(List<String> peerAddresses, FleetPosition position) {
+			RouterDaemon.this.onRouters(peerAddresses, position);
+		}
+
+		@Override
+		public void onMembers(FleetMembers members) {
+			RouterDaemon.this.permits.setMembers(members);
+		}
+
+	}
+
 }
--- a/router/src/main/java/io/verbenacleat/router/relay/HeaderNames.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/HeaderNames.java
@@ -21,12 +21,14 @@
  * @param serverLeaving in a response, with the value 1: the server is about to leave
  * @param serverLimit in a response: the requests per second that the server accepts from
  * all routers together, a decimal number
+ * @param warmUpLeftMs in a response: the remaining time in milliseconds for which the
+ * server warms up, a decimal number
  * @param routerOnly lower-case names that only routers may set, removed from the requests
  * of callers
  */
 public record HeaderNames(String requestId, String deadlineMs, String callerKey, String workspace, String targetServer,
 		String notRun, String promptPrefix, String tokenUsage, String lastEventId, String resumes, String priority,
-		String serverLeaving, String serverLimit, Set<String> routerOnly) {
+		String serverLeaving, String serverLimit, String warmUpLeftMs, Set<String> routerOnly) {
 
 	/**
 	 * Creates an instance with a copy of the set.
--- a/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
@@ -82,8 +82,9 @@
 	}
 
 	private void start(ServerState state, Service service, List<Listener> listeners) {
-		boolean mayAsk = service.modelService() && !state.isLimited()
-				&& state.remainingPauseMs(this.relay.nowMs()) == 0;
+		long nowMs = this.relay.nowMs();
+		boolean mayAsk = service.modelService() && !state.isLimited() && !state.isWarmingUp(nowMs)
+				&& state.remainingPauseMs(nowMs) == 0;
 		Listener each = (running, evidence) -> {
 			try {
 				listeners.forEach((listener) -> listener.onResult(running, evidence));
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -104,7 +104,7 @@
 	}
 
 	private boolean acceptsPolls(ServerState state) {
-		return state.acceptsRequests(this.relay.nowMs()) && !state.isLimited();
+		return state.acceptsPolls(this.relay.nowMs());
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
@@ -41,6 +41,9 @@
 	/** The backend servers limit requests, and this router has no permit. */
 	SERVERS_LIMITED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
+	/** The backend servers warm up, and this router has no permit. */
+	SERVERS_WARMING_UP(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
+
 	/** A part of the prompt crashes backend servers. */
 	PART_REFUSED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Locale;
 import java.util.Map;
@@ -18,10 +19,13 @@
 import io.verbenacleat.router.balance.LeastLoadedSelection;
 import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.balance.PrefixAffinitySelection;
+import io.verbenacleat.router.balance.ServerState;
 import io.verbenacleat.router.balance.ServerStates;
+import io.verbenacleat.router.balance.WarmUpLimit;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.RoutingTable;
+import io.verbenacleat.router.config.Service;
 import io.verbenacleat.router.log.DecisionLog;
 import io.verbenacleat.router.quarantine.PartQuarantine;
 import io.verbenacleat.router.repeat.RetryBudget;
@@ -86,6 +90,8 @@
 
 	private final RetryBudget retries;
 
+	private final RelayOptions.WarmUpBound warmUpBound;
+
 	private final Set<CallerConnection> callers = new LinkedHashSet<>();
 
 	private final Set<RelayedRequest> requests = new LinkedHashSet<>();
@@ -125,6 +131,7 @@
 			PrometheusRegistry registry) {
 		this.loop = loop;
 		this.headerNames = options.headerNames();
+		this.warmUpBound = options.warmUpBound();
 		this.headerFilter = new HeaderFilter(this.headerNames);
 		this.log = log;
 		this.metrics = new RelayMetrics(registry);
@@ -148,6 +155,14 @@
 	 */
 	public void configure(RoutingTable newTable) {
 		this.table = newTable;
+		Map<String, WarmUpLimit> limits = new HashMap<>();
+		for (Service service : newTable.services()) {
+			Service.WarmUp warmUp = service.warmUp();
+			if (warmUp != null && warmUp.requestsPerS() > 0) {
+				limits.put(service.name(), this.warmUpBound.limit(warmUp));
+			}
+		}
+		this.loop.execute(() -> this.states.setWarmUpLimits(limits).forEach(this::onInvalidWarmUp));
 	}
 
 	/**
@@ -158,6 +173,8 @@
 		this.loop.execute(() -> {
 			this.serverListReceived = true;
 			this.states.update(list);
+			this.states.applyWarmUps(nowMs()).forEach(this::onInvalidWarmUp);
+			checkWarmUps(nowMs());
 			this.connections.update(list);
 			this.crashes.onServers(list, nowMs());
 		});
@@ -380,6 +397,32 @@
 		}
 	}
 
+	/**
+	 * Records that a server stated a remaining warm-up time that cannot be used.
+	 * @param state the server
+	 */
+	void onInvalidWarmUp(ServerState state) {
+		this.metrics.invalidWarmUp();
+		this.log.event("server.warm_up_invalid").with("server", state.server().id()).emit();
+	}
+
+	private void checkWarmUps(long now) {
+		for (ServerState state : this.states.findWarmUpChanges(now)) {
+			boolean begun = state.isWarmingUp(now);
+			this.log.event(begun ? "server.warming_up" : "server.warmed_up")
+				.with("server", state.server().id())
+				.with("service", state.server().service())
+				.with("left_ms", state.warmUpRemainingMs(now))
+				.emit();
+		}
+		long longestMs = 0;
+		for (ServerState state : this.states.warmingUp()) {
+			longestMs = Math.max(longestMs, state.warmUpRemainingMs(now));
+		}
+		this.metrics.setWarmingUp(this.states.warmingUp().size(), longestMs);
+		this.metrics.heldBack(this.states.takeHeldBackCount());
+	}
+
 	// The event loop cancels a periodic task that throws an exception.
 	private void sweep(RelayedRequest request, long now) {
 		try {
@@ -395,6 +438,7 @@
 		for (RelayedRequest request : new ArrayList<>(this.requests)) {
 			sweep(request, now);
 		}
+		checkWarmUps(now);
 		CallerLimits limits = limits();
 		boolean refusing = isRefusingRequests();
 		for (CallerConnection caller : new ArrayList<>(this.callers)) {
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
@@ -35,6 +35,16 @@
 
 	private final Counter responseFaults;
 
+	private final Counter warmUpSends;
+
+	private final Counter warmUpHeldBack;
+
+	private final Counter invalidWarmUps;
+
+	private final Gauge warmingUp;
+
+	private final Gauge warmUpLeftSeconds;
+
 	private final Histogram firstByteSeconds;
 
 	private final Gauge inProgress;
@@ -88,6 +98,26 @@
 			.help("Bytes of backend servers that are not the response to the request in progress, by kind")
 			.labelNames("kind")
 			.register(registry);
+		this.warmUpSends = Counter.builder()
+			.name("verbena_router_warm_up_sends_total")
+			.help("Requests that were sent to a backend server while it warmed up")
+			.register(registry);
+		this.warmUpHeldBack = Counter.builder()
+			.name("verbena_router_warm_up_held_back_total")
+			.help("Selections in which a backend server was skipped because it warmed up and there was no permit")
+			.register(registry);
+		this.invalidWarmUps = Counter.builder()
+			.name("verbena_router_warm_up_invalid_total")
+			.help("Backend servers that stated a remaining warm-up time that cannot be used")
+			.register(registry);
+		this.warmingUp = Gauge.builder()
+			.name("verbena_router_servers_warming_up")
+			.help("Backend servers that warm up")
+			.register(registry);
+		this.warmUpLeftSeconds = Gauge.builder()
+			.name("verbena_router_warm_up_left_seconds")
+			.help("Time until the last of the backend servers has warmed up")
+			.register(registry);
 		this.firstByteSeconds = Histogram.builder()
 			.name("verbena_router_first_byte_seconds")
 			.help("Time from the request of the caller to the first byte of the answer, by kind of request")
@@ -140,6 +170,23 @@
 		this.responseFaults.labelValues(fault.label()).inc();
 	}
 
+	void sentInWarmUp() {
+		this.warmUpSends.inc();
+	}
+
+	void heldBack(long count) {
+		this.warmUpHeldBack.inc(count);
+	}
+
+	void invalidWarmUp() {
+		this.invalidWarmUps.inc();
+	}
+
+	void setWarmingUp(int servers, long leftMs) {
+		this.warmingUp.set(servers);
+		this.warmUpLeftSeconds.set(leftMs / MS_PER_SECOND);
+	}
+
 	void firstByte(RequestKind kind, long elapsedMs) {
 		this.firstByteSeconds.labelValues(kind.name().toLowerCase(Locale.ROOT)).observe(elapsedMs / MS_PER_SECOND);
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Predicate;
@@ -110,6 +111,8 @@
 
 	private long partRetryAfterMs;
 
+	private long warmUpRetryAfterMs;
+
 	/** Whether this request tries a refused part. */
 	private boolean trial;
 
@@ -404,8 +407,7 @@
 			selected = select(target, excludedServers(target));
 		}
 		if (selected.isEmpty()) {
-			boolean limited = this.relay.states().isLimited(target.name(), excludedServers(target), this.relay.nowMs());
-			giveUp(limited ? Refusal.SERVERS_LIMITED : Refusal.NO_SERVER, "no server accepts requests");
+			giveUp(missingServer(target), "no server accepts requests");
 			return;
 		}
 		ServerState state = selected.get();
@@ -421,6 +423,18 @@
 		this.relay.connections().acquire(state.server(), Math.max(1, target.maxConnections() / 2), next);
 	}
 
+	private Refusal missingServer(Service target) {
+		Set<String> excluded = excludedServers(target);
+		long nowMs = this.relay.nowMs();
+		OptionalLong warmUpDelayMs = this.relay.states().warmUpDelayMs(target.name(), excluded, nowMs);
+		if (warmUpDelayMs.isPresent()) {
+			this.warmUpRetryAfterMs = warmUpDelayMs.getAsLong();
+			return Refusal.SERVERS_WARMING_UP;
+		}
+		boolean limited = this.relay.states().isLimited(target.name(), excluded, nowMs);
+		return limited ? Refusal.SERVERS_LIMITED : Refusal.NO_SERVER;
+	}
+
 	// The request goes on once its record names the new version.
 	private void replaceOrigin(Service target) {
 		this.relay.streamOrigins().replace(this.requestId, origin(target), this.relay.executor(), (replaced) -> {
@@ -570,7 +584,9 @@
 		if (result == SendFailure.NOT_SENT || result == SendFailure.NOT_RUN) {
 			this.mayHaveRun = mayHaveRunBefore;
 		}
-		this.triedServerIds.add(failedAttempt.serverId());
+		if (!failedAttempt.lacksPermit()) {
+			this.triedServerIds.add(failedAttempt.serverId());
+		}
 		logLine("request.send_failed", reason).with("server", failedAttempt.serverId())
 			.with("result", result.name())
 			.with("events", this.response.eventCount())
@@ -691,7 +707,10 @@
 		if (refusal.isTemporary()) {
 			Service target = this.service;
 			long knownDelayMs = this.partRetryAfterMs;
-			if (refusal == Refusal.NO_SERVER && target != null) {
+			if (refusal == Refusal.SERVERS_WARMING_UP) {
+				knownDelayMs = this.warmUpRetryAfterMs;
+			}
+			else if (refusal == Refusal.NO_SERVER && target != null) {
 				knownDelayMs = this.relay.states().remainingPauseMs(target.name(), this.relay.nowMs());
 			}
 			long remainingMs = callerTimeoutMs(Integer.MAX_VALUE) - (this.relay.nowMs() - this.startedAtMs);
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -41,6 +41,9 @@
 
 	private boolean finished;
 
+	/** Whether another request used the permit for the server that warms up. */
+	private boolean lacksPermit;
+
 	private long sentAtMs;
 
 	private long progressAtMs;
@@ -72,6 +75,15 @@
 		return this.state.server().id();
 	}
 
+	/**
+	 * Returns whether the request was not sent because another one used the permit. The
+	 * server can be selected again when there is a permit.
+	 * @return {@code false} if it was sent, or not sent for another reason
+	 */
+	boolean lacksPermit() {
+		return this.lacksPermit;
+	}
+
 	@Override
 	public String requestId() {
 		return this.request.requestId();
@@ -85,9 +97,11 @@
 		}
 		Relay relay = this.request.relay();
 		boolean listed = relay.states().isListed(this.state.server());
+		boolean warmingUp = this.state.isWarmingUp(relay.nowMs());
 		if (!listed || !this.state.takePermit(relay.nowMs())) {
 			relay.connections().release(opened);
 			this.finished = true;
+			this.lacksPermit = listed && warmingUp;
 			this.request.onAttemptFailed(this, SendFailure.NOT_SENT,
 					listed ? "server does not accept requests" : "server is not registered", this.mayHaveRunBefore);
 			return;
@@ -97,6 +111,9 @@
 		this.progressAtMs = this.sentAtMs;
 		this.sent = true;
 		this.state.onSend(this.sentAtMs);
+		if (warmingUp) {
+			relay.metrics().sentInWarmUp();
+		}
 		this.request.markSent(this.state);
 		opened.send(this, this.request.createServerRequest(this.state, this.route));
 		opened.setReading(this.request.isCallerWritable());
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerStatusHeaders.java
@@ -8,12 +8,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.verbenacleat.router.balance.ServerState;
+import io.verbenacleat.router.server.WarmUpNotice;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Reads the response headers by which a backend server announces that it is about to
- * leave, asks for a pause or limits requests, and updates the state of the server.
- * Stateless.
+ * leave, asks for a pause, limits requests or warms up, and updates the state of the
+ * server. Stateless.
  */
 final class ServerStatusHeaders {
 
@@ -44,6 +45,7 @@
 			relay.log().event("server.leaving").with("server", state.server().id()).emit();
 		}
 		applyLimit(relay, response, state, sentAtMs, source);
+		applyWarmUp(relay, response, state);
 		if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
 			long pauseMs = pauseMs(response.headers().get(HttpHeaderNames.RETRY_AFTER));
 			if (pauseMs > 0) {
@@ -75,6 +77,20 @@
 		}
 	}
 
+	private static void applyWarmUp(Relay relay, HttpResponse response, ServerState state) {
+		String header = response.headers().get(relay.headerNames().warmUpLeftMs());
+		if (header == null) {
+			return;
+		}
+		WarmUpNotice notice = WarmUpNotice.received(parseDecimal(header).orElse(WarmUpNotice.INVALID_MS));
+		if (notice.hasTime()) {
+			state.onWarmUpStated(notice.leftMs(), relay.nowMs());
+		}
+		else if (state.onWarmUpInvalid()) {
+			relay.onInvalidWarmUp(state);
+		}
+	}
+
 	/**
 	 * Parses the length of a requested pause.
 	 * @param retryAfter the value of Retry-After in seconds, which may have a fraction,
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -137,7 +137,7 @@
 	private static RouterDaemon daemon(ManualFeed feed, int peerPort, List<String> seeds) throws IOException {
 		HeaderNames names = new HeaderNames("Test-Id", "Test-Deadline", "Test-Key", "Test-Workspace", "Test-Target",
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Resumes", "Test-Priority",
-				"Test-Leaving", "Test-Limit", Set.of());
+				"Test-Leaving", "Test-Limit", "Test-Warm-Up", Set.of());
 		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, peerPort, seeds,
 				STOP_TIMEOUT_MS, System.nanoTime(), true, new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
 		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), () -> 0, feed, new NoReports(),
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Random;
@@ -211,6 +212,16 @@
 		}).join();
 	}
 
+	/**
+	 * Configures how the servers warm up.
+	 * @param warmUp the warm-up
+	 */
+	void configureWarmUp(Service.WarmUp warmUp) {
+		RoutingTable current = Objects.requireNonNull(this.relay.table());
+		this.relay.configure(new RoutingTable(current.version() + 1, current.routes(),
+				List.of(new Service("s", 100, false, 4, warmUp)), current.workspaces(), current.limits()));
+	}
+
 	/**
 	 * Starts to poll the load of the servers.
 	 * @param format the format of load reports
--- a/router/src/test/java/io/verbenacleat/router/relay/RequestHeadersTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RequestHeadersTests.java
@@ -16,7 +16,7 @@
 
 	static final HeaderNames NAMES = new HeaderNames("Test-Id", "Test-Deadline", "Test-Key", "Test-Workspace",
 			"Test-Target", "Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Resumes",
-			"Test-Priority", "Test-Leaving", "Test-Limit", Set.of("test-reserved"));
+			"Test-Priority", "Test-Leaving", "Test-Limit", "Test-Warm-Up", Set.of("test-reserved"));
 
 	@Test
 	public void connectionAndRouterHeadersAreNotForwarded() {
--- a/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/ServerStatusHeadersTests.java
@@ -4,10 +4,13 @@
 import java.io.OutputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.OptionalDouble;
 
+import io.verbenacleat.router.balance.FleetMembers;
 import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.balance.ServerState;
+import io.verbenacleat.router.config.Service;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -184,6 +187,57 @@
 		}
 	}
 
+	// Guards against callers that wait, or return before there is a permit, while all
+	// servers of a service warm up.
+	@Test
+	public void aServerThatWarmsUpReceivesOneRequestForEachPermit() throws IOException {
+		FakeServer.Script warmingUp = (request, connection, out) -> write(out,
+				withHeader(FakeServer.answer(request, "200 OK", "done"), "Test-Warm-Up: 60000"));
+		try (RelayFixture fixture = new RelayFixture(warmingUp)) {
+			fixture.permits.setMembers(new FleetMembers("a", List.of("a")));
+			fixture.configureWarmUp(new Service.WarmUp(0, 12));
+			assertTrue(fixture.call("/once/", "").startsWith("HTTP/1.1 200"));
+			String refusal = fixture.call("/once/", "");
+			assertTrue(refusal.startsWith("HTTP/1.1 503"), refusal);
+			assertTrue(refusal.contains("\"outcome\":\"not-run\""), refusal);
+			assertTrue(refusal.contains("\"code\":\"servers_warming_up\""), refusal);
+			double retryAfterS = Double.parseDouble(FakeServer.header(refusal, "retry-after"));
+			assertTrue(retryAfterS >= 1 && retryAfterS < 1.5, refusal);
+			int served = 0;
+			for (int i = 0; i < 30; i++) {
+				fixture.fleetTimeMs.addAndGet(100);
+				for (int j = 0; j < 5; j++) {
+					served += fixture.call("/once/", "").startsWith("HTTP/1.1 200") ? 1 : 0;
+				}
+			}
+			// Without settings of the bound, 8.9 permits per second are issued.
+			assertTrue(served >= 14 && served <= 18, served + " served in 2 s after the first second");
+		}
+	}
+
+	// Guards against a change for services without a rate, and by values that make no
+	// sense.
+	@Test
+	public void aWarmUpThatIsInvalidOrNotConfiguredChangesNothing() throws IOException {
+		FakeServer.Script byPath = (request, connection, out) -> write(out,
+				withHeader(FakeServer.answer(request, "200 OK", "done"),
+						"Test-Warm-Up: " + (request.startsWith("POST /once/long") ? "600001" : "soon")));
+		try (RelayFixture fixture = new RelayFixture(byPath)) {
+			fixture.permits.setMembers(new FleetMembers("a", List.of("a")));
+			fixture.configureWarmUp(new Service.WarmUp(0, 12));
+			for (String path : new String[] { "/once/", "/once/long", "/once/" }) {
+				assertTrue(fixture.call(path, "").startsWith("HTTP/1.1 200"));
+			}
+		}
+		FakeServer.Script warmingUp = (request, connection, out) -> write(out,
+				withHeader(FakeServer.answer(request, "200 OK", "done"), "Test-Warm-Up: 60000"));
+		try (RelayFixture fixture = new RelayFixture(warmingUp)) {
+			for (int i = 0; i < 3; i++) {
+				assertTrue(fixture.call("/once/", "").startsWith("HTTP/1.1 200"));
+			}
+		}
+	}
+
 	@Test
 	public void limitsAreReadFromDecimalNumbersOnly() {
 		assertEquals(ServerStatusHeaders.parseDecimal("2.1"), OptionalDouble.of(2.1));
