--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.router.budget;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.Cancellable;
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.json.Json;
@@ -111,6 +113,10 @@
 
 	private final Map<String, GrantAccount> accounts = new HashMap<>();
 
+	private final PrimaryRouters primaries;
+
+	private final TokenMetrics metrics;
+
 	private final TokenExchange exchange;
 
 	private final Cancellable timer;
@@ -129,6 +135,9 @@
 
 	private boolean rowWritten;
 
+	/** Whether planned changes were left out of the last write. */
+	private boolean changesLeft;
+
 	/** Whether this run has written its row in any era. */
 	private boolean everWritten;
 
@@ -161,9 +170,10 @@
 	 * @param peers the other routers
 	 * @param control the control thread
 	 * @param log receives a line for each change of a grant and each failure of the store
+	 * @param registry receives the metrics
 	 */
 	public PrepaidLedger(Identity identity, TableStore store, StoreClock storeClock, StoreEra storeEra,
-			TokenPeers peers, ControlThread control, DecisionLog log) {
+			TokenPeers peers, ControlThread control, DecisionLog log, PrometheusRegistry registry) {
 		this.identity = identity;
 		this.routerKey = ROUTER_PREFIX + identity.address();
 		this.store = store;
@@ -173,13 +183,31 @@
 		this.peers = peers;
 		this.control = control;
 		this.log = log;
-		this.exchange = new TokenExchange(this.wallets, new StorePool(), peers, control, log);
+		this.metrics = new TokenMetrics(registry);
+		this.primaries = new PrimaryRouters(identity.address());
+		this.exchange = new TokenExchange(this.wallets, new StorePool(), peers, this.primaries, this.metrics, control,
+				log);
 		this.startedAtNanos = identity.startedAtNanos();
 		this.demandUpdatedAtNanos = control.nanoTime();
 		this.lastWriteAtNanos = this.demandUpdatedAtNanos;
 		this.timer = control.scheduleWithFixedDelay(ROUND_INTERVAL, this::tick);
 	}
 
+	/**
+	 * Creates a ledger without metrics and starts its timer.
+	 * @param identity the identity of this router
+	 * @param store the table service
+	 * @param storeClock the clock of the table service
+	 * @param storeEra the era of the table service
+	 * @param peers the other routers
+	 * @param control the control thread
+	 * @param log receives a line for each change of a grant and each failure of the store
+	 */
+	public PrepaidLedger(Identity identity, TableStore store, StoreClock storeClock, StoreEra storeEra,
+			TokenPeers peers, ControlThread control, DecisionLog log) {
+		this(identity, store, storeClock, storeEra, peers, control, log, new PrometheusRegistry());
+	}
+
 	/**
 	 * Returns the wallet of a workspace.
 	 * @param workspace the name of the workspace
@@ -211,6 +239,7 @@
 	 */
 	public void wake() {
 		this.control.execute(() -> {
+			refill();
 			if (isPoolUnavailable()) {
 				serveWithoutStore();
 			}
@@ -221,6 +250,14 @@
 		});
 	}
 
+	/**
+	 * Replaces the known routers of the fleet. Must be called on the control thread.
+	 * @param routers the routers that have a row in the store
+	 */
+	public void updateRouters(Collection<FleetRouter> routers) {
+		this.primaries.update(routers);
+	}
+
 	/**
 	 * Applies a new configuration.
 	 * @param table the routing table with the allowances of workspaces
@@ -268,12 +305,27 @@
 		if (nowNanos - this.lastWriteAtNanos > LIMIT_TIMEOUT.toNanos()) {
 			this.wallets.values().forEach(Wallet::liftLimit);
 		}
+		refill();
 		if (isPoolUnavailable()) {
 			serveWithoutStore();
 		}
 		startRound();
 	}
 
+	private void refill() {
+		if (!this.returningTokens) {
+			this.exchange.refill();
+		}
+	}
+
+	private boolean isPrimary(GrantAccount account) {
+		return !this.returningTokens && this.primaries.isPrimary(account.wallet().workspace());
+	}
+
+	private boolean hasLender(GrantAccount account) {
+		return !this.returningTokens && this.exchange.hasLender(account.wallet().workspace());
+	}
+
 	// A round is a read, if one is needed, and a write; only one is in flight.
 	private void startRound() {
 		this.roundScheduled = false;
@@ -282,6 +334,10 @@
 			return;
 		}
 		for (Workspace workspace : table.workspaces()) {
+			if (!this.returningTokens && workspace.isPrepaid() && this.primaries.isPrimary(workspace.name())) {
+				// Tokens are ready when the first router asks for them.
+				wallet(workspace.name());
+			}
 			Wallet wallet = this.wallets.get(workspace.name());
 			if (wallet != null && workspace.isPrepaid()) {
 				this.accounts
@@ -365,7 +421,8 @@
 		}
 		boolean stale = this.control.nanoTime() - this.readAtNanos > MAX_ROW_AGE.toNanos();
 		for (GrantAccount account : this.accounts.values()) {
-			boolean refusing = account.wallet().waitingTokens() > 0 && account.planDelta(this.control.nanoTime()) == 0;
+			boolean refusing = account.wallet().waitingTokens() > 0 && !hasLender(account)
+					&& account.planDelta(this.control.nanoTime(), isPrimary(account)) == 0;
 			if (account.row() == null
 					|| (stale && refusing && account.wallet().heldTokens() < account.wallet().waitingTokens())) {
 				return true;
@@ -565,34 +622,22 @@
 		Map<GrantAccount, Long> deltas = new HashMap<>();
 		boolean settled = this.recovery.isSettled();
 		long nowNanos = this.control.nanoTime();
+		boolean unchanged = !settled || this.recovery.isWriteDue(nowNanos);
+		Map<GrantAccount, Long> planned = unchanged ? Map.of() : planDeltas(nowNanos);
+		boolean limitsFirst = !this.changesLeft
+				&& this.accounts.values().stream().anyMatch(GrantAccount::isWaitingForLimit);
+		Set<GrantAccount> selected = ChangeSelection.select(planned.keySet(), limitsFirst);
 		for (GrantAccount account : this.accounts.values()) {
-			if (!settled || this.recovery.isWriteDue(nowNanos)) {
-				limits.put(account.wallet().workspace(), account.nextLimit(0));
-				continue;
-			}
-			// While tokens are being returned, the only waiters are loans to other
-			// routers.
-			boolean returning = this.returningTokens && account.wallet().waitingTokens() == 0;
-			long delta = returning ? -Math.max(0, account.wallet().heldTokens())
-					: account.planDelta(this.control.nanoTime());
-			boolean lacking = delta == 0 && account.wallet().waitingTokens() > account.wallet().heldTokens();
-			if (lacking && !isBorrowing(account)) {
-				account.wallet()
-					.refuseWaiting(
-							(account.row() != null) ? account.unspentByAllTokens() : Wallet.UNKNOWN_UNSPENT_TOKENS);
-				// Remainders of several routers can serve a request once they are back in
-				// the pool.
-				delta = -Math.max(0, account.wallet().heldTokens());
-				account.pauseRefills(this.control.nanoTime());
-			}
+			long delta = selected.contains(account) ? planned.getOrDefault(account, 0L) : 0;
 			if (delta < 0) {
 				delta = -account.wallet().withdraw(-delta);
 			}
-			if (delta != 0 || account.isHoldingStale()) {
+			if (selected.contains(account) && (delta != 0 || account.isHoldingStale())) {
 				deltas.put(account, delta);
 			}
-			limits.put(account.wallet().workspace(), account.nextLimit(delta));
+			limits.put(account.wallet().workspace(), account.nextLimit(delta, isPrimary(account)));
 		}
+		this.changesLeft = planned.size() > selected.size();
 		Duration maxAge = limits.isEmpty() ? MAX_IDLE_WRITE_AGE : MAX_WRITE_AGE;
 		boolean writeDue = !this.rowWritten || this.control.nanoTime() - this.lastWriteAtNanos >= maxAge.toNanos();
 		if (deltas.isEmpty() && limits.equals(this.appliedLimits) && !writeDue && !this.recovery.isWriteDue(nowNanos)) {
@@ -609,6 +654,43 @@
 		return write;
 	}
 
+	/**
+	 * Plans the changes of the shared rows, and refuses the requests that neither the
+	 * pool nor other routers cover.
+	 * @param nowNanos the monotonic time in nanoseconds
+	 * @return the tokens to take for each row to be written, negative to return tokens
+	 */
+	private Map<GrantAccount, Long> planDeltas(long nowNanos) {
+		Map<GrantAccount, Long> planned = new HashMap<>();
+		for (GrantAccount account : this.accounts.values()) {
+			// While tokens are being returned, the only waiters are loans to other
+			// routers.
+			boolean returning = this.returningTokens && account.wallet().waitingTokens() == 0;
+			long delta = returning ? -Math.max(0, account.wallet().heldTokens())
+					: account.planDelta(nowNanos, isPrimary(account));
+			if (hasLender(account)) {
+				if (delta < 0) {
+					planned.put(account, delta);
+				}
+				continue;
+			}
+			boolean lacking = delta == 0 && account.wallet().waitingTokens() > account.wallet().heldTokens();
+			if (lacking && !isBorrowing(account)) {
+				account.wallet()
+					.refuseWaiting(
+							(account.row() != null) ? account.unspentByAllTokens() : Wallet.UNKNOWN_UNSPENT_TOKENS);
+				// Remainders of several routers can serve a request once they are back in
+				// the pool.
+				delta = -Math.max(0, account.wallet().heldTokens());
+				account.pauseRefills(nowNanos);
+			}
+			if (delta != 0 || account.isHoldingStale()) {
+				planned.put(account, delta);
+			}
+		}
+		return planned;
+	}
+
 	private boolean isBorrowing(GrantAccount account) {
 		boolean covered = account.row() != null
 				&& account.unspentByAllTokens() >= account.wallet().smallestWaitingTokens();
@@ -618,7 +700,7 @@
 
 	private RouterRow routerRow(Map<String, RouterRow.Limit> limits) {
 		return new RouterRow(this.identity.incarnation(), this.identity.peerAddress(), ++this.writeNumber,
-				this.storeClock.earliestMs(), limits, this.recovery.era());
+				this.storeClock.earliestMs(), limits, this.recovery.era(), this.identity.capacityCores());
 	}
 
 	private void logRepairs() {
@@ -660,6 +742,11 @@
 		}
 		this.roundInProgress = false;
 		if (outcome instanceof WriteOutcome.Conflict conflict) {
+			this.metrics.conflict();
+			write.changes()
+				.stream()
+				.filter((change) -> conflict.versions().containsKey(change.account().key()))
+				.forEach((change) -> change.account().onConflict());
 			onConflictRows(conflict.rows());
 			this.control.execute(this::startRound);
 		}
@@ -714,7 +801,8 @@
 		if (recent) {
 			this.appliedLimits.forEach((workspace, limit) -> wallet(workspace).confirmLimit(limit.limitTokens()));
 		}
-		if (this.accounts.values().stream().anyMatch((account) -> account.wallet().waitingTokens() > 0)) {
+		if (this.changesLeft
+				|| this.accounts.values().stream().anyMatch((account) -> account.wallet().waitingTokens() > 0)) {
 			wake();
 		}
 	}
@@ -784,9 +872,27 @@
 			// Held tokens above the limit can be lent as well, after the next write.
 			long available = account.poolTokens() + Math.max(0, account.wallet().heldTokens()) / 2;
 			long maxTokens = Math.max(missing, (long) (available * MAX_LOAN_FRACTION));
+			if (missing > available && isPrimary(account) && missing <= account.unspentByAllTokens()) {
+				// Borrowed from the routers that hold them.
+				return missing;
+			}
 			return (missing <= available) ? Math.min(request.wantedTokens() - alreadyLentTokens, maxTokens) : 0;
 		}
 
+		@Override
+		public LoanRequest limitToShare(String workspace, String borrower, LoanRequest request) {
+			GrantAccount account = PrepaidLedger.this.accounts.get(workspace);
+			return (account != null) ? account.limitToShare(borrower, request) : request;
+		}
+
+		@Override
+		public void onLent(String workspace, String borrower, LoanRequest request, long tokens) {
+			GrantAccount account = PrepaidLedger.this.accounts.get(workspace);
+			if (account != null) {
+				account.onLent(borrower, request, tokens);
+			}
+		}
+
 		@Override
 		public void withdrawForWaiting() {
 			wake();
@@ -805,9 +911,23 @@
 	 * monotonic clock in nanoseconds
 	 * @param firstStart whether the whole fleet starts for the first time, so that no
 	 * router has taken tokens before
+	 * @param capacityCores the processor capacity of the host in cores
 	 */
 	public record Identity(String address, String peerAddress, String incarnation, long startedAtNanos,
-			boolean firstStart) {
+			boolean firstStart, double capacityCores) {
+
+		/**
+		 * Creates the identity of a router on a host with one core.
+		 * @param address the address for callers as {@code ip:port}
+		 * @param peerAddress the address for calls of other routers, empty without one
+		 * @param incarnation the incarnation of the process
+		 * @param startedAtNanos the latest time at which the process can have started
+		 * @param firstStart whether the whole fleet starts for the first time
+		 */
+		public Identity(String address, String peerAddress, String incarnation, long startedAtNanos,
+				boolean firstStart) {
+			this(address, peerAddress, incarnation, startedAtNanos, firstStart, 1);
+		}
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/TokenExchange.java
@@ -32,6 +32,26 @@
 	 */
 	private static final double TARGET_S = 4;
 
+	/**
+	 * A router refills from the primary router when it holds less than this, in seconds
+	 * of demand.
+	 */
+	private static final double REFILL_BELOW_S = 10.5;
+
+	/**
+	 * Tokens that a router borrows up to from the primary router, in seconds of demand. A
+	 * partition lasts up to 9 s, and the demand of a workspace at one router varies by
+	 * half.
+	 */
+	private static final double REFILL_TARGET_S = 15;
+
+	/**
+	 * After a loan that was smaller than asked for, the next one is asked for when less
+	 * than this fraction of the tokens is left. Asking earlier would bring as little
+	 * again.
+	 */
+	private static final double SCARCE_REFILL_FRACTION = 0.5;
+
 	/** Delay before routers that lent nothing are asked again. */
 	private static final Duration RETRY_DELAY = Duration.ofMillis(400);
 
@@ -65,11 +85,30 @@
 	/** Holders that were asked for the currently waiting requests, by workspace. */
 	private final Map<String, Set<String>> askedHolders = new HashMap<>();
 
+	private final PrimaryRouters primaries;
+
+	private final TokenMetrics metrics;
+
+	/** Workspaces for which the primary router is being asked. */
+	private final Set<String> refillingWorkspaces = new HashSet<>();
+
+	/**
+	 * Held tokens below which the primary router is asked again after it lent less than
+	 * asked for, by workspace.
+	 */
+	private final Map<String, Long> refillBelowTokens = new HashMap<>();
+
+	/** When the primary router may be asked again after it lent nothing, by workspace. */
+	private final Map<String, Long> refillsPausedUntilNanos = new HashMap<>();
+
 	private boolean borrowRoundInProgress;
 
 	private boolean transferInProgress;
 
-	TokenExchange(Map<String, Wallet> wallets, Pool pool, TokenPeers peers, ControlThread control, DecisionLog log) {
+	TokenExchange(Map<String, Wallet> wallets, Pool pool, TokenPeers peers, PrimaryRouters primaries,
+			TokenMetrics metrics, ControlThread control, DecisionLog log) {
+		this.metrics = metrics;
+		this.primaries = primaries;
 		this.wallets = wallets;
 		this.pool = pool;
 		this.peers = peers;
@@ -77,6 +116,77 @@
 		this.log = log;
 	}
 
+	/**
+	 * Returns whether this router gets tokens of a workspace from its primary router now.
+	 * @param workspace the workspace
+	 * @return {@code false} if it takes them from the shared row itself
+	 */
+	boolean hasLender(String workspace) {
+		long nowNanos = this.control.nanoTime();
+		return this.refillingWorkspaces.contains(workspace)
+				|| (nowNanos >= this.refillsPausedUntilNanos.getOrDefault(workspace, Long.MIN_VALUE)
+						&& this.primaries.lender(workspace, nowNanos).isPresent());
+	}
+
+	/**
+	 * Borrows tokens of all workspaces that run low from their primary routers.
+	 */
+	void refill() {
+		Map<FleetRouter, Map<String, LoanRequest>> requests = new HashMap<>();
+		long nowNanos = this.control.nanoTime();
+		this.wallets.forEach((workspace, wallet) -> {
+			if (this.refillingWorkspaces.contains(workspace) || !hasLender(workspace)) {
+				return;
+			}
+			LoanRequest request = wallet.refillRequest(REFILL_BELOW_S, REFILL_TARGET_S,
+					this.refillBelowTokens.getOrDefault(workspace, Long.MAX_VALUE));
+			if (request.wantedTokens() > 0) {
+				this.primaries.lender(workspace, nowNanos)
+					.ifPresent((lender) -> requests.computeIfAbsent(lender, (any) -> new HashMap<>())
+						.put(workspace, request));
+			}
+		});
+		requests.forEach(this::refillFrom);
+	}
+
+	private void refillFrom(FleetRouter lender, Map<String, LoanRequest> requests) {
+		this.refillingWorkspaces.addAll(requests.keySet());
+		Set<String> lentWorkspaces = new HashSet<>();
+		this.peers.borrowFrom(lender, requests, (tokens) -> {
+			lentWorkspaces.addAll(tokens.keySet());
+			receive(tokens);
+			requests
+				.forEach((workspace, request) -> onRefilled(workspace, request, tokens.getOrDefault(workspace, 0L)));
+		}).whenCompleteAsync((done, failure) -> {
+			long nowNanos = this.control.nanoTime();
+			this.refillingWorkspaces.removeAll(requests.keySet());
+			if (failure != null) {
+				this.metrics.refillFailed();
+				this.primaries.onFailure(lender, nowNanos);
+			}
+			else {
+				this.primaries.onSuccess(lender);
+				requests.keySet()
+					.stream()
+					.filter((workspace) -> !lentWorkspaces.contains(workspace))
+					.forEach((workspace) -> this.refillsPausedUntilNanos.put(workspace,
+							nowNanos + RETRY_DELAY.toNanos()));
+			}
+			this.pool.withdrawForWaiting();
+		}, this.control);
+	}
+
+	private void onRefilled(String workspace, LoanRequest request, long lentTokens) {
+		this.metrics.refilled(request.wantedTokens(), lentTokens);
+		if (lentTokens < request.wantedTokens()) {
+			long heldAfter = request.heldTokens() + lentTokens - request.waitingTokens();
+			this.refillBelowTokens.put(workspace, (long) (heldAfter * SCARCE_REFILL_FRACTION));
+		}
+		else {
+			this.refillBelowTokens.remove(workspace);
+		}
+	}
+
 	/**
 	 * Borrows tokens for all workspaces that run low, from routers selected at random.
 	 * Waiting requests are refused while a workspace is paused because no router had
@@ -89,6 +199,9 @@
 		Map<String, LoanRequest> requests = new HashMap<>();
 		long nowNanos = this.control.nanoTime();
 		this.wallets.forEach((workspace, wallet) -> {
+			if (this.refillingWorkspaces.contains(workspace)) {
+				return;
+			}
 			boolean paused = nowNanos < this.pausedUntilNanos.getOrDefault(workspace, Long.MIN_VALUE);
 			LoanRequest request = wallet.loanRequest(LOW_WATERMARK_S, TARGET_S);
 			if (request.wantedTokens() > 0 && !paused) {
@@ -177,20 +290,25 @@
 	 * Lends tokens to another router: spendable tokens of this router first, then tokens
 	 * that it takes from the pool if those do not cover the waiting requests.
 	 * @param requests what the borrower asks for, by workspace
+	 * @param borrower the peer address of the borrower
 	 * @return the tokens that the borrower may spend, by workspace; workspaces without a
 	 * loan are left out
 	 */
-	public CompletableFuture<Map<String, Long>> lend(Map<String, LoanRequest> requests) {
+	public CompletableFuture<Map<String, Long>> lend(Map<String, LoanRequest> requests, String borrower) {
+		String borrowerAddress = this.primaries.address(borrower).orElse("");
 		Map<String, Long> lent = new HashMap<>();
 		List<CompletableFuture<?>> pendingLoans = new ArrayList<>();
-		requests.forEach((workspace, request) -> {
+		requests.forEach((workspace, asked) -> {
+			boolean primary = !borrowerAddress.isEmpty() && this.primaries.isPrimary(workspace);
+			LoanRequest request = primary ? this.pool.limitToShare(workspace, borrowerAddress, asked) : asked;
 			Wallet wallet = this.wallets.get(workspace);
 			long lentHere = (wallet != null) ? wallet.lend(request) : 0;
 			lent.put(workspace, lentHere);
 			long fromPool = this.pool.availableForLoan(workspace, request, lentHere);
 			if (fromPool > 0) {
 				Wallet own = this.wallets.computeIfAbsent(workspace, Wallet::new);
-				PoolLoan loan = new PoolLoan(own, fromPool);
+				PoolLoan loan = new PoolLoan(own, fromPool,
+						primary ? Math.min(fromPool, Math.max(0, request.waitingTokens() - lentHere)) : 0);
 				own.await(loan);
 				pendingLoans.add(loan.granted.thenAccept((tokens) -> lent.merge(workspace, tokens, Long::sum)));
 			}
@@ -200,7 +318,14 @@
 		}
 		return CompletableFuture.allOf(pendingLoans.toArray(new CompletableFuture<?>[0])).thenApply((done) -> {
 			lent.values().removeIf((tokens) -> tokens <= 0);
+			lent.forEach((workspace, tokens) -> {
+				LoanRequest asked = requests.get(workspace);
+				if (asked != null && !borrowerAddress.isEmpty() && this.primaries.isPrimary(workspace)) {
+					this.pool.onLent(workspace, borrowerAddress, asked, tokens);
+				}
+			});
 			if (!lent.isEmpty()) {
+				this.metrics.lent(sum(lent));
 				this.log.event("grant.lent").with("workspaces", lent.size()).with("tokens", sum(lent)).emit();
 			}
 			return Map.copyOf(lent);
@@ -217,6 +342,7 @@
 			this.wallets.computeIfAbsent(workspace, Wallet::new).receive(count);
 		});
 		if (!tokens.isEmpty()) {
+			this.metrics.borrowed(sum(tokens));
 			this.log.event("grant.received").with("workspaces", tokens.size()).with("tokens", sum(tokens)).emit();
 		}
 	}
@@ -278,6 +404,24 @@
 		 */
 		long availableForLoan(String workspace, LoanRequest request, long alreadyLentTokens);
 
+		/**
+		 * Limits a loan of the primary router to the share of the borrower.
+		 * @param workspace the workspace
+		 * @param borrower the address for callers of the borrower
+		 * @param request what it asks for
+		 * @return the limited request
+		 */
+		LoanRequest limitToShare(String workspace, String borrower, LoanRequest request);
+
+		/**
+		 * Records a loan of the primary router.
+		 * @param workspace the workspace
+		 * @param borrower the address for callers of the borrower
+		 * @param request what it asked for
+		 * @param tokens the tokens that it got
+		 */
+		void onLent(String workspace, String borrower, LoanRequest request, long tokens);
+
 		/**
 		 * Starts a round that takes tokens from the pool for all waiting requests.
 		 */
@@ -295,11 +439,14 @@
 
 		private final long tokens;
 
+		private final long awaitedTokens;
+
 		private final CompletableFuture<Long> granted = new CompletableFuture<>();
 
-		private PoolLoan(Wallet wallet, long tokens) {
+		private PoolLoan(Wallet wallet, long tokens, long awaitedTokens) {
 			this.wallet = wallet;
 			this.tokens = tokens;
+			this.awaitedTokens = awaitedTokens;
 		}
 
 		@Override
@@ -312,6 +459,11 @@
 			return false;
 		}
 
+		@Override
+		public long awaitedTokens() {
+			return this.awaitedTokens;
+		}
+
 		@Override
 		public void granted() {
 			this.wallet.settle(this.tokens, this.tokens);
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -104,7 +104,7 @@
 	}
 
 	private boolean acceptsPolls(ServerState state) {
-		return state.acceptsPolls(this.relay.nowMs());
+		return state.acceptsPolls(this.relay.nowMs()) && !this.relay.states().isEvacuated(state.server());
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
@@ -35,6 +35,9 @@
 	/** The memory for request bodies is used up. */
 	OVERLOADED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
+	/** The host is too small for its share of the callers at the moment. */
+	HOST_OVERLOADED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
+
 	/** No backend server is available, or none accepted the request. */
 	NO_SERVER(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
@@ -44,6 +47,9 @@
 	/** The backend servers warm up, and this router has no permit. */
 	SERVERS_WARMING_UP(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
+	/** All backend servers of the service are in evacuated zones. */
+	ZONES_EVACUATED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
+
 	/** A part of the prompt crashes backend servers. */
 	PART_REFUSED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -90,6 +90,8 @@
 
 	private final RetryBudget retries;
 
+	private final HostLoad hostLoad;
+
 	private final RelayOptions.WarmUpBound warmUpBound;
 
 	private final Set<CallerConnection> callers = new LinkedHashSet<>();
@@ -145,6 +147,7 @@
 		this.livenessChecks = new LivenessChecks(this, reportFormat, loop);
 		this.retries = new RetryBudget(options.retryRatio(), options.retryExtra(), options.minRouters(),
 				options.retryWindowMs(), this::nowMs);
+		this.hostLoad = new HostLoad(options.linkMbps());
 		this.sweeper = loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -305,6 +308,10 @@
 		return this.retries;
 	}
 
+	HostLoad hostLoad() {
+		return this.hostLoad;
+	}
+
 	Executor executor() {
 		return this.loop;
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
@@ -13,10 +13,11 @@
  * routers
  * @param minRouters the minimum number of routers that share these retries, 1 or more
  * @param retryWindowMs the window of the retry budget, in milliseconds
+ * @param linkMbps the rate of the host's network link in Mbit/s, 0 if unknown
  * @param warmUpBound how many requests servers may receive while they warm up
  */
 public record RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra, int minRouters,
-		long retryWindowMs, WarmUpBound warmUpBound) {
+		long retryWindowMs, double linkMbps, WarmUpBound warmUpBound) {
 
 	/**
 	 * Creates settings with {@link WarmUpBound#DEFAULT}.
@@ -26,10 +27,11 @@
 	 * @param retryExtra the allowed retries per window in addition to the ratio
 	 * @param minRouters the minimum number of routers that share these retries
 	 * @param retryWindowMs the window of the retry budget, in milliseconds
+	 * @param linkMbps the rate of the host's network link in Mbit/s, 0 if unknown
 	 */
 	public RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra, int minRouters,
-			long retryWindowMs) {
-		this(headerNames, zone, retryRatio, retryExtra, minRouters, retryWindowMs, WarmUpBound.DEFAULT);
+			long retryWindowMs, double linkMbps) {
+		this(headerNames, zone, retryRatio, retryExtra, minRouters, retryWindowMs, linkMbps, WarmUpBound.DEFAULT);
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.verbenacleat.router.balance.ServerState;
+import io.verbenacleat.router.budget.Wallet;
 import io.verbenacleat.router.config.RequestKind;
 import io.verbenacleat.router.config.Route;
 import io.verbenacleat.router.config.RoutingTable;
@@ -180,11 +181,19 @@
 			refuse(Refusal.NO_SERVER);
 			return;
 		}
+		if (!this.relay.hostLoad().accepts(this.bodyBytes, matched.targetLatencyMs(), this.relay.nowMs())) {
+			refuse(Refusal.HOST_OVERLOADED);
+			return;
+		}
 		if (!this.relay.hasServerList()) {
 			this.waitingForConfiguration = true;
 			refuseAfterStartupWait();
 			return;
 		}
+		if (this.relay.states().isEvacuated(this.service.name())) {
+			refuse(Refusal.ZONES_EVACUATED);
+			return;
+		}
 		long waitedMs = this.relay.nowMs() - this.startedAtMs;
 		if (!this.relay.quarantine().hasReports()
 				&& StartupWaitPolicy.shouldWaitForConfiguration(this.relay.uptimeMs(), waitedMs)) {
@@ -407,7 +416,7 @@
 			selected = select(target, excludedServers(target));
 		}
 		if (selected.isEmpty()) {
-			giveUp(missingServer(target), "no server accepts requests");
+			giveUp(unavailability(target), "no server accepts requests");
 			return;
 		}
 		ServerState state = selected.get();
@@ -423,7 +432,10 @@
 		this.relay.connections().acquire(state.server(), Math.max(1, target.maxConnections() / 2), next);
 	}
 
-	private Refusal missingServer(Service target) {
+	private Refusal unavailability(Service target) {
+		if (this.relay.states().isEvacuated(target.name())) {
+			return Refusal.ZONES_EVACUATED;
+		}
 		Set<String> excluded = excludedServers(target);
 		long nowMs = this.relay.nowMs();
 		OptionalLong warmUpDelayMs = this.relay.states().warmUpDelayMs(target.name(), excluded, nowMs);
@@ -561,6 +573,10 @@
 		this.mayHaveRun = true;
 		this.triedServerIds.add(state.server().id());
 		this.relay.metrics().sent();
+		this.relay.hostLoad().onMessage(this.bodyBytes, this.relay.nowMs());
+		if (this.relay.states().isReduced(state.server().service())) {
+			this.relay.metrics().sentDuringEvacuation();
+		}
 		logLine("request.sent", "selected").with("server", state.server().id())
 			.with("version", state.server().softwareVersion())
 			.with("resumes", resumedId())
@@ -702,7 +718,16 @@
 	private void refuse(Refusal refusal) {
 		this.relay.metrics().refused(refusal);
 		close();
-		logLine("request.refused", Relay.code(refusal)).emit();
+		DecisionLog.Line line = logLine("request.refused", Relay.code(refusal));
+		TokenReservation unserved = this.reservation;
+		if (unserved != null && (refusal == Refusal.PREPAID_UNAVAILABLE || refusal == Refusal.PREPAID_EXHAUSTED)) {
+			Wallet.Balance balance = unserved.balance();
+			line.with("needed_tokens", unserved.tokens())
+				.with("held_tokens", balance.heldTokens())
+				.with("spendable_tokens", balance.spendableTokens())
+				.with("demand_per_s", balance.demandPerS());
+		}
+		line.emit();
 		String retryAfter = "";
 		if (refusal.isTemporary()) {
 			Service target = this.service;
--- a/router/src/test/java/io/verbenacleat/router/budget/WarmUpFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/WarmUpFleet.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.router.balance.FleetMembers;
@@ -290,16 +291,16 @@
 			ManualControlThread control = WarmUpFleet.this.control;
 			DecisionLog log = new DecisionLog(() -> 0);
 			PrepaidLedger.Identity identity = new PrepaidLedger.Identity(this.address, "",
-					this.address + "/" + this.incarnationCount, control.nanoTime(), this.incarnationCount == 1);
+					this.address + "/" + this.incarnationCount, control.nanoTime(), this.incarnationCount == 1, 0);
 			StoreClock clock = new BoundedClock();
 			PrepaidLedger ledger = new PrepaidLedger(identity, this.store, clock, this.store, TokenPeers.none(),
-					control, log);
+					control, log, new PrometheusRegistry());
 			PermitSchedule schedule = this.permits;
 			RouterDiscovery discovery = new RouterDiscovery(identity, this.store, clock, control, log,
 					new RouterDiscovery.Listener() {
 
 						@Override
-						public void onRouters(List<String> peerAddresses, FleetPosition position) {
+						public void onRouters(List<FleetRouter> routers, FleetPosition position) {
 							schedule.setPosition(position);
 						}
 
