Keep the end of a warm-up when zones are evacuated

An evacuation published the last list of servers again, with the age that the notices of warm-ups had when the list was made. While the registry was silent, servers that had warmed up were restricted once more. The list is now made anew.

A liveness check that was waiting for its connection when the warm-up began sent its request, which counts as one. It now holds the connection.

Records of first listings are only updated for new incarnations, so that renewals of registrations cost nothing for services without a warm-up, and old ones of listed servers no longer stand in the way of the removal of others.

--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -105,8 +105,8 @@
 
 	private boolean serversKnown;
 
-	/** The list of servers as published last, {@code null} before the first one. */
-	private @Nullable ServerList servers;
+	/** Whether the directory has published a list of servers. */
+	private boolean serversPublished;
 
 	/** When the registry last confirmed the evacuated zones, by the steady clock. */
 	private long evacuationsConfirmedAtNanos;
@@ -375,16 +375,17 @@
 	}
 
 	private void publishServers(ServerList list) {
-		this.servers = list;
+		this.serversPublished = true;
 		this.streamOrigins.updateServers(list);
 		this.relay.updateServers(list.withEvacuated(this.evacuatedZones.zones()));
 	}
 
 	private void publishEvacuatedZones(Set<String> zones) {
 		this.evacuatedZoneCount.set(zones.size());
-		ServerList list = this.servers;
-		if (list != null) {
-			this.relay.updateServers(list.withEvacuated(zones));
+		if (this.serversPublished) {
+			// The list as published last would state the remaining times of warm-ups
+			// anew.
+			this.relay.updateServers(ServerList.of(this.directory.all()).withEvacuated(zones));
 		}
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -50,6 +50,12 @@
 
 	private ServerList servers = ServerList.empty();
 
+	/** The servers of the current list, by id. */
+	private Map<String, BackendServer> listed = Map.of();
+
+	/** The servers of which the list before the current one had no such incarnation. */
+	private final List<BackendServer> arrivals = new ArrayList<>();
+
 	/** What servers accept while they warm up, by service. */
 	private Map<String, WarmUpLimit> warmUpLimits = Map.of();
 
@@ -94,7 +100,14 @@
 		this.servers = list;
 		List<ServerState> dropped = new ArrayList<>();
 		Map<String, BackendServer> byId = new HashMap<>();
-		list.all().forEach((server) -> byId.put(server.id(), server));
+		for (BackendServer server : list.all()) {
+			byId.put(server.id(), server);
+			BackendServer previous = this.listed.get(server.id());
+			if (previous == null || !previous.isSameIncarnation(server)) {
+				this.arrivals.add(server);
+			}
+		}
+		this.listed = byId;
 		this.states.values().removeIf((state) -> {
 			BackendServer server = byId.get(state.server().id());
 			boolean removed = server == null || !server.isSameIncarnation(state.server());
@@ -150,22 +163,34 @@
 	 * be used, each once
 	 */
 	public List<ServerState> applyWarmUps(long nowMs) {
-		for (BackendServer server : this.servers.all()) {
-			this.listedAtMs.putIfAbsent(server.incarnationKey(), this.hasList ? nowMs : ALREADY_RUNNING);
+		if (!this.arrivals.isEmpty()) {
+			this.arrivals.forEach((server) -> this.listedAtMs.putIfAbsent(server.incarnationKey(),
+					this.hasList ? nowMs : ALREADY_RUNNING));
+			this.arrivals.clear();
+			dropOldestListings();
 		}
+		this.hasList = true;
+		this.noticesAtMs = nowMs;
+		return applyNotices();
+	}
+
+	private void dropOldestListings() {
 		Iterator<BackendServer> oldest = this.listedAtMs.keySet().iterator();
-		for (int surplus = this.listedAtMs.size() - MAX_UNLISTED - this.servers.all().size(); surplus > 0; surplus--) {
+		int surplus = this.listedAtMs.size() - MAX_UNLISTED - this.listed.size();
+		while (surplus > 0 && oldest.hasNext()) {
 			BackendServer key = oldest.next();
-			if (this.servers.all().stream().noneMatch(key::isSameIncarnation)) {
+			BackendServer current = this.listed.get(key.id());
+			if (current == null || !current.isSameIncarnation(key)) {
 				oldest.remove();
+				surplus--;
 			}
 		}
-		this.hasList = true;
-		this.noticesAtMs = nowMs;
-		return applyNotices();
 	}
 
 	private List<ServerState> applyNotices() {
+		if (this.warmUpLimits.isEmpty()) {
+			return List.of();
+		}
 		List<ServerState> invalid = new ArrayList<>();
 		for (BackendServer server : this.servers.all()) {
 			WarmUpNotice notice = server.warmUp();
@@ -386,7 +411,7 @@
 	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
 			long nowMs) {
 		List<Candidate> available = new ArrayList<>();
-		List<Candidate> preferred = new ArrayList<>();
+		List<Candidate> atMaximum = new ArrayList<>();
 		List<Candidate> withPermit = new ArrayList<>();
 		boolean hasFreeSlot = false;
 		List<Candidate> suspended = new ArrayList<>();
@@ -410,15 +435,21 @@
 			}
 			else {
 				available.add(candidate);
-				if (!state.hadMaximumOfWarmUp(nowMs)) {
-					preferred.add(candidate);
-					hasFreeSlot |= state.hasFreeSlot();
+				if (state.hadMaximumOfWarmUp(nowMs)) {
+					atMaximum.add(candidate);
+				}
+				else {
+					hasFreeSlot = hasFreeSlot || state.hasFreeSlot();
 				}
 			}
 		}
 		this.heldBackCount += heldBack ? 1 : 0;
 		// A suspended server may have recovered, while rejecting the request would fail
 		// for certain.
+		List<Candidate> preferred = available;
+		if (!atMaximum.isEmpty()) {
+			preferred = available.stream().filter((candidate) -> !atMaximum.contains(candidate)).toList();
+		}
 		List<Candidate> first = (hasFreeSlot || withPermit.isEmpty()) ? preferred : withPermit;
 		List<Candidate> candidates = Stream.of(first, available, suspended)
 			.filter((list) -> !list.isEmpty())
--- a/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
@@ -32,9 +32,9 @@
  * <p>
  * A load report that was requested after the end shows that the incarnation still runs.
  * Servers without load reports, and those that must not be sent requests now, for example
- * in an evacuated zone, have to keep a connection open for {@link #HOLD_MS}: the kernel
- * accepts connections for a process that is ending, and resets them. Anything else
- * confirms nothing.
+ * in an evacuated zone or while they warm up, have to keep a connection open for
+ * {@link #HOLD_MS}: the kernel accepts connections for a process that is ending, and
+ * resets them. Anything else confirms nothing.
  */
 final class LivenessChecks {
 
@@ -216,7 +216,7 @@
 				owner.connections().release(opened);
 				return;
 			}
-			if (owner.states().isEvacuated(this.state.server())) {
+			if (owner.states().isEvacuated(this.state.server()) || this.state.isWarmingUp(owner.nowMs())) {
 				this.finished = true;
 				owner.connections().release(opened);
 				holdConnection(this.state.server(), this.listener);
--- a/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
+++ b/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
@@ -164,7 +164,7 @@
 
 	private BackendServer withCurrentAge(BackendServer server, long nowNanos) {
 		WarmUpNotice notice = server.warmUp();
-		Long atNanos = this.receivedAtNanos.get(server.id());
+		Long atNanos = (notice != null) ? this.receivedAtNanos.get(server.id()) : null;
 		if (notice == null || atNanos == null) {
 			return server;
 		}
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -28,6 +28,7 @@
 import io.verbenacleat.router.relay.RelayOptions;
 import io.verbenacleat.router.server.BackendServer;
 import io.verbenacleat.router.server.EvacuationState;
+import io.verbenacleat.router.server.WarmUpNotice;
 import org.jspecify.annotations.Nullable;
 import org.testng.annotations.Test;
 
@@ -105,6 +106,30 @@
 		}
 	}
 
+	// Guards against a list that is published again for an evacuation and restarts the
+	// warm-up of its servers, while the registry is silent.
+	@Test
+	public void anEvacuationDoesNotExtendAWarmUp() throws IOException {
+		ManualFeed feed = new ManualFeed();
+		try (RouterDaemon daemon = daemon(feed, 0, List.of())) {
+			assertTrue(await(() -> feed.listener != null));
+			daemon.onConfiguration(
+					new RoutingTable(5, List.of(), List.of(new Service("s", 10, false, 1, new Service.WarmUp(0, 12))),
+							List.of(), new CallerLimits(4_096, 4_096, 1_000, 1_000)));
+			BackendServer server = new BackendServer("i-1", 1, "s", "127.0.0.1", 1, "z", 8, "v1", false,
+					WarmUpNotice.received(2_000));
+			daemon.onServers(Map.of("i-1", server), false, false);
+			assertTrue(await(() -> metrics(daemon).contains("verbena_router_servers_warming_up 1.0")));
+			assertTrue(await(() -> metrics(daemon).contains("verbena_router_servers_warming_up 0.0")));
+			daemon.onEvacuations(
+					new EvacuationState(Map.of(1L, 9L), List.of(new EvacuationState.ZoneRow("y", 1, 8, true))));
+			assertTrue(await(() -> metrics(daemon).contains("verbena_router_evacuated_zones 1.0")));
+			// The event loop applies the list after the gauge was set.
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(500));
+			assertTrue(metrics(daemon).contains("verbena_router_servers_warming_up 0.0"), metrics(daemon));
+		}
+	}
+
 	private static boolean isRefusedForEvacuation(RouterDaemon daemon) {
 		try {
 			int status = status(daemon.callerPort(), "/a/");
