--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -20,6 +20,7 @@
 import io.verbenacleat.core.control.ControlThread;
 import io.verbenacleat.core.platform.HttpCalls;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.router.balance.FleetMembers;
 import io.verbenacleat.router.balance.FleetPosition;
 import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.budget.FleetRouter;
@@ -104,8 +105,8 @@
 
 	private boolean serversKnown;
 
-	/** The list of servers as published last, {@code null} before the first one. */
-	private @Nullable ServerList servers;
+	/** Whether the directory has published a list of servers. */
+	private boolean serversPublished;
 
 	/** When the registry last confirmed the evacuated zones, by the steady clock. */
 	private long evacuationsConfirmedAtNanos;
@@ -151,7 +152,7 @@
 				control, log, new Random());
 		this.streamOrigins = new StreamOrigins(store, storeClock, storeEra, control, log, new Random(),
 				options.firstStart());
-		this.permits = new PermitSchedule(() -> fleetTimeMs(storeClock));
+		this.permits = new PermitSchedule(storeClock::earliestMs, storeClock::latestMs);
 		this.relay = new Relay(this.loop.next(), options.relay(), reportFormat, this.ledger, this.quarantine,
 				this.streamOrigins, this.permits, log, registry);
 		this.loadPoller = new LoadPoller(this.relay, reportFormat, this.loop.next());
@@ -167,7 +168,7 @@
 				this.quarantine);
 		this.peerEndpoint = hasPeers ? AdminEndpoint.peers(this.loop, options.host(), options.peerPort(),
 				new PeerRequestHandler(this, this.ledger, this.peers, control)) : null;
-		this.routerDiscovery = new RouterDiscovery(identity, store, storeClock, control, log, this::onRouters);
+		this.routerDiscovery = new RouterDiscovery(identity, store, storeClock, control, log, new RouterListener());
 		log.event("process.started").with("incarnation", incarnation).with("port", this.callers.port()).emit();
 		control.execute(() -> {
 			feed.start(this);
@@ -374,16 +375,17 @@
 	}
 
 	private void publishServers(ServerList list) {
-		this.servers = list;
+		this.serversPublished = true;
 		this.streamOrigins.updateServers(list);
 		this.relay.updateServers(list.withEvacuated(this.evacuatedZones.zones()));
 	}
 
 	private void publishEvacuatedZones(Set<String> zones) {
 		this.evacuatedZoneCount.set(zones.size());
-		ServerList list = this.servers;
-		if (list != null) {
-			this.relay.updateServers(list.withEvacuated(zones));
+		if (this.serversPublished) {
+			// The list as published last would state the remaining times of warm-ups
+			// anew.
+			this.relay.updateServers(ServerList.of(this.directory.all()).withEvacuated(zones));
 		}
 	}
 
@@ -397,11 +399,6 @@
 		this.peers.addPeers(peerAddresses);
 	}
 
-	private static long fleetTimeMs(StoreClock clock) {
-		long earliestMs = clock.earliestMs();
-		return (earliestMs >= 0) ? (earliestMs + clock.latestMs()) / 2 : PermitSchedule.UNKNOWN_TIME_MS;
-	}
-
 	@Override
 	public void close() {
 		this.feed.close();
@@ -423,4 +420,18 @@
 		this.control.close();
 	}
 
+	private final class RouterListener implements RouterDiscovery.Listener {
+
+		@Override
+		public void onRouters(List<FleetRouter> routers, FleetPosition position) {
+			RouterDaemon.this.onRouters(routers, position);
+		}
+
+		@Override
+		public void onMembers(FleetMembers members) {
+			RouterDaemon.this.permits.setMembers(members);
+		}
+
+	}
+
 }
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -104,8 +104,7 @@
 	}
 
 	private boolean acceptsPolls(ServerState state) {
-		return state.acceptsRequests(this.relay.nowMs()) && !state.isLimited()
-				&& !this.relay.states().isEvacuated(state.server());
+		return state.acceptsPolls(this.relay.nowMs()) && !this.relay.states().isEvacuated(state.server());
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
@@ -44,6 +44,9 @@
 	/** The backend servers limit requests, and this router has no permit. */
 	SERVERS_LIMITED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
+	/** The backend servers warm up, and this router has no permit. */
+	SERVERS_WARMING_UP(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
+
 	/** All backend servers of the service are in evacuated zones. */
 	ZONES_EVACUATED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -41,6 +41,9 @@
 
 	private boolean finished;
 
+	/** Whether another request used the permit for the server that warms up. */
+	private boolean lacksPermit;
+
 	private long sentAtMs;
 
 	private long progressAtMs;
@@ -72,6 +75,15 @@
 		return this.state.server().id();
 	}
 
+	/**
+	 * Returns whether the request was not sent because another one used the permit. The
+	 * server can be selected again when there is a permit.
+	 * @return {@code false} if it was sent, or not sent for another reason
+	 */
+	boolean lacksPermit() {
+		return this.lacksPermit;
+	}
+
 	@Override
 	public String requestId() {
 		return this.request.requestId();
@@ -84,6 +96,7 @@
 			return;
 		}
 		Relay relay = this.request.relay();
+		boolean warmingUp = this.state.isWarmingUp(relay.nowMs());
 		String obstacle = findObstacle();
 		if (obstacle != null) {
 			relay.connections().release(opened);
@@ -96,6 +109,9 @@
 		this.progressAtMs = this.sentAtMs;
 		this.sent = true;
 		this.state.onSend(this.sentAtMs);
+		if (warmingUp) {
+			relay.metrics().sentInWarmUp();
+		}
 		this.request.markSent(this.state);
 		opened.send(this, this.request.createServerRequest(this.state, this.route));
 		opened.setReading(this.request.isCallerWritable());
@@ -110,7 +126,11 @@
 		if (relay.states().isEvacuated(this.state.server())) {
 			return "zone of the server is evacuated";
 		}
-		return this.state.takePermit(relay.nowMs()) ? null : "server does not accept requests";
+		if (this.state.takePermit(relay.nowMs())) {
+			return null;
+		}
+		this.lacksPermit = this.state.isWarmingUp(relay.nowMs());
+		return "server does not accept requests";
 	}
 
 	@Override
