Select model servers by the expected time to the first event

The new policy estimates the outstanding prompt tokens of each server from its last report, the age of the report and the own requests since then. Load reports now carry the waiting requests and tokens in memory, and prefix affinity ranks the servers in one pass instead of a sort.

--- a/router/src/main/java/io/verbenacleat/router/LoadReportFormat.java
+++ b/router/src/main/java/io/verbenacleat/router/LoadReportFormat.java
@@ -1,8 +1,10 @@
 package io.verbenacleat.router;
 
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.OptionalLong;
 
+import io.verbenacleat.router.balance.LoadReport;
+
 /**
  * Path and encoding of the load reports of backend servers.
  */
@@ -17,10 +19,10 @@
 	/**
 	 * Parses a load report.
 	 * @param body the body of the response
-	 * @return the number of requests that run or wait at the server, empty when the body
-	 * is not a valid report
+	 * @return the report, empty when the body does not contain valid numbers of running
+	 * and waiting requests
 	 */
-	OptionalInt parseRequestCount(byte[] body);
+	Optional<LoadReport> parseReport(byte[] body);
 
 	/**
 	 * Parses when the server started, from a load report.
--- a/router/src/main/java/io/verbenacleat/router/balance/LeastLoadedSelection.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/LeastLoadedSelection.java
@@ -43,7 +43,7 @@
 	}
 
 	@Override
-	public Candidate select(List<Candidate> candidates, long affinityKey) {
+	public Candidate select(List<Candidate> candidates, RequestDescription request) {
 		Candidate best = candidates.get(0);
 		double bestScore = Double.MAX_VALUE;
 		for (Candidate candidate : candidates) {
--- a/router/src/main/java/io/verbenacleat/router/balance/PrefixAffinitySelection.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/PrefixAffinitySelection.java
@@ -1,8 +1,6 @@
 package io.verbenacleat.router.balance;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 import com.google.common.hash.Hashing;
@@ -43,23 +41,27 @@
 	}
 
 	@Override
-	public Candidate select(List<Candidate> candidates, long affinityKey) {
-		if (affinityKey == 0) {
-			return this.fallback.select(candidates, affinityKey);
+	public Candidate select(List<Candidate> candidates, RequestDescription request) {
+		if (request.affinityKey() == 0) {
+			return this.fallback.select(candidates, request);
 		}
 		double totalLoad = 0;
 		for (Candidate candidate : candidates) {
 			totalLoad += candidate.load();
 		}
 		double maxLoad = LOAD_FACTOR * totalLoad / candidates.size() + LOAD_SLACK;
-		List<Candidate> ranked = new ArrayList<>(candidates);
-		ranked.sort(Comparator.comparingLong((Candidate candidate) -> weight(candidate, affinityKey)));
-		for (Candidate candidate : ranked) {
+		Candidate first = null;
+		long firstWeight = 0;
+		for (Candidate candidate : candidates) {
 			if (candidate.load() < maxLoad && candidate.failureRate() <= MAX_FAILURE_RATE) {
-				return candidate;
+				long weight = weight(candidate, request.affinityKey());
+				if (first == null || weight < firstWeight) {
+					first = candidate;
+					firstWeight = weight;
+				}
 			}
 		}
-		return this.fallback.select(candidates, affinityKey);
+		return (first != null) ? first : this.fallback.select(candidates, request);
 	}
 
 	private static long weight(Candidate candidate, long affinityKey) {
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
@@ -38,6 +38,8 @@
 
 	private final PermitSchedule schedule;
 
+	private final ServerLoadModel model;
+
 	private int inFlight;
 
 	private int consecutiveFailures;
@@ -77,6 +79,7 @@
 	public ServerState(BackendServer server, PermitSchedule schedule) {
 		this.server = server;
 		this.schedule = schedule;
+		this.model = new ServerLoadModel(server.slots());
 	}
 
 	/**
@@ -87,6 +90,14 @@
 		return this.server;
 	}
 
+	/**
+	 * Returns the model that estimates the time to the first event.
+	 * @return the model
+	 */
+	public ServerLoadModel model() {
+		return this.model;
+	}
+
 	/**
 	 * Returns the number of requests of this router that are in flight at the server.
 	 * @return the count
@@ -330,6 +341,17 @@
 		this.consecutiveFailures = Math.min(this.consecutiveFailures, FAILURES_TO_SUSPEND - 1);
 	}
 
+	/**
+	 * Records a load report with its age, and ends a suspension.
+	 * @param report the report
+	 * @param requestedAtMs when the report was requested, by the steady time in
+	 * milliseconds
+	 */
+	public void onReport(LoadReport report, long requestedAtMs) {
+		onReport(report.requests());
+		this.model.onReport(report, requestedAtMs);
+	}
+
 	/**
 	 * Records that the server did not answer a request for a load report.
 	 * @param nowMs the steady time in milliseconds
@@ -354,7 +376,8 @@
 	 * @return the candidate
 	 */
 	public Candidate toCandidate(String zone) {
-		return new Candidate(this.server, load(), this.latencyMs, this.failureRate, this.server.zone().equals(zone));
+		return new Candidate(this.server, load(), this.latencyMs, this.failureRate, this.server.zone().equals(zone),
+				this.model);
 	}
 
 	private void recordEnd() {
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -184,15 +184,14 @@
 	 * no available one.
 	 * @param service the name of the service
 	 * @param modelService whether the service runs language models
-	 * @param affinityKey a key that requests with a common prompt prefix share, 0 for
-	 * none
+	 * @param request the request
 	 * @param excluded the ids of servers that are not considered
 	 * @param nowMs the steady time in milliseconds
 	 * @return the state of the selected server, empty when a request may be sent to no
 	 * server
 	 */
-	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
-			long nowMs) {
+	public Optional<ServerState> select(String service, boolean modelService, RequestDescription request,
+			Set<String> excluded, long nowMs) {
 		List<Candidate> available = new ArrayList<>();
 		List<Candidate> suspended = new ArrayList<>();
 		for (BackendServer server : this.servers.usable(service)) {
@@ -211,8 +210,24 @@
 		if (candidates.isEmpty()) {
 			return Optional.empty();
 		}
-		Candidate selected = (modelService ? this.affinityPolicy : this.plainPolicy).select(candidates, affinityKey);
+		Candidate selected = (modelService ? this.affinityPolicy : this.plainPolicy).select(candidates, request);
 		return Optional.of(state(selected.server()));
 	}
 
+	/**
+	 * Selects a server for a request whose prompt tokens are not known.
+	 * @param service the name of the service
+	 * @param modelService whether the service runs language models
+	 * @param affinityKey a key that requests with a common prompt prefix share, 0 for
+	 * none
+	 * @param excluded the ids of servers that are not considered
+	 * @param nowMs the steady time in milliseconds
+	 * @return the state of the selected server, empty when a request may be sent to no
+	 * server
+	 */
+	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
+			long nowMs) {
+		return select(service, modelService, RequestDescription.of(affinityKey), excluded, nowMs);
+	}
+
 }
--- a/router/src/main/java/io/verbenacleat/router/quarantine/PromptParts.java
+++ b/router/src/main/java/io/verbenacleat/router/quarantine/PromptParts.java
@@ -18,6 +18,8 @@
 	/** Other ids are replaced by their hash, which bounds the memory for each part. */
 	static final int MAX_ID_LENGTH = 64;
 
+	private static final int MAX_DIGITS = 9;
+
 	private PromptParts() {
 	}
 
@@ -44,6 +46,38 @@
 		return List.copyOf(ids);
 	}
 
+	/**
+	 * Returns the number of tokens of all parts but the last one.
+	 * @param header the parts as {@code id:tokens}, separated by commas, or {@code null}
+	 * @return the sum of the valid numbers of at most 32 parts
+	 */
+	public static long sharedTokens(@Nullable String header) {
+		long sum = 0;
+		int start = 0;
+		int comma = (header != null) ? header.indexOf(',') : -1;
+		for (int i = 0; header != null && comma >= 0 && i < MAX_PARTS; i++) {
+			sum += tokens(header, header.lastIndexOf(':', comma) + 1, start, comma);
+			start = comma + 1;
+			comma = header.indexOf(',', start);
+		}
+		return sum;
+	}
+
+	private static long tokens(String header, int digits, int start, int end) {
+		if (digits <= start || digits >= end || end - digits > MAX_DIGITS) {
+			return 0;
+		}
+		long tokens = 0;
+		for (int i = digits; i < end; i++) {
+			char digit = header.charAt(i);
+			if (digit < '0' || digit > '9') {
+				return 0;
+			}
+			tokens = 10 * tokens + digit - '0';
+		}
+		return tokens;
+	}
+
 	private static String hash(String text) {
 		return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).toString();
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPollSchedule.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPollSchedule.java
@@ -5,7 +5,7 @@
  * the less often each router polls a server, so that the polls of a server don't grow
  * with the fleet. Stateless.
  */
-final class LoadPollSchedule {
+public final class LoadPollSchedule {
 
 	/** About this many routers poll a server in each round. */
 	private static final int POLLS_PER_SERVER_AND_ROUND = 10;
@@ -20,7 +20,7 @@
 	 * @param routerCount the number of routers in the fleet, 0 while unknown
 	 * @return {@code true} in one of every {@code routerCount / 10} rounds, rounded up
 	 */
-	static boolean isDue(String serverId, long round, int routerCount) {
+	public static boolean isDue(String serverId, long round, int routerCount) {
 		int roundsPerPoll = Math.max(1, (routerCount + POLLS_PER_SERVER_AND_ROUND - 1) / POLLS_PER_SERVER_AND_ROUND);
 		return Math.floorMod(serverId.hashCode() + round, (long) roundsPerPoll) == 0;
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LoadPoller.java
@@ -185,7 +185,8 @@
 			byte[] bytes = new byte[this.body.readableBytes()];
 			this.body.readBytes(bytes);
 			if (this.successful) {
-				LoadPoller.this.reportFormat.parseRequestCount(bytes).ifPresent(this.state::onReport);
+				LoadPoller.this.reportFormat.parseReport(bytes)
+					.ifPresent((report) -> this.state.onReport(report, this.sentAtMs));
 			}
 		}
 
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -15,9 +15,12 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.router.LoadReportFormat;
+import io.verbenacleat.router.balance.ExpectedTimeSelection;
 import io.verbenacleat.router.balance.LeastLoadedSelection;
 import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.balance.PrefixAffinitySelection;
+import io.verbenacleat.router.balance.SelectionKind;
+import io.verbenacleat.router.balance.SelectionPolicy;
 import io.verbenacleat.router.balance.ServerStates;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.config.CallerLimits;
@@ -130,7 +133,8 @@
 		this.metrics = new RelayMetrics(registry);
 		this.ledger = ledger;
 		LeastLoadedSelection leastLoaded = new LeastLoadedSelection(() -> ThreadLocalRandom.current().nextDouble());
-		this.states = new ServerStates(options.zone(), leastLoaded, new PrefixAffinitySelection(leastLoaded), schedule);
+		this.states = new ServerStates(options.zone(), leastLoaded, modelPolicy(options.selection(), leastLoaded),
+				schedule);
 		this.connections = new ServerConnections(loop, this.headerNames.requestId(), this::nowMs, log, this.metrics);
 		this.quarantine = quarantine;
 		this.streamOrigins = streamOrigins;
@@ -142,6 +146,14 @@
 				TimeUnit.MILLISECONDS);
 	}
 
+	private SelectionPolicy modelPolicy(SelectionKind kind, LeastLoadedSelection leastLoaded) {
+		return switch (kind) {
+			case LEAST_LOADED -> new PrefixAffinitySelection(leastLoaded);
+			case EXPECTED_TIME ->
+				new ExpectedTimeSelection(() -> ThreadLocalRandom.current().nextDouble(), this::nowMs);
+		};
+	}
+
 	/**
 	 * Applies a new configuration; may be called on any thread.
 	 * @param newTable the configuration
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayMetrics.java
@@ -37,6 +37,12 @@
 
 	private final Histogram firstByteSeconds;
 
+	private final Histogram expectedFirstEventSeconds;
+
+	private final Histogram firstEventSeconds;
+
+	private final Histogram firstEventErrorSeconds;
+
 	private final Gauge inProgress;
 
 	RelayMetrics(PrometheusRegistry registry) {
@@ -94,6 +100,21 @@
 			.labelNames("kind")
 			.classicOnly()
 			.register(registry);
+		this.expectedFirstEventSeconds = Histogram.builder()
+			.name("verbena_router_expected_first_event_seconds")
+			.help("Time from the send to a model server to the first event, as expected at the send")
+			.classicOnly()
+			.register(registry);
+		this.firstEventSeconds = Histogram.builder()
+			.name("verbena_router_first_event_seconds")
+			.help("Time from the send to a model server to the first event")
+			.classicOnly()
+			.register(registry);
+		this.firstEventErrorSeconds = Histogram.builder()
+			.name("verbena_router_first_event_error_seconds")
+			.help("Difference between the expected and the observed time to the first event")
+			.classicOnly()
+			.register(registry);
 		this.inProgress = Gauge.builder()
 			.name("verbena_router_requests_in_progress")
 			.help("Requests in progress")
@@ -144,6 +165,12 @@
 		this.firstByteSeconds.labelValues(kind.name().toLowerCase(Locale.ROOT)).observe(elapsedMs / MS_PER_SECOND);
 	}
 
+	void firstEvent(double expectedMs, long elapsedMs) {
+		this.expectedFirstEventSeconds.observe(expectedMs / MS_PER_SECOND);
+		this.firstEventSeconds.observe(elapsedMs / MS_PER_SECOND);
+		this.firstEventErrorSeconds.observe(Math.abs(expectedMs - elapsedMs) / MS_PER_SECOND);
+	}
+
 	void setInProgress(int count) {
 		this.inProgress.set(count);
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.verbenacleat.router.balance.RequestDescription;
 import io.verbenacleat.router.balance.ServerState;
 import io.verbenacleat.router.config.RequestKind;
 import io.verbenacleat.router.config.Route;
@@ -463,7 +464,20 @@
 
 	private Optional<ServerState> select(Service target, Set<String> excluded) {
 		return this.relay.states()
-			.select(target.name(), target.modelService(), this.affinityKey, excluded, this.relay.nowMs());
+			.select(target.name(), target.modelService(), describe(), excluded, this.relay.nowMs());
+	}
+
+	/**
+	 * Describes the request for the selection of a server.
+	 * @return the description
+	 */
+	RequestDescription describe() {
+		long promptTokens = TokenUsage.parse(this.request.headers().get(this.relay.headerNames().tokenUsage()))
+			.map(TokenUsage::promptTokens)
+			.orElse(0L);
+		long sharedTokens = PromptParts
+			.sharedTokens(this.request.headers().get(this.relay.headerNames().promptPrefix()));
+		return new RequestDescription(this.affinityKey, promptTokens, sharedTokens);
 	}
 
 	// A stream goes on at its version, and begins at one that all routers can know.
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.verbenacleat.router.balance.ServerLoadModel;
 import io.verbenacleat.router.balance.ServerState;
 import io.verbenacleat.router.config.Route;
 import io.verbenacleat.router.config.Service;
@@ -39,6 +40,8 @@
 
 	private boolean sent;
 
+	private ServerLoadModel.@Nullable Send load;
+
 	private boolean finished;
 
 	private long sentAtMs;
@@ -97,6 +100,7 @@
 		this.progressAtMs = this.sentAtMs;
 		this.sent = true;
 		this.state.onSend(this.sentAtMs);
+		this.load = this.state.model().onSend(this.request.describe(), this.sentAtMs);
 		this.request.markSent(this.state);
 		opened.send(this, this.request.createServerRequest(this.state, this.route));
 		opened.setReading(this.request.isCallerWritable());
@@ -128,7 +132,7 @@
 			this.request.forwardHead(response);
 			return;
 		}
-		this.finished = true;
+		finish();
 		ServerConnection current = this.connection;
 		this.connection = null;
 		if (current != null) {
@@ -159,6 +163,7 @@
 			this.progressAtMs = this.request.relay().nowMs();
 			if (this.contentAtMs < 0) {
 				this.contentAtMs = this.progressAtMs;
+				recordFirstEvent();
 			}
 		}
 	}
@@ -217,7 +222,7 @@
 	}
 
 	private void complete() {
-		this.finished = true;
+		finish();
 		this.state.onSuccess();
 		if (this.success) {
 			this.request.relay().quarantine().onAnswered(this.request.parts(), this.begunNanos);
@@ -230,7 +235,7 @@
 		if (this.finished) {
 			return;
 		}
-		this.finished = true;
+		finish();
 		this.state.onFailure(this.request.relay().nowMs());
 		this.request.onAttemptFailed(this, SendFailure.UNKNOWN, reason, this.mayHaveRunBefore);
 	}
@@ -240,7 +245,7 @@
 		if (this.finished) {
 			return;
 		}
-		this.finished = true;
+		finish();
 		Relay relay = this.request.relay();
 		long nowMs = relay.nowMs();
 		this.state.onFailure(nowMs);
@@ -264,7 +269,7 @@
 	 */
 	void fail(String reason) {
 		closeConnection();
-		this.finished = true;
+		finish();
 		if (this.sent) {
 			this.state.onFailure(this.request.relay().nowMs());
 		}
@@ -281,7 +286,7 @@
 			return;
 		}
 		closeConnection();
-		this.finished = true;
+		finish();
 		if (this.sent) {
 			this.state.onAbandoned();
 		}
@@ -330,6 +335,22 @@
 		}
 	}
 
+	private void recordFirstEvent() {
+		ServerLoadModel.Send sentRequest = this.load;
+		if (this.success && this.service.modelService() && sentRequest != null
+				&& sentRequest.onFirstEvent(this.contentAtMs)) {
+			this.request.relay().metrics().firstEvent(sentRequest.expectedMs(), this.contentAtMs - this.sentAtMs);
+		}
+	}
+
+	private void finish() {
+		this.finished = true;
+		ServerLoadModel.Send sentRequest = this.load;
+		if (sentRequest != null) {
+			sentRequest.onEnd(this.request.relay().nowMs());
+		}
+	}
+
 	private void closeConnection() {
 		ServerConnection current = this.connection;
 		this.connection = null;
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -8,7 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +18,7 @@
 import io.verbenacleat.core.control.SingleControlThread;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.PlatformClient;
+import io.verbenacleat.router.balance.LoadReport;
 import io.verbenacleat.router.budget.StoreClock;
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.Route;
@@ -199,8 +200,8 @@
 		}
 
 		@Override
-		public OptionalInt parseRequestCount(byte[] body) {
-			return OptionalInt.empty();
+		public Optional<LoadReport> parseReport(byte[] body) {
+			return Optional.empty();
 		}
 
 		@Override
--- a/router/src/test/java/io/verbenacleat/router/relay/LoadPollerTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/LoadPollerTests.java
@@ -2,10 +2,11 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 import io.verbenacleat.router.LoadReportFormat;
+import io.verbenacleat.router.balance.LoadReport;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
@@ -39,8 +40,8 @@
 		}
 
 		@Override
-		public OptionalInt parseRequestCount(byte[] body) {
-			return OptionalInt.of(Integer.parseInt(new String(body, StandardCharsets.UTF_8)));
+		public Optional<LoadReport> parseReport(byte[] body) {
+			return Optional.of(LoadReport.ofRequests(Integer.parseInt(new String(body, StandardCharsets.UTF_8))));
 		}
 
 		@Override
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -7,7 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -23,6 +23,7 @@
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.router.LoadReportFormat;
+import io.verbenacleat.router.balance.LoadReport;
 import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.StoreClock;
@@ -352,8 +353,8 @@
 		}
 
 		@Override
-		public OptionalInt parseRequestCount(byte[] body) {
-			return OptionalInt.empty();
+		public Optional<LoadReport> parseReport(byte[] body) {
+			return Optional.empty();
 		}
 
 		@Override
