--- a/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
+++ b/bench/src/main/java/io/verbenacleat/bench/ExperimentMain.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 
 import io.verbenacleat.bench.control.ControlExperiment;
+import io.verbenacleat.bench.evenload.EvenLoadExperiment;
 import io.verbenacleat.bench.grants.GrantsExperiment;
 import io.verbenacleat.bench.hop.HopExperiment;
 import io.verbenacleat.bench.hotkeys.HotKeysExperiment;
@@ -22,9 +23,10 @@
  */
 public final class ExperimentMain {
 
-	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(Map.of("control", new ControlExperiment(),
-			"grants", new GrantsExperiment(), "hop", new HopExperiment(), "hot-keys", new HotKeysExperiment(), "limits",
-			new LimitsExperiment(), "routing", new RoutingExperiment(), "weights", new WeightsExperiment()));
+	private static final Map<String, Experiment> EXPERIMENTS = new TreeMap<>(
+			Map.of("control", new ControlExperiment(), "even-load", new EvenLoadExperiment(), "grants",
+					new GrantsExperiment(), "hop", new HopExperiment(), "hot-keys", new HotKeysExperiment(), "limits",
+					new LimitsExperiment(), "routing", new RoutingExperiment(), "weights", new WeightsExperiment()));
 
 	private ExperimentMain() {
 	}
--- a/bench/src/main/java/io/verbenacleat/bench/routing/VirtualTime.java
+++ b/bench/src/main/java/io/verbenacleat/bench/routing/VirtualTime.java
@@ -7,7 +7,7 @@
  * An event queue in virtual time. Events at the same time run in the order in which they
  * were added, so that runs are reproducible. Not safe for use by several threads.
  */
-final class VirtualTime {
+public final class VirtualTime {
 
 	private final PriorityQueue<Event> events = new PriorityQueue<>(
 			Comparator.comparingLong(Event::atUs).thenComparingLong(Event::number));
@@ -16,7 +16,11 @@
 
 	private long nextNumber;
 
-	long nowUs() {
+	/**
+	 * Returns the current time.
+	 * @return the time in microseconds
+	 */
+	public long nowUs() {
 		return this.nowUs;
 	}
 
@@ -25,7 +29,7 @@
 	 * @param delayUs the delay until the event, in microseconds, 0 or more
 	 * @param action the action to run
 	 */
-	void schedule(long delayUs, Runnable action) {
+	public void schedule(long delayUs, Runnable action) {
 		this.events.add(new Event(this.nowUs + delayUs, this.nextNumber, action));
 		this.nextNumber++;
 	}
@@ -33,7 +37,7 @@
 	/**
 	 * Runs all events, including those that are added meanwhile.
 	 */
-	void run() {
+	public void run() {
 		Event next = this.events.poll();
 		while (next != null) {
 			this.nowUs = next.atUs();
