Average load reports over 20 s and test the selection under faults

Routers that follow each report send to the same server at once. The estimates now use means over all servers of a service, the pace of the responses for the speed of a server, and the share of a prompt prefix in the requests for the number of servers that keep it. The experiment has more contenders and faults.

--- a/bench/src/main/java/io/verbenacleat/bench/evenload/Contender.java
+++ b/bench/src/main/java/io/verbenacleat/bench/evenload/Contender.java
@@ -25,6 +25,10 @@
 				(random, clock) -> new PrefixAffinitySelection(new LeastLoadedSelection(random)), false);
 	}
 
+	static Contender simple(String name, SimpleSelection.Rule rule) {
+		return new Contender(name, (random, clock) -> new SimpleSelection(rule, random, clock), false);
+	}
+
 	static Contender expected(String name, Weights weights, boolean tells) {
 		return new Contender(name, (random, clock) -> new ExpectedTimeSelection(random, clock, weights), tells);
 	}
--- a/bench/src/main/java/io/verbenacleat/bench/evenload/LoadCase.java
+++ b/bench/src/main/java/io/verbenacleat/bench/evenload/LoadCase.java
@@ -11,10 +11,26 @@
  * @param engine the speed of the engines
  * @param kinds the kinds of requests
  * @param load the request rate as a multiple of the rates of the kinds
- * @param lostReports the fraction of reports that are lost
+ * @param faults the faults during the run
+ * @param durationUs the measured time after the warm-up, in microseconds
  */
 record LoadCase(String name, int routers, int servers, EngineSpeed engine, List<PromptKind> kinds, double load,
-		double lostReports) {
+		Faults faults, long durationUs) {
+
+	/**
+	 * The faults during a run. Immutable.
+	 *
+	 * @param lostReports the fraction of reports that are lost
+	 * @param lateReports the fraction of reports that arrive up to four seconds late, so
+	 * that newer ones overtake them
+	 * @param routersRestart whether each router ends once and another one joins
+	 * @param serversRestart whether each third server ends once and restarts
+	 */
+	record Faults(double lostReports, double lateReports, boolean routersRestart, boolean serversRestart) {
+
+		static final Faults NONE = new Faults(0, 0, false, false);
+
+	}
 
 	/**
 	 * The speed of an engine of factor 1. Immutable.
--- a/bench/src/main/java/io/verbenacleat/bench/evenload/LoadRun.java
+++ b/bench/src/main/java/io/verbenacleat/bench/evenload/LoadRun.java
@@ -26,6 +26,8 @@
 
 	static final long WINDOW_US = 500_000;
 
+	private static final int TOKENS_PER_EVENT = 16;
+
 	private static final double[] SPEEDS = { 0.7, 0.7, 1.7 };
 
 	private static final int SHARE_FACTOR = 10;
@@ -42,6 +44,8 @@
 
 	private static final long MAX_REPORT_AGE_US = 300_000;
 
+	private static final long MAX_LATE_US = 4_000_000;
+
 	/** How long a report that is told to another router takes in addition. */
 	private static final long TOLD_US = 250_000;
 
@@ -66,13 +70,11 @@
 
 	private final LoadStatistics statistics = new LoadStatistics();
 
-	private long selectNanos;
-
-	LoadRun(LoadCase loadCase, Contender contender, long seed, long durationUs) {
+	LoadRun(LoadCase loadCase, Contender contender, long seed) {
 		this.loadCase = loadCase;
 		this.contender = contender;
 		this.random = new SplittableRandom(seed);
-		this.endUs = WARM_UP_US + durationUs;
+		this.endUs = WARM_UP_US + loadCase.durationUs();
 		this.shares = new double[loadCase.routers()];
 	}
 
@@ -86,22 +88,54 @@
 		for (int i = 0; i < this.shares.length; i++) {
 			sum += Math.pow(SHARE_FACTOR, (double) i / Math.max(1, this.shares.length - 1));
 			this.shares[i] = sum;
-			SplittableRandom own = this.random.split();
-			ServerStates states = this.contender.newStates("zone-" + i % 3, own::nextDouble,
-					() -> this.time.nowUs() / US_PER_MS, new PermitSchedule(() -> PermitSchedule.UNKNOWN_TIME_MS));
-			states.update(ServerList.of(this.registrations));
-			this.routers.add(states);
+			this.routers.add(newRouter(i));
 			scheduleRounds(i);
 		}
 		for (PromptKind kind : this.loadCase.kinds()) {
 			scheduleArrival(kind);
 		}
+		scheduleFaults();
 		this.time.schedule(WARM_UP_US, this::startWindows);
 		this.time.run();
-		this.statistics.selectNanos = (double) this.selectNanos / Math.max(1, this.statistics.selections);
 		return this.statistics;
 	}
 
+	private ServerStates newRouter(int number) {
+		SplittableRandom own = this.random.split();
+		ServerStates states = this.contender.newStates("zone-" + number % 3, own::nextDouble,
+				() -> this.time.nowUs() / US_PER_MS, new PermitSchedule(() -> PermitSchedule.UNKNOWN_TIME_MS));
+		states.update(ServerList.of(this.registrations));
+		return states;
+	}
+
+	// Spreads the restarts over the measured time.
+	private void scheduleFaults() {
+		long measuredUs = this.endUs - WARM_UP_US;
+		if (this.loadCase.faults().routersRestart()) {
+			for (int i = 0; i < this.routers.size(); i++) {
+				int router = i;
+				this.time.schedule(WARM_UP_US + this.random.nextLong(measuredUs),
+						() -> this.routers.set(router, newRouter(router)));
+			}
+		}
+		if (this.loadCase.faults().serversRestart()) {
+			for (int i = 0; i < this.servers.size(); i += 3) {
+				int server = i;
+				this.time.schedule(WARM_UP_US + this.random.nextLong(measuredUs), () -> restartServer(server));
+			}
+		}
+	}
+
+	private void restartServer(int number) {
+		SimulatedServer ended = this.servers.get(number);
+		this.servers.set(number, new SimulatedServer(this.time, this.loadCase.engine(), ended.speed()));
+		BackendServer old = this.registrations.get(number);
+		this.registrations.set(number, new BackendServer(old.id(), old.startedAtMs() + 1, old.service(), old.host(),
+				old.port(), old.zone(), old.slots(), old.version(), false));
+		this.routers.forEach((router) -> router.update(ServerList.of(this.registrations)));
+		ended.end();
+	}
+
 	private void scheduleRounds(int router) {
 		long start = this.random.nextLong(ROUND_US);
 		long firstRound = this.random.nextInt(1_000);
@@ -125,11 +159,15 @@
 		this.statistics.polls += isMeasured() ? 1 : 0;
 		LoadReport report = this.servers.get(server).report();
 		long requestedAtMs = this.time.nowUs() / US_PER_MS;
-		long ageUs = this.random.nextLong(MIN_REPORT_AGE_US, MAX_REPORT_AGE_US);
-		if (this.random.nextDouble() < this.loadCase.lostReports()) {
+		long ageUs = MIN_REPORT_AGE_US + this.random.nextLong(MAX_REPORT_AGE_US - MIN_REPORT_AGE_US);
+		if (this.random.nextDouble() < this.loadCase.faults().lostReports()) {
 			return;
 		}
-		this.time.schedule(ageUs, () -> state(router, server).onReport(report, requestedAtMs));
+		if (this.random.nextDouble() < this.loadCase.faults().lateReports()) {
+			ageUs += this.random.nextLong(MAX_LATE_US);
+		}
+		ServerState polled = state(router, server);
+		this.time.schedule(ageUs, () -> polled.onReport(report, requestedAtMs));
 		if (this.contender.tellsReports()) {
 			this.time.schedule(ageUs + TOLD_US, () -> {
 				for (int other = 0; other < this.routers.size(); other++) {
@@ -163,15 +201,13 @@
 		}
 		// A square makes a few prefixes hot.
 		double uniform = this.random.nextDouble();
-		long prefix = 1 + (long) (uniform * uniform * kind.prefixes()) + 1_000_003L * kind.sharedTokens();
+		long prefix = 1 + (long) (uniform * uniform * kind.prefixes() * this.loadCase.servers() / 30.0)
+				+ 1_000_003L * kind.sharedTokens();
 		RequestDescription request = new RequestDescription(prefix * 0x9E3779B97F4A7C15L,
 				kind.sharedTokens() + kind.ownTokens(), kind.sharedTokens());
-		long beforeNanos = System.nanoTime();
 		ServerState state = this.routers.get(router)
 			.select("s", true, request, Set.of(), this.time.nowUs() / US_PER_MS)
 			.orElseThrow();
-		this.selectNanos += System.nanoTime() - beforeNanos;
-		this.statistics.selections++;
 		send(kind, prefix, request, state);
 	}
 
@@ -193,10 +229,14 @@
 		};
 		Runnable onEnd = () -> {
 			state.onSuccess();
-			sent.onEnd(this.time.nowUs() / US_PER_MS);
+			sent.onEnd(this.time.nowUs() / US_PER_MS, kind.outputTokens() / TOKENS_PER_EVENT);
 		};
 		SimulatedServer.Job job = new SimulatedServer.Job(kind, prefix,
-				() -> this.time.schedule(NETWORK_US, onFirstEvent), () -> this.time.schedule(NETWORK_US, onEnd));
+				() -> this.time.schedule(NETWORK_US, onFirstEvent), () -> this.time.schedule(NETWORK_US, onEnd), () -> {
+					long nowMs = this.time.nowUs() / US_PER_MS;
+					state.onFailure(nowMs);
+					sent.onEnd(nowMs, 0);
+				});
 		this.time.schedule(NETWORK_US, () -> this.servers.get(server).submit(job));
 		// The router receives events while the response runs, so the server is not
 		// silent.
--- a/bench/src/main/java/io/verbenacleat/bench/evenload/LoadStatistics.java
+++ b/bench/src/main/java/io/verbenacleat/bench/evenload/LoadStatistics.java
@@ -33,10 +33,6 @@
 
 	long polls;
 
-	long selections;
-
-	double selectNanos;
-
 	void window(double ratio, double meanRequests, double fullShare) {
 		this.ratios.recordValue((long) (ratio * RATIO_UNITS));
 		this.requests += meanRequests;
@@ -54,12 +50,12 @@
 		return this.ratios.getMean() / RATIO_UNITS;
 	}
 
-	double latePercent() {
-		return 100.0 * this.late / this.firstEventMs.getTotalCount();
+	double fullPercent() {
+		return 100 * this.full / this.ratios.getTotalCount();
 	}
 
-	long prefixReads() {
-		return this.prefixReads;
+	double latePercent() {
+		return 100.0 * this.late / this.firstEventMs.getTotalCount();
 	}
 
 	String csvLine(String name, String policy) {
--- a/bench/src/main/java/io/verbenacleat/bench/evenload/SimulatedServer.java
+++ b/bench/src/main/java/io/verbenacleat/bench/evenload/SimulatedServer.java
@@ -47,6 +47,8 @@
 
 	private boolean stepping;
 
+	private boolean ended;
+
 	private double requestUs;
 
 	private long countedAtUs;
@@ -96,6 +98,10 @@
 	}
 
 	void submit(Job job) {
+		if (this.ended) {
+			job.onLost.run();
+			return;
+		}
 		count();
 		this.waiting.add(job);
 		if (!this.stepping) {
@@ -104,6 +110,17 @@
 		}
 	}
 
+	/**
+	 * Ends the server and all its requests.
+	 */
+	void end() {
+		this.ended = true;
+		List<Job> lost = new ArrayList<>(this.waiting);
+		lost.addAll(this.reading);
+		lost.addAll(this.generating);
+		lost.forEach((job) -> job.onLost.run());
+	}
+
 	private void count() {
 		this.requestUs += (double) requests() * (this.time.nowUs() - this.countedAtUs);
 		this.countedAtUs = this.time.nowUs();
@@ -151,6 +168,9 @@
 	}
 
 	private void endStep() {
+		if (this.ended) {
+			return;
+		}
 		count();
 		this.generating.removeIf((job) -> {
 			job.outputLeft--;
@@ -181,15 +201,18 @@
 
 		private final Runnable onEnd;
 
+		private final Runnable onLost;
+
 		private int tokensLeft;
 
 		private int outputLeft;
 
-		Job(PromptKind kind, long prefix, Runnable onFirstEvent, Runnable onEnd) {
+		Job(PromptKind kind, long prefix, Runnable onFirstEvent, Runnable onEnd, Runnable onLost) {
 			this.kind = kind;
 			this.prefix = prefix;
 			this.onFirstEvent = onFirstEvent;
 			this.onEnd = onEnd;
+			this.onLost = onLost;
 			this.outputLeft = kind.outputTokens();
 		}
 
--- a/router/src/main/java/io/verbenacleat/router/balance/ExpectedTimeSelection.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ExpectedTimeSelection.java
@@ -6,11 +6,11 @@
 
 /**
  * Selects the server with the earliest expected first event, by {@link ServerLoadModel}.
- * Requests with a common prompt prefix prefer the same servers: the time in which a
- * server reads the prefix is added in proportion to the logarithm of its rank in a
- * rendezvous hash of the prefix, which is identical on every router. A prefix therefore
- * stays on the first servers of its ranking until these are later by the time to read it
- * elsewhere. Not safe for use by several threads.
+ * Requests with a common prompt prefix prefer the same servers: each server has a rank in
+ * a rendezvous hash of the prefix, which is about the same on every router. The time to
+ * read the prefix is added, the more the rank exceeds the number of servers that the
+ * demand for the prefix needs. A prefix is read elsewhere when these are clearly later.
+ * Not safe for use by several threads.
  */
 public final class ExpectedTimeSelection implements SelectionPolicy {
 
@@ -20,13 +20,8 @@
 	/** Penalty for another availability zone, as in {@link LeastLoadedSelection}. */
 	private static final double CROSS_ZONE_FACTOR = 1.05;
 
-	/** Observations of the mean speed that are added to those of each server. */
-	private static final double MEAN_SAMPLES = 4;
-
 	private static final double JITTER = 0.1;
 
-	private static final double REQUEST_TOKENS = 200;
-
 	private static final double LONG_RANGE = 0x1p53;
 
 	private final DoubleSupplier random;
@@ -35,6 +30,8 @@
 
 	private final Weights weights;
 
+	private final PrefixDemand demand = new PrefixDemand();
+
 	/**
 	 * Creates a policy with the default weights.
 	 * @param random supplies random numbers from 0 inclusive to 1 exclusive
@@ -59,21 +56,15 @@
 	@Override
 	public Candidate select(List<Candidate> candidates, RequestDescription request) {
 		long nowMs = this.clock.getAsLong();
-		double meanMsPerToken = 0;
-		double samples = 0;
-		for (Candidate candidate : candidates) {
-			ServerLoadModel model = candidate.model();
-			if (model != null && model.speedSamples() > 0) {
-				meanMsPerToken += model.msPerToken();
-				samples++;
-			}
+		double replicas = 1;
+		if (request.affinityKey() != 0) {
+			replicas += this.weights.replicas() * candidates.size() * this.demand.count(request.affinityKey(), nowMs);
 		}
-		meanMsPerToken = (samples > 0) ? meanMsPerToken / samples : 0.01;
-		double rankScale = Math.log1p(candidates.size());
+		double rankScale = candidates.size() / replicas;
 		Candidate best = candidates.get(0);
 		double bestScore = Double.MAX_VALUE;
 		for (Candidate candidate : candidates) {
-			double score = score(candidate, request, meanMsPerToken, rankScale, candidates.size(), nowMs);
+			double score = score(candidate, request, rankScale, nowMs);
 			if (score < bestScore) {
 				bestScore = score;
 				best = candidate;
@@ -82,24 +73,21 @@
 		return best;
 	}
 
-	private double score(Candidate candidate, RequestDescription request, double meanMsPerToken, double rankScale,
-			int count, long nowMs) {
+	private double score(Candidate candidate, RequestDescription request, double rankScale, long nowMs) {
 		ServerLoadModel model = candidate.model();
 		if (model == null) {
 			return Double.MAX_VALUE;
 		}
-		double samples = Math.min(model.speedSamples(), 20);
-		double msPerToken = (samples * model.msPerToken() + MEAN_SAMPLES * meanMsPerToken) / (samples + MEAN_SAMPLES);
-		double tokens = REQUEST_TOKENS + request.promptTokens() - request.sharedTokens();
+		double tokens = ServerLoadModel.REQUEST_TOKENS + request.promptTokens() - request.sharedTokens();
 		tokens += this.weights.unread() * model.unreadTokens(nowMs);
 		tokens += this.weights.recent() * model.recentTokens(nowMs);
-		tokens += this.weights.requests() * model.requests(nowMs);
+		tokens += this.weights.requests() * model.requests();
 		if (request.affinityKey() != 0 && this.weights.affinity() > 0) {
-			double rank = uniform(candidate.server().id(), request.affinityKey()) * count;
-			tokens += this.weights.affinity() * Math.max(REQUEST_TOKENS, request.sharedTokens()) * Math.log1p(rank)
-					/ rankScale;
+			double rank = uniform(candidate.server().id(), request.affinityKey()) * rankScale * model.slowness();
+			tokens += this.weights.affinity() * Math.max(ServerLoadModel.REQUEST_TOKENS, request.sharedTokens()) * rank
+					* rank / (1 + rank * rank);
 		}
-		double score = tokens * msPerToken + model.slotWaitMs(nowMs);
+		double score = tokens * model.msPerToken() + model.slotWaitMs();
 		score *= 1 + FAILURE_COST * candidate.failureRate();
 		score *= candidate.sameZone() ? 1 : CROSS_ZONE_FACTOR;
 		return score * (1 + JITTER * this.random.getAsDouble());
@@ -123,11 +111,13 @@
 	 * @param requests the tokens that each request at the server counts as, because it
 	 * lengthens the steps of the engine
 	 * @param affinity the weight of reading the prompt prefix on one more server
+	 * @param replicas the servers for a prompt prefix relative to its share of the
+	 * requests
 	 */
-	public record Weights(double unread, double recent, double requests, double affinity) {
+	public record Weights(double unread, double recent, double requests, double affinity, double replicas) {
 
 		/** The weights with the best results in the experiment {@code even-load}. */
-		public static final Weights DEFAULT = new Weights(1, 0.2, 50, 2);
+		public static final Weights DEFAULT = new Weights(1, 0.2, 200, 4, 3);
 
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerLoadModel.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerLoadModel.java
@@ -8,40 +8,45 @@
  * Combines the requests of this router, which it knows exactly, with old reports on those
  * of the other routers. Not safe for use by several threads.
  * <p>
- * The difference between the last report and the mean of the reports loses its weight
- * with the age of the report, because the requests that it counted end. A report that is
- * older than a typical request says little about the present.
+ * The number of requests of the other routers is the mean of many reports, because a
+ * single one is older than most of the requests it counts. Only the tokens that waited
+ * for a slot are used from the last report, with a weight that falls with its age.
  */
 public final class ServerLoadModel {
 
+	/** The round trip to a server within an availability zone. */
+	private static final double FIXED_MS = 1;
+
 	/**
-	 * The part of the time to the first event that does not depend on the prompt: the
-	 * network and about one step of the engine.
+	 * Tokens that each request counts in addition to its prompt: about one step of the
+	 * engine.
 	 */
-	private static final double FIXED_MS = 6;
+	static final double REQUEST_TOKENS = 600;
 
 	/**
-	 * Tokens that each request counts in addition to its prompt, so that requests without
-	 * a known prompt are counted as well.
+	 * Assumed events at the mean slowness, which the observations of one server have to
+	 * outweigh.
 	 */
-	private static final double REQUEST_TOKENS = 200;
-
-	/** Reads 100 tokens per millisecond until the speed was observed. */
-	private static final double INITIAL_MS_PER_TOKEN = 0.01;
-
-	private static final double INITIAL_DURATION_MS = 1_000;
-
-	private static final double INITIAL_TOKENS = 1_000;
+	private static final double ASSUMED_EVENTS = 50;
 
-	private static final double INITIAL_FIRST_EVENT_MS = 40;
+	/** About this many of the last events determine the slowness of a server. */
+	private static final double REMEMBERED_EVENTS = 2_000;
 
-	private static final double SMOOTHING = 0.1;
+	/** Servers of one service differ less; more is an observation gone wrong. */
+	private static final double MAX_SLOWNESS = 5;
 
-	/** Smaller than {@link #SMOOTHING} because the speed of a server rarely changes. */
-	private static final double SPEED_SMOOTHING = 0.05;
+	/**
+	 * How long reports are averaged. Routers that follow each report all send to the
+	 * server that just looked idle: with the last report instead of this mean, servers
+	 * were overrun in turns in the experiment {@code even-load}.
+	 */
+	private static final double REPORT_MEMORY_MS = 20_000;
 
-	/** Reports arrive once in one to 30 seconds, depending on the number of routers. */
-	private static final double REPORT_SMOOTHING = 0.25;
+	/**
+	 * The first report counts like one after this time, and the mean of the service for
+	 * the rest.
+	 */
+	private static final double FIRST_REPORT_MS = 3_000;
 
 	/** Over this time the own sends are spread evenly over the servers. */
 	private static final double RECENT_MS = 2_000;
@@ -51,6 +56,8 @@
 
 	private final int slots;
 
+	private final RequestTimes times;
+
 	/** The prompt prefixes that this router sent to the server, oldest first. */
 	private final Map<Long, Boolean> prefixes = new LinkedHashMap<>(16, 0.75F, true) {
 
@@ -69,22 +76,14 @@
 
 	private long recentAtMs;
 
-	private double msPerToken = INITIAL_MS_PER_TOKEN;
-
-	private double speedSamples;
-
-	private double durationMs = INITIAL_DURATION_MS;
-
-	private double firstEventMs = INITIAL_FIRST_EVENT_MS;
+	private double events = ASSUMED_EVENTS;
 
-	private double requestTokens = INITIAL_TOKENS;
+	private double relativeEvents = ASSUMED_EVENTS;
 
 	private boolean hasReport;
 
 	private long reportAtMs;
 
-	private double reportedOthers;
-
 	private double meanOthers;
 
 	private double reportedWaitingTokens;
@@ -93,9 +92,11 @@
 	 * Creates the model of a server without requests.
 	 * @param slots the number of requests that the server runs concurrently, 0 when
 	 * unknown
+	 * @param times the means of the requests to the service
 	 */
-	public ServerLoadModel(int slots) {
+	public ServerLoadModel(int slots, RequestTimes times) {
 		this.slots = slots;
+		this.times = times;
 	}
 
 	/**
@@ -107,7 +108,7 @@
 	public Send onSend(RequestDescription request, long nowMs) {
 		boolean cached = request.affinityKey() != 0 && this.prefixes.put(request.affinityKey(), Boolean.TRUE) != null;
 		double tokens = REQUEST_TOKENS + request.promptTokens() - (cached ? request.sharedTokens() : 0);
-		double expectedMs = FIXED_MS + slotWaitMs(nowMs) + (unreadTokens(nowMs) + tokens) * this.msPerToken;
+		double expectedMs = FIXED_MS + slotWaitMs() + (unreadTokens(nowMs) + tokens) * msPerToken();
 		this.recentTokens = recentTokens(nowMs) + tokens;
 		this.recentAtMs = nowMs;
 		return new Send(tokens, unreadTokens(nowMs) + tokens, expectedMs, nowMs);
@@ -123,8 +124,13 @@
 		if (this.hasReport && requestedAtMs <= this.reportAtMs) {
 			return;
 		}
-		this.reportedOthers = Math.max(0, report.requests() - this.ownRequests);
-		this.meanOthers += (this.hasReport ? REPORT_SMOOTHING : 1) * (this.reportedOthers - this.meanOthers);
+		double others = Math.max(0, report.requests() - this.ownRequests);
+		if (!this.hasReport) {
+			this.meanOthers = this.times.others();
+		}
+		double elapsedMs = this.hasReport ? requestedAtMs - this.reportAtMs : FIRST_REPORT_MS;
+		this.meanOthers += (1 - Math.exp(-elapsedMs / REPORT_MEMORY_MS)) * (others - this.meanOthers);
+		this.times.onReport(others);
 		this.reportedWaitingTokens = (double) report.waiting() * Math.max(report.nextTokens(), REQUEST_TOKENS);
 		this.reportAtMs = requestedAtMs;
 		this.hasReport = true;
@@ -132,20 +138,18 @@
 
 	/**
 	 * Returns the estimated number of requests of other routers at the server.
-	 * @param nowMs the steady time in milliseconds
-	 * @return the number, 0 before the first report
+	 * @return the number, the mean of the service before the first report
 	 */
-	public double others(long nowMs) {
-		return this.meanOthers + (this.reportedOthers - this.meanOthers) * reportWeight(nowMs);
+	public double others() {
+		return this.hasReport ? this.meanOthers : this.times.others();
 	}
 
 	/**
 	 * Returns the estimated number of requests of all routers at the server.
-	 * @param nowMs the steady time in milliseconds
 	 * @return the number
 	 */
-	public double requests(long nowMs) {
-		return this.ownRequests + others(nowMs);
+	public double requests() {
+		return this.ownRequests + others();
 	}
 
 	/**
@@ -156,19 +160,18 @@
 	 */
 	public double unreadTokens(long nowMs) {
 		// By Little's law, this share of the requests has not had its first event.
-		double unreadShare = Math.min(1, this.firstEventMs / this.durationMs);
-		return this.ownUnreadTokens + others(nowMs) * unreadShare * this.requestTokens
+		double unreadShare = Math.min(1, this.times.firstEventMs() / this.times.durationMs());
+		return this.ownUnreadTokens + others() * unreadShare * this.times.tokens()
 				+ this.reportedWaitingTokens * reportWeight(nowMs);
 	}
 
 	/**
 	 * Returns the estimated wait for a slot.
-	 * @param nowMs the steady time in milliseconds
 	 * @return the wait in milliseconds, 0 while slots are free
 	 */
-	public double slotWaitMs(long nowMs) {
-		double surplus = requests(nowMs) + 1 - this.slots;
-		return (this.slots > 0 && surplus > 0) ? surplus * this.durationMs / this.slots : 0;
+	public double slotWaitMs() {
+		double surplus = requests() + 1 - this.slots;
+		return (this.slots > 0 && surplus > 0) ? surplus * this.times.durationMs() / this.slots : 0;
 	}
 
 	/**
@@ -181,31 +184,32 @@
 	}
 
 	/**
-	 * Returns the time in which the server reads one prompt token.
-	 * @return the time in milliseconds
+	 * Returns the time that the server needs relative to the mean of its service.
+	 * @return the factor, more than 1 for a slow server
 	 */
-	public double msPerToken() {
-		return this.msPerToken;
+	public double slowness() {
+		return Math.max(1 / MAX_SLOWNESS, Math.min(this.relativeEvents / this.events, MAX_SLOWNESS));
 	}
 
 	/**
-	 * Returns how many observations the speed is based on.
-	 * @return the number
+	 * Returns the time in which the server reads one prompt token.
+	 * @return the time in milliseconds
 	 */
-	public double speedSamples() {
-		return this.speedSamples;
+	public double msPerToken() {
+		return this.times.msPerToken() * slowness();
 	}
 
 	/**
-	 * Returns the mean time between the send and the end of a request.
-	 * @return the time in milliseconds
+	 * Returns the age of the last report.
+	 * @param nowMs the steady time in milliseconds
+	 * @return the time since it was requested in milliseconds, very long without a report
 	 */
-	public double durationMs() {
-		return this.durationMs;
+	public double reportAgeMs(long nowMs) {
+		return this.hasReport ? nowMs - this.reportAtMs : Double.MAX_VALUE;
 	}
 
 	private double reportWeight(long nowMs) {
-		return this.hasReport ? decay(nowMs - this.reportAtMs, this.durationMs) : 0;
+		return this.hasReport ? decay(nowMs - this.reportAtMs, this.times.durationMs()) : 0;
 	}
 
 	// Approximates the exponential function, which is too slow for each of 600 servers.
@@ -227,6 +231,8 @@
 
 		private final long sentAtMs;
 
+		private long firstEventAtMs;
+
 		private boolean unread = true;
 
 		private boolean ended;
@@ -258,33 +264,40 @@
 				return false;
 			}
 			markRead();
-			ServerLoadModel model = ServerLoadModel.this;
-			double elapsedMs = nowMs - this.sentAtMs;
-			model.firstEventMs += SMOOTHING * (elapsedMs - model.firstEventMs);
-			model.requestTokens += SMOOTHING * (this.tokens - model.requestTokens);
-			double observed = Math.max(0, elapsedMs - FIXED_MS) / this.tokensToFirstEvent;
-			model.speedSamples++;
-			model.msPerToken += Math.max(1 / model.speedSamples, SPEED_SMOOTHING) * (observed - model.msPerToken);
+			this.firstEventAtMs = nowMs;
+			double readMs = Math.max(0, nowMs - this.sentAtMs - FIXED_MS);
+			ServerLoadModel.this.times.onFirstEvent(readMs, this.tokensToFirstEvent * slowness(), this.tokens);
 			return true;
 		}
 
 		/**
 		 * Records that the request ended, for whatever reason. Later calls do nothing.
 		 * @param nowMs the steady time in milliseconds
+		 * @param eventCount the number of events of the response
 		 */
-		public void onEnd(long nowMs) {
+		public void onEnd(long nowMs, int eventCount) {
 			if (this.ended) {
 				return;
 			}
 			this.ended = true;
 			if (!this.unread) {
-				ServerLoadModel.this.durationMs += SMOOTHING
-						* (nowMs - this.sentAtMs - ServerLoadModel.this.durationMs);
+				recordPace(nowMs, Math.max(0, eventCount - 1));
 			}
 			ServerLoadModel.this.ownRequests--;
 			markRead();
 		}
 
+		private void recordPace(long nowMs, int intervals) {
+			ServerLoadModel model = ServerLoadModel.this;
+			double elapsedMs = nowMs - this.firstEventAtMs;
+			model.times.onEnd(nowMs - this.sentAtMs, intervals, elapsedMs);
+			if (intervals > 0 && model.times.msPerEvent() > 0) {
+				double kept = Math.max(0, 1 - intervals / REMEMBERED_EVENTS);
+				model.events = kept * model.events + intervals;
+				model.relativeEvents = kept * model.relativeEvents + elapsedMs / model.times.msPerEvent();
+			}
+		}
+
 		private void markRead() {
 			if (this.unread) {
 				this.unread = false;
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerState.java
@@ -77,9 +77,19 @@
 	 * @param schedule the schedule of permits for a server that limits requests
 	 */
 	public ServerState(BackendServer server, PermitSchedule schedule) {
+		this(server, schedule, new RequestTimes());
+	}
+
+	/**
+	 * Creates the state of an unused server.
+	 * @param server the server
+	 * @param schedule the schedule of permits for a server that limits requests
+	 * @param times the means of the requests to the service of the server
+	 */
+	public ServerState(BackendServer server, PermitSchedule schedule, RequestTimes times) {
 		this.server = server;
 		this.schedule = schedule;
-		this.model = new ServerLoadModel(server.slots());
+		this.model = new ServerLoadModel(server.slots(), times);
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -35,6 +35,9 @@
 
 	private final Map<String, ServerState> states = new HashMap<>();
 
+	/** The means of the requests, by service. */
+	private final Map<String, RequestTimes> times = new HashMap<>();
+
 	/**
 	 * States of unlisted incarnations, in the order of their removal. They are restored
 	 * when a lapsed registration returns or an older list is read, so that notices of
@@ -90,7 +93,8 @@
 	public ServerState state(BackendServer server) {
 		return this.states.computeIfAbsent(server.id(), (any) -> {
 			ServerState retained = this.unlisted.remove(server.incarnationKey());
-			return (retained != null) ? retained : new ServerState(server, this.schedule);
+			return (retained != null) ? retained : new ServerState(server, this.schedule,
+					this.times.computeIfAbsent(server.service(), (service) -> new RequestTimes()));
 		});
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -347,7 +347,7 @@
 		this.finished = true;
 		ServerLoadModel.Send sentRequest = this.load;
 		if (sentRequest != null) {
-			sentRequest.onEnd(this.request.relay().nowMs());
+			sentRequest.onEnd(this.request.relay().nowMs(), this.request.response().eventCount());
 		}
 	}
 
