--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -8,7 +8,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +18,7 @@
 import io.verbenacleat.core.control.SingleControlThread;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.PlatformClient;
+import io.verbenacleat.router.balance.LoadReport;
 import io.verbenacleat.router.budget.StoreClock;
 import io.verbenacleat.router.config.CallerLimits;
 import io.verbenacleat.router.config.Route;
@@ -185,7 +186,7 @@
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Resumes", "Test-Priority",
 				"Test-Leaving", "Test-Limit", Set.of());
 		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, peerPort, seeds,
-				STOP_TIMEOUT_MS, System.nanoTime(), true, 1, new RelayOptions(names, "z", 0.2, 5, 1, 10_000, 0));
+				STOP_TIMEOUT_MS, System.nanoTime(), true, 1, new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
 		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), () -> 0, feed, new NoReports(),
 				PlatformClient.builder("http://127.0.0.1:1").build().calls(Duration.ofSeconds(1)),
 				new SingleControlThread("control"), new DecisionLog(System::currentTimeMillis));
@@ -245,8 +246,8 @@
 		}
 
 		@Override
-		public OptionalInt parseRequestCount(byte[] body) {
-			return OptionalInt.empty();
+		public Optional<LoadReport> parseReport(byte[] body) {
+			return Optional.empty();
 		}
 
 		@Override
