--- a/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ServerStates.java
@@ -41,6 +41,9 @@
 
 	private final Map<String, ServerState> states = new HashMap<>();
 
+	/** The means of the requests, by service. */
+	private final Map<String, RequestTimes> times = new HashMap<>();
+
 	/**
 	 * States of unlisted incarnations, in the order of their removal. They are restored
 	 * when a lapsed registration returns or an older list is read, so that notices of
@@ -135,7 +138,8 @@
 	}
 
 	private ServerState newState(BackendServer server) {
-		ServerState state = new ServerState(server, this.schedule);
+		ServerState state = new ServerState(server, this.schedule,
+				this.times.computeIfAbsent(server.service(), (service) -> new RequestTimes()));
 		long firstListedAtMs = this.listedAtMs.getOrDefault(server.incarnationKey(), ALREADY_RUNNING);
 		if (firstListedAtMs != ALREADY_RUNNING) {
 			state.warmUp().onStarted(firstListedAtMs);
@@ -401,15 +405,14 @@
 	 * no available one, and servers that warm up only if no other one has a free slot.
 	 * @param service the name of the service
 	 * @param modelService whether the service runs language models
-	 * @param affinityKey a key that requests with a common prompt prefix share, 0 for
-	 * none
+	 * @param request the request
 	 * @param excluded the ids of servers that are not considered
 	 * @param nowMs the steady time in milliseconds
 	 * @return the state of the selected server, empty when a request may be sent to no
 	 * server
 	 */
-	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
-			long nowMs) {
+	public Optional<ServerState> select(String service, boolean modelService, RequestDescription request,
+			Set<String> excluded, long nowMs) {
 		List<Candidate> available = new ArrayList<>();
 		List<Candidate> atMaximum = new ArrayList<>();
 		List<Candidate> withPermit = new ArrayList<>();
@@ -458,8 +461,24 @@
 		if (candidates.isEmpty()) {
 			return Optional.empty();
 		}
-		Candidate selected = (modelService ? this.affinityPolicy : this.plainPolicy).select(candidates, affinityKey);
+		Candidate selected = (modelService ? this.affinityPolicy : this.plainPolicy).select(candidates, request);
 		return Optional.of(state(selected.server()));
 	}
 
+	/**
+	 * Selects a server for a request whose prompt tokens are not known.
+	 * @param service the name of the service
+	 * @param modelService whether the service runs language models
+	 * @param affinityKey a key that requests with a common prompt prefix share, 0 for
+	 * none
+	 * @param excluded the ids of servers that are not considered
+	 * @param nowMs the steady time in milliseconds
+	 * @return the state of the selected server, empty when a request may be sent to no
+	 * server
+	 */
+	public Optional<ServerState> select(String service, boolean modelService, long affinityKey, Set<String> excluded,
+			long nowMs) {
+		return select(service, modelService, RequestDescription.of(affinityKey), excluded, nowMs);
+	}
+
 }
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
@@ -1,5 +1,6 @@
 package io.verbenacleat.router.relay;
 
+import io.verbenacleat.router.balance.SelectionKind;
 import io.verbenacleat.router.balance.WarmUpLimit;
 import io.verbenacleat.router.config.Service;
 
@@ -13,25 +14,27 @@
  * routers
  * @param minRouters the minimum number of routers that share these retries, 1 or more
  * @param retryWindowMs the window of the retry budget, in milliseconds
+ * @param selection the policy that selects the servers of model services
  * @param linkMbps the rate of the host's network link in Mbit/s, 0 if unknown
  * @param warmUpBound how many requests servers may receive while they warm up
  */
 public record RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra, int minRouters,
-		long retryWindowMs, double linkMbps, WarmUpBound warmUpBound) {
+		long retryWindowMs, SelectionKind selection, double linkMbps, WarmUpBound warmUpBound) {
 
 	/**
-	 * Creates settings with {@link WarmUpBound#DEFAULT}.
+	 * Creates settings with the default policy for the selection of servers, an unknown
+	 * link and {@link WarmUpBound#DEFAULT}.
 	 * @param headerNames the names of the HTTP headers
 	 * @param zone the availability zone of this router
-	 * @param retryRatio the allowed retries per request
+	 * @param retryRatio the allowed retries per request, over all routers
 	 * @param retryExtra the allowed retries per window in addition to the ratio
 	 * @param minRouters the minimum number of routers that share these retries
 	 * @param retryWindowMs the window of the retry budget, in milliseconds
-	 * @param linkMbps the rate of the host's network link in Mbit/s, 0 if unknown
 	 */
 	public RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra, int minRouters,
-			long retryWindowMs, double linkMbps) {
-		this(headerNames, zone, retryRatio, retryExtra, minRouters, retryWindowMs, linkMbps, WarmUpBound.DEFAULT);
+			long retryWindowMs) {
+		this(headerNames, zone, retryRatio, retryExtra, minRouters, retryWindowMs, SelectionKind.LEAST_LOADED, 0,
+				WarmUpBound.DEFAULT);
 	}
 
 	/**
--- a/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/RelayFixture.java
@@ -8,7 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.OptionalInt;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -24,6 +24,7 @@
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.router.LoadReportFormat;
+import io.verbenacleat.router.balance.LoadReport;
 import io.verbenacleat.router.balance.PermitSchedule;
 import io.verbenacleat.router.budget.PrepaidLedger;
 import io.verbenacleat.router.budget.StoreClock;
@@ -109,7 +110,7 @@
 				this.control, log, new Random(1));
 		this.streamOrigins = new StreamOrigins(store, new UnknownClock(), () -> 0, this.control, log, new Random(2),
 				true);
-		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000, 0);
+		RelayOptions options = new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000);
 		this.relay = new Relay(this.loop.next(), options, new StartTimeFormat(), this.ledger, this.quarantine,
 				this.streamOrigins, this.permits, log, new PrometheusRegistry());
 		this.relay.setRouterCount(1);
@@ -363,8 +364,8 @@
 		}
 
 		@Override
-		public OptionalInt parseRequestCount(byte[] body) {
-			return OptionalInt.empty();
+		public Optional<LoadReport> parseReport(byte[] body) {
+			return Optional.empty();
 		}
 
 		@Override
