--- a/router/src/main/java/io/verbenacleat/router/balance/ExpectedTimeSelection.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/ExpectedTimeSelection.java
@@ -30,6 +30,9 @@
 
 	private final Weights weights;
 
+	/** Keeps requests that may crash servers on one server up to its load limit. */
+	private final SelectionPolicy suspectPolicy;
+
 	private final PrefixDemand demand = new PrefixDemand();
 
 	/**
@@ -51,10 +54,14 @@
 		this.random = random;
 		this.clock = clock;
 		this.weights = weights;
+		this.suspectPolicy = new PrefixAffinitySelection(new LeastLoadedSelection(random));
 	}
 
 	@Override
 	public Candidate select(List<Candidate> candidates, RequestDescription request) {
+		if (request.suspect()) {
+			return this.suspectPolicy.select(candidates, request);
+		}
 		long nowMs = this.clock.getAsLong();
 		double replicas = 1;
 		if (request.affinityKey() != 0) {
--- a/router/src/main/java/io/verbenacleat/router/balance/RequestDescription.java
+++ b/router/src/main/java/io/verbenacleat/router/balance/RequestDescription.java
@@ -8,8 +8,10 @@
  * unknown
  * @param sharedTokens the number of tokens in the common prompt prefix, at most the
  * prompt tokens
+ * @param suspect whether requests with the key may crash servers, so that they should go
+ * to as few as possible
  */
-public record RequestDescription(long affinityKey, long promptTokens, long sharedTokens) {
+public record RequestDescription(long affinityKey, long promptTokens, long sharedTokens, boolean suspect) {
 
 	/**
 	 * Bounds the influence of one request on the estimates. Engines accept shorter
@@ -25,6 +27,16 @@
 		sharedTokens = Math.max(0, Math.min(sharedTokens, promptTokens));
 	}
 
+	/**
+	 * Creates a description of a request that is not suspected of crashing servers.
+	 * @param affinityKey the key of the common prompt prefix, 0 for none
+	 * @param promptTokens the number of prompt tokens, 0 when unknown
+	 * @param sharedTokens the number of tokens in the common prompt prefix
+	 */
+	public RequestDescription(long affinityKey, long promptTokens, long sharedTokens) {
+		this(affinityKey, promptTokens, sharedTokens, false);
+	}
+
 	/**
 	 * Returns the description of a request whose prompt tokens are not known.
 	 * @param affinityKey the key of the common prompt prefix, 0 for none
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -99,6 +99,9 @@
 
 	private long affinityKey;
 
+	/** Whether the key is that of a part that may crash servers. */
+	private boolean suspect;
+
 	/** The only software version that may run the request, {@code null} for any. */
 	private @Nullable String version;
 
@@ -199,6 +202,7 @@
 			// All requests with the part go to the same server, so that they end no
 			// other.
 			this.affinityKey = PromptPrefixKey.ofPart(decision.suspectPart());
+			this.suspect = true;
 		}
 		if (resumesStream()) {
 			findVersion(this.service);
@@ -477,7 +481,7 @@
 			.orElse(0L);
 		long sharedTokens = PromptParts
 			.sharedTokens(this.request.headers().get(this.relay.headerNames().promptPrefix()));
-		return new RequestDescription(this.affinityKey, promptTokens, sharedTokens);
+		return new RequestDescription(this.affinityKey, promptTokens, sharedTokens, this.suspect);
 	}
 
 	// A stream goes on at its version, and begins at one that all routers can know.
--- a/router/src/test/java/io/verbenacleat/router/balance/ExpectedTimeSelectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/balance/ExpectedTimeSelectionTests.java
@@ -119,6 +119,18 @@
 		assertTrue(sends.getOrDefault("fast", 0) > 1.3 * sends.getOrDefault("slow", 0), sends.toString());
 	}
 
+	// Guards against a prompt part that crashes one more server because its own is busy.
+	@Test
+	public void requestsThatMayCrashServersStayTogether() {
+		RequestDescription suspect = new RequestDescription(9, LONG_PROMPT, 6_000, true);
+		ServerState first = select(this.states, suspect);
+		for (int i = 0; i < 30; i++) {
+			first.model().onSend(longPrompt(9), this.nowMs);
+		}
+		assertNotEquals(select(this.states, longPrompt(9)), first);
+		assertEquals(select(this.states, suspect), first);
+	}
+
 	// Guards against needless hops between availability zones.
 	@Test
 	public void theOwnZoneIsPreferred() {
--- a/router/src/test/java/io/verbenacleat/router/quarantine/RequestNameTests.java
+++ b/router/src/test/java/io/verbenacleat/router/quarantine/RequestNameTests.java
@@ -47,4 +47,13 @@
 		return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
 	}
 
+	// Guards against estimates that a malformed header of a caller spoils.
+	@Test
+	public void sharedTokensAreTheValidNumbersBeforeTheLastPart() {
+		assertEquals(PromptParts.sharedTokens("sys:198,doc:6300,own:2890"), 6_498);
+		assertEquals(PromptParts.sharedTokens("sys:-1,a,b:,c:9999999999999,d:2x,e:5,own:7"), 5);
+		assertEquals(PromptParts.sharedTokens("own:7"), 0);
+		assertEquals(PromptParts.sharedTokens(null), 0);
+	}
+
 }
