Keep connections of callers open until their responses are sent

From 2.5 s after a stop the relay closes idle connections. One counted as idle as soon as the last part of the response was handed to the channel, and the close discarded the bytes that a slow caller had not yet taken. The idle timeout did the same without a stop, and isDrained had the same gap.

A connection now is busy until the last byte of its responses is written to the socket. Its idle time begins then, and starts anew whenever the caller has taken some of an unsent response, so that a caller that reads nothing is still disconnected.

--- a/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
@@ -6,9 +6,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -62,6 +62,12 @@
 
 	private long idleSinceMs;
 
+	/** Complete responses of which the channel still holds bytes. */
+	private int unsentResponses;
+
+	/** The unsent bytes when the timeouts were last checked. */
+	private long unsentBytes;
+
 	private long requestStartedAtMs = -1;
 
 	CallerConnection(Relay relay, Channel channel) {
@@ -141,8 +147,8 @@
 	}
 
 	/**
-	 * Closes the connection if a request is received too slowly or the connection is idle
-	 * for too long.
+	 * Closes the connection if a request is received too slowly, or the connection is
+	 * idle or the caller reads nothing of a complete response for too long.
 	 * @param nowMs the monotonic time in milliseconds
 	 * @param headerTimeoutMs the maximum time to receive a request, in milliseconds
 	 * @param idleTimeoutMs the maximum idle time, in milliseconds
@@ -151,18 +157,33 @@
 		if (this.currentRequest != null || !this.pendingRequests.isEmpty()) {
 			return;
 		}
-		boolean slow = this.requestStartedAtMs >= 0 && nowMs - this.requestStartedAtMs > headerTimeoutMs;
-		if (slow || (this.requestStartedAtMs < 0 && nowMs - this.idleSinceMs > idleTimeoutMs)) {
+		boolean receiving = this.requestStartedAtMs >= 0 && this.unsentResponses == 0;
+		if (this.unsentResponses > 0) {
+			checkProgress(nowMs);
+		}
+		long sinceMs = receiving ? this.requestStartedAtMs : this.idleSinceMs;
+		if (nowMs - sinceMs > (receiving ? headerTimeoutMs : idleTimeoutMs)) {
 			this.channel.close();
 		}
 	}
 
+	private void checkProgress(long nowMs) {
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		long bytes = (buffer != null) ? buffer.totalPendingWriteBytes() : 0;
+		if (bytes != this.unsentBytes) {
+			this.unsentBytes = bytes;
+			this.idleSinceMs = nowMs;
+		}
+	}
+
 	/**
-	 * Returns whether a request is in progress, queued or being received.
+	 * Returns whether a request is in progress, queued or being received, or bytes of a
+	 * response are unsent, which a close would discard.
 	 * @return {@code false} when the connection is idle
 	 */
 	boolean isBusy() {
-		return this.currentRequest != null || !this.pendingRequests.isEmpty() || this.requestStartedAtMs >= 0;
+		return this.currentRequest != null || !this.pendingRequests.isEmpty() || this.requestStartedAtMs >= 0
+				|| this.unsentResponses > 0;
 	}
 
 	boolean isWritable() {
@@ -233,12 +254,12 @@
 	private void finish(Object last) {
 		this.currentRequest = null;
 		this.idleSinceMs = this.relay.nowMs();
-		if (this.closeAfterResponse) {
-			this.closingAfterWrite = true;
-			this.channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+		this.closingAfterWrite = this.closeAfterResponse;
+		this.unsentResponses++;
+		this.channel.writeAndFlush(last).addListener((sent) -> onResponseSent(sent.isSuccess()));
+		if (this.closingAfterWrite) {
 			return;
 		}
-		this.channel.writeAndFlush(last, this.channel.voidPromise());
 		if (this.pendingRequests.isEmpty()) {
 			sendContinue();
 		}
@@ -249,6 +270,14 @@
 		}
 	}
 
+	private void onResponseSent(boolean success) {
+		this.unsentResponses--;
+		this.idleSinceMs = this.relay.nowMs();
+		if (!success || (this.closingAfterWrite && this.unsentResponses == 0)) {
+			this.channel.close();
+		}
+	}
+
 	private void sendContinue() {
 		if (!this.continueExpected || this.closingAfterWrite) {
 			return;
--- a/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
@@ -1,12 +1,17 @@
 package io.verbenacleat.router.relay;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.locks.LockSupport;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -30,9 +35,11 @@
 import io.verbenacleat.router.quarantine.CrashReportPeers;
 import io.verbenacleat.router.quarantine.PartQuarantine;
 import io.verbenacleat.router.stream.StreamOrigins;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 public class CallerConnectionTests {
@@ -79,6 +86,48 @@
 		assertEquals(fixture.relay.bodyMemoryBytes(), 0);
 	}
 
+	@DataProvider
+	public Object[][] connectionHeaders() {
+		return new Object[][] { { "keep-alive" }, { "close" } };
+	}
+
+	// Guards against a stop that discards the end of a response which a slow caller is
+	// still reading.
+	@Test(dataProvider = "connectionHeaders")
+	public void aStopDiscardsNoUnsentResponse(String connectionHeader) {
+		Fixture fixture = new Fixture();
+		SlowSocket socket = fixture.respondSlowly(connectionHeader, 60_000);
+		fixture.relay.stop();
+		while (!fixture.relay.isRefusingRequests()) {
+			fixture.sweep();
+		}
+		fixture.sweep();
+		fixture.sweep();
+		assertTrue(fixture.channel.isOpen());
+		assertFalse(fixture.relay.isDrained());
+		socket.send();
+		fixture.sweep();
+		fixture.sweep();
+		assertEquals(respondedIds(fixture.channel), List.of("1"));
+		assertFalse(fixture.channel.isOpen());
+		assertTrue(fixture.relay.isDrained());
+	}
+
+	// Guards against connections of callers that never read the end of their response.
+	@Test(dataProvider = "connectionHeaders")
+	public void aCallerThatReadsNothingIsDisconnected(String connectionHeader) {
+		int idleTimeoutMs = 200;
+		Fixture fixture = new Fixture();
+		fixture.respondSlowly(connectionHeader, idleTimeoutMs);
+		fixture.sweep();
+		assertTrue(fixture.channel.isOpen());
+		long deadlineMs = fixture.relay.nowMs() + 10 * idleTimeoutMs;
+		while (fixture.channel.isOpen() && fixture.relay.nowMs() < deadlineMs) {
+			fixture.sweep();
+		}
+		assertFalse(fixture.channel.isOpen());
+	}
+
 	private static List<String> respondedIds(EmbeddedChannel channel) {
 		List<String> ids = new ArrayList<>();
 		FullHttpResponse response = channel.readOutbound();
@@ -125,15 +174,55 @@
 		}
 
 		private void configure() {
+			configure(1_000);
+		}
+
+		private SlowSocket respondSlowly(String connectionHeader, int idleTimeoutMs) {
+			SlowSocket socket = new SlowSocket();
+			this.channel.pipeline().addFirst(socket);
+			configure(idleTimeoutMs);
+			this.relay.addCaller(this.connection);
+			FullHttpRequest request = request("/none/", "1");
+			request.headers().set("Connection", connectionHeader);
+			this.channel.pipeline().fireChannelRead(request);
+			this.channel.runPendingTasks();
+			return socket;
+		}
+
+		/** Lets the relay check its connections. */
+		private void sweep() {
+			LockSupport.parkNanos(Duration.ofMillis(60).toNanos());
+			this.channel.runPendingTasks();
+		}
+
+		private void configure(int idleTimeoutMs) {
 			RoutingTable table = new RoutingTable(1, List.of(Route.builder("r", "h", "/paid/").target("s", 1).build()),
 					List.of(new Service("s", 10, true, 1)), List.of(new Workspace("w", List.of("k"), 0, 100)),
-					new CallerLimits(4_096, 4_096, 1_000, 1_000));
+					new CallerLimits(4_096, 4_096, 1_000, idleTimeoutMs));
 			this.relay.configure(table);
 			this.ledger.configure(table);
 		}
 
 	}
 
+	/**
+	 * Holds what is written, like a socket whose peer reads nothing.
+	 */
+	private static final class SlowSocket extends ChannelOutboundHandlerAdapter {
+
+		private final List<Runnable> held = new ArrayList<>();
+
+		@Override
+		public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+			this.held.add(() -> context.writeAndFlush(message, promise));
+		}
+
+		private void send() {
+			this.held.forEach(Runnable::run);
+		}
+
+	}
+
 	private static final class UnknownClock implements StoreClock {
 
 		@Override
