Reject responses with bytes between a chunk and its line end

Netty's decoder skips everything up to the line feed after a chunk. A chunk that was longer than its size was forwarded without its end, in a response that looked complete.

ChunkFraming follows the framing over the bytes that the decoder has consumed, without copying them. Anything but a line end after a chunk now counts as an invalid body, which ends the connection and fails the attempt. Extensions, trailers and bare line feeds are accepted as before.

--- a/router/src/main/java/io/verbenacleat/router/relay/ServerResponseDecoder.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerResponseDecoder.java
@@ -1,13 +1,20 @@
 package io.verbenacleat.router.relay;
 
+import java.util.List;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Decodes the responses on a connection to a backend server, one request at a time, and
@@ -32,6 +39,9 @@
 
 	private SplicedBodyScanner scanner = new SplicedBodyScanner("", "");
 
+	/** Checks the current body, {@code null} if it is not in chunks. */
+	private @Nullable ChunkFraming framing;
+
 	/** The bytes since the last request. */
 	private long receivedBytes;
 
@@ -48,6 +58,7 @@
 		this.method = requestMethod;
 		this.scanner = requestScanner;
 		this.receivedBytes = 0;
+		this.framing = null;
 		this.expecting = true;
 	}
 
@@ -89,6 +100,29 @@
 		super.channelRead(context, message);
 	}
 
+	@Override
+	protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+		int start = buffer.readerIndex();
+		int decodedBefore = out.size();
+		super.decode(context, buffer, out);
+		List<Object> decoded = List.copyOf(out.subList(decodedBefore, out.size()));
+		ChunkFraming current = this.framing;
+		if (current != null && !current.accept(buffer, start, buffer.readerIndex())) {
+			this.framing = null;
+			LastHttpContent invalid = new DefaultLastHttpContent();
+			invalid.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("Chunk exceeds its size")));
+			out.add(invalid);
+		}
+		for (Object message : decoded) {
+			if (message instanceof HttpResponse response) {
+				this.framing = HttpUtil.isTransferEncodingChunked(response) ? new ChunkFraming() : null;
+			}
+			if (message instanceof LastHttpContent) {
+				this.framing = null;
+			}
+		}
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		if (message instanceof HttpResponse response
--- a/router/src/test/java/io/verbenacleat/router/relay/SplicedBodyTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/SplicedBodyTests.java
@@ -5,12 +5,14 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 
 import org.testng.annotations.Test;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 /**
  * Tests backend servers that stop within a body and send another response, and sound ones
@@ -102,13 +104,42 @@
 		}
 	}
 
-	// The decoder drops bytes between a chunk and the end of their line.
-	@Test(groups = KNOWN_RED)
+	// Guards against bytes between a chunk and the end of their line, which the decoder
+	// drops.
+	@Test
 	public void aChunkLongerThanItsSizeIsNotCut() throws IOException {
 		ReceivedResponse response = call(CHUNKED_SUCCESS + "3\r\nabcdef\r\n0\r\n\r\n");
 		assertFalse(response.complete() && response.status() == 200, response.toString());
 	}
 
+	// Guards against the same when the bytes arrive one by one or follow a line end in
+	// part.
+	@Test
+	public void bytesAfterAChunkAreNotDropped() throws IOException {
+		String body = "3\r\nabcdef\r\n0\r\n\r\n";
+		for (int cut = 1; cut < body.length(); cut++) {
+			ReceivedResponse response = call("/once/", false, CHUNKED_SUCCESS + body.substring(0, cut),
+					body.substring(cut));
+			assertFalse(response.complete() && response.status() == 200, cut + " -> " + response);
+		}
+		ReceivedResponse response = call(CHUNKED_SUCCESS + "3\r\nabc\rd\r\n0\r\n\r\n");
+		assertFalse(response.complete() && response.status() == 200, response.toString());
+	}
+
+	// Guards against a sound body that is refused because of its extensions, trailers or
+	// line ends.
+	@Test
+	public void soundChunksAreForwarded() throws IOException {
+		List<String> bodies = List.of("3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n", "6;a=3b\r\nabcdef\r\n0\r\n\r\n",
+				"6 ;x\r\nabcdef\r\n0\r\nA: b\r\n\r\n", "006\r\nabcdef\r\n000\r\n\r\n", "6\nabcdef\n0\n\n",
+				"3\r\nabc\n3\r\ndef\r\n0\r\n\r\n");
+		for (String body : bodies) {
+			ReceivedResponse response = call(CHUNKED_SUCCESS + body);
+			assertTrue(response.complete() && response.status() == 200, body + " -> " + response);
+			assertEquals(response.body(), "abcdef", body);
+		}
+	}
+
 	private static String success(int length) {
 		return "HTTP/1.1 200 OK\r\nTest-Id: 2\r\nContent-Length: " + length + "\r\n\r\n";
 	}
