--- a/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
@@ -6,9 +6,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -53,12 +53,21 @@
 	/** The method of the last request that was started. */
 	private HttpMethod method = HttpMethod.GET;
 
+	/** Whether the request that is being received waits for 100 Continue. */
+	private boolean continueExpected;
+
 	private boolean closeAfterResponse;
 
 	private boolean closingAfterWrite;
 
 	private long idleSinceMs;
 
+	/** Complete responses of which the channel still holds bytes. */
+	private int unsentResponses;
+
+	/** The unsent bytes when the timeouts were last checked. */
+	private long unsentBytes;
+
 	private long requestStartedAtMs = -1;
 
 	CallerConnection(Relay relay, Channel channel) {
@@ -76,6 +85,8 @@
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
 		this.requestStartedAtMs = -1;
+		// The body has arrived or is refused.
+		this.continueExpected = false;
 		if (this.closingAfterWrite || !(message instanceof FullHttpRequest request)) {
 			ReferenceCountUtil.release(message);
 			return;
@@ -125,8 +136,19 @@
 	}
 
 	/**
-	 * Closes the connection if a request is received too slowly or the connection is idle
-	 * for too long.
+	 * Sends 100 Continue as soon as all earlier requests of the connection have their
+	 * responses, unless the body arrives before.
+	 */
+	void onContinueExpected() {
+		this.continueExpected = true;
+		if (this.currentRequest == null && this.pendingRequests.isEmpty()) {
+			sendContinue();
+		}
+	}
+
+	/**
+	 * Closes the connection if a request is received too slowly, or the connection is
+	 * idle or the caller reads nothing of a complete response for too long.
 	 * @param nowMs the monotonic time in milliseconds
 	 * @param headerTimeoutMs the maximum time to receive a request, in milliseconds
 	 * @param idleTimeoutMs the maximum idle time, in milliseconds
@@ -135,18 +157,33 @@
 		if (this.currentRequest != null || !this.pendingRequests.isEmpty()) {
 			return;
 		}
-		boolean slow = this.requestStartedAtMs >= 0 && nowMs - this.requestStartedAtMs > headerTimeoutMs;
-		if (slow || (this.requestStartedAtMs < 0 && nowMs - this.idleSinceMs > idleTimeoutMs)) {
+		boolean receiving = this.requestStartedAtMs >= 0 && this.unsentResponses == 0;
+		if (this.unsentResponses > 0) {
+			checkProgress(nowMs);
+		}
+		long sinceMs = receiving ? this.requestStartedAtMs : this.idleSinceMs;
+		if (nowMs - sinceMs > (receiving ? headerTimeoutMs : idleTimeoutMs)) {
 			this.channel.close();
 		}
 	}
 
+	private void checkProgress(long nowMs) {
+		ChannelOutboundBuffer buffer = this.channel.unsafe().outboundBuffer();
+		long bytes = (buffer != null) ? buffer.totalPendingWriteBytes() : 0;
+		if (bytes != this.unsentBytes) {
+			this.unsentBytes = bytes;
+			this.idleSinceMs = nowMs;
+		}
+	}
+
 	/**
-	 * Returns whether a request is in progress, queued or being received.
+	 * Returns whether a request is in progress, queued or being received, or bytes of a
+	 * response are unsent, which a close would discard.
 	 * @return {@code false} when the connection is idle
 	 */
 	boolean isBusy() {
-		return this.currentRequest != null || !this.pendingRequests.isEmpty() || this.requestStartedAtMs >= 0;
+		return this.currentRequest != null || !this.pendingRequests.isEmpty() || this.requestStartedAtMs >= 0
+				|| this.unsentResponses > 0;
 	}
 
 	boolean isWritable() {
@@ -219,19 +256,41 @@
 	private void finish(Object last) {
 		this.currentRequest = null;
 		this.idleSinceMs = this.relay.nowMs();
-		if (this.closeAfterResponse) {
-			this.closingAfterWrite = true;
-			this.channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+		this.closingAfterWrite = this.closeAfterResponse;
+		this.unsentResponses++;
+		this.channel.writeAndFlush(last).addListener((sent) -> onResponseSent(sent.isSuccess()));
+		if (this.closingAfterWrite) {
 			return;
 		}
-		this.channel.writeAndFlush(last, this.channel.voidPromise());
-		if (!this.pendingRequests.isEmpty()) {
+		if (this.pendingRequests.isEmpty()) {
+			sendContinue();
+		}
+		else {
 			// Deferred, because this call may come from the previous request. The next
 			// one stays queued until then, so that later ones do not overtake it.
 			this.channel.eventLoop().execute(this::startNext);
 		}
 	}
 
+	private void onResponseSent(boolean success) {
+		this.unsentResponses--;
+		this.idleSinceMs = this.relay.nowMs();
+		if (!success || (this.closingAfterWrite && this.unsentResponses == 0)) {
+			this.channel.close();
+		}
+	}
+
+	private void sendContinue() {
+		if (!this.continueExpected || this.closingAfterWrite) {
+			return;
+		}
+		this.continueExpected = false;
+		this.requestStartedAtMs = this.relay.nowMs();
+		this.channel.writeAndFlush(
+				new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER),
+				this.channel.voidPromise());
+	}
+
 	private void startNext() {
 		if (this.currentRequest != null || this.closingAfterWrite || !this.channel.isActive()) {
 			return;
@@ -252,7 +311,14 @@
 			boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
 			request.release();
 			Refusal refusal = tooLong ? Refusal.HEADERS_TOO_LARGE : Refusal.BAD_REQUEST;
-			this.relay.rejectUnreadable(this, refusal);
+			this.relay.reject(this, refusal, "");
+			return;
+		}
+		if (request instanceof RejectedRequest rejected) {
+			this.closeAfterResponse = rejected.isLastOfConnection();
+			rejected.release();
+			String requestId = rejected.headers().get(this.relay.headerNames().requestId());
+			this.relay.reject(this, rejected.refusal(), (requestId != null) ? requestId : "");
 			return;
 		}
 		if (!HttpUtil.isKeepAlive(request)) {
