--- a/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/CallerConnectionTests.java
@@ -153,11 +153,17 @@
 
 		private final EmbeddedChannel channel = new EmbeddedChannel();
 
+		/**
+		 * Has the event loop of the relay, since an embedded channel that closes cancels
+		 * all timers of its own.
+		 */
+		private final EmbeddedChannel timers = new EmbeddedChannel();
+
 		private final PrepaidLedger ledger = new PrepaidLedger(
 				new PrepaidLedger.Identity("127.0.0.1:1", "", "r/1", 0, true), this.store, new UnknownClock(), () -> 0,
 				TokenPeers.none(), this.control, new DecisionLog(() -> 0));
 
-		private final Relay relay = new Relay(this.channel.eventLoop(),
+		private final Relay relay = new Relay(this.timers.eventLoop(),
 				new RelayOptions(RequestHeadersTests.NAMES, "z", 0.2, 10, 1, 10_000),
 				new RelayFixture.StartTimeFormat(), this.ledger,
 				new PartQuarantine(this.store, new UnknownClock(), CrashReportPeers.none(), this.control,
@@ -191,8 +197,12 @@
 
 		/** Lets the relay check its connections. */
 		private void sweep() {
-			LockSupport.parkNanos(Duration.ofMillis(60).toNanos());
+			long endMs = this.relay.nowMs() + 60;
+			while (this.relay.nowMs() < endMs) {
+				LockSupport.parkNanos(Duration.ofMillis(5).toNanos());
+			}
 			this.channel.runPendingTasks();
+			this.timers.runPendingTasks();
 		}
 
 		private void configure(int idleTimeoutMs) {
