--- a/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
@@ -195,7 +195,6 @@
 	}
 
 	void sendHead(HttpResponse response) {
-		this.relay.hostLoad().onMessage(0, this.relay.nowMs());
 		if (this.closeAfterResponse || this.relay.isStopping()) {
 			this.closeAfterResponse = true;
 			response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -204,7 +203,6 @@
 	}
 
 	void sendContent(ByteBuf content) {
-		this.relay.hostLoad().onBodyPart(content.readableBytes(), this.relay.nowMs());
 		this.channel.write(new DefaultHttpContent(content), this.channel.voidPromise());
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
@@ -41,9 +41,6 @@
 	/** The memory for request bodies is used up. */
 	OVERLOADED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
-	/** The host is too small for its share of the callers at the moment. */
-	HOST_OVERLOADED(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
-
 	/** No backend server is available, or none accepted the request. */
 	NO_SERVER(HttpResponseStatus.SERVICE_UNAVAILABLE, true),
 
--- a/router/src/main/java/io/verbenacleat/router/relay/Relay.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Relay.java
@@ -93,8 +93,6 @@
 
 	private final RetryBudget retries;
 
-	private final HostLoad hostLoad;
-
 	private final RelayOptions.WarmUpBound warmUpBound;
 
 	private final Set<CallerConnection> callers = new LinkedHashSet<>();
@@ -151,7 +149,6 @@
 		this.livenessChecks = new LivenessChecks(this, reportFormat, loop);
 		this.retries = new RetryBudget(options.retryRatio(), options.retryExtra(), options.minRouters(),
 				options.retryWindowMs(), this::nowMs);
-		this.hostLoad = new HostLoad(options.linkMbps());
 		this.sweeper = loop.scheduleAtFixedRate(this::sweep, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS,
 				TimeUnit.MILLISECONDS);
 	}
@@ -320,10 +317,6 @@
 		return this.retries;
 	}
 
-	HostLoad hostLoad() {
-		return this.hostLoad;
-	}
-
 	Executor executor() {
 		return this.loop;
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayOptions.java
@@ -15,15 +15,14 @@
  * @param minRouters the minimum number of routers that share these retries, 1 or more
  * @param retryWindowMs the window of the retry budget, in milliseconds
  * @param selection the policy that selects the servers of model services
- * @param linkMbps the rate of the host's network link in Mbit/s, 0 if unknown
  * @param warmUpBound how many requests servers may receive while they warm up
  */
 public record RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra, int minRouters,
-		long retryWindowMs, SelectionKind selection, double linkMbps, WarmUpBound warmUpBound) {
+		long retryWindowMs, SelectionKind selection, WarmUpBound warmUpBound) {
 
 	/**
-	 * Creates settings with the default policy for the selection of servers, an unknown
-	 * link and {@link WarmUpBound#DEFAULT}.
+	 * Creates settings with the default policy for the selection of servers and
+	 * {@link WarmUpBound#DEFAULT}.
 	 * @param headerNames the names of the HTTP headers
 	 * @param zone the availability zone of this router
 	 * @param retryRatio the allowed retries per request, over all routers
@@ -33,7 +32,7 @@
 	 */
 	public RelayOptions(HeaderNames headerNames, String zone, double retryRatio, double retryExtra, int minRouters,
 			long retryWindowMs) {
-		this(headerNames, zone, retryRatio, retryExtra, minRouters, retryWindowMs, SelectionKind.LEAST_LOADED, 0,
+		this(headerNames, zone, retryRatio, retryExtra, minRouters, retryWindowMs, SelectionKind.LEAST_LOADED,
 				WarmUpBound.DEFAULT);
 	}
 
--- a/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/RelayedRequest.java
@@ -185,10 +185,6 @@
 			refuse(Refusal.NO_SERVER);
 			return;
 		}
-		if (!this.relay.hostLoad().accepts(this.bodyBytes, matched.targetLatencyMs(), this.relay.nowMs())) {
-			refuse(Refusal.HOST_OVERLOADED);
-			return;
-		}
 		if (!this.relay.hasServerList()) {
 			this.waitingForConfiguration = true;
 			refuseAfterStartupWait();
@@ -591,7 +587,6 @@
 		this.mayHaveRun = true;
 		this.triedServerIds.add(state.server().id());
 		this.relay.metrics().sent();
-		this.relay.hostLoad().onMessage(this.bodyBytes, this.relay.nowMs());
 		if (this.relay.states().isReduced(state.server().service())) {
 			this.relay.metrics().sentDuringEvacuation();
 		}
