--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -595,9 +595,8 @@
 			this.control.execute(this::startRound);
 			return null;
 		}
-		// When all routers restart together, one transaction with the rows of all
-		// workspaces
-		// would hardly ever succeed.
+		// When all routers restart together, a transaction with the rows of all
+		// workspaces hardly ever succeeds.
 		List<GrantAccount> inherited = predecessorRow.limits()
 			.keySet()
 			.stream()
