Replace review case 9: a request smuggled in the body of another one

Claimed: a request with a transfer coding that is not chunked, and without a length, is taken for one without a body; its body is run as the next request of the connection (UNASKED, also MIXED).

--- a/review/kit-2/Caller.java
+++ b/review/kit-2/Caller.java
@@ -121,15 +121,17 @@
 			this(method, path, host, id, key, deadlineMs, body, body.length);
 		}
 
-		/** A request whose body is sent by other means. */
+		/** A request whose body is sent by other means; a negative length is left out. */
 		Request(String method, String path, String host, String id, String key, int deadlineMs, byte[] body,
 				int length) {
 			this.id = id;
 			this.body = body;
 			this.deadlineMs = deadlineMs;
 			this.head.append(method).append(' ').append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
-			with(Wire.name("request.id"), id).with(Wire.name("request.deadline"), Integer.toString(deadlineMs))
-				.with("Content-Length", Integer.toString(length));
+			with(Wire.name("request.id"), id).with(Wire.name("request.deadline"), Integer.toString(deadlineMs));
+			if (length >= 0) {
+				with("Content-Length", Integer.toString(length));
+			}
 			if (!key.isEmpty()) {
 				with(Wire.name("request.key"), key);
 			}
--- a/review/kit-2/Config.java
+++ b/review/kit-2/Config.java
@@ -18,11 +18,6 @@
 	 * @return the value of the row
 	 */
 	static String of(int version, int tenants, long prepaid) {
-		return of(version, tenants, prepaid, 4_194_304);
-	}
-
-	/** The same with another limit for the bodies of requests. */
-	static String of(int version, int tenants, long prepaid, int bodyBytes) {
 		StringBuilder list = new StringBuilder();
 		for (int i = 0; i < tenants; i++) {
 			list.append((i > 0) ? "," : "")
@@ -37,9 +32,9 @@
 		String services = "{'name':'%s','healthPath':'/health','engine':{'slots':64,'stride':4}},"
 			.formatted(Bench.ENGINES) + "{'name':'%s','healthPath':'/health'}".formatted(Bench.DESK);
 		return ("{'version':%d,'routes':[%s,%s],'services':[%s],"
-				+ "'limits':{'headerBytes':16384,'bodyBytes':%d,'headerTimeoutMs':3000,'idleTimeoutMs':15000},"
+				+ "'limits':{'headerBytes':16384,'bodyBytes':4194304,'headerTimeoutMs':3000,'idleTimeoutMs':15000},"
 				+ "'tenants':[%s]}")
-			.formatted(version, streams, lookups, services, bodyBytes, list)
+			.formatted(version, streams, lookups, services, list)
 			.replace('\'', '"');
 	}
 
@@ -61,12 +56,12 @@
 
 	/** A lookup, which may be repeated. */
 	static Caller.Request lookup(String id, int tenant) {
-		return lookup("GET", id, tenant, new byte[0]);
+		return lookup("GET", id, tenant, new byte[0], 0);
 	}
 
-	/** The same with a body. */
-	static Caller.Request lookup(String method, String id, int tenant, byte[] body) {
-		return new Caller.Request(method, LOOKUPS, Bench.HOST, id, key(tenant), 4_000, body);
+	/** The same with another method, and with a body that is sent by other means. */
+	static Caller.Request lookup(String method, String id, int tenant, byte[] body, int length) {
+		return new Caller.Request(method, LOOKUPS, Bench.HOST, id, key(tenant), 4_000, body, length);
 	}
 
 }
