Replace review case 10: cut answers filled up by other answers

Claimed: a body that a server cut and another answer follows is delivered as a success (MIXED); in one of two ways it holds the whole answer to another request.

--- a/review/kit-2/Bench.java
+++ b/review/kit-2/Bench.java
@@ -59,6 +59,14 @@
 		return server;
 	}
 
+	/** Starts a plain server that spoils one in some answers, 0 for none, and registers it. */
+	StutteringServer stutteringServer(String id, int spoiledEvery) throws IOException {
+		StutteringServer server = new StutteringServer(this.network + "100", id, spoiledEvery, this.record);
+		this.closing.add(server);
+		this.store.put("servers", id, server.registration(DESK));
+		return server;
+	}
+
 	void start(Router router, boolean first) throws IOException {
 		router.start(this.store.address(), this.routers.stream().limit(3).map(Router::host).toList(), first);
 	}
--- a/review/kit-2/Config.java
+++ b/review/kit-2/Config.java
@@ -10,17 +10,23 @@
 	private Config() {
 	}
 
+	/** A configuration with the tenants from 0. */
+	static String of(int version, int tenants, long prepaid) {
+		return of(version, 0, tenants, prepaid);
+	}
+
 	/**
 	 * Returns a configuration.
 	 * @param version its version
-	 * @param tenants the number of tenants; the key of tenant {@code n} is {@link #key}
+	 * @param from the first tenant; the key of tenant {@code n} is {@link #key}
+	 * @param tenants the number of tenants
 	 * @param prepaid the allowance of each
 	 * @return the value of the row
 	 */
-	static String of(int version, int tenants, long prepaid) {
+	static String of(int version, int from, int tenants, long prepaid) {
 		StringBuilder list = new StringBuilder();
-		for (int i = 0; i < tenants; i++) {
-			list.append((i > 0) ? "," : "")
+		for (int i = from; i < from + tenants; i++) {
+			list.append((i > from) ? "," : "")
 				.append("{'name':'%s','apiKeys':['%s'],'priority':1,'prepaid':%d}".formatted(tenant(i), key(i), prepaid));
 		}
 		String streams = "{'name':'r-1','host':'%s','pathPrefix':'/lohu930/','kind':'streaming','timeoutMs':5000,"
--- a/review/kit-2/Main.java
+++ b/review/kit-2/Main.java
@@ -8,7 +8,7 @@
 public final class Main {
 
 	private static final Map<String, Case> CASES = Map.of("6", new RestartBeforeConfiguration(), "7",
-			new ManyTenants(), "8", new LargeBodies(), "9", new SmuggledRequest(), "10", new HupWhileStarting());
+			new ManyTenants(), "8", new LargeBodies(), "9", new SmuggledRequest(), "10", new StutteringAnswers());
 
 	private Main() {
 	}
