State the limits of a store transaction, enforce them in the stand-ins, count rejected writes

A transaction over a limit of the store is rejected however often it is sent. No stand-in of ours refused one, so no test could see such a call, and a writer that repeated it left no trace but its own log line.

The own table service of entry and agent states none, and its tests say so (TransactionLimits.NONE): a receipt row there holds up to 500 receipts, more than 64 KB.

No writer is changed.

--- a/bench/src/main/java/io/verbenacleat/bench/control/LedgerLoad.java
+++ b/bench/src/main/java/io/verbenacleat/bench/control/LedgerLoad.java
@@ -16,6 +16,7 @@
 import io.verbenacleat.core.member.ProcessRow;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.TransactionLimits;
 import io.verbenacleat.entry.budget.AdaptiveGrantPolicy;
 import io.verbenacleat.entry.budget.BudgetLedger;
 import io.verbenacleat.proto.v1.Receipt;
@@ -39,7 +40,7 @@
 
 	private final int accounts;
 
-	private final InMemoryTableStore store = new InMemoryTableStore();
+	private final InMemoryTableStore store = new InMemoryTableStore(TransactionLimits.NONE);
 
 	private final ManualControlThread control = new ManualControlThread(Instant.EPOCH.plusSeconds(1_000_000));
 
--- a/bench/src/main/java/io/verbenacleat/bench/grants/LedgerFleet.java
+++ b/bench/src/main/java/io/verbenacleat/bench/grants/LedgerFleet.java
@@ -14,6 +14,7 @@
 import io.verbenacleat.core.control.ManualControlThread;
 import io.verbenacleat.core.member.Member;
 import io.verbenacleat.core.platform.InMemoryTableStore;
+import io.verbenacleat.core.platform.TransactionLimits;
 import io.verbenacleat.entry.budget.GrantPolicy;
 import org.jspecify.annotations.Nullable;
 
@@ -31,7 +32,7 @@
 
 	private static final Duration RETRY_DELAY = Duration.ofSeconds(5);
 
-	final InMemoryTableStore store = new InMemoryTableStore();
+	final InMemoryTableStore store = new InMemoryTableStore(TransactionLimits.NONE);
 
 	final TableRows rows = new TableRows(this.store);
 
--- a/core/src/main/java/io/verbenacleat/core/platform/InMemoryTableStore.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/InMemoryTableStore.java
@@ -4,18 +4,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 
 /**
- * A table store in memory that can simulate outages and lost responses. Used by tests and
- * by the platform stand-in. Safe for use by several threads; futures are complete when
- * they are returned.
+ * A table store in memory that can simulate outages and lost responses, and rejects
+ * transactions over its limits. Used by tests and by the platform stand-in. Safe for use
+ * by several threads; futures are complete when they are returned.
  */
 public final class InMemoryTableStore implements TableStore {
 
 	private final TreeMap<String, Row> rows = new TreeMap<>();
 
+	private final TransactionLimits limits;
+
 	private boolean available = true;
 
 	private int answersToLose;
@@ -24,6 +27,26 @@
 
 	private long writeTransactions;
 
+	/**
+	 * Creates a store without rows and with the standard limits.
+	 */
+	public InMemoryTableStore() {
+		this(TransactionLimits.STANDARD);
+	}
+
+	/**
+	 * Creates a store without rows.
+	 * @param limits the limits of a transaction
+	 */
+	public InMemoryTableStore(TransactionLimits limits) {
+		this.limits = limits;
+	}
+
+	@Override
+	public TransactionLimits limits() {
+		return this.limits;
+	}
+
 	/**
 	 * Sets whether the store is available.
 	 * @param available {@code false} to fail all calls
@@ -94,6 +117,11 @@
 			return CompletableFuture.completedFuture(new WriteOutcome.NotApplied(unavailable()));
 		}
 		this.writeTransactions++;
+		Optional<String> violation = this.limits.violation(transaction);
+		if (violation.isPresent()) {
+			return CompletableFuture.completedFuture(new WriteOutcome.NotApplied(
+					new PlatformProtocolException("The transaction has " + violation.get(), null)));
+		}
 		Map<String, Long> conflicts = conflicts(transaction);
 		if (!conflicts.isEmpty()) {
 			return CompletableFuture.completedFuture(new WriteOutcome.Conflict(conflicts,
--- a/core/src/main/java/io/verbenacleat/core/platform/TableStore.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/TableStore.java
@@ -29,11 +29,20 @@
 
 	/**
 	 * Applies a transaction wholly or not at all.
-	 * @param transaction the transaction
+	 * @param transaction the transaction, within the {@link #limits}
 	 * @return a future of the outcome; it never fails
 	 */
 	CompletableFuture<WriteOutcome> transact(Transaction transaction);
 
+	/**
+	 * Returns the bounds of a transaction. One over them is never applied.
+	 * @return the limits, {@link TransactionLimits#STANDARD} unless the service has
+	 * others
+	 */
+	default TransactionLimits limits() {
+		return TransactionLimits.STANDARD;
+	}
+
 	/**
 	 * Reads one row.
 	 * @param key the key
--- a/core/src/main/java/io/verbenacleat/core/platform/Transaction.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/Transaction.java
@@ -29,6 +29,14 @@
 		deletes = List.copyOf(deletes);
 	}
 
+	/**
+	 * Returns the number of entries, which services bound.
+	 * @return the number of conditions, puts and deletes
+	 */
+	public int entries() {
+		return this.conditions.size() + this.puts.size() + this.deletes.size();
+	}
+
 	/**
 	 * Returns an empty builder.
 	 * @return a new builder
--- a/core/src/main/java/io/verbenacleat/core/platform/WriteOutcome.java
+++ b/core/src/main/java/io/verbenacleat/core/platform/WriteOutcome.java
@@ -57,6 +57,15 @@
 	 * @param cause the failure
 	 */
 	record NotApplied(PlatformException cause) implements WriteOutcome {
+
+		/**
+		 * Returns whether the service would reject the same transaction again.
+		 * @return {@code false} if a retry may succeed
+		 */
+		public boolean isPermanent() {
+			return this.cause instanceof PlatformProtocolException;
+		}
+
 	}
 
 	/**
--- a/entry/src/test/java/io/verbenacleat/entry/budget/TestEnvironment.java
+++ b/entry/src/test/java/io/verbenacleat/entry/budget/TestEnvironment.java
@@ -21,6 +21,7 @@
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.TransactionLimits;
 import io.verbenacleat.proto.v1.Receipt;
 import io.verbenacleat.proto.v1.ReceiptStatus;
 import io.verbenacleat.proto.v1.ReserveRequest;
@@ -35,7 +36,7 @@
 
 	private static final String ZONE = "zone";
 
-	final InMemoryTableStore store = new InMemoryTableStore();
+	final InMemoryTableStore store = new InMemoryTableStore(TransactionLimits.NONE);
 
 	void put(String key, Object value) {
 		Row row = this.store.read(key).join();
--- a/entry/src/test/java/io/verbenacleat/entry/request/RunnerFixture.java
+++ b/entry/src/test/java/io/verbenacleat/entry/request/RunnerFixture.java
@@ -20,6 +20,7 @@
 import io.verbenacleat.core.member.Membership;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.TransactionLimits;
 import io.verbenacleat.core.rpc.Channels;
 import io.verbenacleat.entry.EntryStateKeys;
 import io.verbenacleat.proto.v1.ChatWork;
@@ -42,7 +43,7 @@
 
 	final FakeBudgetRouter budget = new FakeBudgetRouter();
 
-	final InMemoryTableStore tables = new InMemoryTableStore();
+	final InMemoryTableStore tables = new InMemoryTableStore(TransactionLimits.NONE);
 
 	final DeadlineControlThread control = new DeadlineControlThread();
 
--- a/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
+++ b/itest/src/test/java/io/verbenacleat/itest/office/OfficeFixture.java
@@ -30,6 +30,7 @@
 import io.verbenacleat.core.platform.HostEntry;
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.PlatformClient;
+import io.verbenacleat.core.platform.TransactionLimits;
 import io.verbenacleat.core.rpc.Channels;
 import io.verbenacleat.core.rpc.FleetSecret;
 import io.verbenacleat.entry.EntryDaemon;
@@ -66,7 +67,7 @@
 
 	private static final Duration AWAIT_TIMEOUT = Duration.ofSeconds(20);
 
-	final InMemoryTableStore tables = new InMemoryTableStore();
+	final InMemoryTableStore tables = new InMemoryTableStore(TransactionLimits.NONE);
 
 	final BlockingTableStore blockingTables = new BlockingTableStore(this.tables, Duration.ofSeconds(2));
 
--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -122,7 +122,7 @@
 	/**
 	 * Starts a router.
 	 * @param options the options of the router
-	 * @param store the table store for shared state
+	 * @param tables the table store for shared state
 	 * @param storeClock the clock of the table store
 	 * @param storeEra the era of the table store
 	 * @param feed the source of the configuration and the registrations of servers
@@ -132,7 +132,7 @@
 	 * @param log receives an event for each decision
 	 * @throws IOException when an address cannot be used
 	 */
-	public RouterDaemon(RouterOptions options, TableStore store, StoreClock storeClock, StoreEra storeEra,
+	public RouterDaemon(RouterOptions options, TableStore tables, StoreClock storeClock, StoreEra storeEra,
 			FleetFeed feed, LoadReportFormat reportFormat, HttpCalls peerCalls, ControlThread control, DecisionLog log)
 			throws IOException {
 		this.options = options;
@@ -140,6 +140,7 @@
 		this.feed = feed;
 		this.log = log;
 		PrometheusRegistry registry = new PrometheusRegistry();
+		TableStore store = new ObservedTableStore(tables, control, log, registry);
 		String incarnation = options.name() + "/" + Long.toString(control.clock().millis(), Character.MAX_RADIX);
 		boolean hasPeers = options.peerPort() != RouterOptions.NO_PEERS;
 		String peerAddress = hasPeers ? options.host() + ":" + options.peerPort() : "";
--- a/router/src/test/java/io/verbenacleat/router/budget/RestorableStore.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/RestorableStore.java
@@ -7,20 +7,23 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
 
+import io.verbenacleat.core.platform.PlatformProtocolException;
 import io.verbenacleat.core.platform.PlatformUnavailableException;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
 import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.TransactionLimits;
 import io.verbenacleat.core.platform.WriteOutcome;
 
 /**
- * A table store in memory that can come back from an older copy of its rows. All rows
- * share one counter of versions, which goes back with them, so that versions are given
- * out again.
+ * A table store in memory that can come back from an older copy of its rows, and rejects
+ * transactions over its limits. All rows share one counter of versions, which goes back
+ * with them, so that versions are given out again.
  */
 public final class RestorableStore implements TableStore {
 
@@ -38,6 +41,12 @@
 
 	private boolean available = true;
 
+	private TransactionLimits limits = TransactionLimits.STANDARD;
+
+	private int rejectedCount;
+
+	private int writeCount;
+
 	/**
 	 * Creates a store without rows.
 	 * @param nanoTime the steady time in nanoseconds
@@ -63,6 +72,30 @@
 		this.available = newAvailable;
 	}
 
+	/**
+	 * Returns how many transactions were over the limits.
+	 * @return the count since the start
+	 */
+	int rejectedCount() {
+		return this.rejectedCount;
+	}
+
+	/**
+	 * Returns how many transactions within the limits were received.
+	 * @return the count since the start, conflicts included
+	 */
+	int writeCount() {
+		return this.writeCount;
+	}
+
+	/**
+	 * Sets the limits that the store enforces. Writers are still told the standard ones.
+	 * @param newLimits the limits
+	 */
+	void setEnforcedLimits(TransactionLimits newLimits) {
+		this.limits = newLimits;
+	}
+
 	/**
 	 * Goes back to the rows of an earlier time.
 	 * @param age the age of the copy
@@ -103,6 +136,13 @@
 		if (!this.available) {
 			return CompletableFuture.completedFuture(new WriteOutcome.NotApplied(unavailable()));
 		}
+		Optional<String> violation = this.limits.violation(transaction);
+		if (violation.isPresent()) {
+			this.rejectedCount++;
+			return CompletableFuture.completedFuture(new WriteOutcome.NotApplied(
+					new PlatformProtocolException("The transaction has " + violation.get(), null)));
+		}
+		this.writeCount++;
 		Map<String, Long> conflicts = new HashMap<>();
 		List<Row> current = new ArrayList<>();
 		for (Transaction.Condition condition : transaction.conditions()) {
--- a/standins/src/main/java/io/verbenacleat/standins/PlatformTables.java
+++ b/standins/src/main/java/io/verbenacleat/standins/PlatformTables.java
@@ -11,6 +11,7 @@
 import io.verbenacleat.core.platform.InMemoryTableStore;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.Transaction;
+import io.verbenacleat.core.platform.TransactionLimits;
 import io.verbenacleat.core.platform.WriteOutcome;
 
 /**
@@ -21,7 +22,7 @@
 
 	private static final int MAX_SCAN_ROWS = 1_000;
 
-	private final InMemoryTableStore store = new InMemoryTableStore();
+	private final InMemoryTableStore store = new InMemoryTableStore(TransactionLimits.NONE);
 
 	private final List<AppliedTransaction> appliedTransactions = new ArrayList<>();
 
