Keep the writes of the ledger within the limits of the store

Cause: the ledger put the rows of all workspaces that it wanted to change into one transaction, a condition and a put each. A restarted router takes over the rows of every workspace that its predecessor ever served, those of earlier configurations included. From 50 workspaces on this exceeds 100 entries; the store rejects the call, and each round makes the same one again. The same cause: the first tokens of 50 workspaces, the return of tokens in a planned stop, repairs after an older copy of the store (80 rows, 160 entries, though the comment spoke of 100), a router row or shared row over the bytes of a row, and accounts of workspaces that had left.

Change: rows are chosen while they fit (TransactionRoom, entries and bytes); awaited ones come first, then a ring that each router goes round from its own place. A takeover in parts existed for conflicts and is used for size, too: each part releases a row and takes it off the predecessor's row in one transaction. Limits that do not fit in a router row are left out, those that would release least first; a router without a stated limit may spend what it was granted, and nothing of it is released. Workspaces that left the configuration return their tokens and are forgotten. A rejection within the limits halves them, so that an unstated limit does not stop a router.

--- a/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantAccount.java
@@ -1,8 +1,10 @@
 package io.verbenacleat.router.budget;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 
+import com.google.common.hash.Hashing;
 import io.verbenacleat.core.platform.Row;
 import org.jspecify.annotations.Nullable;
 
@@ -84,6 +86,8 @@
 
 	private final String address;
 
+	private final int order;
+
 	private long allowanceTokens;
 
 	private long configVersion = -1;
@@ -102,6 +106,11 @@
 	GrantAccount(Wallet wallet, String address) {
 		this.wallet = wallet;
 		this.address = address;
+		this.order = hash(wallet.workspace()) - hash(address);
+	}
+
+	private static int hash(String text) {
+		return Hashing.murmur3_32_fixed().hashString(text, StandardCharsets.UTF_8).asInt();
 	}
 
 	Wallet wallet() {
@@ -121,6 +130,34 @@
 		return this.version;
 	}
 
+	/**
+	 * Returns the size of the shared row after a change by this router.
+	 * @return an upper bound in bytes
+	 */
+	int maxRowBytes() {
+		GrantRow current = this.row;
+		return ((current != null) ? current : GrantRow.empty()).maxBytes();
+	}
+
+	/**
+	 * Returns the position of the row in the order in which this router writes more rows
+	 * than fit in a transaction. Routers go round the same ring of rows from different
+	 * places, so that they seldom write the same ones at the same time.
+	 * @return any integer
+	 */
+	int order() {
+		return this.order;
+	}
+
+	/**
+	 * Returns whether the router has returned all unspent tokens and states none in the
+	 * shared row, so that the account can be removed.
+	 * @return {@code false} while requests hold or await tokens
+	 */
+	boolean isUnused() {
+		return this.row != null && this.wallet.isUnused() && !isHoldingStale();
+	}
+
 	/**
 	 * Sets the allowance of the workspace.
 	 * @param newAllowanceTokens the allowance in tokens
--- a/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
@@ -27,6 +27,18 @@
 public record GrantRow(long givenTokens, long allowanceTokens, long configVersion, Map<String, Holding> routers,
 		long era, long number, @Nullable Basis basis, long doubtTokens) {
 
+	/**
+	 * Maximum number of holdings. Those of routers whose addresses are not used again
+	 * would let the row grow over the limit of the store.
+	 */
+	static final int MAX_HOLDINGS = 500;
+
+	/** All fields but the holdings, with the largest figures. */
+	private static final int MAX_FIXED_BYTES = 512;
+
+	/** One holding with the largest figures, without its address. */
+	private static final int MAX_HOLDING_BYTES = 80;
+
 	/**
 	 * Creates a row with a copy of the holdings.
 	 */
@@ -42,6 +54,20 @@
 		return new GrantRow(0, 0, -1, Map.of(), StoreEra.UNKNOWN, 0, null, 0);
 	}
 
+	/**
+	 * Returns the size of the row after a change by one router.
+	 * @return an upper bound of the JSON text in bytes, if addresses are ASCII text
+	 */
+	int maxBytes() {
+		int addressBytes = 0;
+		int longest = MAX_HOLDING_BYTES;
+		for (String address : this.routers.keySet()) {
+			addressBytes += address.length();
+			longest = Math.max(longest, address.length());
+		}
+		return MAX_FIXED_BYTES + addressBytes + longest + (this.routers.size() + 1) * MAX_HOLDING_BYTES;
+	}
+
 	/**
 	 * Returns the row for routers that only count what was granted.
 	 * @return the row without holdings
@@ -155,8 +181,7 @@
 	 * @return the changed row, to be written with the next change
 	 */
 	GrantRow withLoan(String address, Holding holding) {
-		Map<String, Holding> changed = new TreeMap<>(this.routers);
-		changed.put(address, holding);
+		Map<String, Holding> changed = withHolding(address, holding);
 		return new GrantRow(this.givenTokens, this.allowanceTokens, this.configVersion, changed, this.era, this.number,
 				this.basis, this.doubtTokens);
 	}
@@ -172,9 +197,22 @@
 	 * @return the changed row
 	 */
 	GrantRow withHolding(String address, Holding holding, long givenDelta, long allowance, long version, long newEra) {
+		return changed(givenDelta, allowance, version, withHolding(address, holding), newEra);
+	}
+
+	// Holdings only help to size grants and to find lenders, so that the smallest one of
+	// another router can be left out.
+	private Map<String, Holding> withHolding(String address, Holding holding) {
 		Map<String, Holding> changed = new TreeMap<>(this.routers);
 		changed.put(address, holding);
-		return changed(givenDelta, allowance, version, changed, newEra);
+		while (changed.size() > MAX_HOLDINGS) {
+			changed.entrySet()
+				.stream()
+				.filter((entry) -> !entry.getKey().equals(address))
+				.min(Comparator.comparingLong((Map.Entry<String, Holding> entry) -> entry.getValue().unspentTokens()))
+				.ifPresent((entry) -> changed.remove(entry.getKey()));
+		}
+		return changed;
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/budget/LedgerRecovery.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/LedgerRecovery.java
@@ -10,6 +10,7 @@
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.core.json.JsonFormatException;
 import io.verbenacleat.core.platform.Row;
+import io.verbenacleat.core.platform.TransactionRoom;
 
 /**
  * Keeps the allowances when the store comes back from an older copy of the shared rows.
@@ -36,9 +37,6 @@
 	/** Time that a router without memory leaves to the others. */
 	static final Duration MEMORY_WAIT = Duration.ofSeconds(5);
 
-	/** Fits the limit of 100 rows in a transaction, with those that go with it. */
-	private static final int MAX_ROWS_PER_WRITE = 80;
-
 	/** The newest rows by workspace. */
 	private final Map<String, GrantRow> newest = new HashMap<>();
 
@@ -211,25 +209,25 @@
 	}
 
 	/**
-	 * Adds the planned repairs to a write or, when there are none left, the row that
-	 * settles the era.
+	 * Adds repairs to a write or, when none are planned, the row that settles the era.
 	 * @param write the write
+	 * @param selected the repairs of {@link #nextRepairs}
 	 * @param nowNanos the monotonic time in nanoseconds
 	 */
-	void addTo(LedgerWrite write, long nowNanos) {
-		nextRepairs().forEach((repair) -> write.put(PrepaidLedger.GRANT_PREFIX + repair.workspace(), repair.version(),
-				Json.write(repair.row())));
+	void addTo(LedgerWrite write, List<Repair> selected, long nowNanos) {
+		selected.forEach((repair) -> write.put(repair.key(), repair.version(), Json.write(repair.row())));
 		if (this.repairs.isEmpty() && canSettle(nowNanos)) {
 			write.put(KEY, this.settledVersion, Json.write(new History(this.era)));
 		}
 	}
 
 	/**
-	 * Returns the repairs of the next write.
+	 * Selects the repairs of the next write.
+	 * @param room the room in its transaction
 	 * @return as many as fit
 	 */
-	List<Repair> nextRepairs() {
-		return List.copyOf(this.repairs.subList(0, Math.min(MAX_ROWS_PER_WRITE, this.repairs.size())));
+	List<Repair> nextRepairs(TransactionRoom room) {
+		return this.repairs.stream().takeWhile((repair) -> room.tryPut(repair.key(), repair.row().maxBytes())).toList();
 	}
 
 	/**
@@ -259,6 +257,11 @@
 	 * @param version the version of the stored row
 	 */
 	record Repair(String workspace, GrantRow stored, GrantRow row, long version) {
+
+		private String key() {
+			return PrepaidLedger.GRANT_PREFIX + this.workspace;
+		}
+
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/budget/LedgerWrite.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/LedgerWrite.java
@@ -18,6 +18,8 @@
 
 	private final RouterRow routerRow;
 
+	private final Map<String, RouterRow.Limit> limits;
+
 	private final long sentAtNanos;
 
 	private final Map<String, Long> conditions = new HashMap<>();
@@ -32,8 +34,19 @@
 
 	private boolean partialTakeover;
 
-	LedgerWrite(String routerKey, long routerVersion, RouterRow routerRow, long sentAtNanos) {
+	/**
+	 * Creates a write of the router row alone.
+	 * @param routerKey the key of the row
+	 * @param routerVersion the version that it must have
+	 * @param routerRow the row
+	 * @param limits the limits of all workspaces, those that are not stated in the row
+	 * included
+	 * @param sentAtNanos the monotonic time in nanoseconds
+	 */
+	LedgerWrite(String routerKey, long routerVersion, RouterRow routerRow, Map<String, RouterRow.Limit> limits,
+			long sentAtNanos) {
 		this.routerRow = routerRow;
+		this.limits = Map.copyOf(limits);
 		this.sentAtNanos = sentAtNanos;
 		this.conditions.put(routerKey, routerVersion);
 		this.transaction.putIf(routerKey, routerVersion, Json.write(routerRow));
@@ -106,6 +119,10 @@
 		return this.routerRow;
 	}
 
+	Map<String, RouterRow.Limit> limits() {
+		return this.limits;
+	}
+
 	long sentAtNanos() {
 		return this.sentAtNanos;
 	}
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -19,6 +19,8 @@
 import io.verbenacleat.core.platform.PlatformException;
 import io.verbenacleat.core.platform.Row;
 import io.verbenacleat.core.platform.TableStore;
+import io.verbenacleat.core.platform.TransactionLimits;
+import io.verbenacleat.core.platform.TransactionRoom;
 import io.verbenacleat.core.platform.WriteOutcome;
 import io.verbenacleat.router.config.RoutingTable;
 import io.verbenacleat.router.config.Workspace;
@@ -36,8 +38,9 @@
  * {@link #LIMIT_TIMEOUT}. A process that restarts at the same address within that time
  * returns the tokens above the limit to the pool.
  * <p>
- * All rows are written in one transaction. A transaction without a known outcome is
- * retried unchanged until a read shows whether it was applied.
+ * A transaction changes the row of the router and as many shared rows as the store
+ * accepts. One without a known outcome is retried unchanged until a read shows whether it
+ * was applied.
  */
 public final class PrepaidLedger implements AutoCloseable {
 
@@ -96,6 +99,9 @@
 
 	private final TableStore store;
 
+	/** The limits of the store, or lower ones after a rejection within them. */
+	private TransactionLimits writeLimits;
+
 	private final StoreClock storeClock;
 
 	private final StoreEra storeEra;
@@ -178,6 +184,7 @@
 		this.identity = identity;
 		this.routerKey = ROUTER_PREFIX + identity.address();
 		this.store = store;
+		this.writeLimits = store.limits();
 		this.storeClock = storeClock;
 		this.storeEra = storeEra;
 		this.recovery = new LedgerRecovery(identity.firstStart());
@@ -346,6 +353,7 @@
 					.configure(workspace.prepaidTokens(), table.version());
 			}
 		}
+		updateAccounts(table);
 		this.roundInProgress = true;
 		this.roundStartedAtNanos = this.control.nanoTime();
 		checkEra();
@@ -360,6 +368,24 @@
 		}
 	}
 
+	// Accounts of workspaces that have left the configuration would let the router row
+	// grow without end.
+	private void updateAccounts(RoutingTable table) {
+		if (this.pending == null && this.predecessor == null) {
+			this.accounts.values().removeIf((account) -> !isPrepaid(account, table) && account.isUnused());
+		}
+		this.wallets.forEach((workspace, wallet) -> {
+			if (!this.accounts.containsKey(workspace) && wallet.waitingTokens() > 0) {
+				this.accounts.put(workspace, new GrantAccount(wallet, this.identity.address()));
+			}
+		});
+	}
+
+	private static boolean isPrepaid(GrantAccount account, @Nullable RoutingTable table) {
+		Workspace configured = (table != null) ? table.workspace(account.wallet().workspace()) : null;
+		return configured != null && configured.isPrepaid();
+	}
+
 	// Whatever was read or written in the lost time is no longer in the store.
 	private void checkEra() {
 		long current = this.storeEra.current();
@@ -595,18 +621,18 @@
 			this.control.execute(this::startRound);
 			return null;
 		}
-		// When all routers restart together, a transaction with the rows of all
-		// workspaces hardly ever succeeds.
+		// The store bounds a transaction, and when all routers restart together, one with
+		// the rows of many workspaces hardly ever succeeds.
 		List<GrantAccount> inherited = predecessorRow.limits()
 			.keySet()
 			.stream()
 			.flatMap((workspace) -> Optional.ofNullable(this.accounts.get(workspace)).stream())
 			.toList();
-		Set<GrantAccount> selected = ChangeSelection.select(inherited, false);
+		Set<GrantAccount> selected = ChangeSelection.select(inherited, false, roomBesideRouterRow());
 		Map<String, RouterRow.Limit> remaining = new HashMap<>(predecessorRow.limits());
 		selected.forEach((account) -> remaining.remove(account.wallet().workspace()));
 		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion,
-				remaining.isEmpty() ? routerRow(Map.of()) : predecessorRow.withLimits(remaining),
+				remaining.isEmpty() ? routerRow(Map.of()) : predecessorRow.withLimits(remaining), remaining,
 				this.control.nanoTime());
 		if (!remaining.isEmpty()) {
 			write.markPartialTakeover();
@@ -635,6 +661,12 @@
 		return write;
 	}
 
+	private TransactionRoom roomBesideRouterRow() {
+		TransactionRoom room = new TransactionRoom(this.writeLimits);
+		room.tryPut(this.routerKey, this.writeLimits.maxRowBytes());
+		return room;
+	}
+
 	private @Nullable LedgerWrite nextWrite() {
 		Map<String, RouterRow.Limit> limits = new HashMap<>();
 		Map<GrantAccount, Long> deltas = new HashMap<>();
@@ -644,7 +676,8 @@
 		Map<GrantAccount, Long> planned = unchanged ? Map.of() : planDeltas(nowNanos);
 		boolean limitsFirst = !this.changesLeft
 				&& this.accounts.values().stream().anyMatch(GrantAccount::isWaitingForLimit);
-		Set<GrantAccount> selected = ChangeSelection.select(planned.keySet(), limitsFirst);
+		TransactionRoom room = roomBesideRouterRow();
+		Set<GrantAccount> selected = ChangeSelection.select(planned.keySet(), limitsFirst, room);
 		for (GrantAccount account : this.accounts.values()) {
 			long delta = selected.contains(account) ? planned.getOrDefault(account, 0L) : 0;
 			if (delta < 0) {
@@ -656,16 +689,19 @@
 			limits.put(account.wallet().workspace(), account.nextLimit(delta, isPrimary(account)));
 		}
 		this.changesLeft = planned.size() > selected.size();
+		Map<String, RouterRow.Limit> stated = RouterRow.fitting(Map.copyOf(limits), this.writeLimits.maxRowBytes());
+		limits.replaceAll((workspace, limit) -> stated.containsKey(workspace) ? limit : limit.unstated());
 		Duration maxAge = limits.isEmpty() ? MAX_IDLE_WRITE_AGE : MAX_WRITE_AGE;
 		boolean writeDue = !this.rowWritten || this.control.nanoTime() - this.lastWriteAtNanos >= maxAge.toNanos();
 		if (deltas.isEmpty() && limits.equals(this.appliedLimits) && !writeDue && !this.recovery.isWriteDue(nowNanos)) {
 			return null;
 		}
-		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion, routerRow(limits),
+		LedgerWrite write = new LedgerWrite(this.routerKey, this.routerVersion, routerRow(stated), limits,
 				this.control.nanoTime());
 		deltas.forEach((account, delta) -> write.add(account, account.rowAfter(delta, this.recovery.era()), delta));
-		logRepairs();
-		this.recovery.addTo(write, nowNanos);
+		List<LedgerRecovery.Repair> repairs = this.recovery.nextRepairs(room);
+		logRepairs(repairs);
+		this.recovery.addTo(write, repairs, nowNanos);
 		this.previousWriteAtNanos = this.lastWriteAtNanos;
 		this.lastWriteAtNanos = write.sentAtNanos();
 		limits.forEach((workspace, limit) -> wallet(workspace).announceLimit(limit.limitTokens()));
@@ -682,11 +718,12 @@
 		Map<GrantAccount, Long> planned = new HashMap<>();
 		for (GrantAccount account : this.accounts.values()) {
 			// While tokens are being returned, the only waiters are loans to other
-			// routers.
-			boolean returning = this.returningTokens && account.wallet().waitingTokens() == 0;
+			// routers, or requests of before a configuration without their workspace.
+			boolean returning = (this.returningTokens || !isPrepaid(account, this.config))
+					&& account.wallet().waitingTokens() == 0;
 			long delta = returning ? -Math.max(0, account.wallet().heldTokens())
 					: account.planDelta(nowNanos, isPrimary(account));
-			if (hasLender(account)) {
+			if (!returning && hasLender(account)) {
 				if (delta < 0) {
 					planned.put(account, delta);
 				}
@@ -721,8 +758,8 @@
 				this.storeClock.earliestMs(), limits, this.recovery.era(), this.identity.capacityCores());
 	}
 
-	private void logRepairs() {
-		for (LedgerRecovery.Repair repair : this.recovery.nextRepairs()) {
+	private void logRepairs(List<LedgerRecovery.Repair> repairs) {
+		for (LedgerRecovery.Repair repair : repairs) {
 			this.log.event("grant.repaired")
 				.with("workspace", repair.workspace())
 				.with("given_to_all_before", repair.stored().givenTokens())
@@ -770,6 +807,9 @@
 		}
 		else if (outcome instanceof WriteOutcome.NotApplied notApplied) {
 			this.readNeeded = true;
+			if (notApplied.isPermanent()) {
+				this.writeLimits = this.writeLimits.halved();
+			}
 			if (!write.isMaybeApplied()) {
 				this.pending = null;
 				this.lastWriteAtNanos = this.previousWriteAtNanos;
@@ -807,7 +847,7 @@
 		this.readNeeded |= write.isRepairing();
 		write.changes()
 			.forEach((change) -> this.recovery.remember(change.account().wallet().workspace(), change.row()));
-		this.appliedLimits = write.routerRow().limits();
+		this.appliedLimits = write.limits();
 		boolean recent = this.control.nanoTime() - write.sentAtNanos() <= LIMIT_TIMEOUT.toNanos();
 		for (LedgerWrite.Change change : write.changes()) {
 			change.account().wallet().deposit(Math.max(0, change.delta()));
--- a/router/src/main/java/io/verbenacleat/router/budget/RouterRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/RouterRow.java
@@ -1,7 +1,12 @@
 package io.verbenacleat.router.budget;
 
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
+import io.verbenacleat.core.json.Json;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,10 +30,49 @@
 record RouterRow(String incarnation, @Nullable String peerAddress, long number, long atMs, Map<String, Limit> limits,
 		long era, double capacityCores) {
 
+	/** All fields but the limits, with the largest figures and addresses. */
+	private static final int MAX_FIXED_BYTES = 1_024;
+
+	/** The names of the fields of a limit, with quotes and separators. */
+	private static final int FIELD_BYTES = 40;
+
 	RouterRow {
 		limits = Map.copyOf(limits);
 	}
 
+	/**
+	 * Returns the limits that fit in a row. Without a stated limit a router may spend all
+	 * tokens that it was granted, and none of them are released when it is lost, so those
+	 * are left out that would release least.
+	 * @param limits the limits by workspace
+	 * @param maxRowBytes the maximum size of the row in bytes
+	 * @return the limits to state
+	 */
+	static Map<String, Limit> fitting(Map<String, Limit> limits, int maxRowBytes) {
+		int room = maxRowBytes - MAX_FIXED_BYTES;
+		if (limits.entrySet().stream().mapToInt(RouterRow::maxBytes).sum() <= room) {
+			return limits;
+		}
+		Map<String, Limit> stated = new HashMap<>();
+		List<Map.Entry<String, Limit>> ordered = limits.entrySet()
+			.stream()
+			.sorted(Comparator.comparingLong((Map.Entry<String, Limit> entry) -> -entry.getValue().releasableTokens()))
+			.toList();
+		for (Map.Entry<String, Limit> entry : ordered) {
+			room -= maxBytes(entry);
+			if (room >= 0) {
+				stated.put(entry.getKey(), entry.getValue());
+			}
+		}
+		return stated;
+	}
+
+	private static int maxBytes(Map.Entry<String, Limit> entry) {
+		return Json.write(entry.getKey()).getBytes(StandardCharsets.UTF_8).length + FIELD_BYTES
+				+ Long.toString(entry.getValue().givenTokens()).length()
+				+ Long.toString(entry.getValue().limitTokens()).length();
+	}
+
 	/**
 	 * Returns the row with other limits.
 	 * @param remaining the limits by workspace
@@ -47,6 +91,19 @@
 	 * {@link PrepaidLedger#LIMIT_TIMEOUT} of the write, at most {@code givenTokens}
 	 */
 	record Limit(long givenTokens, long limitTokens) {
+
+		private long releasableTokens() {
+			return this.givenTokens - this.limitTokens;
+		}
+
+		/**
+		 * Returns the limit of a router that states none.
+		 * @return a limit that releases no tokens
+		 */
+		Limit unstated() {
+			return new Limit(this.givenTokens, this.givenTokens);
+		}
+
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/Wallet.java
@@ -169,6 +169,14 @@
 		return this.grantedTokens - committedTokens();
 	}
 
+	/**
+	 * Returns whether there are no tokens, requests that hold some, or waiters.
+	 * @return {@code true} if only spent tokens are left
+	 */
+	synchronized boolean isUnused() {
+		return heldTokens() <= 0 && this.reservedTokens == 0 && this.waiters.isEmpty();
+	}
+
 	/**
 	 * Returns the tokens that all waiters need.
 	 * @return the tokens, 0 without waiters
--- a/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/LedgerFleet.java
@@ -64,6 +64,8 @@
 
 	long usedTokens;
 
+	final Map<String, Long> usedByWorkspace = new HashMap<>();
+
 	long served;
 
 	long refusedAsExhausted;
@@ -203,6 +205,7 @@
 
 		private void use(Wallet wallet, long tokens) {
 			LedgerFleet.this.usedTokens += tokens;
+			LedgerFleet.this.usedByWorkspace.merge(wallet.workspace(), tokens, Long::sum);
 			LedgerFleet.this.served++;
 			wallet.settle(tokens, tokens);
 		}
