Refuse requests whose body has no certain end

Cause: the decoder of the library takes a request without a length and without the word chunked for one without a body. Only a length beside chunks was refused. The same cause, found by the tests: parameters after chunked, an empty Transfer-Encoding, unknown codings before chunked (forwarded without being undone), repeated lengths and both fields in HTTP/1.0, and chunks: a size of 32 bits and more wraps around, so that ends the body, bytes after a chunk are dropped, and other line ends are accepted.

Change: StrictRequestDecoder checks each head (RequestFraming) and the bytes of chunks (RequestChunkFraming), marks the request as failed and decodes nothing after it on that connection. 400, or 501 for a coding before chunked (RFC 9112, 6.1 and 6.3), and close. The endpoints for readiness, metrics and other routers use the same decoder; the HTTP server of entry checks heads in RequestSequencer. Its chunks are still decoded by the library.

--- a/core/src/main/java/io/verbenacleat/core/daemon/RequestSequencer.java
+++ b/core/src/main/java/io/verbenacleat/core/daemon/RequestSequencer.java
@@ -21,9 +21,10 @@
  * Forwards the requests of a connection one at a time, each after the response to the
  * previous one was written. The HTTP server processes pipelined requests concurrently and
  * may send their responses in another order, so that a caller would assign a response to
- * the wrong request. A request that the decoder could not parse is replaced by one for
- * {@link #UNREADABLE_PATH}, because its headers and body may be missing. Not safe for use
- * by several threads; Netty calls it on the event loop of the connection.
+ * the wrong request. A request that the decoder could not parse, or whose body has no
+ * certain end, is replaced by one for {@link #UNREADABLE_PATH}, because its headers and
+ * body may be missing, and nothing after it is forwarded. Not safe for use by several
+ * threads; Netty calls it on the event loop of the connection.
  */
 final class RequestSequencer extends ChannelDuplexHandler {
 
@@ -37,10 +38,20 @@
 
 	private boolean responseInProgress;
 
+	/**
+	 * Whether a request could not be parsed, so that what follows may be a part of it.
+	 */
+	private boolean unreadable;
+
 	private boolean forwarding;
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		if (this.unreadable) {
+			ReferenceCountUtil.release(message);
+			return;
+		}
+		this.unreadable = message instanceof HttpRequest request && isUnreadable(request);
 		this.waiting.add(message);
 		forwardWaiting(context);
 		if (this.waiting.size() > MAX_WAITING_MESSAGES) {
@@ -95,7 +106,7 @@
 	}
 
 	private static Object replaceIfUnreadable(HttpRequest request) {
-		if (request.decoderResult().isSuccess()) {
+		if (!isUnreadable(request)) {
 			return request;
 		}
 		ReferenceCountUtil.release(request);
@@ -104,6 +115,10 @@
 		return replacement;
 	}
 
+	private static boolean isUnreadable(HttpRequest request) {
+		return request.decoderResult().isFailure() || RequestFraming.check(request) != null;
+	}
+
 	private static boolean isInformational(Object message) {
 		return message instanceof HttpResponse response
 				&& response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
--- a/router/src/main/java/io/verbenacleat/router/AdminEndpoint.java
+++ b/router/src/main/java/io/verbenacleat/router/AdminEndpoint.java
@@ -8,6 +8,7 @@
 import java.util.function.BooleanSupplier;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -22,12 +23,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import io.verbenacleat.core.daemon.StrictRequestDecoder;
 import io.verbenacleat.core.json.Json;
 import io.verbenacleat.router.peer.PeerRequestHandler;
 import io.verbenacleat.router.quarantine.PartQuarantine;
@@ -45,6 +47,12 @@
 	 */
 	private static final int MAX_BODY_BYTES = 262_144;
 
+	private static final int MAX_LINE_BYTES = 4_096;
+
+	private static final int MAX_HEADER_BYTES = 8_192;
+
+	private static final int MAX_CHUNK_BYTES = 8_192;
+
 	static final String REFUSED_PARTS = "/refused-parts";
 
 	private final Channel channel;
@@ -151,7 +159,8 @@
 				@Override
 				protected void initChannel(Channel accepted) {
 					accepted.pipeline()
-						.addLast(new HttpServerCodec())
+						.addLast(new StrictRequestDecoder(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+						.addLast(new HttpResponseEncoder())
 						.addLast(new HttpObjectAggregator(MAX_BODY_BYTES))
 						.addLast(new ResponseHandler(responder));
 				}
@@ -188,14 +197,22 @@
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) throws IOException {
+			if (request.decoderResult().isFailure()) {
+				write(context, request.method(),
+						new Response(HttpResponseStatus.BAD_REQUEST, "text/plain", new byte[0]), false);
+				return;
+			}
+			HttpMethod method = request.method();
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
-			this.responder.respond(request.method(), request.uri(), request.content().toString(StandardCharsets.UTF_8))
-				.thenAcceptAsync((response) -> write(context, response, keepAlive), context.executor());
+			this.responder.respond(method, request.uri(), request.content().toString(StandardCharsets.UTF_8))
+				.thenAcceptAsync((response) -> write(context, method, response, keepAlive), context.executor());
 		}
 
-		private static void write(ChannelHandlerContext context, Response response, boolean keepAlive) {
-			FullHttpResponse httpResponse = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(),
-					Unpooled.wrappedBuffer(response.body()));
+		private static void write(ChannelHandlerContext context, HttpMethod method, Response response,
+				boolean keepAlive) {
+			ByteBuf body = method.equals(HttpMethod.HEAD) ? Unpooled.EMPTY_BUFFER
+					: Unpooled.wrappedBuffer(response.body());
+			FullHttpResponse httpResponse = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status(), body);
 			httpResponse.headers().set(HttpHeaderNames.CONTENT_TYPE, response.contentType());
 			httpResponse.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
 			HttpUtil.setKeepAlive(httpResponse, keepAlive);
--- a/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.verbenacleat.core.daemon.RequestFramingException;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -302,13 +303,19 @@
 		}
 	}
 
+	private static Refusal refusal(Throwable decodingFailure) {
+		if (decodingFailure instanceof RequestFramingException framing && framing.isUnsupported()) {
+			return Refusal.CODING_NOT_SUPPORTED;
+		}
+		return (decodingFailure instanceof TooLongFrameException) ? Refusal.HEADERS_TOO_LARGE : Refusal.BAD_REQUEST;
+	}
+
 	private void start(FullHttpRequest request) {
 		this.method = request.method();
 		if (request.decoderResult().isFailure()) {
 			this.closeAfterResponse = true;
-			boolean tooLong = request.decoderResult().cause() instanceof TooLongFrameException;
+			Refusal refusal = refusal(request.decoderResult().cause());
 			request.release();
-			Refusal refusal = tooLong ? Refusal.HEADERS_TOO_LARGE : Refusal.BAD_REQUEST;
 			this.relay.reject(this, refusal, "");
 			return;
 		}
--- a/router/src/main/java/io/verbenacleat/router/relay/CallerServer.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/CallerServer.java
@@ -15,9 +15,9 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpVersion;
+import io.verbenacleat.core.daemon.StrictRequestDecoder;
 import io.verbenacleat.router.config.CallerLimits;
 
 /**
@@ -92,7 +92,7 @@
 		CallerConnection connection = new CallerConnection(relay, accepted);
 		accepted.pipeline()
 			.addLast(new ReceivedBytesHandler(connection))
-			.addLast(new StrictRequestDecoder(limits.headerBytes()))
+			.addLast(new CallerRequestDecoder(limits.headerBytes()))
 			.addLast(new HttpResponseEncoder())
 			.addLast(new RequestAggregator(limits.bodyBytes(), connection))
 			.addLast(connection);
@@ -118,20 +118,14 @@
 	}
 
 	/**
-	 * Rejects requests whose length is ambiguous (RFC 9112, section 6.1), and names no
-	 * method for a request whose first line cannot be read.
+	 * Names no method for a request whose first line cannot be read.
 	 */
-	private static final class StrictRequestDecoder extends HttpRequestDecoder {
+	private static final class CallerRequestDecoder extends StrictRequestDecoder {
 
-		private StrictRequestDecoder(int headerBytes) {
+		private CallerRequestDecoder(int headerBytes) {
 			super(headerBytes, headerBytes, MAX_CHUNK_BYTES);
 		}
 
-		@Override
-		protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-			throw new IllegalArgumentException("Request has both Content-Length and Transfer-Encoding");
-		}
-
 		@Override
 		protected HttpMessage createInvalidMessage() {
 			return new DefaultFullHttpRequest(HttpVersion.HTTP_1_0, CallerConnection.UNREADABLE_METHOD, "/");
--- a/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/Refusal.java
@@ -11,6 +11,9 @@
 	/** The request cannot be parsed. */
 	BAD_REQUEST(HttpResponseStatus.BAD_REQUEST, true),
 
+	/** The body of the request has a transfer coding other than chunked. */
+	CODING_NOT_SUPPORTED(HttpResponseStatus.NOT_IMPLEMENTED, true),
+
 	/** The request line or the headers are too large. */
 	HEADERS_TOO_LARGE(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, true),
 
