Do not take a response for complete whose connection a write found broken

Cause: such a response is complete if its connection ends without an error on the reading side. While the upload waits in the channel, the event loop handles a reset in the write first. The write fails and closes the channel, without an exception on the reading side, and the decoder ends the response with the connection.

Change: a write that fails with an error of the connection counts as a reset. A close by the server while it still reads, and one after the whole upload, stay complete.

--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.router.relay;
 
 import java.io.IOException;
+import java.nio.channels.ClosedChannelException;
 import java.util.concurrent.TimeUnit;
 
 import io.netty.channel.Channel;
@@ -152,7 +153,16 @@
 		this.sentAtMs = this.pool.nowMs();
 		this.method = request.method();
 		this.decoder.expectResponse(this.method, newScanner);
-		this.channel.writeAndFlush(request).addListener((written) -> this.requestWritten = written.isSuccess());
+		this.channel.writeAndFlush(request).addListener((written) -> onRequestWritten(written.cause()));
+	}
+
+	// A write that fails closes the channel without an exception on the reading side, so
+	// that the end of the connection would look orderly.
+	private void onRequestWritten(@Nullable Throwable failure) {
+		this.requestWritten = failure == null;
+		if (failure instanceof IOException && !(failure instanceof ClosedChannelException)) {
+			this.reset = true;
+		}
 	}
 
 	/**
--- a/router/src/test/java/io/verbenacleat/router/relay/FakeServer.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/FakeServer.java
@@ -49,11 +49,31 @@
 
 	private final Script script;
 
+	/** Whether bodies of requests are left to the script. */
+	private final boolean headsOnly;
+
 	FakeServer(String id, Script script) throws IOException {
 		this(id, "v1", script);
 	}
 
 	FakeServer(String id, String version, Script script) throws IOException {
+		this(id, version, script, false);
+	}
+
+	/**
+	 * Starts a server that reads the heads of requests and leaves their bodies to its
+	 * script.
+	 * @param id the id of the server
+	 * @param script the script
+	 * @return the server
+	 * @throws IOException if no address can be bound
+	 */
+	static FakeServer readingHeads(String id, Script script) throws IOException {
+		return new FakeServer(id, "v1", script, true);
+	}
+
+	private FakeServer(String id, String version, Script script, boolean headsOnly) throws IOException {
+		this.headsOnly = headsOnly;
 		this.id = id;
 		this.version = version;
 		this.script = script;
@@ -222,7 +242,7 @@
 		}
 	}
 
-	private static String read(InputStream in) throws IOException {
+	private String read(InputStream in) throws IOException {
 		StringBuilder head = new StringBuilder();
 		while (head.indexOf("\r\n\r\n") < 0) {
 			int next = in.read();
@@ -231,6 +251,9 @@
 			}
 			head.append((char) next);
 		}
+		if (this.headsOnly) {
+			return head.toString();
+		}
 		String length = header(head.toString(), "content-length");
 		byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
 		return head + new String(body, StandardCharsets.ISO_8859_1);
