Take only codes from 100 to 599 for the status of a response

Here 000, 001, 099, 1000, 20, +20, -20 and 2x0 already ended in 502.

Change: the status must be three digits from 100 to 599 (RFC 9110, section 15), on the text of the line, for requests, load reports, liveness checks and interim responses, which share the decoder.

ResponseHeadCheckTests called 999 sound; that was wrong by the section above, and it now has 599 in its place and 600 and 999 among the invalid ones.

--- a/router/src/main/java/io/verbenacleat/router/relay/ResponseHeadCheck.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ResponseHeadCheck.java
@@ -19,10 +19,6 @@
 
 	private static final String VERSION_PREFIX = "HTTP/1.";
 
-	private static final int MIN_STATUS = 100;
-
-	private static final int MAX_STATUS = 999;
-
 	private ResponseHeadCheck() {
 	}
 
@@ -35,9 +31,7 @@
 	@Nullable
 	static ResponseFault check(HttpResponse response, String requestIdHeader) {
 		HttpVersion version = response.protocolVersion();
-		int status = response.status().code();
-		if ((!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) || status < MIN_STATUS
-				|| status > MAX_STATUS) {
+		if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
 			return ResponseFault.INVALID_HEAD;
 		}
 		if (containsStatusLine(response.status().reasonPhrase())) {
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerResponseDecoder.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerResponseDecoder.java
@@ -1,6 +1,7 @@
 package io.verbenacleat.router.relay;
 
 import java.util.List;
+import java.util.regex.Pattern;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -27,6 +28,9 @@
  */
 final class ServerResponseDecoder extends HttpResponseDecoder {
 
+	/** RFC 9110, section 15. */
+	private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
 	private static final int MAX_LINE_BYTES = 8_192;
 
 	private static final int MAX_HEADER_BYTES = 65_536;
@@ -123,6 +127,15 @@
 		}
 	}
 
+	// The superclass parses the status as any number, so that 0200 becomes 200.
+	@Override
+	protected HttpMessage createMessage(String[] initialLine) {
+		if (!STATUS.matcher(initialLine[1]).matches()) {
+			throw new IllegalArgumentException("The status is not a code from 100 to 599");
+		}
+		return super.createMessage(initialLine);
+	}
+
 	@Override
 	protected boolean isContentAlwaysEmpty(HttpMessage message) {
 		if (message instanceof HttpResponse response
--- a/router/src/test/java/io/verbenacleat/router/relay/ResponseHeadCheckTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/ResponseHeadCheckTests.java
@@ -23,7 +23,10 @@
 	public static Object[][] statusLines() {
 		return new Object[][] { { "HTTP/1.1HTTP/1.1 500 Oops" }, { "HTTP/1.HTTP/1.1 200 OK" }, { "TP/1.1 200 OK" },
 				{ "HTTP/2.0 200 OK" }, { "HTTP/1.1 1000 OK" }, { "HTTP/1.1 2000 OK" }, { "HTTP/1.1 20 OK" },
-				{ "HTTP/1.1 0 OK" } };
+				{ "HTTP/1.1 0 OK" }, { "HTTP/1.1 000 OK" }, { "HTTP/1.1 001 OK" }, { "HTTP/1.1 099 OK" },
+				{ "HTTP/1.1 0200 OK" }, { "HTTP/1.1 00200 OK" }, { "HTTP/1.1 600 OK" }, { "HTTP/1.1 999 OK" },
+				{ "HTTP/1.1 +20 OK" }, { "HTTP/1.1 -20 OK" }, { "HTTP/1.1 2x0 OK" }, { "HTTP/1.1 20 0 OK" },
+				{ "HTTP/1.1 \u0662\u0660\u0660 OK" }, { "HTTP/1.1" } };
 	}
 
 	// The decoder takes other versions and any number as a status, which callers cannot
@@ -36,7 +39,7 @@
 	// Sound servers of an older version, or with a status of their own.
 	@Test
 	public void soundStatusLinesAreValid() {
-		for (String line : new String[] { "HTTP/1.0 200 OK", "HTTP/1.1 100 Continue", "HTTP/1.1 999 Odd",
+		for (String line : new String[] { "HTTP/1.0 200 OK", "HTTP/1.1 100 Continue", "HTTP/1.1 599 Odd",
 				"HTTP/1.1 200" }) {
 			assertEquals(check(line), null, line);
 		}
