Do not forward response bodies with another coding or a size that wraps around

A response with a transfer coding other than chunked was forwarded as a success: its coding was neither undone nor told to the caller, or it ended at a length that does not apply. A chunk size of 32 bits and more wraps around in the decoder, so that a body could arrive cut and complete (size for four bytes).

The head check refuses every coding but a single chunked, and ChunkFraming every size over 31 bits.

--- a/router/src/main/java/io/verbenacleat/router/relay/ChunkFraming.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ChunkFraming.java
@@ -5,7 +5,7 @@
 /**
  * Checks that nothing but a line end follows each chunk of a body (RFC 9112, section
  * 7.1). The decoder skips the rest of that line unseen, so that a chunk longer than its
- * size would be cut. Not thread safe.
+ * size would be cut, and wraps around a size of more than 31 bits. Not thread safe.
  */
 final class ChunkFraming {
 
@@ -24,7 +24,7 @@
 	 * @param bytes the buffer
 	 * @param from the index of the first byte
 	 * @param to the index after the last byte
-	 * @return {@code false} if bytes follow a chunk
+	 * @return {@code false} if bytes follow a chunk, or its size is too large
 	 */
 	boolean accept(ByteBuf bytes, int from, int to) {
 		int index = from;
@@ -40,6 +40,9 @@
 			index++;
 			if (this.state == State.SIZE) {
 				readSize(next);
+				if (this.remainingBytes > Integer.MAX_VALUE) {
+					return false;
+				}
 			}
 			else if (next == '\n') {
 				startSize();
--- a/router/src/main/java/io/verbenacleat/router/relay/ResponseHeadCheck.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ResponseHeadCheck.java
@@ -1,8 +1,10 @@
 package io.verbenacleat.router.relay;
 
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import org.jspecify.annotations.Nullable;
@@ -17,6 +19,9 @@
 	/** The part of a status line that precedes the reason phrase. */
 	private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1[.][01] [0-9]{3}");
 
+	/** No other transfer coding was asked for, and none is undone. */
+	private static final Pattern CHUNKED = Pattern.compile("[ \t]*chunked[ \t]*", Pattern.CASE_INSENSITIVE);
+
 	private static final String VERSION_PREFIX = "HTTP/1.";
 
 	private ResponseHeadCheck() {
@@ -34,6 +39,10 @@
 		if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
 			return ResponseFault.INVALID_HEAD;
 		}
+		List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+		if (!codings.isEmpty() && (codings.size() > 1 || !CHUNKED.matcher(codings.get(0)).matches())) {
+			return ResponseFault.INVALID_HEAD;
+		}
 		if (containsStatusLine(response.status().reasonPhrase())) {
 			return ResponseFault.SPLICED_HEAD;
 		}
