Agent: do not bill a cut response of a plain service as complete, nor forward odd statuses

Its HTTP client reads a response although the request could not be sent to its end; the failed write has used up the error of the connection, so that a response without a length seems to end in an orderly way. Statuses outside 100 to 599 were forwarded.

A response that ends with its connection is now broken if the request was not sent whole, and a status out of range is a broken call. Chat responses were not affected, since they end with [DONE].

--- a/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
+++ b/agent/src/main/java/io/verbenacleat/agent/backend/BackendCalls.java
@@ -92,6 +92,8 @@
 
 		private volatile boolean bodySent;
 
+		private volatile boolean sendFailed;
+
 		/**
 		 * Creates an attempt.
 		 * @param onConnected called once, before the request is sent
@@ -117,6 +119,21 @@
 			return this.bodySent;
 		}
 
+		/**
+		 * Returns whether the request could not be sent to its end, because its
+		 * connection broke. The client reads a response all the same, and may take the
+		 * broken connection for the end of its body.
+		 * @return {@code true} if a response may be cut unless it has a length or chunks
+		 */
+		public boolean sendFailed() {
+			return this.sendFailed;
+		}
+
+		@Override
+		public void requestFailed(Call call, IOException failure) {
+			this.sendFailed = true;
+		}
+
 		@Override
 		public void requestBodyEnd(Call call, long byteCount) {
 			this.bodySent = true;
--- a/agent/src/main/java/io/verbenacleat/agent/service/PlainServiceClient.java
+++ b/agent/src/main/java/io/verbenacleat/agent/service/PlainServiceClient.java
@@ -30,6 +30,15 @@
 
 	private static final int BUFFER_BYTES = 32 * 1024;
 
+	/** RFC 9110, section 15. */
+	private static final int MIN_STATUS = 100;
+
+	private static final int MAX_STATUS = 599;
+
+	private static final int NO_CONTENT = 204;
+
+	private static final int NOT_MODIFIED = 304;
+
 	private final BackendCalls calls;
 
 	private final BackendTarget target;
@@ -59,6 +68,9 @@
 		cancellation.onCancel(call::cancel);
 		try (Response response = call.execute()) {
 			forwardResponse(response, sink);
+			if (attempt.sendFailed() && endsWithConnection(response)) {
+				throw new IOException("the connection broke before the request was sent");
+			}
 			return BackendOutcome.ended(ReceiptStatus.COMPLETE).withBill(priceTokens, 0);
 		}
 		catch (IOException ex) {
@@ -69,7 +81,15 @@
 		}
 	}
 
+	private static boolean endsWithConnection(Response response) {
+		return response.header("Content-Length") == null && response.header("Transfer-Encoding") == null
+				&& response.code() != NO_CONTENT && response.code() != NOT_MODIFIED;
+	}
+
 	private static void forwardResponse(Response response, BackendSink sink) throws IOException {
+		if (response.code() < MIN_STATUS || response.code() > MAX_STATUS) {
+			throw new IOException("the service answered with status " + response.code());
+		}
 		List<HttpHeader> headers = new ArrayList<>();
 		response.headers()
 			.forEach((header) -> headers
