Return to the stated limits of the store a minute after a rejection

A rejection halves the limits of the writes of a router, and nothing raised them again: a store or an intermediary that rejects calls for some seconds for another reason would have left the router at one shared row for each transaction until its restart. Found by reading the change.

ManyWorkspacesTests.wholeTransactionsAreWrittenAgainAfterAMinute: 90 workspaces in at most five writes.

--- a/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/GrantRow.java
@@ -39,6 +39,9 @@
 	/** One holding with the largest figures, without its address. */
 	private static final int MAX_HOLDING_BYTES = 80;
 
+	/** An IPv6 address with a port. */
+	private static final int MAX_ADDRESS_BYTES = 48;
+
 	/**
 	 * Creates a row with a copy of the holdings.
 	 */
@@ -59,13 +62,8 @@
 	 * @return an upper bound of the JSON text in bytes, if addresses are ASCII text
 	 */
 	int maxBytes() {
-		int addressBytes = 0;
-		int longest = MAX_HOLDING_BYTES;
-		for (String address : this.routers.keySet()) {
-			addressBytes += address.length();
-			longest = Math.max(longest, address.length());
-		}
-		return MAX_FIXED_BYTES + addressBytes + longest + (this.routers.size() + 1) * MAX_HOLDING_BYTES;
+		int addressBytes = this.routers.keySet().stream().mapToInt(String::length).sum() + MAX_ADDRESS_BYTES;
+		return MAX_FIXED_BYTES + addressBytes + (this.routers.size() + 1) * MAX_HOLDING_BYTES;
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
+++ b/router/src/main/java/io/verbenacleat/router/budget/PrepaidLedger.java
@@ -89,6 +89,12 @@
 	 */
 	private static final double MAX_LOAN_FRACTION = 0.1;
 
+	/**
+	 * Time for which a router writes smaller transactions after the store has rejected
+	 * one. A rejection for another reason does not slow it down for good.
+	 */
+	private static final Duration SMALLER_WRITES_TIME = Duration.ofSeconds(60);
+
 	private static final int MAX_WORKSPACES = 1_000;
 
 	private static final double NANOS_PER_SECOND = 1e9;
@@ -102,6 +108,8 @@
 	/** The limits of the store, or lower ones after a rejection within them. */
 	private TransactionLimits writeLimits;
 
+	private long rejectedAtNanos;
+
 	private final StoreClock storeClock;
 
 	private final StoreEra storeEra;
@@ -198,6 +206,7 @@
 		this.startedAtNanos = identity.startedAtNanos();
 		this.demandUpdatedAtNanos = control.nanoTime();
 		this.lastWriteAtNanos = this.demandUpdatedAtNanos;
+		this.rejectedAtNanos = this.demandUpdatedAtNanos;
 		this.timer = control.scheduleWithFixedDelay(ROUND_INTERVAL, this::tick);
 	}
 
@@ -662,7 +671,11 @@
 	}
 
 	private TransactionRoom roomBesideRouterRow() {
+		if (this.control.nanoTime() - this.rejectedAtNanos > SMALLER_WRITES_TIME.toNanos()) {
+			this.writeLimits = this.store.limits();
+		}
 		TransactionRoom room = new TransactionRoom(this.writeLimits);
+		// The row grows with the accounts, up to the limit of a row.
 		room.tryPut(this.routerKey, this.writeLimits.maxRowBytes());
 		return room;
 	}
@@ -809,6 +822,7 @@
 			this.readNeeded = true;
 			if (notApplied.isPermanent()) {
 				this.writeLimits = this.writeLimits.halved();
+				this.rejectedAtNanos = this.control.nanoTime();
 			}
 			if (!write.isMaybeApplied()) {
 				this.pending = null;
--- a/router/src/test/java/io/verbenacleat/router/budget/ManyWorkspacesTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/ManyWorkspacesTests.java
@@ -228,6 +228,24 @@
 		assertEquals(fleet.served - before, 240);
 	}
 
+	// Guards against a router that writes a row at a time for good, because the store has
+	// rejected its calls for some time.
+	@Test
+	public void wholeTransactionsAreWrittenAgainAfterAMinute() {
+		LedgerFleet fleet = fleet(1, 90);
+		fleet.store.setEnforcedLimits(new TransactionLimits(1, 1, 1, 1));
+		requestOnAllRouters(fleet);
+		fleet.advance(Duration.ofSeconds(5));
+		assertEquals(fleet.served, 0);
+		fleet.store.setEnforcedLimits(TransactionLimits.STANDARD);
+		fleet.advance(Duration.ofSeconds(70));
+		int before = fleet.store.writeCount();
+		requestOnAllRouters(fleet);
+		fleet.advance(Duration.ofMillis(200));
+		assertEquals(fleet.served, 90);
+		assertTrue(fleet.store.writeCount() - before <= 5, "writes: " + (fleet.store.writeCount() - before));
+	}
+
 	// Random sequences of kills, restarts, outages, lost or delayed writes, and
 	// configurations that drop workspaces or add them again. Guards against tokens that
 	// are given out twice because a change is written in parts.
