Let the stand-in of a lost host refuse new connections before it closes the old ones

Trace: loseHost closed the connections first and then took the address again with a full backlog. The router tries to connect as soon as the connection ends, and could get a place in the new backlog before it was full, so that the host looked alive. A lost host accepts nothing after its connections have ended.

--- a/router/src/test/java/io/verbenacleat/router/relay/FakeServer.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/FakeServer.java
@@ -149,7 +149,10 @@
 	void loseHost() throws IOException {
 		int port = this.socket.getLocalPort();
 		InetAddress address = this.socket.getInetAddress();
-		crash();
+		this.socket.close();
+		while (this.acceptor.isAlive()) {
+			Thread.onSpinWait();
+		}
 		ServerSocket silent = new ServerSocket(port, MIN_BACKLOG, address);
 		this.unaccepted.add(silent);
 		boolean full = false;
@@ -163,6 +166,8 @@
 				full = true;
 			}
 		}
+		// Last, since the router tries to connect as soon as one of them is closed.
+		closeAll(this.connections);
 	}
 
 	private static void closeAll(List<? extends Closeable> sockets) throws IOException {
