--- a/router/src/test/java/io/verbenacleat/router/budget/ManyWorkspacesTests.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/ManyWorkspacesTests.java
@@ -321,7 +321,7 @@
 		}
 	}
 
-	// One request of each workspace at each router, and again if it was refused.
+	// One request of each workspace at each router is served within the recovery time.
 	private static void assertServedSoon(LedgerFleet fleet) {
 		fleet.advance(RECOVERY_TIME);
 		long before = fleet.served;
