--- a/review/kit-3/BusyCase.java
+++ b/review/kit-3/BusyCase.java
@@ -14,9 +14,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A sound server whose answers end with their connection has a long queue for some time and
- * resets new connections meanwhile. With TROUBLE=0 the callers are few, so that the queue
- * stays short.
+ * Two sound servers, one of which ends a few of its answers with their connection, have a
+ * long queue during bursts and reset new connections meanwhile. With TROUBLE=0 there are no
+ * bursts.
  */
 final class BusyCase {
 
@@ -30,13 +30,29 @@
 
 	private static final int WORK_MS = 120;
 
+	private static final int CLIENTS = 112;
+
+	/** The pause of a client between two requests. */
+	private static final int INTERVAL_MS = 1_250;
+
+	private static final double BURST = 1.7;
+
+	private static final int BURST_MS = 3_000;
+
+	private static final int BURSTS = 10;
+
+	private static final int BETWEEN_BURSTS_MS = 4_000;
+
+	/** Answers of the first server without a length, in 100. */
+	private static final int UNFRAMED_PERCENT = 3;
+
 	private static final int DEADLINE_MS = 4_000;
 
 	private static final int MAX_CUT = 3;
 
-	private final Semaphore slots = new Semaphore(SLOTS, true);
+	private volatile boolean burst;
 
-	private final AtomicInteger waiting = new AtomicInteger();
+	private final AtomicInteger unframed = new AtomicInteger();
 
 	private final AtomicInteger resets = new AtomicInteger();
 
@@ -57,17 +73,12 @@
 	private int run(Path file, boolean trouble) throws Exception {
 		try (Kit.Record record = new Kit.Record(file);
 				FakeStoreServer store = new FakeStoreServer();
-				Kit.Server desk = new Kit.Server((request, socket, out) -> serve(record, request, socket, out));
+				Desk first = new Desk(record, UNFRAMED_PERCENT);
+				Desk second = new Desk(record, 0);
 				Kit.Router router = new Kit.Router("router1", store.port())) {
-			desk.admission = () -> {
-				boolean admitted = this.waiting.get() < LONG_QUEUE;
-				if (!admitted) {
-					this.resets.incrementAndGet();
-				}
-				return admitted;
-			};
 			store.put("op", "config", Kit.config(1, 100_000_000));
-			store.put("servers", "i-1", Kit.registration("desk", desk.port(), SLOTS, "ready", 1, 5));
+			store.put("servers", "i-1", Kit.registration("desk", first.server.port(), SLOTS, "ready", 1, 5));
+			store.put("servers", "i-2", Kit.registration("desk", second.server.port(), SLOTS, "ready", 1, 5));
 			router.start(true);
 			if (!router.awaitReady(30_000)) {
 				record.say("the router is not ready");
@@ -76,34 +87,27 @@
 			record.say("the router is ready");
 			AtomicBoolean stop = new AtomicBoolean();
 			List<Thread> clients = new ArrayList<>();
-			for (int c = 0; c < 4; c++) {
+			for (int c = 0; c < CLIENTS; c++) {
 				int number = c;
-				clients.add(Kit.daemon(() -> send(record, router, "a" + number, stop, 100)));
+				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
 			}
-			Kit.sleep(6_000);
-			AtomicBoolean burstOver = new AtomicBoolean();
-			if (trouble) {
-				record.say("many users come at once");
-				for (int c = 0; c < 24; c++) {
-					int number = c;
-					clients.add(Kit.daemon(() -> send(record, router, "b" + number, burstOver, 100)));
-				}
+			Kit.sleep(5_000);
+			for (int i = 0; i < BURSTS; i++) {
+				this.burst = trouble;
+				record.add(trouble ? "a burst begins" : "no burst");
+				Kit.sleep(BURST_MS);
+				this.burst = false;
+				Kit.sleep(BETWEEN_BURSTS_MS);
 			}
-			Kit.sleep(10_000);
-			burstOver.set(true);
-			Kit.sleep(4_000);
 			stop.set(true);
 			for (Thread client : clients) {
 				client.join(DEADLINE_MS + 2_000);
 			}
-			router.output()
-				.lines()
-				.filter((line) -> line.contains("response.connection_ended"))
-				.limit(40)
-				.forEach(record::add);
+			router.output().lines().filter((line) -> line.contains("response.connection_ended")).forEach(record::add);
 			synchronized (this) {
 				record.say("outcomes " + this.outcomes + ", connections that the server reset: " + this.resets);
-				record.say("answers that the server wrote whole: " + this.answered.size()
+				record.say("answers that the servers wrote whole: " + this.answered.size() + " (without a length: " + this.unframed
+						+ ")"
 						+ ", of these cut on their way to a client that waits: " + this.cut.size()
 						+ " on kept connections, " + this.cutOnNewConnection.size() + " on new ones");
 				this.cut.stream().limit(10).forEach(record::say);
@@ -114,55 +118,33 @@
 		}
 	}
 
-	private boolean serve(Kit.Record record, Kit.Request request, Socket socket, java.io.OutputStream out)
-			throws IOException, InterruptedException {
-		if (this.waiting.get() >= MAX_QUEUE) {
-			out.write(Kit.answerHead(503, request.id(), Kit.name("header.notrun") + ": 1\r\n", 0).getBytes());
-			return true;
-		}
-		this.waiting.incrementAndGet();
-		this.slots.acquire();
-		this.waiting.decrementAndGet();
-		try {
-			record.add("server runs " + request.id());
-			Kit.sleep(WORK_MS);
-			out.write(Kit.answerHead(200, request.id(), "Connection: close\r\n", -1).getBytes());
-			out.write(body(request.id()));
-			out.flush();
-			socket.shutdownOutput();
-			this.answered.put(request.id(), true);
-			record.add("server has answered " + request.id() + " whole");
-		}
-		finally {
-			this.slots.release();
-		}
-		// Closes once the caller has closed, so that the answer is not reset.
-		socket.setSoTimeout(2_000);
-		socket.getInputStream().read();
-		return false;
-	}
-
 	private static byte[] body(String id) {
 		byte[] body = new byte[800];
 		new Random(id.hashCode()).nextBytes(body);
 		return body;
 	}
 
-	private void send(Kit.Record record, Kit.Router router, String name, AtomicBoolean stop, int pauseMs) {
+	private void send(Kit.Record record, Kit.Router router, String name, AtomicBoolean stop) {
 		Random random = new Random(name.hashCode());
 		int n = 0;
+		Kit.sleep(random.nextInt(INTERVAL_MS));
 		while (!stop.get()) {
 			try (Kit.Client client = new Kit.Client(router.front)) {
 				boolean open = true;
 				boolean kept = false;
 				while (open && !stop.get()) {
 					String id = name + "x" + n++;
+					long nextMs = Kit.nowMs() + (long) (INTERVAL_MS * (0.5 + random.nextDouble()));
 					client.send(Kit.requestHead("POST", "/book/" + id, id, DEADLINE_MS, 3, ""), "abc".getBytes());
 					Kit.Answer answer = client.read(DEADLINE_MS);
 					count(record, id, answer, kept);
 					open = answer.complete;
 					kept = true;
-					Kit.sleep(random.nextInt(pauseMs));
+					long leftMs = nextMs - Kit.nowMs();
+					while (leftMs > 0 && !stop.get()) {
+						Kit.sleep(Math.min(leftMs, 20));
+						leftMs -= this.burst ? (long) (20 * BURST) : 20;
+					}
 				}
 			}
 			catch (IOException ex) {
@@ -182,4 +164,75 @@
 		}
 	}
 
+	/** A server with slots and a queue, which resets new connections while the queue is long. */
+	private final class Desk implements AutoCloseable {
+
+		private final Kit.Record record;
+
+		private final int unframedPercent;
+
+		private final Semaphore slots = new Semaphore(SLOTS, true);
+
+		private final AtomicInteger waiting = new AtomicInteger();
+
+		private final Kit.Server server;
+
+		private Desk(Kit.Record record, int unframedPercent) throws IOException {
+			this.record = record;
+			this.unframedPercent = unframedPercent;
+			this.server = new Kit.Server(this::serve);
+			this.server.admission = () -> {
+				boolean admitted = this.waiting.get() < LONG_QUEUE;
+				if (!admitted) {
+					BusyCase.this.resets.incrementAndGet();
+				}
+				return admitted;
+			};
+		}
+
+		private boolean serve(Kit.Request request, Socket socket, java.io.OutputStream out)
+				throws IOException, InterruptedException {
+			if (this.waiting.get() >= MAX_QUEUE) {
+				out.write(Kit.answerHead(503, request.id(), Kit.name("header.notrun") + ": 1\r\n", 0).getBytes());
+				return true;
+			}
+			this.waiting.incrementAndGet();
+			this.slots.acquire();
+			this.waiting.decrementAndGet();
+			boolean framed = Math.floorMod(request.id().hashCode() * 31, 100) >= this.unframedPercent;
+			byte[] body = body(request.id());
+			try {
+				this.record.add("server runs " + request.id());
+				Kit.sleep(WORK_MS);
+				out.write(Kit
+					.answerHead(200, request.id(), framed ? "" : "Connection: close\r\n", framed ? body.length : -1)
+					.getBytes());
+				out.write(body);
+				out.flush();
+				if (!framed) {
+					socket.shutdownOutput();
+					BusyCase.this.unframed.incrementAndGet();
+				}
+				BusyCase.this.answered.put(request.id(), true);
+				this.record.add("server has answered " + request.id() + " whole" + (framed ? "" : ", without a length"));
+			}
+			finally {
+				this.slots.release();
+			}
+			if (framed) {
+				return true;
+			}
+			// Closes once the caller has closed, so that the answer is not reset.
+			socket.setSoTimeout(2_000);
+			socket.getInputStream().read();
+			return false;
+		}
+
+		@Override
+		public void close() throws IOException {
+			this.server.close();
+		}
+
+	}
+
 }
--- /dev/null
+++ b/review/kit-3/FullCase.java
@@ -0,0 +1,194 @@
+package io.verbenacleat.platform;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Model servers pause once in the middle of some streams that may be resumed, as after a
+ * preemption, and go on, while both servers are nearly full and reject what they have no
+ * room for. With TROUBLE=0 no server pauses.
+ */
+final class FullCase {
+
+	/** Requests that a server takes at once; others are rejected without being run. */
+	private static final int CAPACITY = 6;
+
+	private static final int CLIENTS = 14;
+
+	private static final int EVENTS = 16;
+
+	private static final int EVENT_MS = 40;
+
+	private static final int PAUSE_AFTER_EVENT = 6;
+
+	private static final int PAUSE_MS = 2_200;
+
+	/** One in so many streams is preempted. */
+	private static final int PAUSED_OF = 7;
+
+	private static final long PLAY_MS = 30_000;
+
+	private static final int DEADLINE_MS = 5_000;
+
+	private static final int MAX_CUT = 3;
+
+	private final boolean trouble;
+
+	private final Map<String, AtomicInteger> running = Map.of("i-1", new AtomicInteger(), "i-2", new AtomicInteger());
+
+	private final Set<String> paused = ConcurrentHashMap.newKeySet();
+
+	private final Set<String> runs = ConcurrentHashMap.newKeySet();
+
+	private final AtomicInteger rejected = new AtomicInteger();
+
+	private final List<String> cut = new ArrayList<>();
+
+	private int cutOnNewConnection;
+
+	private final Map<String, Integer> outcomes = new TreeMap<>();
+
+	private FullCase(boolean trouble) {
+		this.trouble = trouble;
+	}
+
+	public static void main(String[] args) throws Exception {
+		System.exit(new FullCase(!"0".equals(System.getenv("TROUBLE"))).run(Path.of(args[0])));
+	}
+
+	private int run(Path file) throws Exception {
+		try (Kit.Record record = new Kit.Record(file);
+				FakeStoreServer store = new FakeStoreServer();
+				Kit.Server first = new Kit.Server((request, socket, out) -> serve(record, "i-1", request, out));
+				Kit.Server second = new Kit.Server((request, socket, out) -> serve(record, "i-2", request, out));
+				Kit.Router router = new Kit.Router("router1", store.port())) {
+			store.put("op", "config", Kit.config(1, 100_000_000));
+			store.put("servers", "i-1", Kit.registration("pool", first.port(), 64, "ready", 1, 5));
+			store.put("servers", "i-2", Kit.registration("pool", second.port(), 64, "ready", 1, 5));
+			router.start(true);
+			if (!router.awaitReady(30_000)) {
+				record.say("the router is not ready");
+				return 2;
+			}
+			record.say("the router is ready");
+			Kit.sleep(5_000);
+			AtomicBoolean stop = new AtomicBoolean();
+			List<Thread> clients = new ArrayList<>();
+			for (int c = 0; c < CLIENTS; c++) {
+				int number = c;
+				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
+			}
+			Kit.sleep(PLAY_MS);
+			stop.set(true);
+			for (Thread client : clients) {
+				client.join(DEADLINE_MS + 1_000);
+			}
+			record.say("outcomes " + this.outcomes + ", rejected by full servers: " + this.rejected
+					+ ", streams that paused: " + this.paused.size());
+			record.say("streams that broke off on kept connections: " + this.cut.size() + ", on new ones: "
+					+ this.cutOnNewConnection);
+			this.cut.stream().limit(10).forEach(record::say);
+			boolean broken = this.cut.size() > MAX_CUT;
+			record.say(broken ? "BROKEN" : "held");
+			return broken ? 1 : 0;
+		}
+	}
+
+	private boolean serve(Kit.Record record, String server, Kit.Request request, OutputStream out) throws IOException {
+		if (request.id().isEmpty()) {
+			byte[] body = "{\"running\":1,\"waiting\":0,\"kvUsed\":1000,\"kvTotal\":340832,\"born\":5}".getBytes();
+			out.write(Kit.answerHead(200, "", "", body.length).getBytes());
+			out.write(body);
+			return true;
+		}
+		String lastId = request.header(Kit.name("header.lastid"));
+		AtomicInteger runningHere = this.running.get(server);
+		if (runningHere.incrementAndGet() > CAPACITY) {
+			runningHere.decrementAndGet();
+			this.rejected.incrementAndGet();
+			record.add(server + " is full and rejects " + request.id() + " after event " + lastId);
+			out.write(Kit.answerHead(503, request.id(), Kit.name("header.notrun") + ": 1\r\n", 0).getBytes());
+			return true;
+		}
+		record.add(server + " runs " + request.id() + " after event " + lastId);
+		boolean pauses = this.trouble && this.runs.add(request.id())
+				&& Math.floorMod(request.id().hashCode(), PAUSED_OF) == 0;
+		try {
+			out.write(Kit
+				.answerHead(200, request.id(), "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n", -1)
+				.getBytes());
+			int from = lastId.isEmpty() ? 1 : Integer.parseInt(lastId) + 1;
+			for (int i = from; i <= EVENTS; i++) {
+				String event = "id: " + i + "\ndata: piece " + i + "\n\n";
+				out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes());
+				Kit.sleep(EVENT_MS);
+				if (pauses && i == PAUSE_AFTER_EVENT) {
+					this.paused.add(request.id());
+					record.add(server + " pauses " + request.id());
+					Kit.sleep(PAUSE_MS);
+					record.add(server + " goes on with " + request.id());
+				}
+			}
+			out.write("0\r\n\r\n".getBytes());
+			record.add(server + " has ended " + request.id());
+			return true;
+		}
+		catch (IOException ex) {
+			record.add(server + " notices that the caller of " + request.id() + " has left");
+			throw ex;
+		}
+		finally {
+			runningHere.decrementAndGet();
+		}
+	}
+
+	private void send(Kit.Record record, Kit.Router router, String name, AtomicBoolean stop) {
+		int n = 0;
+		while (!stop.get()) {
+			try (Kit.Client client = new Kit.Client(router.front)) {
+				boolean open = true;
+				boolean kept = false;
+				while (open && !stop.get()) {
+					String id = name + "x" + n++;
+					client.send(Kit.requestHead("POST", "/resume/" + id, id, DEADLINE_MS, 3,
+							Kit.name("header.usage") + ": 1000,80\r\n" + Kit.name("header.model") + ": m\r\n"),
+							"abc".getBytes());
+					Kit.Answer answer = client.read(DEADLINE_MS + 500);
+					count(record, id, answer, kept);
+					open = answer.complete;
+					kept = true;
+					Kit.sleep(100);
+				}
+			}
+			catch (IOException ex) {
+				Kit.sleep(100);
+			}
+		}
+	}
+
+	private synchronized void count(Kit.Record record, String id, Kit.Answer answer, boolean kept) {
+		int events = answer.text().split("\n\n", -1).length - 1;
+		record.add("client gets " + id + " " + answer.status + " complete=" + answer.complete + " events=" + events + " "
+				+ answer.failure);
+		this.outcomes.merge(answer.complete ? "" + answer.status : "no whole answer", 1, Integer::sum);
+		if (!answer.complete && answer.status == 200 && this.paused.contains(id)) {
+			if (kept) {
+				this.cut.add(id + ": its server had sent " + events + " of " + EVENTS
+						+ " events and went on; the client's connection closed");
+			}
+			else {
+				this.cutOnNewConnection++;
+			}
+		}
+	}
+
+}
