--- a/review/kit-3/LateWriteCase.java
+++ b/review/kit-3/LateWriteCase.java
@@ -27,6 +27,11 @@
 
 	private static final long SERVES_UNTIL_MS = 13_000;
 
+	private static final long HEARTBEAT_MS = 1_200;
+
+	/** The store removes an entry after three heartbeats of silence. */
+	private static final long SILENCE_MS = 3 * HEARTBEAT_MS;
+
 	private static final long DRAIN_MS = 2_000;
 
 	private static final long STABLE_WINDOW_MS = 3_000;
@@ -77,6 +82,7 @@
 				int number = c;
 				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
 			}
+			Kit.daemon(() -> renewOthers(store, servers, stop));
 			Kit.sleep(6_000);
 			Kit.Server leaving = servers.get(0);
 			String renewal = Kit.registration("desk", leaving.port(), 6, "ready", 10, 1);
@@ -85,12 +91,15 @@
 			if (!trouble) {
 				store.put("servers", LEAVING, renewal);
 			}
-			at(startMs, 1_200);
+			at(startMs, HEARTBEAT_MS);
 			store.put("servers", LEAVING, Kit.registration("desk", leaving.port(), 6, "ready", 11, 1));
 			record.say(LEAVING + " renews its entry (seq 11)");
+			at(startMs, 2 * HEARTBEAT_MS);
+			store.put("servers", LEAVING, Kit.registration("desk", leaving.port(), 6, "ready", 12, 1));
+			record.say(LEAVING + " renews its entry (seq 12)");
 			at(startMs, REMOVED_AFTER_MS - 800);
-			store.put("servers", LEAVING, Kit.registration("desk", leaving.port(), 6, "draining", 12, 1));
-			record.say(LEAVING + " reports that it is draining (seq 12)");
+			store.put("servers", LEAVING, Kit.registration("desk", leaving.port(), 6, "draining", 13, 1));
+			record.say(LEAVING + " reports that it is draining (seq 13)");
 			at(startMs, REMOVED_AFTER_MS);
 			store.delete("servers", LEAVING);
 			long removedMs = Kit.nowMs();
@@ -101,6 +110,11 @@
 				record.say("the store performs the renewal of " + LEAVING + " with seq 10");
 			}
 			long judgedFromMs = Kit.nowMs() + STABLE_WINDOW_MS;
+			at(startMs, LATE_MS + SILENCE_MS);
+			if (trouble) {
+				store.delete("servers", LEAVING);
+				record.say("the entry of " + LEAVING + " is removed, since it is not renewed");
+			}
 			at(startMs, SERVES_UNTIL_MS);
 			record.say(LEAVING + " exits");
 			stop.set(true);
@@ -116,6 +130,21 @@
 		}
 	}
 
+	private static void renewOthers(FakeStoreServer store, List<Kit.Server> servers, AtomicBoolean stop) {
+		try {
+			for (int seq = 10; !stop.get(); seq++) {
+				Kit.sleep(HEARTBEAT_MS);
+				for (int i = 2; i <= SERVERS; i++) {
+					store.put("servers", "i-" + i,
+							Kit.registration("desk", servers.get(i - 1).port(), 6, "ready", seq, i));
+				}
+			}
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private static void at(long startMs, long afterMs) {
 		Kit.sleep(startMs + afterMs - Kit.nowMs());
 	}
