--- a/review/kit-3/BusyCase.java
+++ b/review/kit-3/BusyCase.java
@@ -14,9 +14,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Two sound servers, one of which ends a few of its answers with their connection, have a
- * long queue during bursts and reset new connections meanwhile. With TROUBLE=0 there are no
- * bursts.
+ * Two sound servers, one of which ends a few of its answers with their connection, are busy
+ * and reset new connections while their queue is long. The router gets SIGHUP three times.
+ * With TROUBLE=0 the servers accept all connections, at the same load.
  */
 final class BusyCase {
 
@@ -32,25 +32,27 @@
 
 	private static final int CLIENTS = 112;
 
-	/** The pause of a client between two requests. */
-	private static final int INTERVAL_MS = 1_250;
+	/** The mean pause of a client between an answer and its next request. */
+	private static final int PAUSE_MS = 600;
 
-	private static final double BURST = 1.7;
+	private static final int PLAY_MS = 50_000;
 
-	private static final int BURST_MS = 3_000;
+	private static final long[] SIGHUPS_AT_MS = { 15_000, 27_000, 39_000 };
 
-	private static final int BURSTS = 10;
-
-	private static final int BETWEEN_BURSTS_MS = 4_000;
+	/** Requests sent until then count as sent around the SIGHUP. */
+	private static final long AFTER_SIGHUP_MS = 2_000;
 
 	/** Answers of the first server without a length, in 100. */
 	private static final int UNFRAMED_PERCENT = 3;
 
 	private static final int DEADLINE_MS = 4_000;
 
+	/** The cuts on kept connections that the rule allows. */
 	private static final int MAX_CUT = 3;
 
-	private volatile boolean burst;
+	private final boolean trouble;
+
+	private volatile long lastSighupMs = Long.MIN_VALUE / 2;
 
 	private final AtomicInteger unframed = new AtomicInteger();
 
@@ -66,11 +68,18 @@
 
 	private final List<String> cutOnNewConnection = new ArrayList<>();
 
+	/** Requests that were cut after a SIGHUP around which they were sent. */
+	private final List<String> cutAroundPlannedWork = new ArrayList<>();
+
+	private BusyCase(boolean trouble) {
+		this.trouble = trouble;
+	}
+
 	public static void main(String[] args) throws Exception {
-		System.exit(new BusyCase().run(Path.of(args[0]), !"0".equals(System.getenv("TROUBLE"))));
+		System.exit(new BusyCase(!"0".equals(System.getenv("TROUBLE"))).run(Path.of(args[0])));
 	}
 
-	private int run(Path file, boolean trouble) throws Exception {
+	private int run(Path file) throws Exception {
 		try (Kit.Record record = new Kit.Record(file);
 				FakeStoreServer store = new FakeStoreServer();
 				Desk first = new Desk(record, UNFRAMED_PERCENT);
@@ -81,7 +90,7 @@
 			store.put("servers", "i-2", Kit.registration("desk", second.server.port(), SLOTS, "ready", 1, 5));
 			router.start(true);
 			if (!router.awaitReady(30_000)) {
-				record.say("the router is not ready");
+				record.say("the router is not ready: " + router.output());
 				return 2;
 			}
 			record.say("the router is ready");
@@ -91,14 +100,14 @@
 				int number = c;
 				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
 			}
-			Kit.sleep(5_000);
-			for (int i = 0; i < BURSTS; i++) {
-				this.burst = trouble;
-				record.add(trouble ? "a burst begins" : "no burst");
-				Kit.sleep(BURST_MS);
-				this.burst = false;
-				Kit.sleep(BETWEEN_BURSTS_MS);
+			long startedAtMs = Kit.nowMs();
+			for (long atMs : SIGHUPS_AT_MS) {
+				Kit.sleep(startedAtMs + atMs - Kit.nowMs());
+				record.add("SIGHUP");
+				this.lastSighupMs = Kit.nowMs();
+				router.signal("HUP");
 			}
+			Kit.sleep(startedAtMs + PLAY_MS - Kit.nowMs());
 			stop.set(true);
 			for (Thread client : clients) {
 				client.join(DEADLINE_MS + 2_000);
@@ -111,7 +120,9 @@
 						+ ", of these cut on their way to a client that waits: " + this.cut.size()
 						+ " on kept connections, " + this.cutOnNewConnection.size() + " on new ones");
 				this.cut.stream().limit(10).forEach(record::say);
-				boolean broken = this.cut.size() > MAX_CUT;
+				record.say("of these sent until " + AFTER_SIGHUP_MS + " ms after a SIGHUP and cut after it: "
+						+ this.cutAroundPlannedWork.size() + " " + this.cutAroundPlannedWork);
+				boolean broken = this.cut.size() > MAX_CUT || !this.cutAroundPlannedWork.isEmpty();
 				record.say(broken ? "BROKEN" : "held");
 				return broken ? 1 : 0;
 			}
@@ -127,24 +138,20 @@
 	private void send(Kit.Record record, Kit.Router router, String name, AtomicBoolean stop) {
 		Random random = new Random(name.hashCode());
 		int n = 0;
-		Kit.sleep(random.nextInt(INTERVAL_MS));
+		Kit.sleep(random.nextInt(2 * PAUSE_MS));
 		while (!stop.get()) {
 			try (Kit.Client client = new Kit.Client(router.front)) {
 				boolean open = true;
 				boolean kept = false;
 				while (open && !stop.get()) {
 					String id = name + "x" + n++;
-					long nextMs = Kit.nowMs() + (long) (INTERVAL_MS * (0.5 + random.nextDouble()));
+					long sentAtMs = Kit.nowMs();
 					client.send(Kit.requestHead("POST", "/book/" + id, id, DEADLINE_MS, 3, ""), "abc".getBytes());
 					Kit.Answer answer = client.read(DEADLINE_MS);
-					count(record, id, answer, kept);
+					count(record, id, answer, kept, sentAtMs);
 					open = answer.complete;
 					kept = true;
-					long leftMs = nextMs - Kit.nowMs();
-					while (leftMs > 0 && !stop.get()) {
-						Kit.sleep(Math.min(leftMs, 20));
-						leftMs -= this.burst ? (long) (20 * BURST) : 20;
-					}
+					Kit.sleep((long) (PAUSE_MS * (0.5 + random.nextDouble())));
 				}
 			}
 			catch (IOException ex) {
@@ -153,7 +160,7 @@
 		}
 	}
 
-	private synchronized void count(Kit.Record record, String id, Kit.Answer answer, boolean kept) {
+	private synchronized void count(Kit.Record record, String id, Kit.Answer answer, boolean kept, long sentAtMs) {
 		String outcome = answer.complete ? "" + answer.status : "no whole answer";
 		this.outcomes.merge(outcome, 1, Integer::sum);
 		record.add("client gets " + id + " status=" + answer.status + " complete=" + answer.complete + " bytes="
@@ -161,6 +168,10 @@
 		if (!answer.complete && answer.failure.contains("closed") && this.answered.containsKey(id)) {
 			(kept ? this.cut : this.cutOnNewConnection).add(id + ": the server ran it and answered whole; the client got status " + answer.status + " and "
 					+ answer.body.length + " bytes without an end, then its connection closed");
+			// It was cut after the last SIGHUP, since it ends only now.
+			if (sentAtMs <= this.lastSighupMs + AFTER_SIGHUP_MS) {
+				this.cutAroundPlannedWork.add(id);
+			}
 		}
 	}
 
@@ -182,7 +193,7 @@
 			this.unframedPercent = unframedPercent;
 			this.server = new Kit.Server(this::serve);
 			this.server.admission = () -> {
-				boolean admitted = this.waiting.get() < LONG_QUEUE;
+				boolean admitted = !BusyCase.this.trouble || this.waiting.get() < LONG_QUEUE;
 				if (!admitted) {
 					BusyCase.this.resets.incrementAndGet();
 				}
--- a/review/kit-3/Kit.java
+++ b/review/kit-3/Kit.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,6 +36,12 @@
 
 	private static final long START_NANOS = System.nanoTime();
 
+	private static final int FIRST_PORT = 20_000;
+
+	private static final int PORTS = 12_000;
+
+	private static int nextPort = (int) (ProcessHandle.current().pid() * 101 % PORTS);
+
 	private Kit() {
 	}
 
@@ -92,9 +99,14 @@
 		return thread;
 	}
 
-	static int freePort() throws IOException {
-		for (int i = 0; i < 100; i++) {
-			int port = 20_000 + (int) (Math.random() * 12_000);
+	/**
+	 * Returns a port on which nothing listens. Each port is returned once, and processes
+	 * that run at the same time begin at different ones. The ports lie below those that
+	 * outgoing connections get.
+	 */
+	static synchronized int freePort() throws IOException {
+		for (int i = 0; i < PORTS; i++) {
+			int port = FIRST_PORT + nextPort++ % PORTS;
 			try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
 				return socket.getLocalPort();
 			}
@@ -206,7 +218,7 @@
 
 		boolean awaitReady(long timeoutMs) {
 			long end = nowMs() + timeoutMs;
-			while (nowMs() < end) {
+			while (nowMs() < end && isAlive()) {
 				if (isReady()) {
 					return true;
 				}
@@ -355,6 +367,30 @@
 		}
 	}
 
+	/**
+	 * Waits as a server does that drops a request when its connection closes. Nothing else
+	 * may arrive meanwhile.
+	 */
+	static void sleepWhileOpen(Socket socket, long ms) throws IOException {
+		long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+		try {
+			long leftMs;
+			while ((leftMs = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime())) > 0) {
+				socket.setSoTimeout((int) leftMs);
+				try {
+					int next = socket.getInputStream().read();
+					throw new IOException((next < 0) ? "the caller has closed the connection" : "unexpected byte");
+				}
+				catch (SocketTimeoutException ex) {
+					// Still open.
+				}
+			}
+		}
+		finally {
+			socket.setSoTimeout(0);
+		}
+	}
+
 	/** A request as a server has read it. */
 	record Request(String method, String path, Map<String, String> headers, byte[] body) {
 
--- a/review/kit-3/LateWriteCase.java
+++ b/review/kit-3/LateWriteCase.java
@@ -72,7 +72,7 @@
 			}
 			router.start(true);
 			if (!router.awaitReady(30_000)) {
-				record.say("the router is not ready");
+				record.say("the router is not ready: " + router.output());
 				return 2;
 			}
 			record.say("the router is ready");
