Review case 12: judge the streams that are cut around a SIGHUP

A sound stream that pauses for 2.2 s is given up for a full server and broken off. Before, the case rested on the sentence on kept connections alone ("without an answer"). Now the router gets SIGHUP three times, so that the sentence on planned work applies as well ("without a complete answer [...] A server's silence is no reason to end an answer sooner").

--- a/review/kit-3/FullCase.java
+++ b/review/kit-3/FullCase.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +16,7 @@
 /**
  * Model servers pause once in the middle of some streams that may be resumed, as after a
  * preemption, and go on, while both servers are nearly full and reject what they have no
- * room for. With TROUBLE=0 no server pauses.
+ * room for. The router gets SIGHUP three times. With TROUBLE=0 no server pauses.
  */
 final class FullCase {
 
@@ -35,12 +36,18 @@
 	/** One in so many streams is preempted. */
 	private static final int PAUSED_OF = 7;
 
-	private static final long PLAY_MS = 30_000;
+	private static final long PLAY_MS = 55_000;
 
 	private static final int DEADLINE_MS = 5_000;
 
+	/** The cuts on kept connections that the rule allows. */
 	private static final int MAX_CUT = 3;
 
+	private static final long[] SIGHUPS_AT_MS = { 10_000, 25_000, 40_000 };
+
+	/** Requests sent until then count as sent around the SIGHUP. */
+	private static final long AFTER_SIGHUP_MS = 2_000;
+
 	private final boolean trouble;
 
 	private final Map<String, AtomicInteger> running = Map.of("i-1", new AtomicInteger(), "i-2", new AtomicInteger());
@@ -55,6 +62,11 @@
 
 	private int cutOnNewConnection;
 
+	/** Streams that were cut after a SIGHUP around which they were sent. */
+	private final List<String> cutAroundPlannedWork = new ArrayList<>();
+
+	private volatile long lastSighupMs = Long.MIN_VALUE / 2;
+
 	private final Map<String, Integer> outcomes = new TreeMap<>();
 
 	private FullCase(boolean trouble) {
@@ -68,15 +80,15 @@
 	private int run(Path file) throws Exception {
 		try (Kit.Record record = new Kit.Record(file);
 				FakeStoreServer store = new FakeStoreServer();
-				Kit.Server first = new Kit.Server((request, socket, out) -> serve(record, "i-1", request, out));
-				Kit.Server second = new Kit.Server((request, socket, out) -> serve(record, "i-2", request, out));
+				Kit.Server first = new Kit.Server((request, socket, out) -> serve(record, "i-1", request, socket, out));
+				Kit.Server second = new Kit.Server((request, socket, out) -> serve(record, "i-2", request, socket, out));
 				Kit.Router router = new Kit.Router("router1", store.port())) {
 			store.put("op", "config", Kit.config(1, 100_000_000));
 			store.put("servers", "i-1", Kit.registration("pool", first.port(), 64, "ready", 1, 5));
 			store.put("servers", "i-2", Kit.registration("pool", second.port(), 64, "ready", 1, 5));
 			router.start(true);
 			if (!router.awaitReady(30_000)) {
-				record.say("the router is not ready");
+				record.say("the router is not ready: " + router.output());
 				return 2;
 			}
 			record.say("the router is ready");
@@ -87,7 +99,14 @@
 				int number = c;
 				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
 			}
-			Kit.sleep(PLAY_MS);
+			long startedAtMs = Kit.nowMs();
+			for (long atMs : SIGHUPS_AT_MS) {
+				Kit.sleep(startedAtMs + atMs - Kit.nowMs());
+				record.add("SIGHUP");
+				this.lastSighupMs = Kit.nowMs();
+				router.signal("HUP");
+			}
+			Kit.sleep(startedAtMs + PLAY_MS - Kit.nowMs());
 			stop.set(true);
 			for (Thread client : clients) {
 				client.join(DEADLINE_MS + 1_000);
@@ -97,13 +116,16 @@
 			record.say("streams that broke off on kept connections: " + this.cut.size() + ", on new ones: "
 					+ this.cutOnNewConnection);
 			this.cut.stream().limit(10).forEach(record::say);
-			boolean broken = this.cut.size() > MAX_CUT;
+			record.say("streams sent until " + AFTER_SIGHUP_MS + " ms after a SIGHUP that broke off after it: "
+					+ this.cutAroundPlannedWork.size() + " " + this.cutAroundPlannedWork);
+			boolean broken = this.cut.size() > MAX_CUT || !this.cutAroundPlannedWork.isEmpty();
 			record.say(broken ? "BROKEN" : "held");
 			return broken ? 1 : 0;
 		}
 	}
 
-	private boolean serve(Kit.Record record, String server, Kit.Request request, OutputStream out) throws IOException {
+	private boolean serve(Kit.Record record, String server, Kit.Request request, Socket socket, OutputStream out)
+			throws IOException {
 		if (request.id().isEmpty()) {
 			byte[] body = "{\"running\":1,\"waiting\":0,\"kvUsed\":1000,\"kvTotal\":340832,\"born\":5}".getBytes();
 			out.write(Kit.answerHead(200, "", "", body.length).getBytes());
@@ -130,11 +152,11 @@
 			for (int i = from; i <= EVENTS; i++) {
 				String event = "id: " + i + "\ndata: piece " + i + "\n\n";
 				out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes());
-				Kit.sleep(EVENT_MS);
+				Kit.sleepWhileOpen(socket, EVENT_MS);
 				if (pauses && i == PAUSE_AFTER_EVENT) {
 					this.paused.add(request.id());
 					record.add(server + " pauses " + request.id());
-					Kit.sleep(PAUSE_MS);
+					Kit.sleepWhileOpen(socket, PAUSE_MS);
 					record.add(server + " goes on with " + request.id());
 				}
 			}
@@ -159,11 +181,12 @@
 				boolean kept = false;
 				while (open && !stop.get()) {
 					String id = name + "x" + n++;
+					long sentAtMs = Kit.nowMs();
 					client.send(Kit.requestHead("POST", "/resume/" + id, id, DEADLINE_MS, 3,
 							Kit.name("header.usage") + ": 1000,80\r\n" + Kit.name("header.model") + ": m\r\n"),
 							"abc".getBytes());
 					Kit.Answer answer = client.read(DEADLINE_MS + 500);
-					count(record, id, answer, kept);
+					count(record, id, answer, kept, sentAtMs);
 					open = answer.complete;
 					kept = true;
 					Kit.sleep(100);
@@ -175,7 +198,7 @@
 		}
 	}
 
-	private synchronized void count(Kit.Record record, String id, Kit.Answer answer, boolean kept) {
+	private synchronized void count(Kit.Record record, String id, Kit.Answer answer, boolean kept, long sentAtMs) {
 		int events = answer.text().split("\n\n", -1).length - 1;
 		record.add("client gets " + id + " " + answer.status + " complete=" + answer.complete + " events=" + events + " "
 				+ answer.failure);
@@ -188,6 +211,10 @@
 			else {
 				this.cutOnNewConnection++;
 			}
+			// The stream was cut after its last SIGHUP, since it ends only now.
+			if (sentAtMs <= this.lastSighupMs + AFTER_SIGHUP_MS) {
+				this.cutAroundPlannedWork.add(id);
+			}
 		}
 	}
 
