--- a/review/kit-3/PauseCase.java
+++ b/review/kit-3/PauseCase.java
@@ -2,31 +2,44 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.Socket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Model servers pause once in the middle of some streams that may be resumed, as after a
- * preemption, and go on. A server notices that its caller has left when it writes the next
- * event. With TROUBLE=0 no server pauses.
+ * preemption, and go on. Two of three servers drop a request as soon as its connection
+ * closes; the third works on to its end. With TROUBLE=0 no server pauses.
  */
 final class PauseCase {
 
-	private static final int STREAMS = 40;
+	private static final int SERVERS = 3;
 
-	private static final int EVENTS = 12;
+	/** The server that drops no request. */
+	private static final String KEEPING = "i-3";
+
+	private static final int CLIENTS = 14;
+
+	private static final int EVENTS = 16;
 
 	private static final int EVENT_MS = 40;
 
-	private static final int PAUSE_AFTER_EVENT = 4;
+	private static final int PAUSE_AFTER_EVENT = 6;
+
+	private static final int PAUSE_MS = 2_200;
+
+	/** One in so many streams is preempted. */
+	private static final int PAUSED_OF = 7;
 
-	private static final int PAUSE_MS = 1_500;
+	private static final long PLAY_MS = 50_000;
 
 	private static final int DEADLINE_MS = 5_000;
 
@@ -36,6 +49,10 @@
 
 	private final Map<String, Run> runs = new ConcurrentHashMap<>();
 
+	private final Set<String> paused = ConcurrentHashMap.newKeySet();
+
+	private final AtomicInteger resumed = new AtomicInteger();
+
 	private final ConcurrentLinkedQueue<String> overlaps = new ConcurrentLinkedQueue<>();
 
 	private final Map<String, Integer> outcomes = new TreeMap<>();
@@ -49,45 +66,55 @@
 	}
 
 	private int run(Path file) throws Exception {
+		List<Kit.Server> servers = new ArrayList<>();
 		try (Kit.Record record = new Kit.Record(file);
 				FakeStoreServer store = new FakeStoreServer();
-				Kit.Server first = new Kit.Server((request, socket, out) -> serve(record, "i-1", request, out));
-				Kit.Server second = new Kit.Server((request, socket, out) -> serve(record, "i-2", request, out));
 				Kit.Router router = new Kit.Router("router1", store.port())) {
 			store.put("op", "config", Kit.config(1, 100_000_000));
-			store.put("servers", "i-1", Kit.registration("pool", first.port(), 64, "ready", 1, 5));
-			store.put("servers", "i-2", Kit.registration("pool", second.port(), 64, "ready", 1, 5));
+			for (int i = 1; i <= SERVERS; i++) {
+				String name = "i-" + i;
+				Kit.Server server = new Kit.Server(
+						(request, socket, out) -> serve(record, name, request, socket, out));
+				servers.add(server);
+				store.put("servers", name, Kit.registration("pool", server.port(), 64, "ready", 1, 5));
+			}
 			router.start(true);
 			if (!router.awaitReady(30_000)) {
-				record.say("the router is not ready");
+				record.say("the router is not ready: " + router.output());
 				return 2;
 			}
 			record.say("the router is ready");
 			Kit.sleep(5_000);
-			AtomicInteger next = new AtomicInteger();
+			AtomicBoolean stop = new AtomicBoolean();
 			List<Thread> clients = new ArrayList<>();
-			for (int c = 0; c < 4; c++) {
-				clients.add(Kit.daemon(() -> {
-					int n;
-					while ((n = next.getAndIncrement()) < STREAMS) {
-						send(record, router, "s" + n);
-					}
-				}));
+			for (int c = 0; c < CLIENTS; c++) {
+				int number = c;
+				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
 			}
+			Kit.sleep(PLAY_MS);
+			stop.set(true);
 			for (Thread client : clients) {
-				client.join();
+				client.join(DEADLINE_MS + 1_000);
 			}
 			Kit.sleep(2_500);
-			record.say("outcomes " + this.outcomes + ", runs that went on at another server while the one before still "
-					+ "worked " + MAX_OVERLAP_MS + " ms later: " + this.overlaps.size());
+			record.say("outcomes " + this.outcomes + ", streams that paused: " + this.paused.size()
+					+ ", that went on at another server: " + this.resumed);
+			record.say("streams that went on at another server while the one before still worked on them "
+					+ MAX_OVERLAP_MS + " ms later: " + this.overlaps.size());
 			this.overlaps.stream().limit(10).forEach(record::say);
 			boolean broken = !this.overlaps.isEmpty();
 			record.say(broken ? "BROKEN" : "held");
 			return broken ? 1 : 0;
 		}
+		finally {
+			for (Kit.Server server : servers) {
+				server.close();
+			}
+		}
 	}
 
-	private boolean serve(Kit.Record record, String server, Kit.Request request, OutputStream out) throws IOException {
+	private boolean serve(Kit.Record record, String server, Kit.Request request, Socket socket, OutputStream out)
+			throws IOException {
 		if (request.id().isEmpty()) {
 			byte[] body = "{\"running\":1,\"waiting\":0,\"kvUsed\":1000,\"kvTotal\":340832,\"born\":5}".getBytes();
 			out.write(Kit.answerHead(200, "", "", body.length).getBytes());
@@ -99,27 +126,33 @@
 		Run before = this.runs.put(request.id(), run);
 		record.add(server + " runs " + request.id() + " after event " + lastId);
 		if (before != null) {
+			this.resumed.incrementAndGet();
 			Kit.daemon(() -> checkOverlap(record, request.id(), before, run));
 		}
+		boolean pauses = this.trouble && before == null && Math.floorMod(request.id().hashCode(), PAUSED_OF) == 0;
+		boolean open = true;
 		try {
-			out.write(Kit
-				.answerHead(200, request.id(), "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n", -1)
-				.getBytes());
+			open = write(Kit
+				.answerHead(200, request.id(), "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n", -1),
+					server, out, open);
 			int from = lastId.isEmpty() ? 1 : Integer.parseInt(lastId) + 1;
 			for (int i = from; i <= EVENTS; i++) {
 				String event = "id: " + i + "\ndata: piece " + i + "\n\n";
-				out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes());
-				Kit.sleep(EVENT_MS);
-				if (this.trouble && before == null && i == PAUSE_AFTER_EVENT) {
-					Kit.sleep(PAUSE_MS);
+				open = write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n", server, out, open);
+				sleep(server, socket, EVENT_MS);
+				if (pauses && i == PAUSE_AFTER_EVENT) {
+					this.paused.add(request.id());
+					record.add(server + " pauses " + request.id());
+					sleep(server, socket, PAUSE_MS);
+					record.add(server + " goes on with " + request.id());
 				}
 			}
-			out.write("0\r\n\r\n".getBytes());
+			open = write("0\r\n\r\n", server, out, open);
 			record.add(server + " has ended " + request.id());
-			return true;
+			return open;
 		}
 		catch (IOException ex) {
-			record.add(server + " notices that the caller of " + request.id() + " has left");
+			record.add(server + " drops " + request.id() + ", whose caller has left");
 			throw ex;
 		}
 		finally {
@@ -127,6 +160,32 @@
 		}
 	}
 
+	// Returns whether the connection is still open.
+	private static boolean write(String text, String server, OutputStream out, boolean open) throws IOException {
+		if (!open) {
+			return false;
+		}
+		try {
+			out.write(text.getBytes());
+			return true;
+		}
+		catch (IOException ex) {
+			if (server.equals(KEEPING)) {
+				return false;
+			}
+			throw ex;
+		}
+	}
+
+	private static void sleep(String server, Socket socket, long ms) throws IOException {
+		if (server.equals(KEEPING)) {
+			Kit.sleep(ms);
+		}
+		else {
+			Kit.sleepWhileOpen(socket, ms);
+		}
+	}
+
 	private void checkOverlap(Kit.Record record, String id, Run before, Run run) {
 		Kit.sleep(MAX_OVERLAP_MS);
 		if (before.working) {
@@ -136,20 +195,26 @@
 		}
 	}
 
-	private void send(Kit.Record record, Kit.Router router, String id) {
-		Kit.Answer answer = new Kit.Answer();
-		try (Kit.Client client = new Kit.Client(router.front)) {
-			client.send(Kit.requestHead("POST", "/resume/" + id, id, DEADLINE_MS, 3,
-					Kit.name("header.usage") + ": 1000,60\r\n" + Kit.name("header.model") + ": m\r\n"), "abc".getBytes());
-			answer = client.read(DEADLINE_MS + 500);
-		}
-		catch (IOException ex) {
-			answer.failure = ex.getMessage();
-		}
-		record.add("client gets " + id + " " + answer.status + " complete=" + answer.complete + " events="
-				+ (answer.text().split("\n\n", -1).length - 1) + " " + answer.failure);
-		synchronized (this) {
-			this.outcomes.merge(answer.complete ? "" + answer.status : "no whole answer", 1, Integer::sum);
+	private void send(Kit.Record record, Kit.Router router, String name, AtomicBoolean stop) {
+		int n = 0;
+		while (!stop.get()) {
+			String id = name + "x" + n++;
+			Kit.Answer answer = new Kit.Answer();
+			try (Kit.Client client = new Kit.Client(router.front)) {
+				client.send(Kit.requestHead("POST", "/resume/" + id, id, DEADLINE_MS, 3,
+						Kit.name("header.usage") + ": 1000,80\r\n" + Kit.name("header.model") + ": m\r\n"),
+						"abc".getBytes());
+				answer = client.read(DEADLINE_MS + 500);
+			}
+			catch (IOException ex) {
+				answer.failure = ex.getMessage();
+			}
+			record.add("client gets " + id + " " + answer.status + " complete=" + answer.complete + " events="
+					+ (answer.text().split("\n\n", -1).length - 1) + " " + answer.failure);
+			synchronized (this) {
+				this.outcomes.merge(answer.complete ? "" + answer.status : "no whole answer", 1, Integer::sum);
+			}
+			Kit.sleep(100);
 		}
 	}
 
