--- a/review/kit-3/FullCase.java
+++ b/review/kit-3/FullCase.java
@@ -14,14 +14,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Model servers pause once in the middle of some streams that may be resumed, as after a
- * preemption, and go on, while both servers are nearly full and reject what they have no
- * room for. The router gets SIGHUP three times. With TROUBLE=0 no server pauses.
+ * Model servers are full of short streams, which may be resumed, and long ones. They preempt
+ * some of them, reject what they have no place for, and go on when another stream ends. The
+ * router gets SIGHUP five times. With TROUBLE=0 no server preempts.
  */
 final class FullCase {
 
-	/** Requests that a server takes at once; others are rejected without being run. */
-	private static final int CAPACITY = 6;
+	private static final int SERVERS = 4;
 
 	private static final int CLIENTS = 14;
 
@@ -29,33 +28,38 @@
 
 	private static final int EVENT_MS = 40;
 
-	private static final int PAUSE_AFTER_EVENT = 6;
+	/** Long streams, which may not be resumed. */
+	private static final int LONG_CLIENTS = 22;
 
-	private static final int PAUSE_MS = 2_200;
+	private static final int LONG_EVENTS = 100;
 
-	/** One in so many streams is preempted. */
-	private static final int PAUSED_OF = 7;
+	private static final int LONG_EVENT_MS = 100;
 
-	private static final long PLAY_MS = 55_000;
+	private static final int LONG_DEADLINE_MS = 15_000;
+
+	private static final long PLAY_MS = 78_000;
 
 	private static final int DEADLINE_MS = 5_000;
 
+	/** Clients abandon a stream after such a gap: four times the objective of its route. */
+	private static final int GAP_MS = 2_400;
+
+	private static final int LONG_GAP_MS = 3_200;
+
 	/** The cuts on kept connections that the rule allows. */
 	private static final int MAX_CUT = 3;
 
-	private static final long[] SIGHUPS_AT_MS = { 10_000, 25_000, 40_000 };
+	private static final long[] SIGHUPS_AT_MS = { 12_000, 26_000, 40_000, 54_000, 68_000 };
 
 	/** Requests sent until then count as sent around the SIGHUP. */
 	private static final long AFTER_SIGHUP_MS = 2_000;
 
 	private final boolean trouble;
 
-	private final Map<String, AtomicInteger> running = Map.of("i-1", new AtomicInteger(), "i-2", new AtomicInteger());
+	private final Map<String, Engine> engines = new TreeMap<>();
 
 	private final Set<String> paused = ConcurrentHashMap.newKeySet();
 
-	private final Set<String> runs = ConcurrentHashMap.newKeySet();
-
 	private final AtomicInteger rejected = new AtomicInteger();
 
 	private final List<String> cut = new ArrayList<>();
@@ -78,14 +82,19 @@
 	}
 
 	private int run(Path file) throws Exception {
+		List<Kit.Server> servers = new ArrayList<>();
 		try (Kit.Record record = new Kit.Record(file);
 				FakeStoreServer store = new FakeStoreServer();
-				Kit.Server first = new Kit.Server((request, socket, out) -> serve(record, "i-1", request, socket, out));
-				Kit.Server second = new Kit.Server((request, socket, out) -> serve(record, "i-2", request, socket, out));
 				Kit.Router router = new Kit.Router("router1", store.port())) {
-			store.put("op", "config", Kit.config(1, 100_000_000));
-			store.put("servers", "i-1", Kit.registration("pool", first.port(), 64, "ready", 1, 5));
-			store.put("servers", "i-2", Kit.registration("pool", second.port(), 64, "ready", 1, 5));
+			store.put("op", "config", Kit.config(1, 100_000_000, Engine.SLOTS, Engine.KV_TOKENS));
+			for (int i = 1; i <= SERVERS; i++) {
+				String name = "i-" + i;
+				this.engines.put(name, new Engine());
+				Kit.Server server = new Kit.Server(
+						(request, socket, out) -> serve(record, name, request, socket, out));
+				servers.add(server);
+				store.put("servers", name, Kit.registration("pool", server.port(), Engine.SLOTS, "ready", 1, 5));
+			}
 			router.start(true);
 			if (!router.awaitReady(30_000)) {
 				record.say("the router is not ready: " + router.output());
@@ -95,9 +104,9 @@
 			Kit.sleep(5_000);
 			AtomicBoolean stop = new AtomicBoolean();
 			List<Thread> clients = new ArrayList<>();
-			for (int c = 0; c < CLIENTS; c++) {
+			for (int c = 0; c < CLIENTS + LONG_CLIENTS; c++) {
 				int number = c;
-				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
+				clients.add(Kit.daemon(() -> send(record, router, ((number < CLIENTS) ? "c" : "long") + number, stop)));
 			}
 			long startedAtMs = Kit.nowMs();
 			for (long atMs : SIGHUPS_AT_MS) {
@@ -109,7 +118,7 @@
 			Kit.sleep(startedAtMs + PLAY_MS - Kit.nowMs());
 			stop.set(true);
 			for (Thread client : clients) {
-				client.join(DEADLINE_MS + 1_000);
+				client.join(LONG_DEADLINE_MS + 1_000);
 			}
 			record.say("outcomes " + this.outcomes + ", rejected by full servers: " + this.rejected
 					+ ", streams that paused: " + this.paused.size());
@@ -122,41 +131,62 @@
 			record.say(broken ? "BROKEN" : "held");
 			return broken ? 1 : 0;
 		}
+		finally {
+			for (Kit.Server server : servers) {
+				server.close();
+			}
+		}
+	}
+
+	private static boolean isLong(Kit.Request request) {
+		return request.path().startsWith("/stream/");
+	}
+
+	private static int events(Kit.Request request) {
+		return isLong(request) ? LONG_EVENTS : EVENTS;
+	}
+
+	private static int eventMs(Kit.Request request) {
+		return isLong(request) ? LONG_EVENT_MS : EVENT_MS;
 	}
 
 	private boolean serve(Kit.Record record, String server, Kit.Request request, Socket socket, OutputStream out)
-			throws IOException {
+			throws IOException, InterruptedException {
+		Engine engine = this.engines.get(server);
 		if (request.id().isEmpty()) {
-			byte[] body = "{\"running\":1,\"waiting\":0,\"kvUsed\":1000,\"kvTotal\":340832,\"born\":5}".getBytes();
+			byte[] body = engine.report();
 			out.write(Kit.answerHead(200, "", "", body.length).getBytes());
 			out.write(body);
 			return true;
 		}
 		String lastId = request.header(Kit.name("header.lastid"));
-		AtomicInteger runningHere = this.running.get(server);
-		if (runningHere.incrementAndGet() > CAPACITY) {
-			runningHere.decrementAndGet();
+		Engine.Run run = engine.enter(eventMs(request) * (long) events(request));
+		if (run == null) {
 			this.rejected.incrementAndGet();
 			record.add(server + " is full and rejects " + request.id() + " after event " + lastId);
 			out.write(Kit.answerHead(503, request.id(), Kit.name("header.notrun") + ": 1\r\n", 0).getBytes());
 			return true;
 		}
 		record.add(server + " runs " + request.id() + " after event " + lastId);
-		boolean pauses = this.trouble && this.runs.add(request.id())
-				&& Math.floorMod(request.id().hashCode(), PAUSED_OF) == 0;
 		try {
 			out.write(Kit
 				.answerHead(200, request.id(), "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n", -1)
 				.getBytes());
 			int from = lastId.isEmpty() ? 1 : Integer.parseInt(lastId) + 1;
-			for (int i = from; i <= EVENTS; i++) {
+			for (int i = from; i <= events(request); i++) {
 				String event = "id: " + i + "\ndata: piece " + i + "\n\n";
 				out.write((Integer.toHexString(event.length()) + "\r\n" + event + "\r\n").getBytes());
-				Kit.sleepWhileOpen(socket, EVENT_MS);
-				if (pauses && i == PAUSE_AFTER_EVENT) {
+				Kit.sleepWhileOpen(socket, eventMs(request));
+				engine.wrote(run, i == events(request));
+				if (this.trouble) {
+					engine.mayRunOut();
+				}
+				if (engine.isPreempted(run)) {
 					this.paused.add(request.id());
 					record.add(server + " pauses " + request.id());
-					Kit.sleepWhileOpen(socket, PAUSE_MS);
+					while (engine.isPreempted(run)) {
+						Kit.sleepWhileOpen(socket, 10);
+					}
 					record.add(server + " goes on with " + request.id());
 				}
 			}
@@ -169,12 +199,16 @@
 			throw ex;
 		}
 		finally {
-			runningHere.decrementAndGet();
+			engine.leave(run);
 		}
 	}
 
 	private void send(Kit.Record record, Kit.Router router, String name, AtomicBoolean stop) {
 		int n = 0;
+		boolean isLong = name.startsWith("long");
+		int deadlineMs = isLong ? LONG_DEADLINE_MS : DEADLINE_MS;
+		// Long streams begin one after the other.
+		Kit.sleep(isLong ? Math.floorMod(name.hashCode() * 31, 10) * 1_000 : 0);
 		while (!stop.get()) {
 			try (Kit.Client client = new Kit.Client(router.front)) {
 				boolean open = true;
@@ -182,10 +216,10 @@
 				while (open && !stop.get()) {
 					String id = name + "x" + n++;
 					long sentAtMs = Kit.nowMs();
-					client.send(Kit.requestHead("POST", "/resume/" + id, id, DEADLINE_MS, 3,
-							Kit.name("header.usage") + ": 1000,80\r\n" + Kit.name("header.model") + ": m\r\n"),
+					client.send(Kit.requestHead("POST", (isLong ? "/stream/" : "/resume/") + id, id, deadlineMs, 3,
+							Kit.name("header.usage") + (isLong ? ": 1000,400\r\n" : ": 1000,80\r\n") + Kit.name("header.model") + ": m\r\n"),
 							"abc".getBytes());
-					Kit.Answer answer = client.read(DEADLINE_MS + 500);
+					Kit.Answer answer = client.read(isLong ? LONG_GAP_MS : GAP_MS);
 					count(record, id, answer, kept, sentAtMs);
 					open = answer.complete;
 					kept = true;
@@ -203,7 +237,9 @@
 		record.add("client gets " + id + " " + answer.status + " complete=" + answer.complete + " events=" + events + " "
 				+ answer.failure);
 		this.outcomes.merge(answer.complete ? "" + answer.status : "no whole answer", 1, Integer::sum);
-		if (!answer.complete && answer.status == 200 && this.paused.contains(id)) {
+		// The deadline was not near, and the client has not left.
+		boolean waits = Kit.nowMs() - sentAtMs < DEADLINE_MS - 500 && answer.failure.contains("closed");
+		if (!answer.complete && answer.status == 200 && this.paused.contains(id) && waits) {
 			if (kept) {
 				this.cut.add(id + ": its server had sent " + events + " of " + EVENTS
 						+ " events and went on; the client's connection closed");
--- a/review/kit-3/Kit.java
+++ b/review/kit-3/Kit.java
@@ -76,7 +76,12 @@
 	}
 
 	static String config(long version, long prepaid) throws IOException {
-		return template("config.json", Map.of("version", "" + version, "prepaid", "" + prepaid));
+		return config(version, prepaid, 64, 340_832);
+	}
+
+	static String config(long version, long prepaid, int slots, int kvTokens) throws IOException {
+		return template("config.json", Map.of("version", "" + version, "prepaid", "" + prepaid, "slots", "" + slots,
+				"kv", "" + kvTokens));
 	}
 
 	static long nowMs() {
--- a/review/kit-3/PauseCase.java
+++ b/review/kit-3/PauseCase.java
@@ -15,9 +15,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Model servers pause once in the middle of some streams that may be resumed, as after a
- * preemption, and go on. Two of three servers drop a request as soon as its connection
- * closes; the third works on to its end. With TROUBLE=0 no server pauses.
+ * Model servers run short streams, which may be resumed, and long ones. When their memory
+ * runs out they preempt one, and go on with it when another stream ends. Two of three servers
+ * drop a request as soon as its connection closes; the third works on to its end. With
+ * TROUBLE=0 no server preempts.
  */
 final class PauseCase {
 
@@ -26,27 +27,36 @@
 	/** The server that drops no request. */
 	private static final String KEEPING = "i-3";
 
-	private static final int CLIENTS = 14;
+	private static final int CLIENTS = 8;
 
 	private static final int EVENTS = 16;
 
 	private static final int EVENT_MS = 40;
 
-	private static final int PAUSE_AFTER_EVENT = 6;
+	/** Long streams, which may not be resumed. */
+	private static final int LONG_CLIENTS = 13;
 
-	private static final int PAUSE_MS = 2_200;
+	private static final int LONG_EVENTS = 100;
 
-	/** One in so many streams is preempted. */
-	private static final int PAUSED_OF = 7;
+	private static final int LONG_EVENT_MS = 100;
+
+	private static final int LONG_DEADLINE_MS = 15_000;
 
 	private static final long PLAY_MS = 50_000;
 
 	private static final int DEADLINE_MS = 5_000;
 
+	/** Clients abandon a stream after such a gap: four times the objective of its route. */
+	private static final int GAP_MS = 2_400;
+
+	private static final int LONG_GAP_MS = 3_200;
+
 	private static final long MAX_OVERLAP_MS = 400;
 
 	private final boolean trouble;
 
+	private final Map<String, Engine> engines = Map.of("i-1", new Engine(), "i-2", new Engine(), "i-3", new Engine());
+
 	private final Map<String, Run> runs = new ConcurrentHashMap<>();
 
 	private final Set<String> paused = ConcurrentHashMap.newKeySet();
@@ -70,13 +80,13 @@
 		try (Kit.Record record = new Kit.Record(file);
 				FakeStoreServer store = new FakeStoreServer();
 				Kit.Router router = new Kit.Router("router1", store.port())) {
-			store.put("op", "config", Kit.config(1, 100_000_000));
+			store.put("op", "config", Kit.config(1, 100_000_000, Engine.SLOTS, Engine.KV_TOKENS));
 			for (int i = 1; i <= SERVERS; i++) {
 				String name = "i-" + i;
 				Kit.Server server = new Kit.Server(
 						(request, socket, out) -> serve(record, name, request, socket, out));
 				servers.add(server);
-				store.put("servers", name, Kit.registration("pool", server.port(), 64, "ready", 1, 5));
+				store.put("servers", name, Kit.registration("pool", server.port(), Engine.SLOTS, "ready", 1, 5));
 			}
 			router.start(true);
 			if (!router.awaitReady(30_000)) {
@@ -87,14 +97,14 @@
 			Kit.sleep(5_000);
 			AtomicBoolean stop = new AtomicBoolean();
 			List<Thread> clients = new ArrayList<>();
-			for (int c = 0; c < CLIENTS; c++) {
+			for (int c = 0; c < CLIENTS + LONG_CLIENTS; c++) {
 				int number = c;
-				clients.add(Kit.daemon(() -> send(record, router, "c" + number, stop)));
+				clients.add(Kit.daemon(() -> send(record, router, ((number < CLIENTS) ? "c" : "long") + number, stop)));
 			}
 			Kit.sleep(PLAY_MS);
 			stop.set(true);
 			for (Thread client : clients) {
-				client.join(DEADLINE_MS + 1_000);
+				client.join(LONG_DEADLINE_MS + 1_000);
 			}
 			Kit.sleep(2_500);
 			record.say("outcomes " + this.outcomes + ", streams that paused: " + this.paused.size()
@@ -113,15 +123,34 @@
 		}
 	}
 
+	private static boolean isLong(Kit.Request request) {
+		return request.path().startsWith("/stream/");
+	}
+
+	private static int events(Kit.Request request) {
+		return isLong(request) ? LONG_EVENTS : EVENTS;
+	}
+
+	private static int eventMs(Kit.Request request) {
+		return isLong(request) ? LONG_EVENT_MS : EVENT_MS;
+	}
+
 	private boolean serve(Kit.Record record, String server, Kit.Request request, Socket socket, OutputStream out)
-			throws IOException {
+			throws IOException, InterruptedException {
+		Engine engine = this.engines.get(server);
 		if (request.id().isEmpty()) {
-			byte[] body = "{\"running\":1,\"waiting\":0,\"kvUsed\":1000,\"kvTotal\":340832,\"born\":5}".getBytes();
+			byte[] body = engine.report();
 			out.write(Kit.answerHead(200, "", "", body.length).getBytes());
 			out.write(body);
 			return true;
 		}
 		String lastId = request.header(Kit.name("header.lastid"));
+		Engine.Run place = engine.enter(eventMs(request) * (long) events(request));
+		if (place == null) {
+			record.add(server + " is full and rejects " + request.id());
+			out.write(Kit.answerHead(503, request.id(), Kit.name("header.notrun") + ": 1\r\n", 0).getBytes());
+			return true;
+		}
 		Run run = new Run(server);
 		Run before = this.runs.put(request.id(), run);
 		record.add(server + " runs " + request.id() + " after event " + lastId);
@@ -129,21 +158,26 @@
 			this.resumed.incrementAndGet();
 			Kit.daemon(() -> checkOverlap(record, request.id(), before, run));
 		}
-		boolean pauses = this.trouble && before == null && Math.floorMod(request.id().hashCode(), PAUSED_OF) == 0;
 		boolean open = true;
 		try {
 			open = write(Kit
 				.answerHead(200, request.id(), "Transfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n", -1),
 					server, out, open);
 			int from = lastId.isEmpty() ? 1 : Integer.parseInt(lastId) + 1;
-			for (int i = from; i <= EVENTS; i++) {
+			for (int i = from; i <= events(request); i++) {
 				String event = "id: " + i + "\ndata: piece " + i + "\n\n";
 				open = write(Integer.toHexString(event.length()) + "\r\n" + event + "\r\n", server, out, open);
-				sleep(server, socket, EVENT_MS);
-				if (pauses && i == PAUSE_AFTER_EVENT) {
+				sleep(server, socket, eventMs(request));
+				engine.wrote(place, i == events(request));
+				if (this.trouble) {
+					engine.mayRunOut();
+				}
+				if (engine.isPreempted(place)) {
 					this.paused.add(request.id());
 					record.add(server + " pauses " + request.id());
-					sleep(server, socket, PAUSE_MS);
+					while (engine.isPreempted(place)) {
+						sleep(server, socket, 10);
+					}
 					record.add(server + " goes on with " + request.id());
 				}
 			}
@@ -157,6 +191,7 @@
 		}
 		finally {
 			run.working = false;
+			engine.leave(place);
 		}
 	}
 
@@ -197,14 +232,18 @@
 
 	private void send(Kit.Record record, Kit.Router router, String name, AtomicBoolean stop) {
 		int n = 0;
+		boolean isLong = name.startsWith("long");
+		int deadlineMs = isLong ? LONG_DEADLINE_MS : DEADLINE_MS;
+		// Long streams begin one after the other.
+		Kit.sleep(isLong ? Math.floorMod(name.hashCode() * 31, 10) * 1_000 : 0);
 		while (!stop.get()) {
 			String id = name + "x" + n++;
 			Kit.Answer answer = new Kit.Answer();
 			try (Kit.Client client = new Kit.Client(router.front)) {
-				client.send(Kit.requestHead("POST", "/resume/" + id, id, DEADLINE_MS, 3,
-						Kit.name("header.usage") + ": 1000,80\r\n" + Kit.name("header.model") + ": m\r\n"),
+				client.send(Kit.requestHead("POST", (isLong ? "/stream/" : "/resume/") + id, id, deadlineMs, 3,
+						Kit.name("header.usage") + (isLong ? ": 1000,400\r\n" : ": 1000,80\r\n") + Kit.name("header.model") + ": m\r\n"),
 						"abc".getBytes());
-				answer = client.read(DEADLINE_MS + 500);
+				answer = client.read(isLong ? LONG_GAP_MS : GAP_MS);
 			}
 			catch (IOException ex) {
 				answer.failure = ex.getMessage();
