--- a/review/kit-3/FullCase.java
+++ b/review/kit-3/FullCase.java
@@ -29,7 +29,7 @@
 	private static final int EVENT_MS = 40;
 
 	/** Long streams, which may not be resumed. */
-	private static final int LONG_CLIENTS = 22;
+	private static final int LONG_CLIENTS = 20;
 
 	private static final int LONG_EVENTS = 100;
 
@@ -167,6 +167,14 @@
 			out.write(Kit.answerHead(503, request.id(), Kit.name("header.notrun") + ": 1\r\n", 0).getBytes());
 			return true;
 		}
+		// A request whose caller left while it waited is not run.
+		try {
+			Kit.sleepWhileOpen(socket, 2);
+		}
+		catch (IOException ex) {
+			engine.leave(run);
+			throw ex;
+		}
 		record.add(server + " runs " + request.id() + " after event " + lastId);
 		try {
 			out.write(Kit
--- a/review/kit-3/PauseCase.java
+++ b/review/kit-3/PauseCase.java
@@ -42,7 +42,7 @@
 
 	private static final int LONG_DEADLINE_MS = 15_000;
 
-	private static final long PLAY_MS = 50_000;
+	private static final long PLAY_MS = 78_000;
 
 	private static final int DEADLINE_MS = 5_000;
 
@@ -151,6 +151,14 @@
 			out.write(Kit.answerHead(503, request.id(), Kit.name("header.notrun") + ": 1\r\n", 0).getBytes());
 			return true;
 		}
+		// No server runs a request whose caller left while it waited.
+		try {
+			Kit.sleepWhileOpen(socket, 2);
+		}
+		catch (IOException ex) {
+			engine.leave(place);
+			throw ex;
+		}
 		Run run = new Run(server);
 		Run before = this.runs.put(request.id(), run);
 		record.add(server + " runs " + request.id() + " after event " + lastId);
