Log the other connections to a server when a response without length ends

The log did not tell a process that has ended from one that resets new connections: a reset was logged as unreachable or as a closed connection, depending on whether it came before or after the connection was known to be open, and nothing said what else the router had open to the same process.

response.connection_ended has open_connections now, and a reset of a connection that is being opened is new_connection_reset.

--- a/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LivenessChecks.java
@@ -131,7 +131,12 @@
 	private void holdNewConnection(BackendServer server, Listener listener) {
 		this.relay.connections().probe(server, (result, channel) -> {
 			if (result != ServerConnections.ProbeResult.ACCEPTED) {
-				listener.onResult(false, (result == ServerConnections.ProbeResult.REFUSED) ? "refused" : "unreachable");
+				String evidence = switch (result) {
+					case REFUSED -> "refused";
+					case RESET -> "new_connection_reset";
+					default -> "unreachable";
+				};
+				listener.onResult(false, evidence);
 				return;
 			}
 			channel.pipeline().addLast(new CloseOnReset());
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerAttempt.java
@@ -248,6 +248,7 @@
 			.with("status", this.status)
 			.with("events", this.request.response().eventCount())
 			.with("server_leaving", this.state.isLeaving() || this.state.server().draining())
+			.with("open_connections", relay.connections().countOpenSince(this.state.server(), this.sentAtMs))
 			.with("check", check)
 			.emit();
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnection.java
@@ -65,6 +65,8 @@
 
 	private final ServerResponseDecoder decoder;
 
+	private final long openedAtMs;
+
 	private @Nullable ServerExchange exchange;
 
 	private long idleSinceMs;
@@ -112,6 +114,7 @@
 		this.requestIdHeader = requestIdHeader;
 		this.channel = channel;
 		this.decoder = channel.pipeline().get(ServerResponseDecoder.class);
+		this.openedAtMs = pool.nowMs();
 	}
 
 	/**
@@ -215,6 +218,15 @@
 		return this.usedBefore;
 	}
 
+	/**
+	 * Returns whether the connection was opened by a given time and is still open.
+	 * @param timeMs the steady time in milliseconds
+	 * @return {@code true} if the process that accepted it at that time still has it
+	 */
+	boolean isOpenSince(long timeMs) {
+		return this.openedAtMs <= timeMs && this.channel.isActive();
+	}
+
 	boolean isIdleSinceBefore(long timeMs) {
 		return this.idleSinceMs <= timeMs;
 	}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
@@ -1,10 +1,12 @@
 package io.verbenacleat.router.relay;
 
 import java.net.ConnectException;
+import java.net.SocketException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -55,8 +57,11 @@
 
 	private final Map<String, Deque<ServerConnection>> idleConnections = new HashMap<>();
 
+	/** The connections that are open or being opened, by incarnation. */
 	private final Map<String, Integer> openCounts = new HashMap<>();
 
+	private final Map<String, Set<ServerConnection>> openConnections = new HashMap<>();
+
 	ServerConnections(EventLoop loop, String requestIdHeader, LongSupplier nowMs, DecisionLog log,
 			RelayMetrics metrics) {
 		this.requestIdHeader = requestIdHeader;
@@ -164,11 +169,28 @@
 	}
 
 	void onClosed(ServerConnection connection) {
-		countClosed(connection.incarnationKey());
-		Deque<ServerConnection> pool = this.idleConnections.get(connection.incarnationKey());
+		String key = connection.incarnationKey();
+		countClosed(key);
+		Deque<ServerConnection> pool = this.idleConnections.get(key);
 		if (pool != null) {
 			pool.remove(connection);
 		}
+		this.openConnections.computeIfPresent(key, (unchanged, open) -> {
+			open.remove(connection);
+			return open.isEmpty() ? null : open;
+		});
+	}
+
+	/**
+	 * Returns how many connections to the incarnation of a server have been open since a
+	 * given time.
+	 * @param server the server
+	 * @param timeMs the steady time in milliseconds
+	 * @return the number of connections that were opened by then and are still open
+	 */
+	int countOpenSince(BackendServer server, long timeMs) {
+		Set<ServerConnection> open = this.openConnections.getOrDefault(incarnationKey(server), Set.of());
+		return (int) open.stream().filter((connection) -> connection.isOpenSince(timeMs)).count();
 	}
 
 	private void countClosed(String key) {
@@ -209,15 +231,8 @@
 	void probe(BackendServer server, BiConsumer<ProbeResult, Channel> listener) {
 		ChannelFuture connecting = this.bootstrap.connect(server.host(), server.port());
 		connecting.addListener((result) -> {
-			if (result.isSuccess()) {
-				listener.accept(ProbeResult.ACCEPTED, connecting.channel());
-			}
-			else {
-				// Netty reports a timeout as a subclass of the exception for a refusal.
-				boolean refused = result.cause() instanceof ConnectException
-						&& !(result.cause() instanceof ConnectTimeoutException);
-				listener.accept(refused ? ProbeResult.REFUSED : ProbeResult.UNREACHABLE, connecting.channel());
-			}
+			Throwable failure = result.cause();
+			listener.accept((failure != null) ? ProbeResult.of(failure) : ProbeResult.ACCEPTED, connecting.channel());
 		});
 	}
 
@@ -242,6 +257,7 @@
 			if (result.isSuccess()) {
 				ServerConnection connection = new ServerConnection(this, key, this.requestIdHeader,
 						connecting.channel());
+				this.openConnections.computeIfAbsent(key, (any) -> new HashSet<>()).add(connection);
 				connecting.channel().pipeline().addLast(connection);
 				exchange.onConnected(connection);
 			}
@@ -263,8 +279,29 @@
 		/** The host responds, and no process listens. */
 		REFUSED,
 
+		/**
+		 * The connection was opened and reset at once, by a process that accepts no more
+		 * connections or by the kernel for a process that is ending.
+		 */
+		RESET,
+
 		/** Nothing responds. */
-		UNREACHABLE
+		UNREACHABLE;
+
+		/**
+		 * Classifies a connection that could not be opened.
+		 * @param failure the failure of the connection
+		 * @return the result
+		 */
+		static ProbeResult of(Throwable failure) {
+			// Netty reports a timeout as a subclass of the exception for a refusal.
+			if (failure instanceof ConnectException) {
+				return (failure instanceof ConnectTimeoutException) ? UNREACHABLE : REFUSED;
+			}
+			boolean reset = failure instanceof SocketException
+					&& String.valueOf(failure.getMessage()).contains("reset");
+			return reset ? RESET : UNREACHABLE;
+		}
 
 	}
 
