Ignore registrations that the store performs after the end of a server

Cause: the directory took any row of an incarnation that it had removed for a new registration, and forgot with the entry that the server drains. The order in which the store performs writes is not that in which a server sends them; its seq was not read. Evidence: server.registered at the moment of the late write, with the start time of the incarnation that had left.

Change: RegistrationHistory orders the registrations of an incarnation by their sequence, remembers that it drains, and holds back one that came after a removal until it cannot be a late write any more: the last is performed 6 s after it was sent, and the store removes it three heartbeats later unless the server renews it. A row that cannot be used no longer counts as the end of its server.

--- a/router/src/main/java/io/verbenacleat/router/FleetFeed.java
+++ b/router/src/main/java/io/verbenacleat/router/FleetFeed.java
@@ -73,12 +73,19 @@
 		/**
 		 * Called when one registration has changed.
 		 * @param id the id of the server
-		 * @param server the server, {@code null} when its registration was removed or
-		 * cannot be used
+		 * @param server the server, {@code null} when its registration was removed
 		 * @param afterOutage whether an outage of the registry has just ended
 		 */
 		void onServerChange(String id, @Nullable BackendServer server, boolean afterOutage);
 
+		/**
+		 * Called when a registration was read that cannot be used, also before the other
+		 * registrations of a full read.
+		 * @param id the id of the server
+		 * @param afterOutage whether an outage of the registry has just ended
+		 */
+		void onUnusableRegistration(String id, boolean afterOutage);
+
 	}
 
 }
--- a/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterDaemon.java
@@ -162,7 +162,8 @@
 			.help("Availability zones that are evacuated")
 			.register(registry);
 		this.evacuatedZones = new EvacuatedZones(log, this::publishEvacuatedZones);
-		this.directory = new ServerDirectory(control, log, this::publishServers, feed::recheckServers);
+		this.directory = new ServerDirectory(control, log, this::publishServers, feed::recheckServers,
+				Duration.ofMillis(options.heartbeatMs()));
 		this.callers = CallerServer.start(this.loop, this.relay, options.host(), options.callerPort());
 		this.readiness = AdminEndpoint.readiness(this.loop, options.readyHost(), options.readyPort(), this::isReady);
 		this.metrics = AdminEndpoint.metrics(this.loop, options.host(), options.metricsPort(), registry,
@@ -282,6 +283,11 @@
 		this.directory.update(id, server, afterOutage);
 	}
 
+	@Override
+	public void onUnusableRegistration(String id, boolean afterOutage) {
+		this.directory.onUnusable(id, afterOutage);
+	}
+
 	@Override
 	public @Nullable RoutingTable configuration() {
 		return this.table;
--- a/router/src/main/java/io/verbenacleat/router/RouterOptions.java
+++ b/router/src/main/java/io/verbenacleat/router/RouterOptions.java
@@ -17,6 +17,7 @@
  * @param seeds the peer addresses of some routers as {@code ip:port}, which may be
  * unreachable
  * @param stopTimeoutMs the time from SIGTERM to the end of the process in milliseconds
+ * @param heartbeatMs how often backend servers renew their registrations, in milliseconds
  * @param startedAtNanos an upper bound of the start time of the process, by the steady
  * clock
  * @param firstStart whether the whole fleet starts for the first time
@@ -24,7 +25,7 @@
  * @param relay the options of the relay
  */
 public record RouterOptions(String name, String host, int callerPort, String readyHost, int readyPort, int metricsPort,
-		int peerPort, List<String> seeds, long stopTimeoutMs, long startedAtNanos, boolean firstStart,
+		int peerPort, List<String> seeds, long stopTimeoutMs, long heartbeatMs, long startedAtNanos, boolean firstStart,
 		double capacityCores, RelayOptions relay) {
 
 	/** The peer port of a router that does not listen for other routers. */
--- a/router/src/main/java/io/verbenacleat/router/server/BackendServer.java
+++ b/router/src/main/java/io/verbenacleat/router/server/BackendServer.java
@@ -19,9 +19,11 @@
  * @param draining whether the server is draining and must not receive new requests
  * @param warmUp what the registration says about the warm-up of the server, {@code null}
  * if it says nothing, and in messages of older routers
+ * @param sequence the number of the registration, which rises from one registration of
+ * the incarnation to the next; {@code null} in messages of older routers
  */
 public record BackendServer(String id, long startedAtMs, String service, String host, int port, String zone, int slots,
-		@Nullable String version, boolean draining, @Nullable WarmUpNotice warmUp) {
+		@Nullable String version, boolean draining, @Nullable WarmUpNotice warmUp, @Nullable Long sequence) {
 
 	/**
 	 * Creates a registration in which a missing version is replaced by an empty one.
@@ -31,7 +33,7 @@
 	}
 
 	/**
-	 * Creates a registration that says nothing about a warm-up.
+	 * Creates a registration that says nothing about a warm-up and has no sequence.
 	 * @param id the server id
 	 * @param startedAtMs the start time in milliseconds of Unix time
 	 * @param service the name of the service
@@ -44,7 +46,25 @@
 	 */
 	public BackendServer(String id, long startedAtMs, String service, String host, int port, String zone, int slots,
 			@Nullable String version, boolean draining) {
-		this(id, startedAtMs, service, host, port, zone, slots, version, draining, null);
+		this(id, startedAtMs, service, host, port, zone, slots, version, draining, null, null);
+	}
+
+	/**
+	 * Creates a registration that has no sequence.
+	 * @param id the server id
+	 * @param startedAtMs the start time in milliseconds of Unix time
+	 * @param service the name of the service
+	 * @param host the IP address
+	 * @param port the port
+	 * @param zone the availability zone
+	 * @param slots the number of requests that the server runs concurrently
+	 * @param version the version of the software
+	 * @param draining whether the server is draining
+	 * @param warmUp what the registration says about the warm-up of the server
+	 */
+	public BackendServer(String id, long startedAtMs, String service, String host, int port, String zone, int slots,
+			@Nullable String version, boolean draining, @Nullable WarmUpNotice warmUp) {
+		this(id, startedAtMs, service, host, port, zone, slots, version, draining, warmUp, null);
 	}
 
 	/**
@@ -70,7 +90,7 @@
 	 */
 	BackendServer asDraining() {
 		return new BackendServer(this.id, this.startedAtMs, this.service, this.host, this.port, this.zone, this.slots,
-				this.version, true, this.warmUp);
+				this.version, true, this.warmUp, this.sequence);
 	}
 
 	/**
@@ -80,7 +100,17 @@
 	 */
 	public BackendServer withWarmUp(@Nullable WarmUpNotice notice) {
 		return new BackendServer(this.id, this.startedAtMs, this.service, this.host, this.port, this.zone, this.slots,
-				this.version, this.draining, notice);
+				this.version, this.draining, notice, this.sequence);
+	}
+
+	/**
+	 * Returns the registration with another sequence.
+	 * @param number the sequence, {@code null} for none
+	 * @return a registration that is otherwise equal
+	 */
+	public BackendServer withSequence(@Nullable Long number) {
+		return new BackendServer(this.id, this.startedAtMs, this.service, this.host, this.port, this.zone, this.slots,
+				this.version, this.draining, this.warmUp, number);
 	}
 
 	/**
--- a/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
+++ b/router/src/main/java/io/verbenacleat/router/server/ServerDirectory.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -29,15 +28,17 @@
  * A registry that comes back from an older copy lists servers that have left, and lacks
  * new ones. A server that was draining stays draining for the rest of its incarnation,
  * and one that was removed stays removed until it registers again.
+ * <p>
+ * The registry may perform a write seconds after it was sent, also after a later one or
+ * after the removal of the registration. {@link RegistrationHistory} finds those. A
+ * registration that may be one is held back until the registry has kept it for longer
+ * than it keeps registrations that are not renewed.
  */
 public final class ServerDirectory {
 
 	/** Registrations that lapsed during an outage return about two seconds after it. */
 	static final Duration LAPSE_GRACE = Duration.ofMillis(2_000);
 
-	/** More than the servers that leave within the age of a copy. */
-	private static final int MAX_REMOVED = 1_000;
-
 	private final ControlThread control;
 
 	private final DecisionLog log;
@@ -49,8 +50,10 @@
 
 	private final Map<String, BackendServer> servers = new HashMap<>();
 
-	/** The last removed incarnations, oldest first. */
-	private final Set<BackendServer> removed = new LinkedHashSet<>();
+	private final RegistrationHistory history;
+
+	/** The registrations that are not confirmed, by id. */
+	private final Map<String, HeldRegistration> heldBack = new TreeMap<>();
 
 	/** When each registration was received, by id. */
 	private final Map<String, Long> receivedAtNanos = new HashMap<>();
@@ -70,12 +73,15 @@
 	 * @param publisher receives each new list
 	 * @param recheck called when the registry should be asked for its registrations at
 	 * once
+	 * @param heartbeat how often servers renew their registrations
 	 */
-	public ServerDirectory(ControlThread control, DecisionLog log, Consumer<ServerList> publisher, Runnable recheck) {
+	public ServerDirectory(ControlThread control, DecisionLog log, Consumer<ServerList> publisher, Runnable recheck,
+			Duration heartbeat) {
 		this.control = control;
 		this.log = log;
 		this.publisher = publisher;
 		this.recheck = recheck;
+		this.history = new RegistrationHistory(heartbeat);
 	}
 
 	/**
@@ -92,9 +98,13 @@
 				startGracePeriod(id);
 			}
 			else if (!this.gracePeriods.containsKey(id) || this.expired.contains(id)) {
-				remove(id, "registration is gone");
+				remove(id, "registration is gone", this.gracePeriods.containsKey(id));
 			}
 		}
+		Set.copyOf(this.heldBack.keySet())
+			.stream()
+			.filter((id) -> !found.containsKey(id))
+			.forEach(this::removeHeldBack);
 		found.values().forEach(this::put);
 		publish();
 	}
@@ -106,7 +116,7 @@
 	 */
 	public void restore(Map<String, BackendServer> found) {
 		Map<String, BackendServer> present = new HashMap<>(found);
-		present.values().removeIf((server) -> this.removed.contains(server.incarnationKey()));
+		present.values().removeIf(this.history::isRemoved);
 		replaceAll(present, true);
 	}
 
@@ -120,25 +130,53 @@
 		if (server != null) {
 			put(server);
 		}
-		else if (afterOutage && this.servers.containsKey(id)) {
+		else {
+			drop(id, "registration is gone", afterOutage, false);
+		}
+		publish();
+	}
+
+	/**
+	 * Stops using a server whose registration was overwritten with one that cannot be
+	 * used. The server has not left, and is used again when it renews its registration.
+	 * @param id the id of the server
+	 * @param afterOutage whether an outage of the registry has just ended
+	 */
+	public void onUnusable(String id, boolean afterOutage) {
+		boolean listed = this.servers.containsKey(id);
+		drop(id, "registration is unusable", afterOutage, true);
+		if (listed) {
+			publish();
+		}
+	}
+
+	private void drop(String id, String reason, boolean afterOutage, boolean lapsed) {
+		removeHeldBack(id);
+		if (afterOutage && this.servers.containsKey(id)) {
 			startGracePeriod(id);
 		}
 		else {
-			remove(id, "registration is gone");
+			remove(id, reason, lapsed);
 		}
-		publish();
 	}
 
 	/**
-	 * Removes the servers whose grace period has ended. Called after each response of the
-	 * registry, when its changes were applied.
+	 * Removes the servers whose grace period has ended, and uses the registrations that
+	 * were held back and are confirmed. Called after each response of the registry, when
+	 * its changes were applied.
 	 */
 	public void confirm() {
-		if (this.expired.isEmpty()) {
+		List<BackendServer> confirmed = this.heldBack.values()
+			.stream()
+			.filter(HeldRegistration::isDue)
+			.map(HeldRegistration::server)
+			.toList();
+		if (this.expired.isEmpty() && confirmed.isEmpty()) {
 			return;
 		}
 		List.copyOf(this.expired)
-			.forEach((id) -> remove(id, "registration did not return after an outage of the registry"));
+			.forEach((id) -> remove(id, "registration did not return after an outage of the registry", true));
+		confirmed.forEach(this::accept);
 		publish();
 	}
 
@@ -189,15 +227,78 @@
 	}
 
 	private void put(BackendServer registered) {
+		HeldRegistration overwritten = this.heldBack.get(registered.id());
+		if (overwritten != null && !overwritten.server().isSameIncarnation(registered)) {
+			discardHeldBack(registered.id());
+		}
+		switch (this.history.judge(registered, this.servers.get(registered.id()), this.control.nanoTime())) {
+			case IN_FORCE -> accept(registered);
+			case OUTDATED -> logNotUsed(registered, "outdated");
+			case UNCONFIRMED -> holdBack(registered);
+		}
+	}
+
+	private void holdBack(BackendServer registered) {
+		String id = registered.id();
+		HeldRegistration held = this.heldBack.get(id);
+		long nowNanos = this.control.nanoTime();
+		if (held == null) {
+			held = new HeldRegistration(registered, nowNanos);
+			this.heldBack.put(id, held);
+		}
+		else if (!held.renew(registered)) {
+			return;
+		}
+		this.history.onUnconfirmed(registered);
+		logNotUsed(registered, "unconfirmed");
+		if (held.isConfirmed(this.history.lapseTime(), nowNanos)) {
+			accept(registered);
+			return;
+		}
+		HeldRegistration waiting = held;
+		held.startTimer(this.control.schedule(this.history.confirmationTime(registered, nowNanos), () -> {
+			waiting.setDue();
+			this.recheck.run();
+		}));
+	}
+
+	private void removeHeldBack(String id) {
+		HeldRegistration held = this.heldBack.get(id);
+		if (held != null) {
+			discardHeldBack(id);
+			this.history.onRemoved(held.server(), false, this.control.nanoTime());
+		}
+	}
+
+	private void discardHeldBack(String id) {
+		HeldRegistration held = this.heldBack.remove(id);
+		if (held != null) {
+			held.cancel();
+		}
+	}
+
+	private void logNotUsed(BackendServer registered, String reason) {
+		Long sequence = registered.sequence();
+		this.log.event("server.registration_not_used")
+			.with("server", registered.id())
+			.with("started_at_ms", registered.startedAtMs())
+			.with("sequence", (sequence != null) ? sequence : -1)
+			.with("draining", registered.draining())
+			.with("reason", reason)
+			.emit();
+	}
+
+	private void accept(BackendServer registered) {
+		discardHeldBack(registered.id());
 		cancelGracePeriod(registered.id());
 		BackendServer known = this.servers.get(registered.id());
 		boolean draining = known != null && known.draining() && known.isSameIncarnation(registered);
 		BackendServer server = draining ? registered.asDraining() : registered;
-		this.removed.remove(server.incarnationKey());
 		BackendServer previous = this.servers.put(server.id(), server);
 		this.receivedAtNanos.put(server.id(), this.control.nanoTime());
-		// The remaining time of a warm-up changes with each renewal.
-		if (previous == null || !previous.withWarmUp(null).equals(server.withWarmUp(null))) {
+		this.history.onInForce(server, previous, this.control.nanoTime());
+		// The remaining time of a warm-up and the sequence change with each renewal.
+		if (previous == null || !withoutRenewal(previous).equals(withoutRenewal(server))) {
 			this.log.event("server.registered")
 				.with("server", server.id())
 				.with("service", server.service())
@@ -208,6 +309,10 @@
 		}
 	}
 
+	private static BackendServer withoutRenewal(BackendServer server) {
+		return server.withWarmUp(null).withSequence(null);
+	}
+
 	private void cancelGracePeriod(String id) {
 		this.expired.remove(id);
 		Cancellable timer = this.gracePeriods.remove(id);
@@ -216,15 +321,12 @@
 		}
 	}
 
-	private void remove(String id, String reason) {
+	private void remove(String id, String reason, boolean lapsed) {
 		cancelGracePeriod(id);
 		BackendServer server = this.servers.remove(id);
 		this.receivedAtNanos.remove(id);
 		if (server != null) {
-			this.removed.add(server.incarnationKey());
-			if (this.removed.size() > MAX_REMOVED) {
-				this.removed.remove(this.removed.iterator().next());
-			}
+			this.history.onRemoved(server, lapsed, this.control.nanoTime());
 			this.log.event("server.removed").with("server", id).with("reason", reason).emit();
 		}
 	}
--- a/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
+++ b/router/src/test/java/io/verbenacleat/router/RouterDaemonTests.java
@@ -40,6 +40,8 @@
 
 	private static final long STOP_TIMEOUT_MS = 1_000;
 
+	private static final long HEARTBEAT_MS = 1_200;
+
 	@Test
 	public void aRouterIsReadyWithAConfigurationAndServersUntilItStops() throws IOException {
 		ManualFeed feed = new ManualFeed();
@@ -211,7 +213,8 @@
 				"Test-Not-Run", "Test-Prefix", "Test-Tokens", "Last-Event-Id", "Test-Resumes", "Test-Priority",
 				"Test-Leaving", "Test-Limit", "Test-Warm-Up", Set.of());
 		RouterOptions options = new RouterOptions("test", "127.0.0.1", 0, "127.0.0.1", 0, 0, peerPort, seeds,
-				STOP_TIMEOUT_MS, System.nanoTime(), true, 1, new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
+				STOP_TIMEOUT_MS, HEARTBEAT_MS, System.nanoTime(), true, 1,
+				new RelayOptions(names, "z", 0.2, 5, 1, 10_000));
 		return new RouterDaemon(options, new InMemoryTableStore(), new UnknownClock(), () -> 0, feed, new NoReports(),
 				PlatformClient.builder("http://127.0.0.1:1").build().calls(Duration.ofSeconds(1)),
 				new SingleControlThread("control"), new DecisionLog(System::currentTimeMillis));
--- a/router/src/test/java/io/verbenacleat/router/budget/WarmUpFleet.java
+++ b/router/src/test/java/io/verbenacleat/router/budget/WarmUpFleet.java
@@ -432,7 +432,7 @@
 				target.update(list);
 				target.applyWarmUps(nowMs());
 			}, () -> {
-			});
+			}, Duration.ofMillis(1_200));
 		}
 
 		private final class BoundedClock implements StoreClock {
--- a/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
+++ b/router/src/test/java/io/verbenacleat/router/server/ServerDirectoryTests.java
@@ -178,7 +178,7 @@
 			if (this.registryResponds) {
 				this.directory.confirm();
 			}
-		});
+		}, Duration.ofMillis(1_200));
 	}
 
 	private Set<String> usable() {
