Do not take a successor for the process that wrote a response

What callers would see: a cut response without length that looks complete (MIXED), in a server that resets new connections and is replaced while the check of the previous change waits.

Cause: the check may open a connection, or use an idle one, some hundred milliseconds after the end of the response. By then another process may listen at the address.

Change: an idle connection counts only if it was opened before the end. If an older connection with a request in progress broke, and none is left, new connections to a server without load reports prove nothing, and the response is cut at once. The broken connections are the sign that tells a process that has ended from a busy one.

--- a/router/src/main/java/io/verbenacleat/router/relay/EndedResponse.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/EndedResponse.java
@@ -48,6 +48,14 @@
 		return this.requestSentAtMs;
 	}
 
+	/**
+	 * Returns when the connection of the response ended.
+	 * @return the steady time in milliseconds
+	 */
+	long endedAtMs() {
+		return this.endedAtMs;
+	}
+
 	/**
 	 * Returns what was found last, for logs.
 	 * @return the finding
@@ -90,6 +98,14 @@
 		this.suspect |= connection.wasOpenedBy(this.requestSentAtMs);
 	}
 
+	/**
+	 * Returns whether another connection to the process broke after the end.
+	 * @return {@code true} if the process may have ended
+	 */
+	boolean isSuspect() {
+		return this.suspect;
+	}
+
 	/**
 	 * Returns whether bytes that have just been received were written by the same process
 	 * after the end.
--- a/router/src/main/java/io/verbenacleat/router/relay/LivenessCheck.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/LivenessCheck.java
@@ -13,6 +13,7 @@
 import io.verbenacleat.router.balance.ServerState;
 import io.verbenacleat.router.config.Service;
 import io.verbenacleat.router.server.BackendServer;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Checks one incarnation of a backend server after responses without length have ended.
@@ -151,7 +152,7 @@
 			return;
 		}
 		this.connecting = true;
-		boolean wait = !mayAsk() && this.relay.connections().idleChannel(this.state.server()) == null
+		boolean wait = !mayAsk() && findIdle(this.pending) == null
 				&& this.pending.stream().allMatch((ended) -> countOtherConnections(ended) > 0);
 		if (wait) {
 			afterDelay(OTHER_CONNECTIONS_MS, this::connectNow);
@@ -208,10 +209,25 @@
 		connect();
 	}
 
+	// A process whose other connections have broken may have been replaced.
+	private void onNewConnection(List<EndedResponse> covered, Result result, String evidence) {
+		for (EndedResponse ended : covered) {
+			if (ended.isSuspect() && countOtherConnections(ended) == 0) {
+				decide(ended, false, "other_connections_broken");
+			}
+		}
+		onResult(covered, result, evidence);
+	}
+
 	// A connection from before the end belongs to the same process.
+	private @Nullable Channel findIdle(List<EndedResponse> responses) {
+		long openedByMs = responses.stream().mapToLong(EndedResponse::endedAtMs).min().orElse(0);
+		return this.relay.connections().idleChannel(this.state.server(), openedByMs);
+	}
+
 	private void holdConnection(List<EndedResponse> covered) {
 		BackendServer server = this.state.server();
-		Channel idle = this.relay.connections().idleChannel(server);
+		Channel idle = findIdle(covered);
 		if (idle == null) {
 			holdNewConnection(server, covered);
 			return;
@@ -234,11 +250,11 @@
 					afterDelay(HOLD_MS, () -> {
 						boolean kept = channel.isActive();
 						channel.close();
-						onResult(covered, kept ? Result.RUNNING : Result.RESET,
+						onNewConnection(covered, kept ? Result.RUNNING : Result.RESET,
 								kept ? "new_connection_kept" : "new_connection_closed");
 					});
 				}
-				case RESET -> onResult(covered, Result.RESET, "new_connection_reset");
+				case RESET -> onNewConnection(covered, Result.RESET, "new_connection_reset");
 				case REFUSED -> onResult(covered, Result.UNKNOWN, "refused");
 				case UNREACHABLE -> onResult(covered, Result.UNKNOWN, "unreachable");
 			}
--- a/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
+++ b/router/src/main/java/io/verbenacleat/router/relay/ServerConnections.java
@@ -225,13 +225,20 @@
 	/**
 	 * Returns an idle connection to the incarnation of a server, which stays in the pool.
 	 * @param server the server
+	 * @param openedByMs the steady time in milliseconds by which it was opened
 	 * @return the connection that was used last, {@code null} without one
 	 */
 	@Nullable
-	Channel idleChannel(BackendServer server) {
+	Channel idleChannel(BackendServer server, long openedByMs) {
 		Deque<ServerConnection> pool = this.idleConnections.get(incarnationKey(server));
-		ServerConnection last = (pool != null) ? pool.peek() : null;
-		return (last != null) ? last.channel() : null;
+		if (pool == null) {
+			return null;
+		}
+		return pool.stream()
+			.filter((connection) -> connection.isOpenSince(openedByMs))
+			.findFirst()
+			.map(ServerConnection::channel)
+			.orElse(null);
 	}
 
 	/**
--- a/router/src/test/java/io/verbenacleat/router/relay/BusyServerResponseTests.java
+++ b/router/src/test/java/io/verbenacleat/router/relay/BusyServerResponseTests.java
@@ -146,6 +146,32 @@
 		}
 	}
 
+	// Guards against a cut response that looks complete because another process accepts
+	// connections by the time of the second one.
+	@Test
+	public void aResponseIsNotCompleteIfItsServerIsReplacedDuringTheCheck() throws IOException {
+		List<FakeServer> running = new CopyOnWriteArrayList<>();
+		FakeServer.Script script = (request, connection, out) -> {
+			if (request.contains(OTHER_PATH)) {
+				return;
+			}
+			write(out, HEAD + EVENT);
+			running.get(0).startEnding();
+			connection.close();
+			LockSupport.parkNanos(WORK.toNanos());
+			running.get(0).restart();
+			running.get(0).stopEnding();
+		};
+		try (RelayFixture fixture = new RelayFixture(script)) {
+			running.addAll(fixture.servers);
+			try (Socket other = sendOther(fixture)) {
+				String answer = fixture.call("/once/", "");
+				assertTrue(answer.contains("data: a"), answer);
+				assertFalse(answer.endsWith(LAST_CHUNK), answer);
+			}
+		}
+	}
+
 	@DataProvider
 	public Object[][] failuresOfConnections() {
 		return new Object[][] {
